--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package coppermoor decides where a dispatcher pushes jobs: which worker gets
+// Package yardwharf decides where a dispatcher pushes jobs: which worker gets
 // a request, when an attempt is repeated or given up, and what is turned away.
 //
 // A host creates one Balancer per dispatcher with New, calls its event methods
@@ -16,7 +16,7 @@
 //     calls back into the Balancer.
 //
 // Events about unknown requests, attempts or workers are ignored.
-package coppermoor
+package yardwharf
 
 import "time"
 
--- a/balancer.go
+++ b/balancer.go
@@ -1,10 +1,10 @@
-// All of coppermoor's decisions. The types, events and actions are in api.go.
+// All of yardwharf's decisions. The types, events and actions are in api.go.
 //
 // The file has four parts: the split (shares and their steps), fitness (who may
 // be drawn now), the request's life (attempts, retries, the send gate and the
 // answer gate) and admission (what is turned away at once).
 
-package coppermoor
+package yardwharf
 
 import (
 	"cmp"
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,4 +1,4 @@
-package coppermoor
+package yardwharf
 
 import (
 	"math"
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"runtime/debug"
 	"time"
 
-	cm "coppermoor"
-	"coppermoor/internal/wire"
+	cm "yardwharf"
+	"yardwharf/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	cm "coppermoor"
+	cm "yardwharf"
 )
 
 // number is a JSON number that knows whether its key was there.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	cm "coppermoor"
+	cm "yardwharf"
 )
 
 const (
@@ -368,7 +368,7 @@
 	e.buf = append(e.buf, text...)
 }
 
-// Instance writes the actions of one instance; it implements coppermoor.Actions.
+// Instance writes the actions of one instance; it implements yardwharf.Actions.
 type Instance struct {
 	Enc *Encoder
 	ID  uint32
@@ -376,7 +376,7 @@
 
 var _ cm.Actions = Instance{}
 
-// Send implements coppermoor.Actions.
+// Send implements yardwharf.Actions.
 func (i Instance) Send(id cm.RequestID, w cm.WorkerID, timeout time.Duration) {
 	i.Enc.begin(1, 22, i.ID)
 	i.Enc.id(id)
@@ -384,40 +384,40 @@
 	i.Enc.span(timeout)
 }
 
-// Refuse implements coppermoor.Actions.
+// Refuse implements yardwharf.Actions.
 func (i Instance) Refuse(id cm.RequestID, after time.Duration) {
 	i.Enc.begin(2, 16, i.ID)
 	i.Enc.id(id)
 	i.Enc.span(after)
 }
 
-// Fail implements coppermoor.Actions.
+// Fail implements yardwharf.Actions.
 func (i Instance) Fail(id cm.RequestID) {
 	i.Enc.begin(3, 8, i.ID)
 	i.Enc.id(id)
 }
 
-// Cancel implements coppermoor.Actions.
+// Cancel implements yardwharf.Actions.
 func (i Instance) Cancel(id cm.RequestID, attempt int) {
 	i.Enc.begin(4, 9, i.ID)
 	i.Enc.id(id)
 	i.Enc.buf = append(i.Enc.buf, byte(attempt))
 }
 
-// SetTimer implements coppermoor.Actions.
+// SetTimer implements yardwharf.Actions.
 func (i Instance) SetTimer(after time.Duration) {
 	i.Enc.begin(5, 12, i.ID)
 	i.Enc.span(after)
 	i.Enc.buf = binary.LittleEndian.AppendUint32(i.Enc.buf, 0)
 }
 
-// Probe implements coppermoor.Actions.
+// Probe implements yardwharf.Actions.
 func (i Instance) Probe(w cm.WorkerID) {
 	i.Enc.begin(6, 6, i.ID)
 	i.Enc.worker(w)
 }
 
-// Tell implements coppermoor.Actions.
+// Tell implements yardwharf.Actions.
 func (i Instance) Tell(data []byte) {
 	i.Enc.begin(8, 4+len(data), i.ID)
 	i.Enc.buf = binary.LittleEndian.AppendUint16(i.Enc.buf, math.MaxUint16)
@@ -425,7 +425,7 @@
 	i.Enc.buf = append(i.Enc.buf, data...)
 }
 
-// Watch implements coppermoor.Actions.
+// Watch implements yardwharf.Actions.
 func (i Instance) Watch() {
 	i.Enc.begin(11, 1, i.ID)
 	i.Enc.buf = append(i.Enc.buf, 1)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	cm "coppermoor"
+	cm "yardwharf"
 )
 
 // record is a Handler that notes what it was called with.
--- a/settings.go
+++ b/settings.go
@@ -1,4 +1,4 @@
-package coppermoor
+package yardwharf
 
 import (
 	"fmt"
@@ -41,7 +41,7 @@
 // New returns a Balancer, or an error that names the setting that makes no sense.
 func New(s Settings, seed uint64, actions Actions) (*Balancer, error) {
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("coppermoor: %w", err)
+		return nil, fmt.Errorf("yardwharf: %w", err)
 	}
 	b := &Balancer{
 		s: s, do: actions, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
