--- a/api.go
+++ b/api.go
@@ -48,6 +48,7 @@
 
 // Class describes one class of requests.
 type Class struct {
+	Name      string
 	Aim       time.Duration // full worth up to here
 	Stretch   float64       // the aim grows by this many times the job's own work
 	Deadline  time.Duration // the client's usual patience
@@ -93,6 +94,8 @@
 	Me        int // this dispatcher's number
 	Balancers int // how many dispatchers there are
 	Zone      int // this dispatcher's zone
+	Zones     []string
+	Kinds     []string // the workers' kinds
 	Classes   []Class
 	Tenants   []Tenant
 
@@ -103,7 +106,8 @@
 	Hint           HintMeaning
 
 	ReportFields   []Field // what Load values mean, in order
-	ReportsInReply bool    // reports come with outcomes (else with probes only)
+	ReportNames    []string
+	ReportsInReply bool // reports come with outcomes (else with probes only)
 
 	MaxAttempts    int
 	ParallelTries  bool // two attempts of one request may be out at once
@@ -111,8 +115,11 @@
 	Probes         bool
 	Peers          bool
 	MaxRetryAfter  time.Duration
-	CrossZonePrice float64 // price of an attempt that leaves the zone, as worth of a request
-	WorstClass     float64 // weight of the worst-served class in the service's goal
+	MaxOpen        int           // requests that a dispatcher can hold; 0 is no limit
+	DialTimeout    time.Duration // a connection that is not up by then has failed
+	ConnIdle       time.Duration // a worker closes a connection that idles for so long
+	CrossZonePrice float64       // price of an attempt that leaves the zone, as worth of a request
+	WorstClass     float64       // weight of the worst-served class in the service's goal
 
 	DrainGrace     time.Duration // nothing is sent later than this after a drain is told
 	AskWithin      time.Duration // with AskDiscovery: longest time between calls
--- /dev/null
+++ b/cmd/yardwharf/main.go
@@ -0,0 +1,139 @@
+// Command yardwharf is a dispatcher: it takes messages from clients, relays them
+// to south side hosts as the decision module says, and answers.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yardwharf"
+	"yardwharf/internal/config"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/front"
+	"yardwharf/internal/inventory"
+	"yardwharf/internal/loop"
+	"yardwharf/internal/southside"
+)
+
+const (
+	memoryPart  = 0.6 // of the machine's memory that the heap may grow to
+	reserve     = 24  // descriptors for all but clients and south side hosts
+	clientPart  = 0.5 // of the rest, for clients
+	acceptAfter = 500 * time.Millisecond
+	checkEvery  = 10 * time.Millisecond
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "yardwharf:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("dispatcher", c.Name).Logger()
+	l, err := loop.New()
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	p, err := build(l, log, c)
+	if err != nil {
+		return err
+	}
+	log.Info().Stringer("listen", c.Listen).Int("known", len(c.Known.Endpoints)).Msg("started")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		l.Post(loop.Func(p.leave))
+	}()
+	if err := l.Run(); err != nil {
+		return err
+	}
+	log.Info().Msg("stopped")
+	return nil
+}
+
+// program is the dispatcher's parts.
+type program struct {
+	loop       *loop.Loop
+	log        zerolog.Logger
+	hosts      *inventory.Hosts
+	watcher    *inventory.Watcher
+	pool       *southside.Pool
+	dispatcher *dispatch.Dispatcher
+	front      *front.Front
+	timer      loop.Timer
+}
+
+// build wires the parts together.
+func build(l *loop.Loop, log zerolog.Logger, c *config.Config) (*program, error) {
+	p := &program{loop: l, log: log}
+	var err error
+	if p.dispatcher, err = dispatch.New(l, c.Settings, c.Seed); err != nil {
+		return nil, err
+	}
+	sockets := c.Limits.Sockets - reserve
+	clients := int(clientPart * float64(sockets))
+	p.hosts = inventory.NewHosts(c.Settings.Zones, c.Settings.Kinds)
+	p.watcher = inventory.NewWatcher(l, log, c.Discovery, p.hosts, c.Known)
+	p.watcher.Listen(p)
+	p.pool = southside.NewPool(l, &c.Settings, sockets-clients, p.dispatcher)
+	p.dispatcher.Connect(p.pool, p.watcher)
+	if p.front, err = front.New(l, log, c.Listen, clients, &c.Settings, p.dispatcher); err != nil {
+		return nil, err
+	}
+	known := c.Known
+	known.Snapshot = true
+	p.Told(yardwharf.ListCached, p.hosts.Apply(known))
+	return p, nil
+}
+
+// Told implements inventory.Listener. The south side learns of hosts before the
+// decisions do, which may send to them at once.
+func (p *program) Told(kind yardwharf.ListKind, entries []inventory.Host) {
+	if kind != yardwharf.ListFailed {
+		p.pool.Update(entries)
+		p.front.SetReady(p.hosts.Serving() > 0)
+	}
+	members := make([]yardwharf.Member, len(entries))
+	for i := range entries {
+		members[i] = entries[i].Member
+	}
+	p.dispatcher.Members(kind, members)
+}
+
+// leave ends the program as the platform asks: it serves on while clients may not
+// know yet, then takes nothing new and stops when all that was taken is answered.
+func (p *program) leave() {
+	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
+	p.timer.Task = loop.Func(func() {
+		p.front.Close()
+		p.wait()
+	})
+	p.loop.Set(&p.timer, p.loop.Now()+acceptAfter)
+}
+
+func (p *program) wait() {
+	if p.front.Clients() == 0 && p.dispatcher.Open() == 0 {
+		p.watcher.Close()
+		p.loop.Stop()
+		return
+	}
+	p.timer.Task = loop.Func(p.wait)
+	p.loop.Set(&p.timer, p.loop.Now()+checkEvery)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,120 @@
+// Package config reads what a dispatcher is told at its start: the file that
+// PROXY_CONFIG names and, for what the file leaves out, the variables beside it.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"yardwharf"
+	"yardwharf/internal/inventory"
+	"yardwharf/internal/wire"
+)
+
+// Limits are the bounds of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// The bounds that hold where the configuration names none.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 32
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64
+	Limits    Limits
+	Known     inventory.List
+	Settings  yardwharf.Settings
+}
+
+// file is the configuration as it is written.
+type file struct {
+	Name, Listen, Discovery, Seed string
+
+	Limits   Limits
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// Load reads and checks the configuration. An error names the key at fault.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("config: variable PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: PROXY_CONFIG: %w", err)
+	}
+	return parse(text, getenv)
+}
+
+func parse(text []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("config: PROXY_CONFIG: %w", err)
+	}
+	for _, v := range []struct {
+		at       *string
+		variable string
+	}{{&f.Name, "PROXY_NAME"}, {&f.Listen, "PROXY_LISTEN"}, {&f.Discovery, "PROXY_DISCOVERY"}} {
+		if *v.at == "" {
+			*v.at = getenv(v.variable)
+		}
+	}
+	c := &Config{Name: f.Name, Limits: f.Limits}
+	var err error
+	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return nil, fmt.Errorf("config: key listen: %w", err)
+	}
+	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
+		return nil, fmt.Errorf("config: key discovery: %w", err)
+	}
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("config: key seed: %w", err)
+		}
+	}
+	if len(f.Known) > 0 {
+		if c.Known, err = inventory.ParseList(f.Known); err != nil {
+			return nil, fmt.Errorf("config: key known: %w", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("config: key settings is missing")
+	}
+	if c.Settings, err = wire.Settings(f.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return c, c.bounds()
+}
+
+// bounds fills in the limits that are not told and checks those that are.
+func (c *Config) bounds() error {
+	l := &c.Limits
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Sockets == 0 {
+		l.Sockets = defaultSockets
+	}
+	switch {
+	case l.MemoryMB < 0:
+		return fmt.Errorf("config: key limits.memory_mb must be above 0, is %d", l.MemoryMB)
+	case l.Sockets < leastSockets:
+		return fmt.Errorf("config: key limits.sockets must be %d at least, is %d", leastSockets, l.Sockets)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,193 @@
+// Package dispatch owns the messages of a dispatcher and the Balancer that
+// decides on them. It carries the Balancer's decisions out through two
+// interfaces, the south side and the client's front, and knows the protocol of
+// neither: another front goes through the same decisions and rules.
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"yardwharf"
+	"yardwharf/internal/loop"
+)
+
+// South carries relays to south side hosts. None of its methods calls back
+// before it returns.
+type South interface {
+	// Start begins a relay; its course is told by the relay's methods.
+	Start(r *Relay)
+	// Cancel gives a relay up; it ends as Cancelled unless it has ended already.
+	Cancel(r *Relay)
+	// Probe asks a host for its load report; Dispatcher.Probed is told of the end.
+	Probe(host yardwharf.WorkerID)
+}
+
+// Watcher subscribes to the inventory's changes. Each call of Watch brings one
+// call of Dispatcher.Members, not before it returns.
+type Watcher interface{ Watch() }
+
+// Dispatcher drives one Balancer.
+type Dispatcher struct {
+	loop     *loop.Loop
+	balancer *yardwharf.Balancer
+	south    South
+	watcher  Watcher
+	messages map[yardwharf.RequestID]*Message
+	last     yardwharf.RequestID
+	alarms   []*alarm // spare ones
+}
+
+// New returns a Dispatcher. What it relays through and learns hosts from is set by Connect.
+func New(l *loop.Loop, s yardwharf.Settings, seed uint64) (*Dispatcher, error) {
+	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}}
+	var err error
+	if d.balancer, err = yardwharf.New(s, seed, actions{d}); err != nil {
+		return nil, fmt.Errorf("dispatch: %w", err)
+	}
+	return d, nil
+}
+
+// Connect sets what the dispatcher acts through; it comes before the first event.
+func (d *Dispatcher) Connect(south South, watcher Watcher) { d.south, d.watcher = south, watcher }
+
+// Open is the number of messages that are not yet forgotten.
+func (d *Dispatcher) Open() int { return len(d.messages) }
+
+// Take takes a message on: the client is owed one answer by the deadline. The
+// request's ID is set here.
+func (d *Dispatcher) Take(p Payload, in yardwharf.Request, c Client) *Message {
+	d.last++
+	in.ID = d.last
+	m := &Message{Payload: p, Deadline: in.Deadline, d: d, id: in.ID, client: c}
+	d.messages[m.id] = m
+	d.balancer.Request(d.loop.Now(), in)
+	return m
+}
+
+// Withdraw says that the client has gone away. Its relays are given up.
+func (d *Dispatcher) Withdraw(m *Message) {
+	if m.settled {
+		return
+	}
+	m.settled = true
+	d.balancer.Withdrawn(d.loop.Now(), m.id)
+	for _, r := range m.relays {
+		if !r.ended {
+			d.south.Cancel(r)
+		}
+	}
+	d.forget(m)
+}
+
+// Members tells of the inventory.
+func (d *Dispatcher) Members(kind yardwharf.ListKind, list []yardwharf.Member) {
+	d.balancer.Members(d.loop.Now(), kind, list)
+}
+
+// Probed tells how a probe ended.
+func (d *Dispatcher) Probed(host yardwharf.WorkerID, st yardwharf.Status, took time.Duration, load []float32) {
+	d.balancer.Probed(d.loop.Now(), host, st, took, load)
+}
+
+// forget lets go of a message that is settled and has no relay out. It is put
+// off, as the answer may be one that the Balancer is just giving.
+func (d *Dispatcher) forget(m *Message) {
+	if m.settled && m.out == 0 && d.messages[m.id] != nil {
+		delete(d.messages, m.id)
+		d.loop.Defer(m)
+	}
+}
+
+// Run implements loop.Task: it ends the message.
+func (m *Message) Run() { m.client.Released() }
+
+// alarm is a timer of the Balancer's.
+type alarm struct {
+	loop.Timer
+	d *Dispatcher
+}
+
+// Run implements loop.Task.
+func (a *alarm) Run() {
+	a.d.alarms = append(a.d.alarms, a)
+	a.d.balancer.Timer(a.d.loop.Now())
+}
+
+// actions carries out what the Balancer decides.
+type actions struct{ d *Dispatcher }
+
+var _ yardwharf.Actions = actions{}
+
+// Send implements yardwharf.Actions.
+func (a actions) Send(id yardwharf.RequestID, host yardwharf.WorkerID, timeout time.Duration) {
+	m := a.d.messages[id]
+	if m == nil {
+		return
+	}
+	now := a.d.loop.Now()
+	r := &Relay{Message: m, Host: host, Until: m.Deadline, n: len(m.relays), sent: now}
+	if timeout != 0 {
+		r.Until = min(r.Until, now+timeout)
+	}
+	m.relays = append(m.relays, r)
+	m.out++
+	if m.settled || r.Until <= now { // never to be sent, which the Balancer hears of
+		a.d.loop.Defer(loop.Func(func() { r.End(yardwharf.Moot, nil, nil) }))
+		return
+	}
+	a.d.south.Start(r)
+}
+
+// settle books the final answer to a message; it says whether there is none yet.
+func (a actions) settle(id yardwharf.RequestID) *Message {
+	m := a.d.messages[id]
+	if m == nil || m.settled {
+		return nil
+	}
+	m.settled = true
+	a.d.forget(m)
+	return m
+}
+
+// Refuse implements yardwharf.Actions.
+func (a actions) Refuse(id yardwharf.RequestID, after time.Duration) {
+	if m := a.settle(id); m != nil {
+		m.client.Refused(after)
+	}
+}
+
+// Fail implements yardwharf.Actions.
+func (a actions) Fail(id yardwharf.RequestID) {
+	if m := a.settle(id); m != nil {
+		m.client.Failed()
+	}
+}
+
+// Cancel implements yardwharf.Actions.
+func (a actions) Cancel(id yardwharf.RequestID, n int) {
+	if m := a.d.messages[id]; m != nil && n >= 0 && n < len(m.relays) && !m.relays[n].ended {
+		a.d.south.Cancel(m.relays[n])
+	}
+}
+
+// SetTimer implements yardwharf.Actions.
+func (a actions) SetTimer(after time.Duration) {
+	var t *alarm
+	if n := len(a.d.alarms); n > 0 {
+		t, a.d.alarms = a.d.alarms[n-1], a.d.alarms[:n-1]
+	} else {
+		t = &alarm{d: a.d}
+		t.Task = t
+	}
+	a.d.loop.Set(&t.Timer, a.d.loop.Now()+after)
+}
+
+// Probe implements yardwharf.Actions.
+func (a actions) Probe(host yardwharf.WorkerID) { a.d.south.Probe(host) }
+
+// Tell implements yardwharf.Actions. Dispatchers share nothing here.
+func (a actions) Tell([]byte) {}
+
+// Watch implements yardwharf.Actions.
+func (a actions) Watch() { a.d.watcher.Watch() }
--- /dev/null
+++ b/internal/dispatch/message.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"time"
+
+	"yardwharf"
+)
+
+// Payload is what a message carries, in the words of no protocol. Its slices
+// belong to the front that took the message; they stay as they are until Released.
+type Payload struct {
+	ID     []byte // the client's name for the message
+	Key    []byte // tells a repeat of the message; empty where it has none
+	Method []byte
+	Target []byte // what the message is about, as the client wrote it
+	Body   []byte
+}
+
+// Client is the front's side of a message: it gives the final answer, once. None
+// of its methods calls back before it returns.
+type Client interface {
+	// Served answers with the result that a south side host gave. The bytes are
+	// the callee's only for the time of the call.
+	Served(result []byte)
+	// Refused is the back-off answer: trying again is harmless, after a while.
+	Refused(after time.Duration)
+	// Failed answers that the message failed, and promises nothing.
+	Failed()
+	// Released says that nothing refers to the payload any more. It comes once,
+	// after the answer or Withdraw, when the last relay has ended.
+	Released()
+}
+
+// Message is a request that has been taken and is not yet forgotten.
+type Message struct {
+	Payload  Payload
+	Deadline time.Duration
+
+	d       *Dispatcher
+	id      yardwharf.RequestID
+	client  Client
+	relays  []*Relay // by number
+	out     int      // relays that have not ended
+	settled bool     // answered or withdrawn
+}
+
+// Relay is one attempt at a message on one south side host. The south side tells
+// of its course by Started, Progress and, exactly once, End.
+type Relay struct {
+	Message *Message
+	Host    yardwharf.WorkerID
+	Until   time.Duration // it is given up then
+	Conn    any           // the south side's own
+
+	n     int
+	sent  time.Duration
+	ended bool
+}
+
+// Started tells that the job has begun to run.
+func (r *Relay) Started() { r.note(yardwharf.Started, 0) }
+
+// Progress tells which share of the job is done.
+func (r *Relay) Progress(share float64) { r.note(yardwharf.Progress, share) }
+
+func (r *Relay) note(kind yardwharf.NoteKind, v float64) {
+	d := r.Message.d
+	d.balancer.Note(d.loop.Now(), r.Message.id, r.n, kind, v)
+}
+
+// End tells how the relay ended; the result counts for status OK only. It must
+// not be called while one of the South's methods runs.
+func (r *Relay) End(st yardwharf.Status, result []byte, load []float32) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	m := r.Message
+	m.out--
+	if st == yardwharf.OK && !m.settled {
+		m.settled = true
+		m.client.Served(result)
+	}
+	d := m.d
+	now := d.loop.Now()
+	d.balancer.Outcome(now, yardwharf.Outcome{
+		Request: m.id, Attempt: r.n, Worker: r.Host, Status: st,
+		Latency: now - r.sent, Closed: m.settled, Load: load,
+	})
+	d.forget(m)
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,366 @@
+package front
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"yardwharf"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/http1"
+	"yardwharf/internal/loop"
+	"yardwharf/internal/sock"
+)
+
+const (
+	bufferSize = 4 << 10
+	maxBody    = 64 << 10
+	maxTaken   = http1.MaxHead + 2*maxBody // of one request, chunked as it may be
+	lingerTime = time.Second               // for the last answer to be read
+)
+
+// stage says what a connection is at.
+type stage uint8
+
+const (
+	waiting  stage = iota // for a request, or reading one
+	owing                 // a message is taken and not answered
+	writing               // an answer is not all written
+	released              // the answer is out; the payload may still be in use
+)
+
+// conn is a client's connection. It carries one message at a time.
+type conn struct {
+	f          *Front
+	fd         int
+	closed     bool
+	next, prev *conn // in the ring of idle ones
+	stage      stage
+	wants      uint32
+	last       bool // the connection ends after this answer
+	timer      loop.Timer
+
+	in   []byte // what has come: the current request, then what is behind it
+	have int
+	size int // bytes of the request, once it is whole
+	head http1.Head
+
+	parsed bool // the head is
+	body   http1.Body
+	taken  int // bytes of the request that are gone through
+	end    int // end of the body's content; chunks are moved together in place
+
+	message *dispatch.Message
+	ticket  *ticket
+	scratch []byte
+	pieces  [4][]byte
+	unsent  [][]byte
+}
+
+// ticket is what a message knows of its client. It outlives the connection.
+type ticket struct {
+	c    *conn
+	lent bool // the message refers to the connection's buffer
+}
+
+// Ready implements loop.Handler.
+func (c *conn) Ready(events uint32) {
+	if events&loop.Out != 0 && c.stage == writing {
+		c.flush()
+	}
+	if !c.closed && events&^loop.Out != 0 {
+		c.read(events)
+	}
+}
+
+func (c *conn) want(events uint32) {
+	if c.closed || c.wants == events {
+		return
+	}
+	c.wants = events
+	if err := c.f.loop.Want(c.fd, events); err != nil {
+		c.close()
+	}
+}
+
+// close ends the connection; a message that is still owed is withdrawn.
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.f.idle.remove(c)
+	c.f.loop.CloseFD(c.fd)
+	delete(c.f.conns, c)
+	if c.stage == owing {
+		c.f.dispatcher.Withdraw(c.message)
+	}
+}
+
+// idle says whether nothing of a request has come and nothing is owed.
+func (c *conn) idle() bool { return c.stage == waiting && c.have == 0 }
+
+// read takes in what has come. While an answer is owed it reads on, to learn that
+// the client has gone, as far as there is room.
+func (c *conn) read(events uint32) {
+	for {
+		if c.have == len(c.in) {
+			if c.stage != waiting || c.have >= maxTaken {
+				if events&(loop.Hangup) != 0 || c.stage == waiting {
+					c.close()
+				} else {
+					c.want(loop.Hangup)
+				}
+				return
+			}
+			c.in = append(c.in, make([]byte, max(bufferSize, len(c.in)))...)
+		}
+		n, err := sock.Read(c.fd, c.in[c.have:])
+		if errors.Is(err, sock.ErrWait) {
+			return
+		}
+		if err != nil || n == 0 {
+			c.close()
+			return
+		}
+		c.have += n
+		c.f.idle.remove(c)
+		if c.stage == waiting {
+			c.parse()
+		}
+		if c.closed || c.have < len(c.in) {
+			return
+		}
+	}
+}
+
+// parse goes on with the request that is being read.
+func (c *conn) parse() {
+	if !c.parsed {
+		switch err := c.head.ParseRequest(c.in[:c.have]); {
+		case err == nil:
+		case errors.Is(err, http1.ErrShort):
+			return
+		case errors.Is(err, http1.ErrTooLarge):
+			c.reject(431)
+			return
+		default:
+			c.reject(400)
+			return
+		}
+		if c.head.Length > maxBody {
+			c.reject(413)
+			return
+		}
+		c.body.Request(&c.head)
+		c.parsed, c.taken, c.end = true, c.head.Size, c.head.Size
+	}
+	for {
+		data, n, err := c.body.Next(c.in[c.taken:c.have])
+		if err != nil {
+			c.reject(400)
+			return
+		}
+		c.taken += n
+		c.end += copy(c.in[c.end:], data)
+		if c.end-c.head.Size > maxBody || c.taken > maxTaken {
+			c.reject(413)
+			return
+		}
+		if c.body.Done() {
+			break
+		}
+		if n == 0 {
+			return
+		}
+	}
+	c.size = c.taken
+	c.last = c.head.Close || c.f.closing
+	c.request()
+}
+
+// request acts on a whole request.
+func (c *conn) request() {
+	if string(c.head.Method) == "GET" && string(c.head.Target) == "/ready" {
+		if c.f.ready {
+			c.answer(200, nil, 0)
+		} else {
+			c.answer(503, nil, 0)
+		}
+		return
+	}
+	p, in, status := c.f.message(&c.head, c.in[c.head.Size:c.end])
+	if status != 0 {
+		c.answer(status, nil, 0)
+		return
+	}
+	if c.f.maxOpen > 0 && c.f.dispatcher.Open() >= c.f.maxOpen {
+		c.answer(503, nil, 0)
+		return
+	}
+	c.stage = owing
+	t := &ticket{c: c, lent: true}
+	c.ticket = t
+	// The answer may be given before Take returns.
+	c.message = c.f.dispatcher.Take(p, in, t)
+}
+
+// Served implements dispatch.Client.
+func (t *ticket) Served(result []byte) { t.c.answer(200, result, 0) }
+
+// Refused implements dispatch.Client.
+func (t *ticket) Refused(after time.Duration) { t.c.answer(503, nil, after) }
+
+// Failed implements dispatch.Client.
+func (t *ticket) Failed() { t.c.answer(502, nil, 0) }
+
+// Released implements dispatch.Client.
+func (t *ticket) Released() { t.lent = false }
+
+// reject answers what cannot be read, and closes.
+func (c *conn) reject(status int) {
+	c.last, c.size = true, c.have
+	c.answer(status, nil, 0)
+}
+
+// answer writes an answer. What comes behind it is put off, as the caller may be
+// the Balancer.
+func (c *conn) answer(status int, body []byte, after time.Duration) {
+	if c.closed {
+		return
+	}
+	c.stage = writing
+	c.last = c.last || c.f.closing
+	b := append(c.scratch[:0], "HTTP/1.1 "...)
+	b = append(b, statusLine(status)...)
+	if after > 0 {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, after.Seconds(), 'f', -1, 64)
+	}
+	if c.last {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	c.scratch = b
+	rest, err := sock.Write(c.fd, append(c.pieces[:0], b, body))
+	switch {
+	case err == nil:
+	case errors.Is(err, sock.ErrWait): // the result is the caller's: keep what is left
+		var left []byte
+		for _, p := range rest {
+			left = append(left, p...)
+		}
+		c.unsent = [][]byte{left}
+		c.want(loop.In | loop.Out)
+		return
+	default:
+		c.unsent = nil
+		c.last = true
+	}
+	c.f.loop.Defer(c)
+}
+
+// flush writes on.
+func (c *conn) flush() {
+	if len(c.unsent) == 0 {
+		return
+	}
+	rest, err := sock.Write(c.fd, c.unsent)
+	c.unsent = rest
+	switch {
+	case err == nil:
+		c.f.loop.Defer(c)
+	case errors.Is(err, sock.ErrWait):
+	default:
+		c.close()
+	}
+}
+
+// Run implements loop.Task: the answer is written, and the next request may come.
+func (c *conn) Run() {
+	if c.closed {
+		return
+	}
+	if c.last {
+		c.close()
+		return
+	}
+	c.advance()
+}
+
+// advance begins the next request with what is there of it.
+func (c *conn) advance() {
+	behind := c.in[c.size:c.have]
+	if c.ticket != nil && c.ticket.lent {
+		// Relays still refer to the request: it stays where it is. Guards against
+		// a copy on its way to a host that would carry the next message's bytes.
+		c.in = append(make([]byte, 0, max(bufferSize, len(behind))), behind...)
+		c.in = c.in[:cap(c.in)]
+		c.have = len(behind)
+	} else {
+		c.have = copy(c.in, behind)
+		if len(c.in) > bufferSize && c.have == 0 {
+			c.in = nil
+		}
+	}
+	c.message, c.ticket, c.parsed, c.size = nil, nil, false, 0
+	c.stage = waiting
+	c.want(loop.In)
+	if c.have > 0 {
+		c.parse()
+	} else if !c.closed {
+		c.f.idle.add(c)
+	}
+}
+
+func statusLine(status int) string {
+	switch status {
+	case 200:
+		return "200 OK"
+	case 400:
+		return "400 Bad Request"
+	case 404:
+		return "404 Not Found"
+	case 405:
+		return "405 Method Not Allowed"
+	case 413:
+		return "413 Content Too Large"
+	case 431:
+		return "431 Request Header Fields Too Large"
+	case 502:
+		return "502 Bad Gateway"
+	}
+	return "503 Service Unavailable"
+}
+
+var _ dispatch.Client = (*ticket)(nil)
+
+// message reads what a request's head says of the message; a status other than 0
+// is the answer to one that says too little.
+func (f *Front) message(h *http1.Head, body []byte) (dispatch.Payload, yardwharf.Request, int) {
+	p := dispatch.Payload{ID: h.Get("X-Txn"), Key: h.Get("Idempotency-Key"),
+		Method: h.Method, Target: h.Target, Body: body}
+	class := f.class(h.Target)
+	switch {
+	case class < 0:
+		return p, yardwharf.Request{}, 404
+	case string(h.Method) != "POST":
+		return p, yardwharf.Request{}, 405
+	case len(p.ID) == 0:
+		return p, yardwharf.Request{}, 400
+	}
+	patience := f.classes[class].Deadline
+	if v := h.Get("X-Remaining"); v != nil {
+		s, err := strconv.ParseFloat(string(v), 64)
+		if err != nil || !(s >= 0 && s < maxPatience.Seconds()) {
+			return p, yardwharf.Request{}, 400
+		}
+		patience = time.Duration(s * float64(time.Second))
+	}
+	in := yardwharf.Request{Class: class, Deadline: f.loop.Now() + patience,
+		Slots: 1, Retry: string(h.Get("X-Resent")) == "1"}
+	labels(h.Get("X-Labels"), &in)
+	return p, in, 0
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,157 @@
+// Package front is the platform's HTTP front: it takes messages from clients'
+// connections, hands them to the dispatcher and writes the answers back.
+package front
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"yardwharf"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/loop"
+	"yardwharf/internal/sock"
+)
+
+const acceptPause = 50 * time.Millisecond // after a lack of descriptors
+
+// Front listens for clients.
+type Front struct {
+	loop       *loop.Loop
+	log        zerolog.Logger
+	dispatcher *dispatch.Dispatcher
+	classes    []yardwharf.Class
+	most       int // clients' connections at once
+	maxOpen    int // messages at once
+	ready      bool
+	closing    bool
+	fd         int // -1 while it does not listen
+	resting    bool
+	rest       loop.Timer
+	conns      map[*conn]struct{}
+	idle       ring
+}
+
+// New returns a Front that listens, but is not ready yet.
+func New(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, most int, s *yardwharf.Settings,
+	d *dispatch.Dispatcher) (*Front, error) {
+	f := &Front{loop: l, log: log, dispatcher: d, classes: s.Classes, most: most, maxOpen: s.MaxOpen,
+		conns: map[*conn]struct{}{}}
+	f.rest.Task = loop.Func(f.resume)
+	f.idle.init()
+	var err error
+	if f.fd, err = sock.Listen(address); err != nil {
+		return nil, fmt.Errorf("front: %w", err)
+	}
+	if err := l.Add(f.fd, loop.In, f); err != nil {
+		unix.Close(f.fd)
+		return nil, fmt.Errorf("front: %w", err)
+	}
+	return f, nil
+}
+
+// SetReady says whether GET /ready is answered with 200.
+func (f *Front) SetReady(ready bool) {
+	if f.ready != ready {
+		f.ready = ready
+		f.log.Info().Bool("ready", ready).Msg("readiness changed")
+	}
+}
+
+// Ready implements loop.Handler: connections wait to be accepted.
+func (f *Front) Ready(uint32) {
+	for f.fd >= 0 && !f.resting {
+		if len(f.conns) >= f.most {
+			// Room is made by those who do not need theirs; with none of these
+			// the rest wait their turn, so that relays keep their descriptors.
+			oldest := f.idle.oldest()
+			if oldest == nil {
+				f.pause("all client connections are in use")
+				return
+			}
+			oldest.close()
+		}
+		fd, err := sock.Accept(f.fd)
+		if err == unix.EAGAIN {
+			return
+		}
+		if err != nil {
+			f.pause(err.Error())
+			return
+		}
+		c := &conn{f: f, fd: fd}
+		if err := f.loop.Add(fd, loop.In, c); err != nil {
+			unix.Close(fd)
+			f.pause(err.Error())
+			return
+		}
+		f.conns[c] = struct{}{}
+		f.idle.add(c)
+	}
+}
+
+// pause leaves connections waiting for a moment. Guards against a loop that spins
+// on a listener it cannot accept from.
+func (f *Front) pause(why string) {
+	f.log.Warn().Str("reason", why).Int("clients", len(f.conns)).Msg("accepting paused")
+	f.resting = true
+	if err := f.loop.Want(f.fd, 0); err != nil {
+		f.log.Error().Err(err).Msg("listener lost")
+	}
+	f.loop.Set(&f.rest, f.loop.Now()+acceptPause)
+}
+
+func (f *Front) resume() {
+	if f.fd < 0 {
+		return
+	}
+	f.resting = false
+	if err := f.loop.Want(f.fd, loop.In); err != nil {
+		f.log.Error().Err(err).Msg("listener lost")
+	}
+}
+
+// Close stops listening and closes each connection once nothing is owed on it.
+func (f *Front) Close() {
+	f.closing = true
+	f.loop.Clear(&f.rest)
+	if f.fd >= 0 {
+		f.loop.CloseFD(f.fd)
+		f.fd = -1
+	}
+	for c := range f.conns { // each on its own, so in any order
+		if c.idle() {
+			c.close()
+		}
+	}
+}
+
+// Clients is the number of open connections.
+func (f *Front) Clients() int { return len(f.conns) }
+
+// ring holds the idle connections, the one idle for longest first.
+type ring struct{ ends conn }
+
+func (q *ring) init() { q.ends.next, q.ends.prev = &q.ends, &q.ends }
+
+func (q *ring) add(c *conn) {
+	c.prev, c.next = q.ends.prev, &q.ends
+	c.prev.next, c.next.prev = c, c
+}
+
+func (q *ring) remove(c *conn) {
+	if c.next != nil {
+		c.prev.next, c.next.prev = c.next, c.prev
+		c.prev, c.next = nil, nil
+	}
+}
+
+func (q *ring) oldest() *conn {
+	if q.ends.next == &q.ends {
+		return nil
+	}
+	return q.ends.next
+}
--- /dev/null
+++ b/internal/southside/conn.go
@@ -0,0 +1,355 @@
+package southside
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"yardwharf"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/http1"
+	"yardwharf/internal/loop"
+	"yardwharf/internal/sock"
+)
+
+const (
+	bufferSize = 4 << 10
+	maxLine    = 128 << 10 // a result of 64 KiB, escaped, with what stands around it
+)
+
+// conn is a connection to a host. It carries one relay or probe at a time.
+type conn struct {
+	p     *Pool
+	h     *host
+	fd    int
+	timer loop.Timer
+
+	up     bool
+	closed bool
+	parked bool          // among the idle ones
+	since  time.Duration // when it was parked
+	reused bool          // it has carried something before
+	next   *conn         // in the ring of idle connections
+	prev   *conn
+
+	relay *dispatch.Relay // nil for a probe, and once the relay has ended
+	probe bool
+	sent  time.Duration // of a probe
+
+	until   time.Duration
+	wants   uint32
+	number  []byte // X-Remaining as written
+	pieces  [16][]byte
+	unsent  [][]byte // what is left of the pieces
+	touched bool     // a byte has gone out
+
+	in     []byte
+	have   int // bytes in it
+	head   http1.Head
+	inBody bool
+	body   http1.Body
+	answer answer
+	line   []byte // the answer's line, or a probe's body, as far as it has come
+}
+
+// fresh says whether an idle connection may be used. Guards against a hidden
+// repeat: one that is about to be closed by the host, has been, or holds bytes
+// that nobody asked for would end the relay as a reset, which may have run.
+func (c *conn) fresh() bool {
+	return c.p.loop.Now() < c.expiry() && sock.Quiet(c.fd)
+}
+
+func (c *conn) expiry() time.Duration {
+	return c.since + time.Duration(idlePart*float64(c.p.idle))
+}
+
+// park puts a connection among the idle ones.
+func (c *conn) park() {
+	if c.h.away {
+		c.close()
+		return
+	}
+	c.parked, c.reused, c.since = true, true, c.p.loop.Now()
+	c.h.idle = append(c.h.idle, c)
+	c.p.spare.add(c)
+	c.p.loop.Set(&c.timer, c.expiry())
+	if cap(c.in) > bufferSize {
+		c.in = nil
+	}
+	if cap(c.line) > bufferSize {
+		c.line = nil
+	}
+}
+
+// unpark takes it out again.
+func (c *conn) unpark() {
+	for i, other := range c.h.idle {
+		if other == c {
+			c.h.idle = append(c.h.idle[:i], c.h.idle[i+1:]...)
+			break
+		}
+	}
+	c.p.spare.remove(c)
+	c.parked = false
+}
+
+// close ends the connection, with or without a relay on it.
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	if c.parked {
+		c.unpark()
+	}
+	c.p.loop.Clear(&c.timer)
+	c.p.loop.CloseFD(c.fd)
+	c.p.open--
+	c.unsent = nil
+	clear(c.pieces[:])
+}
+
+// writeRelay lays out a relay's request.
+func (c *conn) writeRelay(r *dispatch.Relay) {
+	m := &r.Message.Payload
+	left := max(0, r.Until-c.p.loop.Now())
+	c.number = strconv.AppendFloat(c.number[:0], left.Seconds(), 'f', 3, 64)
+	out := append(c.pieces[:0], m.Method, []byte(" "), m.Target,
+		[]byte(" HTTP/1.1\r\nHost: "), c.h.name, []byte("\r\nX-Txn: "), m.ID,
+		[]byte("\r\nX-Remaining: "), c.number)
+	if len(m.Key) > 0 {
+		out = append(out, []byte("\r\nIdempotency-Key: "), m.Key)
+	}
+	size := len(c.number)
+	c.number = strconv.AppendInt(c.number, int64(len(m.Body)), 10)
+	out[8] = c.number[:size]
+	c.unsent = append(out, []byte("\r\nContent-Length: "), c.number[size:], []byte("\r\n\r\n"), m.Body)
+}
+
+// writeProbe lays out a probe.
+func (c *conn) writeProbe() {
+	c.unsent = append(c.pieces[:0], []byte("GET /status/load HTTP/1.1\r\nHost: "), c.h.name, []byte("\r\n\r\n"))
+}
+
+// begin starts what has been laid out.
+func (c *conn) begin(until time.Duration) {
+	c.until, c.touched, c.inBody, c.have, c.line = until, false, false, 0, c.line[:0]
+	c.answer = answer{}
+	if !c.up {
+		until = min(until, c.p.loop.Now()+c.p.dial)
+	}
+	c.p.loop.Set(&c.timer, until)
+	if c.up {
+		c.p.loop.Defer(c.task())
+	}
+}
+
+// task writes once the caller has returned: what fails must not be told before.
+func (c *conn) task() loop.Task { return (*writer)(c) }
+
+type writer conn
+
+// Run implements loop.Task.
+func (w *writer) Run() {
+	if c := (*conn)(w); !c.closed {
+		c.write()
+	}
+}
+
+// Run implements loop.Task: the connection's time is up.
+func (c *conn) Run() {
+	if c.parked {
+		c.close()
+	} else {
+		c.end(yardwharf.Timeout)
+	}
+}
+
+// Ready implements loop.Handler.
+func (c *conn) Ready(events uint32) {
+	if !c.up {
+		if err := sock.Dialled(c.fd); err != nil {
+			c.end(yardwharf.ConnectFailed)
+			return
+		}
+		c.up = true
+		c.p.loop.Set(&c.timer, c.until)
+	}
+	if events&loop.Out != 0 && len(c.unsent) > 0 {
+		if c.write(); c.closed {
+			return
+		}
+	}
+	if events&^loop.Out != 0 {
+		c.read()
+	}
+	if !c.closed && len(c.unsent) == 0 {
+		c.want(loop.In)
+	}
+}
+
+func (c *conn) want(events uint32) {
+	if c.wants != events {
+		c.wants = events
+		if err := c.p.loop.Want(c.fd, events); err != nil {
+			c.end(yardwharf.Reset)
+		}
+	}
+}
+
+// write puts out what it can. Guards the drain: a relay that has waited for its
+// connection must not begin at a host that has been away for the grace.
+func (c *conn) write() {
+	if !c.touched && c.h.away && c.p.loop.Now() >= c.h.until {
+		c.end(yardwharf.ConnectFailed)
+		return
+	}
+	before := pending(c.unsent)
+	rest, err := sock.Write(c.fd, c.unsent)
+	c.unsent = rest
+	c.touched = c.touched || pending(rest) < before
+	switch {
+	case err == nil:
+		c.unsent = nil
+		clear(c.pieces[:])
+	case errors.Is(err, sock.ErrWait):
+		c.want(loop.In | loop.Out)
+	default:
+		c.end(yardwharf.ConnectFailed)
+	}
+}
+
+func pending(pieces [][]byte) (n int) {
+	for _, p := range pieces {
+		n += len(p)
+	}
+	return n
+}
+
+// end closes the connection and ends what was on it. A request of which a byte is
+// left unwritten has never run, however it ended; any other may have.
+func (c *conn) end(st yardwharf.Status) {
+	if len(c.unsent) > 0 {
+		st = yardwharf.ConnectFailed
+	}
+	c.close()
+	c.finish(st, nil, nil)
+}
+
+// finish tells how the relay or probe ended; the connection may go on.
+func (c *conn) finish(st yardwharf.Status, result []byte, load []float32) {
+	if len(c.unsent) > 0 { // what is left of the payload is not ours any longer
+		c.close()
+	}
+	if c.probe {
+		c.probe = false
+		c.p.probed.Probed(c.h.id, st, c.p.loop.Now()-c.sent, load)
+	}
+	if r := c.relay; r != nil {
+		c.relay = nil
+		r.End(st, result, load)
+	}
+}
+
+// read takes in what has come.
+func (c *conn) read() {
+	for !c.closed {
+		if c.have == len(c.in) {
+			if len(c.in) >= http1.MaxHead+bufferSize {
+				c.end(yardwharf.Reset)
+				return
+			}
+			c.in = append(c.in, make([]byte, max(bufferSize, len(c.in)))...)
+		}
+		n, err := sock.Read(c.fd, c.in[c.have:])
+		if errors.Is(err, sock.ErrWait) {
+			return
+		}
+		if err != nil || n == 0 {
+			c.hangUp()
+			return
+		}
+		full := c.have+n == len(c.in)
+		c.have += n
+		c.parse()
+		if !full {
+			return
+		}
+	}
+}
+
+// hangUp is the end of the stream from the host's side.
+func (c *conn) hangUp() {
+	if c.inBody && c.body.ToClose() {
+		c.close()
+		c.endOfBody()
+		return
+	}
+	c.end(yardwharf.Reset)
+}
+
+// parse goes through the bytes that are there. Guards against answers that nobody
+// asked for: a connection with bytes beyond its answer is not used again.
+func (c *conn) parse() {
+	used := 0
+	for !c.closed {
+		if !c.inBody {
+			if c.relay == nil && !c.probe {
+				c.end(yardwharf.Reset)
+				return
+			}
+			err := c.head.ParseResponse(c.in[used:c.have])
+			if errors.Is(err, http1.ErrShort) {
+				break
+			}
+			if err != nil {
+				c.end(yardwharf.Reset)
+				return
+			}
+			used += c.head.Size
+			if c.head.Status < 200 { // interim
+				continue
+			}
+			c.body.Response(&c.head)
+			c.inBody = true
+			c.headCame()
+		}
+		data, n, err := c.body.Next(c.in[used:c.have])
+		used += n
+		if err != nil {
+			c.end(yardwharf.Reset)
+			return
+		}
+		if len(data) > 0 {
+			c.content(data)
+		}
+		if c.closed {
+			return
+		}
+		if c.body.Done() {
+			c.inBody = false
+			c.bodyCame(used == c.have)
+			return
+		}
+		if n == 0 {
+			break
+		}
+	}
+	if !c.closed {
+		c.have = copy(c.in, c.in[used:c.have])
+	}
+}
+
+// bodyCame is the end of an answer.
+func (c *conn) bodyCame(clean bool) {
+	// A connection whose request is not all out, or with bytes behind its answer,
+	// cannot carry another.
+	if reusable := clean && !c.answer.close && len(c.unsent) == 0; !reusable {
+		c.close()
+	} else {
+		c.have = 0
+		c.p.loop.Clear(&c.timer)
+		c.park()
+	}
+	c.endOfBody()
+}
--- /dev/null
+++ b/internal/southside/pool.go
@@ -0,0 +1,188 @@
+// Package southside keeps the connections to south side hosts and carries relays
+// and probes over them. It maps how each ended to the module's statuses, by what
+// was proven: a relay whose last byte was not written has never run, any other
+// that breaks may have.
+package southside
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"yardwharf"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/inventory"
+	"yardwharf/internal/loop"
+	"yardwharf/internal/sock"
+)
+
+const (
+	idlePart     = 0.8                    // of the time after which hosts close idle connections
+	probeTime    = 300 * time.Millisecond // how long a probe may take
+	defaultDial  = time.Second
+	defaultIdle  = 15 * time.Second
+	drainReserve = 50 * time.Millisecond // of the grace in which a first byte may still go out
+)
+
+// Probed is told how probes end.
+type Probed interface {
+	Probed(host yardwharf.WorkerID, st yardwharf.Status, took time.Duration, load []float32)
+}
+
+// Pool holds the hosts and the connections to them. It implements dispatch.South.
+type Pool struct {
+	loop   *loop.Loop
+	probed Probed
+	hosts  map[yardwharf.WorkerID]*host
+	names  []string // of a load report's values
+	dial   time.Duration
+	idle   time.Duration
+	grace  time.Duration
+	most   int // connections
+	open   int
+	spare  lru // idle connections of all hosts
+}
+
+// host is a south side host as this package knows it.
+type host struct {
+	id      yardwharf.WorkerID
+	address netip.AddrPort
+	name    []byte // the address as written in requests
+	idle    []*conn
+	away    bool          // it drains or is gone
+	until   time.Duration // then no relay may put out its first byte
+}
+
+// NewPool returns a Pool that holds most connections at the most.
+func NewPool(l *loop.Loop, s *yardwharf.Settings, most int, probed Probed) *Pool {
+	p := &Pool{loop: l, probed: probed, hosts: map[yardwharf.WorkerID]*host{},
+		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, grace: s.DrainGrace, most: most}
+	if p.dial <= 0 {
+		p.dial = defaultDial
+	}
+	if p.idle <= 0 {
+		p.idle = defaultIdle
+	}
+	p.spare.init()
+	return p
+}
+
+// Update takes changes of the inventory. Idle connections to a host that is away
+// or has moved are closed.
+func (p *Pool) Update(told []inventory.Host) {
+	for _, t := range told {
+		h := p.hosts[t.ID]
+		if h == nil {
+			h = &host{id: t.ID}
+			p.hosts[t.ID] = h
+		}
+		away := t.State != yardwharf.Ready
+		if away && !h.away {
+			h.until = p.loop.Now() + max(0, p.grace-drainReserve)
+		}
+		if h.away = away; away || h.address != t.Address {
+			p.closeIdle(h)
+		}
+		h.address, h.name = t.Address, []byte(t.Address.String())
+	}
+}
+
+func (p *Pool) closeIdle(h *host) {
+	for len(h.idle) > 0 {
+		h.idle[len(h.idle)-1].close()
+	}
+}
+
+// Start implements dispatch.South.
+func (p *Pool) Start(r *dispatch.Relay) {
+	h := p.hosts[r.Host]
+	c, err := p.connect(h)
+	if err != nil { // nothing was written anywhere
+		p.loop.Defer(loop.Func(func() { r.End(yardwharf.ConnectFailed, nil, nil) }))
+		return
+	}
+	c.relay, r.Conn = r, c
+	c.writeRelay(r)
+	c.begin(r.Until)
+}
+
+// Cancel implements dispatch.South. The connection is closed: that is how a host
+// learns of it.
+func (p *Pool) Cancel(r *dispatch.Relay) {
+	if c, ok := r.Conn.(*conn); ok && c.relay == r {
+		c.relay = nil
+		c.close()
+		p.loop.Defer(loop.Func(func() { r.End(yardwharf.Cancelled, nil, nil) }))
+	}
+}
+
+// Probe implements dispatch.South.
+func (p *Pool) Probe(id yardwharf.WorkerID) {
+	h := p.hosts[id]
+	c, err := p.connect(h)
+	if err != nil {
+		p.loop.Defer(loop.Func(func() { p.probed.Probed(id, yardwharf.ConnectFailed, 0, nil) }))
+		return
+	}
+	c.probe, c.sent = true, p.loop.Now()
+	c.writeProbe()
+	c.begin(c.sent + probeTime)
+}
+
+// connect returns the connection to a host that was used last, or a new one.
+func (p *Pool) connect(h *host) (*conn, error) {
+	if h == nil || !h.address.IsValid() {
+		return nil, fmt.Errorf("southside: host is not in the inventory")
+	}
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		if c.fresh() {
+			c.unpark()
+			return c, nil
+		}
+		c.close()
+	}
+	if p.open >= p.most {
+		oldest := p.spare.oldest()
+		if oldest == nil {
+			return nil, fmt.Errorf("southside: all %d connections are in use", p.most)
+		}
+		oldest.close()
+	}
+	fd, up, err := sock.Dial(h.address)
+	if err != nil {
+		return nil, fmt.Errorf("southside: %w", err)
+	}
+	c := &conn{p: p, h: h, fd: fd, up: up}
+	c.timer.Task = c
+	if err := p.loop.Add(fd, loop.In|loop.Out, c); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("southside: %w", err)
+	}
+	p.open++
+	return c, nil
+}
+
+// lru is a ring of idle connections, the one idle for longest first.
+type lru struct{ ends conn }
+
+func (q *lru) init() { q.ends.next, q.ends.prev = &q.ends, &q.ends }
+
+func (q *lru) add(c *conn) {
+	c.prev, c.next = q.ends.prev, &q.ends
+	c.prev.next, c.next.prev = c, c
+}
+
+func (q *lru) remove(c *conn) {
+	c.prev.next, c.next.prev = c.next, c.prev
+	c.prev, c.next = nil, nil
+}
+
+func (q *lru) oldest() *conn {
+	if q.ends.next == &q.ends {
+		return nil
+	}
+	return q.ends.next
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -23,13 +23,15 @@
 	Balancers, Index, MyZone number
 	Classes                  []struct {
 		Aim, AimStretch, Deadline, KeyTtl, LateWorth, Points number
-		Effect, Group                                        string
+		Effect, Group, Name                                  string
 	}
 	Discovery, ValueBy, Weights string
+	Areas, Shapes               []string
 	Goal                        struct{ WorstClass number }
 	Limits                      struct {
 		Cancel, ParallelTries, Peers, Probes bool
 		MaxRetryAfter, TryLimit              number
+		ConnIdle, DialTimeout, OpenCap       number
 	}
 	OverShareWorth number
 	Prices         struct{ CrossZone number }
@@ -71,12 +73,14 @@
 	}
 	s := cm.Settings{
 		Me: int(p.Index.v), Balancers: int(p.Balancers.v), Zone: int(p.MyZone.v),
+		Zones: p.Areas, Kinds: p.Shapes,
 		OverShareWorth: p.OverShareWorth.v, WorthByWork: p.ValueBy == "work",
 		TellsStart: p.Specifics.TellsStart, AskDiscovery: p.Discovery == "subscribe",
 		ReportsInReply: p.Report.Source == "inline",
 		MaxAttempts:    int(p.Limits.TryLimit.v), ParallelTries: p.Limits.ParallelTries,
 		Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, Peers: p.Limits.Peers,
-		MaxRetryAfter:  ms(p.Limits.MaxRetryAfter.v),
+		MaxRetryAfter: ms(p.Limits.MaxRetryAfter.v), MaxOpen: int(p.Limits.OpenCap.v),
+		DialTimeout: ms(p.Limits.DialTimeout.v), ConnIdle: ms(p.Limits.ConnIdle.v),
 		CrossZonePrice: p.Prices.CrossZone.v, WorstClass: p.Goal.WorstClass.v,
 		DrainGrace: ms(p.Rules.DrainGrace.v), AskWithin: ms(p.Rules.MustAskIn.v),
 		StartCapacity: p.Rules.StartCapacity.v, WarmUp: ms(p.Rules.WarmUp.v),
@@ -100,7 +104,7 @@
 				return cm.Settings{}, fmt.Errorf("settings: key Classes[%d].%s is missing", i, key)
 			}
 		}
-		out := cm.Class{Aim: ms(c.Aim.v), Stretch: c.AimStretch.v, Deadline: ms(c.Deadline.v),
+		out := cm.Class{Name: c.Name, Aim: ms(c.Aim.v), Stretch: c.AimStretch.v, Deadline: ms(c.Deadline.v),
 			Worth: c.Points.v, LateWorth: c.LateWorth.v, KeyTTL: ms(c.KeyTtl.v), Kind: -1}
 		switch c.Effect {
 		case "pure":
@@ -148,6 +152,7 @@
 				}
 			}
 			s.ReportFields = append(s.ReportFields, f)
+			s.ReportNames = append(s.ReportNames, name)
 		}
 	}
 	return s, nil
