Test the parsers, loop, south side, front, inventory, config and dispatch

Random cuts and garbage against the parsers (rapid, fixed seed); the rest on loopback without wall-clock assertions.

Found by TestCap: at the cap of client connections the front closed the idle connection before it knew that another one waited (front.go, Ready), so a client's next request met a reset. It accepts first now, and makes room then.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":128,"sockets":512},
+ "known":{"index":41,"snapshot":true,"endpoints":[{"name":"s1","address":"127.0.0.3:80","status":"SERVING"}]},
+ "settings":{"Balancers":1,"Index":0,"MyZone":0,"Areas":["a"],"Classes":[{"Name":"job","Aim":200,"Deadline":5000,"Effect":"pure","Points":1}],
+ "Limits":{"TryLimit":3,"ConnIdle":15000,"DialTimeout":250},
+ "Rules":{"DrainGrace":500,"OverloadFactor":4,"OverloadFor":1500,"StartCapacity":0.3,"WarmUp":8000}}}`
+
+func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(name string) string {
+		if name == "PROXY_CONFIG" {
+			return path
+		}
+		return env[name]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Seed != 0x8c1f30d27a5be964 || c.Limits.Sockets != 512 || c.Known.Index != 41 ||
+		c.Settings.Classes[0].Name != "job" || c.Settings.ConnIdle.Seconds() != 15 || c.Settings.Zones[0] != "a" {
+		t.Errorf("read as %+v", c)
+	}
+	c, err = load(t, strings.Replace(strings.Replace(good, `"listen":"127.0.0.1:8080",`, "", 1),
+		`"limits":{"cores":1.0,"memory_mb":128,"sockets":512},`, "", 1), map[string]string{"PROXY_LISTEN": "127.0.0.9:1"})
+	if err != nil || c.Listen.String() != "127.0.0.9:1" || c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Sockets != defaultSockets {
+		t.Errorf("without listen and limits: %+v, %v", c, err)
+	}
+}
+
+// An error is one line that names the key at fault.
+func TestLoadErrors(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{good, "{", "PROXY_CONFIG"},
+		{`"127.0.0.1:8080"`, `"here"`, "key listen"},
+		{`"discovery":"127.0.0.2:8500"`, `"discovery":""`, "key discovery"},
+		{`8c1f30d27a5be964`, `xyz`, "key seed"},
+		{`"sockets":512`, `"sockets":8`, "key limits.sockets"},
+		{`"memory_mb":128`, `"memory_mb":-1`, "key limits.memory_mb"},
+		{`"SERVING"`, `"HERE"`, "key known"},
+		{`"settings"`, `"setting"`, "key settings"},
+		{`"MyZone":0,`, ``, "key MyZone"},
+	} {
+		_, err := load(t, strings.Replace(good, c.from, c.to, 1), nil)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %.30s: error %v, want one line with %q", c.to, c.from, err, c.want)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
+		t.Errorf("without a file: error %v", err)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,7 @@
 	closing    bool
 	fd         int // -1 while it does not listen
 	resting    bool
+	short      bool // of connections or descriptors, as logged
 	rest       loop.Timer
 	conns      map[*conn]struct{}
 	idle       ring
@@ -64,15 +65,10 @@
 // Ready implements loop.Handler: connections wait to be accepted.
 func (f *Front) Ready(uint32) {
 	for f.fd >= 0 && !f.resting {
-		if len(f.conns) >= f.most {
-			// Room is made by those who do not need theirs; with none of these
-			// the rest wait their turn, so that relays keep their descriptors.
-			oldest := f.idle.oldest()
-			if oldest == nil {
-				f.pause("all client connections are in use")
-				return
-			}
-			oldest.close()
+		full, oldest := len(f.conns) >= f.most, f.idle.oldest()
+		if full && oldest == nil { // the rest wait, so that relays keep their descriptors
+			f.pause("all client connections are in use")
+			return
 		}
 		fd, err := sock.Accept(f.fd)
 		if err == unix.EAGAIN {
@@ -82,6 +78,13 @@
 			f.pause(err.Error())
 			return
 		}
+		if full { // room is made by one that does not need its own now
+			oldest.close()
+		}
+		if f.short {
+			f.short = false
+			f.log.Info().Msg("accepting again")
+		}
 		c := &conn{f: f, fd: fd}
 		if err := f.loop.Add(fd, loop.In, c); err != nil {
 			unix.Close(fd)
@@ -96,7 +99,10 @@
 // pause leaves connections waiting for a moment. Guards against a loop that spins
 // on a listener it cannot accept from.
 func (f *Front) pause(why string) {
-	f.log.Warn().Str("reason", why).Int("clients", len(f.conns)).Msg("accepting paused")
+	if !f.short {
+		f.short = true
+		f.log.Warn().Str("reason", why).Int("clients", len(f.conns)).Msg("accepting paused")
+	}
 	f.resting = true
 	if err := f.loop.Want(f.fd, 0); err != nil {
 		f.log.Error().Err(err).Msg("listener lost")
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,245 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"yardwharf"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/loop"
+)
+
+// TestMain fixes the seed: the same cases each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true", "rapid.checks": "40"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// south serves each message with its method, target and body, or holds it.
+type south struct {
+	l         *loop.Loop
+	hold      bool
+	held      chan struct{}
+	cancelled chan struct{}
+}
+
+func (s *south) Start(r *dispatch.Relay) {
+	if s.hold {
+		close(s.held)
+		return
+	}
+	p := &r.Message.Payload
+	result := fmt.Appendf(nil, "%s %s %s", p.ID, p.Target, p.Body)
+	s.l.Defer(loop.Func(func() { r.End(yardwharf.OK, result, nil) }))
+}
+func (s *south) Cancel(r *dispatch.Relay) {
+	s.l.Defer(loop.Func(func() { r.End(yardwharf.Cancelled, nil, nil) }))
+	close(s.cancelled)
+}
+func (s *south) Probe(yardwharf.WorkerID) {}
+func (s *south) Watch()                   {}
+
+// open runs a front in the background until the test ends.
+func open(t *testing.T, most int, hold bool) (*Front, *south, func() net.Conn) {
+	t.Helper()
+	s := yardwharf.Settings{Balancers: 1, MaxAttempts: 1, StartCapacity: 1, OverloadFactor: 4, OverloadFor: time.Second,
+		Classes: []yardwharf.Class{{Name: "job", Aim: time.Hour, Deadline: time.Hour, Worth: 1, Kind: -1}}}
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := dispatch.New(l, s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	side := &south{l: l, hold: hold, held: make(chan struct{}), cancelled: make(chan struct{})}
+	d.Connect(side, side)
+	d.Members(yardwharf.ListFull, []yardwharf.Member{{ID: 1, State: yardwharf.Ready}})
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	f, err := New(l, zerolog.Nop(), netip.MustParseAddrPort(address), most, &s, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan error)
+	go func() { over <- l.Run() }()
+	t.Cleanup(func() {
+		l.Post(loop.Func(func() {
+			f.Close()
+			l.Stop()
+		}))
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+		l.Close()
+	})
+	return f, side, func() net.Conn {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+}
+
+func job(id, body string) string {
+	return fmt.Sprintf("POST /job/%s HTTP/1.1\r\nX-Txn: %s\r\nX-Remaining: 60.5\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+// What cannot be read or is too large is answered so, and the connection closed;
+// what is only unknown is answered, and the connection kept.
+func TestBadRequests(t *testing.T) {
+	_, _, dial := open(t, 100, false)
+	for _, c := range []struct {
+		text   string
+		status int
+		closes bool
+	}{
+		{"garbage\r\n\r\n", 400, true},
+		{"POST /job/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, true},
+		{fmt.Sprintf("POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nContent-Length: %d\r\n\r\n", maxBody+1), 413, true},
+		{"POST /job/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", 0x20000), 413, true},
+		{"POST /job/1 HTTP/1.1\r\nA: " + strings.Repeat("x", 1<<15), 431, true},
+		{"POST /other/1 HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 0\r\n\r\n", 404, false},
+		{"GET /job/1 HTTP/1.1\r\nX-Txn: a\r\n\r\n", 405, false},
+		{"POST /job/1 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400, false},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: soon\r\nContent-Length: 0\r\n\r\n", 400, false},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: NaN\r\nContent-Length: 0\r\n\r\n", 400, false},
+		{"GET /ready HTTP/1.1\r\n\r\n", 503, false},
+		{job("a", strings.Repeat("x", maxBody)), 200, false},
+	} {
+		conn := dial()
+		go io.WriteString(conn, c.text)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || answer.StatusCode != c.status || answer.Close != c.closes {
+			t.Errorf("%.60q: %+v, %v; want %d", c.text, answer, err, c.status)
+		}
+		conn.Close()
+	}
+}
+
+// Requests cut anywhere and sent one behind the other are answered in order.
+func TestCuts(t *testing.T) {
+	_, _, dial := open(t, 100, false)
+	rapid.Check(t, func(t *rapid.T) {
+		var text bytes.Buffer
+		var want []string
+		for i := range rapid.IntRange(1, 4).Draw(t, "requests") {
+			id, body := fmt.Sprint("m", i), rapid.StringN(0, 3000, 9000).Draw(t, "body")
+			if rapid.Bool().Draw(t, "chunked") {
+				half := len(body) / 2
+				fmt.Fprintf(&text, "POST /job/%s HTTP/1.1\r\nX-Txn: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+				for _, part := range []string{body[:half], body[half:]} {
+					if part != "" {
+						fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+					}
+				}
+				text.WriteString("0\r\n\r\n")
+			} else {
+				text.WriteString(job(id, body))
+			}
+			want = append(want, fmt.Sprintf("%s /job/%s %s", id, id, body))
+		}
+		conn := dial()
+		defer conn.Close()
+		go func() {
+			for b := text.Bytes(); len(b) > 0; {
+				n, _ := conn.Write(b[:min(len(b), 1+len(b)/3)])
+				b = b[max(n, 1):]
+			}
+		}()
+		r := bufio.NewReader(conn)
+		for _, w := range want {
+			answer, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := io.ReadAll(answer.Body); err != nil || string(got) != w {
+				t.Fatalf("answer %.80q, %v; want %.80q", got, err, w)
+			}
+		}
+	})
+}
+
+// Garbage gets answers that refuse it, or none, and harms nobody else.
+func TestGarbage(t *testing.T) {
+	_, _, dial := open(t, 100, false)
+	rapid.Check(t, func(t *rapid.T) {
+		text := []byte(job("a", "body"))
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			text[rapid.IntRange(0, len(text)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		conn := dial()
+		defer conn.Close()
+		conn.Write(text)
+		conn.(*net.TCPConn).CloseWrite()
+		if got, _ := io.ReadAll(conn); len(got) > 0 && !bytes.HasPrefix(got, []byte("HTTP/1.1 ")) {
+			t.Fatalf("answer %q", got)
+		}
+	})
+	conn := dial()
+	defer conn.Close()
+	io.WriteString(conn, job("a", ""))
+	if answer, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || answer.StatusCode != 200 {
+		t.Errorf("after the garbage: %+v, %v", answer, err)
+	}
+}
+
+// A client that closes its connection withdraws its message.
+func TestClientGone(t *testing.T) {
+	_, side, dial := open(t, 100, true)
+	conn := dial()
+	io.WriteString(conn, job("a", ""))
+	<-side.held
+	conn.Close()
+	<-side.cancelled
+}
+
+// Over the cap, the connection that has idled for longest makes room.
+func TestCap(t *testing.T) {
+	_, _, dial := open(t, 1, false)
+	first, second := dial(), dial()
+	defer second.Close()
+	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the idle connection reads %v, want its end", err)
+	}
+	io.WriteString(second, job("a", ""))
+	if answer, err := http.ReadResponse(bufio.NewReader(second), nil); err != nil || answer.StatusCode != 200 {
+		t.Errorf("%+v, %v", answer, err)
+	}
+}
+
+// While a relay still refers to an answered message, the next one that comes on
+// the connection does not touch its bytes.
+func TestPayloadStays(t *testing.T) {
+	f, _, _ := open(t, 1, false)
+	c := &conn{f: f, closed: true, in: []byte("first second"), have: 12, size: 6, ticket: &ticket{lent: true}}
+	payload := c.in[:6]
+	c.advance()
+	copy(c.in, "XXXXXX")
+	if string(payload) != "first " || c.have != 6 {
+		t.Errorf("payload %q, %d bytes kept", payload, c.have)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -142,8 +142,9 @@
 // Stop makes Run return after the current callback.
 func (l *Loop) Stop() { l.stopped = true }
 
-// Run serves until Stop is called or waiting fails.
+// Run serves until Stop is called or waiting fails. It may be called again.
 func (l *Loop) Run() error {
+	l.stopped = false
 	l.flush()
 	for !l.stopped {
 		n, err := unix.EpollWait(l.epoll, l.events[:], l.pause())
@@ -169,12 +170,13 @@
 
 // flush runs deferred tasks until there are none.
 func (l *Loop) flush() {
-	for i := 0; i < len(l.deferred) && !l.stopped; i++ {
-		t := l.deferred[i]
-		l.deferred[i] = nil
-		t.Run()
+	done := 0
+	for ; done < len(l.deferred) && !l.stopped; done++ {
+		l.deferred[done].Run()
 	}
-	l.deferred = l.deferred[:0]
+	left := copy(l.deferred, l.deferred[done:])
+	clear(l.deferred[left:])
+	l.deferred = l.deferred[:left]
 }
 
 // pause is how many milliseconds may be waited; -1 is for ever.
--- /dev/null
+++ b/internal/southside/southside_test.go
@@ -0,0 +1,292 @@
+package southside
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwharf"
+	"yardwharf/internal/dispatch"
+	"yardwharf/internal/inventory"
+	"yardwharf/internal/loop"
+)
+
+// yard is a dispatcher with one south side host, which the test plays.
+type yard struct {
+	t    *testing.T
+	loop *loop.Loop
+	pool *Pool
+	d    *dispatch.Dispatcher
+	host net.Listener
+	seen chan *http.Request // what the host was sent
+	n    int
+}
+
+type watcher struct{}
+
+func (watcher) Watch() {}
+
+// client keeps its answer and stops the loop once the message is over.
+type client struct {
+	loop *loop.Loop
+	got  string
+}
+
+func (c *client) Served(result []byte)  { c.got = "served " + string(result) }
+func (c *client) Refused(time.Duration) { c.got = "refused" }
+func (c *client) Failed()               { c.got = "failed" }
+func (c *client) Released()             { c.loop.Stop() }
+
+// newYard makes a yard whose messages may be sent once and must not run twice: a
+// back-off answer shows that the relay was proven never to have run.
+func newYard(t *testing.T, change func(*yardwharf.Settings), serve func(net.Conn)) *yard {
+	t.Helper()
+	s := yardwharf.Settings{Balancers: 1, MaxAttempts: 1, Cancel: true, TellsStart: true, StartCapacity: 1,
+		OverloadFactor: 4, OverloadFor: time.Second, ReportNames: []string{"utilization", "x0"},
+		Classes: []yardwharf.Class{{Aim: time.Hour, Deadline: time.Hour, Worth: 1, Effect: yardwharf.Unsafe, Kind: -1}}}
+	s.DialTimeout = time.Minute // slow machines fail no test
+	if change != nil {
+		change(&s)
+	}
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	y := &yard{t: t, loop: l, seen: make(chan *http.Request, 10)}
+	if y.host, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { y.host.Close() })
+	go func() {
+		for {
+			c, err := y.host.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	if y.d, err = dispatch.New(l, s, 1); err != nil {
+		t.Fatal(err)
+	}
+	y.pool = NewPool(l, &s, 10, y.d)
+	y.d.Connect(y.pool, watcher{})
+	y.tell(yardwharf.Ready)
+	return y
+}
+
+func (y *yard) tell(state yardwharf.WorkerState) {
+	m := yardwharf.Member{ID: 7, State: state}
+	y.pool.Update([]inventory.Host{{Address: netip.MustParseAddrPort(y.host.Addr().String()), Member: m}})
+	y.d.Members(yardwharf.ListDelta, []yardwharf.Member{m})
+}
+
+func (y *yard) take() (*dispatch.Message, *client) {
+	y.n++
+	c := &client{loop: y.loop}
+	return y.d.Take(dispatch.Payload{ID: fmt.Appendf(nil, "m%d", y.n), Method: []byte("POST"), Target: []byte("/a/b?c"),
+		Key: []byte("k"), Body: []byte("body")}, yardwharf.Request{Deadline: y.loop.Now() + time.Hour}, c), c
+}
+
+// answer takes one message through to its end.
+func (y *yard) answer() string {
+	y.t.Helper()
+	_, c := y.take()
+	y.run()
+	return c.got
+}
+
+func (y *yard) run() {
+	y.t.Helper()
+	if err := y.loop.Run(); err != nil {
+		y.t.Fatal(err)
+	}
+}
+
+// replies serves a connection by writing a reply to each request; an empty one
+// ends the connection.
+func replies(seen chan<- *http.Request, list ...string) func(net.Conn) {
+	return func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for _, reply := range list {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(req.Body)
+			req.Header.Set("Body", string(body))
+			if seen != nil {
+				seen <- req
+			}
+			if reply == "" {
+				return
+			}
+			id := req.Header.Get("X-Txn")
+			for _, piece := range strings.SplitAfter(strings.ReplaceAll(reply, "ID", id), "|") {
+				io.WriteString(c, strings.TrimSuffix(piece, "|"))
+			}
+		}
+		io.Copy(io.Discard, r)
+	}
+}
+
+// chunked is an answer that takes the job and says these lines.
+func chunked(lines ...string) string {
+	s := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, l := range lines {
+		// With the id in place of its mark, which is as long.
+		s += fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l)
+	}
+	return s + "0\r\n\r\n"
+}
+
+const done = `{"id":"ID","state":"done","result":"r\u00e9sult","load":{"util":0.5,"x0":2}}`
+
+// The end of a relay is what was proven of it, as the protocol's table says.
+func TestEnds(t *testing.T) {
+	for _, c := range []struct{ reply, want string }{
+		{chunked(`{"id":"ID","state":"started"}`, `{"id":"ID","state":"running","share":0.4}`, done), "served résult"},
+		{chunked(`{"id":"ID","state":"done","result":{"a":1}}`), `served {"a":1}`},
+		{chunked(`{"id":"ID","state":"failed"}`), "failed"},
+		{chunked(`{"id":"ID","state":"lost"}`), "failed"},
+		{chunked(`{"id":"ID","state":"returned"}`), "refused"},
+		{chunked(`{"id":"ID","state":"started"}`), "failed"},
+		{chunked(`{"id":"xx","state":"done","result":"r"}`), "failed"},
+		{chunked(`{"id":"xx","state":"returned"}`), "failed"},
+		{chunked(`{"id":"ID","state":"done"}`), "failed"},
+		{chunked("garbage"), "failed"},
+		{"garbage\r\n\r\n", "failed"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "failed"},
+		{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "failed"},
+		{"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", "refused"},
+		{"HTTP/1.1 504 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 2\r\n\r\nab", "refused"},
+		{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "failed"},
+		{"HTTP/1.1 500 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", "failed"},
+		{"", "failed"},
+	} {
+		y := newYard(t, nil, replies(nil, c.reply))
+		if got := y.answer(); got != c.want {
+			t.Errorf("%q: %s, want %s", c.reply, got, c.want)
+		}
+	}
+}
+
+// A message passes on unchanged, and connections are used again.
+func TestReuse(t *testing.T) {
+	seen := make(chan *http.Request, 3)
+	y := newYard(t, nil, replies(seen, chunked(done), chunked(done)))
+	for range 2 {
+		if got := y.answer(); got != "served résult" {
+			t.Fatal(got)
+		}
+	}
+	a, b := <-seen, <-seen
+	if a.Method+a.RequestURI != "POST/a/b?c" || a.Header.Get("Body") != "body" || a.Header.Get("Idempotency-Key") != "k" ||
+		a.Header.Get("X-Txn") != "m1" || a.Header.Get("X-Remaining") != "3600.000" {
+		t.Errorf("the host was sent %+v", a)
+	}
+	if b.Header.Get("X-Txn") != "m2" || y.pool.open != 1 {
+		t.Errorf("then %+v, over %d connections", b, y.pool.open)
+	}
+}
+
+// A pooled connection that breaks under a relay ends it; the socket layer sends
+// nothing a second time.
+func TestNoHiddenRepeat(t *testing.T) {
+	seen := make(chan *http.Request, 3)
+	y := newYard(t, nil, replies(seen, chunked(done), ""))
+	if got := y.answer(); got != "served résult" {
+		t.Fatal(got)
+	}
+	if got := y.answer(); got != "failed" || len(seen) != 2 {
+		t.Errorf("%s, %d requests were sent", got, len(seen))
+	}
+}
+
+// A connection that is near the end of its idle time, or holds bytes nobody asked
+// for, is not used again.
+func TestStaleConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		idle  time.Duration
+		reply string
+	}{"idle": {1, chunked(done)}, "unread": {time.Hour, chunked(done) + "more"}} {
+		seen := make(chan *http.Request, 3)
+		y := newYard(t, func(s *yardwharf.Settings) { s.ConnIdle = c.idle }, replies(seen, c.reply, ""))
+		for range 2 {
+			if got := y.answer(); got != "served résult" {
+				t.Errorf("%s: %s", name, got)
+			}
+		}
+	}
+}
+
+// A refused connection proves that the job never ran.
+func TestRefusedConnection(t *testing.T) {
+	y := newYard(t, nil, nil)
+	y.host.Close()
+	if got := y.answer(); got != "refused" {
+		t.Error(got)
+	}
+}
+
+// A relay whose connection comes up after the drain's grace puts no byte out.
+func TestDrainWhileConnecting(t *testing.T) {
+	read := make(chan int, 1)
+	y := newYard(t, nil, func(c net.Conn) {
+		n, _ := io.Copy(io.Discard, c)
+		read <- int(n)
+	})
+	_, c := y.take()
+	y.tell(yardwharf.Draining) // without any grace
+	if y.run(); c.got != "refused" {
+		t.Error(c.got)
+	}
+	if n := <-read; n != 0 {
+		t.Errorf("%d bytes were sent to a draining host", n)
+	}
+}
+
+// A client that goes away gives its relay up, which the host learns from the end
+// of the connection.
+func TestWithdraw(t *testing.T) {
+	withdraw, ended := make(chan func(), 1), make(chan struct{})
+	y := newYard(t, nil, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			t.Error(err)
+		}
+		(<-withdraw)()
+		io.Copy(io.Discard, r)
+		close(ended)
+	})
+	m, c := y.take()
+	withdraw <- func() { y.loop.Post(loop.Func(func() { y.d.Withdraw(m) })) }
+	y.run()
+	<-ended
+	if c.got != "" || y.pool.open != 0 || y.d.Open() != 0 {
+		t.Errorf("answer %q, %d connections, %d messages", c.got, y.pool.open, y.d.Open())
+	}
+}
+
+// Reports are read in the order of the settings, under either set of names.
+func TestReport(t *testing.T) {
+	p := &Pool{names: []string{"utilization", "x0"}}
+	for _, c := range []struct{ text, want string }{
+		{`{"x0":2,"util":0.5}`, "[0.5 2]"}, {`{"utilization":0.5,"eps":1}`, "[0.5 0]"},
+		{`{"eps":1}`, "[]"}, {`[1]`, "[]"}, {`{"util":"x"}`, "[]"}, {``, "[]"},
+	} {
+		if got := fmt.Sprint(p.report([]byte(c.text))); got != c.want {
+			t.Errorf("%s: %s, want %s", c.text, got, c.want)
+		}
+	}
+}
