--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"yardwharf"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/http1"
@@ -16,17 +18,18 @@
 	bufferSize = 4 << 10
 	maxBody    = 64 << 10
 	maxTaken   = http1.MaxHead + 2*maxBody // of one request, chunked as it may be
-	lingerTime = time.Second               // for the last answer to be read
+	lingerTime = time.Second               // for the rest of a rejected request
+	stallTime  = 5 * time.Second           // for the rest of a request, or of an answer
 )
 
 // stage says what a connection is at.
 type stage uint8
 
 const (
-	waiting  stage = iota // for a request, or reading one
-	owing                 // a message is taken and not answered
-	writing               // an answer is not all written
-	released              // the answer is out; the payload may still be in use
+	waiting stage = iota // for a request, or reading one
+	owing                // a message is taken and not answered
+	writing              // an answer is not all written
+	leaving              // the last answer is out; what still comes is thrown away
 )
 
 // conn is a client's connection. It carries one message at a time.
@@ -37,8 +40,9 @@
 	next, prev *conn // in the ring of idle ones
 	stage      stage
 	wants      uint32
-	last       bool // the connection ends after this answer
-	timer      loop.Timer
+	last       bool       // the connection ends after this answer
+	rejected   bool       // the request was not read to its end
+	timer      loop.Timer // for a client that stalls
 
 	in   []byte // what has come: the current request, then what is behind it
 	have int
@@ -83,6 +87,15 @@
 	}
 }
 
+// stallAfter closes the connection unless the timer is taken back before. Guards
+// against clients that hold connections and neither send nor read on.
+func (c *conn) stallAfter(d time.Duration) {
+	if c.timer.Task == nil {
+		c.timer.Task = loop.Func(c.close)
+	}
+	c.f.loop.Set(&c.timer, c.f.loop.Now()+d)
+}
+
 // close ends the connection; a message that is still owed is withdrawn.
 func (c *conn) close() {
 	if c.closed {
@@ -90,6 +103,7 @@
 	}
 	c.closed = true
 	c.f.idle.remove(c)
+	c.f.loop.Clear(&c.timer)
 	c.f.loop.CloseFD(c.fd)
 	delete(c.f.conns, c)
 	if c.stage == owing {
@@ -104,16 +118,16 @@
 // the client has gone, as far as there is room.
 func (c *conn) read(events uint32) {
 	for {
-		if c.have == len(c.in) {
-			if c.stage != waiting || c.have >= maxTaken {
-				if events&(loop.Hangup) != 0 || c.stage == waiting {
-					c.close()
-				} else {
-					c.want(loop.Hangup)
-				}
+		if c.stage == leaving {
+			c.have = 0
+		}
+		if c.have == len(c.in) && !c.grow() {
+			if events&^loop.In != 0 { // hung up, or in error
+				c.close()
 				return
 			}
-			c.in = append(c.in, make([]byte, max(bufferSize, len(c.in)))...)
+			c.want(loop.Hangup)
+			return
 		}
 		n, err := sock.Read(c.fd, c.in[c.have:])
 		if errors.Is(err, sock.ErrWait) {
@@ -124,8 +138,11 @@
 			return
 		}
 		c.have += n
-		c.f.idle.remove(c)
 		if c.stage == waiting {
+			c.f.idle.remove(c)
+			if c.have == n { // the request has begun
+				c.stallAfter(stallTime)
+			}
 			c.parse()
 		}
 		if c.closed || c.have < len(c.in) {
@@ -134,6 +151,15 @@
 	}
 }
 
+// grow makes room for more of a request; a request's own bound is kept by parse.
+func (c *conn) grow() bool {
+	if c.stage == owing || c.stage == writing || len(c.in) >= maxTaken {
+		return false
+	}
+	c.in = append(c.in, make([]byte, min(max(bufferSize, len(c.in)), maxTaken-len(c.in)))...)
+	return true
+}
+
 // parse goes on with the request that is being read.
 func (c *conn) parse() {
 	if !c.parsed {
@@ -174,6 +200,7 @@
 			return
 		}
 	}
+	c.f.loop.Clear(&c.timer)
 	c.size = c.taken
 	c.last = c.head.Close || c.f.closing
 	c.request()
@@ -219,7 +246,7 @@
 
 // reject answers what cannot be read, and closes.
 func (c *conn) reject(status int) {
-	c.last, c.size = true, c.have
+	c.last, c.rejected, c.size = true, true, c.have
 	c.answer(status, nil, 0)
 }
 
@@ -254,6 +281,7 @@
 		}
 		c.unsent = [][]byte{left}
 		c.want(loop.In | loop.Out)
+		c.stallAfter(stallTime)
 		return
 	default:
 		c.unsent = nil
@@ -283,11 +311,28 @@
 	if c.closed {
 		return
 	}
-	if c.last {
+	c.f.loop.Clear(&c.timer)
+	switch {
+	case c.rejected:
+		c.leave()
+	case c.last:
+		c.close()
+	default:
+		c.advance()
+	}
+}
+
+// leave ends the sending and waits for the client to end its own. Guards the
+// answer to a rejected request: closing over bytes that were not read resets the
+// connection, and the client may never see why.
+func (c *conn) leave() {
+	c.stage = leaving
+	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
 		c.close()
 		return
 	}
-	c.advance()
+	c.stallAfter(lingerTime)
+	c.want(loop.In)
 }
 
 // advance begins the next request with what is there of it.
@@ -309,6 +354,7 @@
 	c.stage = waiting
 	c.want(loop.In)
 	if c.have > 0 {
+		c.stallAfter(stallTime)
 		c.parse()
 	} else if !c.closed {
 		c.f.idle.add(c)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -132,10 +132,16 @@
 	} {
 		conn := dial()
 		go io.WriteString(conn, c.text)
-		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		r := bufio.NewReader(conn)
+		answer, err := http.ReadResponse(r, nil)
 		if err != nil || answer.StatusCode != c.status || answer.Close != c.closes {
 			t.Errorf("%.60q: %+v, %v; want %d", c.text, answer, err, c.status)
 		}
+		if c.closes { // without a reset over the answer
+			if _, err := r.Read(make([]byte, 1)); err != io.EOF {
+				t.Errorf("%.60q: then %v, want the end", c.text, err)
+			}
+		}
 		conn.Close()
 	}
 }
@@ -236,9 +242,13 @@
 func TestPayloadStays(t *testing.T) {
 	f, _, _ := open(t, 1, false)
 	c := &conn{f: f, closed: true, in: []byte("first second"), have: 12, size: 6, ticket: &ticket{lent: true}}
-	payload := c.in[:6]
-	c.advance()
-	copy(c.in, "XXXXXX")
+	payload, over := c.in[:6], make(chan struct{})
+	f.loop.Post(loop.Func(func() {
+		c.advance()
+		copy(c.in, "XXXXXX")
+		close(over)
+	}))
+	<-over
 	if string(payload) != "first " || c.have != 6 {
 		t.Errorf("payload %q, %d bytes kept", payload, c.have)
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -73,7 +73,6 @@
 // told keeps what the listener hears, and stops the loop after a failure.
 type told struct {
 	loop *loop.Loop
-	w    *Watcher
 	list []string
 }
 
@@ -86,7 +85,7 @@
 
 // watching runs one watch against a discovery that says this, and returns what
 // the listener heard and what discovery was asked.
-func watching(t *testing.T, hosts *Hosts, says string) ([]string, string) {
+func watching(t *testing.T, hosts *Hosts, says string, silent bool) ([]string, string) {
 	t.Helper()
 	l, err := loop.New()
 	if err != nil {
@@ -111,9 +110,15 @@
 		for _, b := range []byte(says) { // cut everywhere
 			c.Write([]byte{b})
 		}
+		if silent {
+			c.Read(make([]byte, 1))
+		}
 	}()
 	w := NewWatcher(l, zerolog.Nop(), netip.MustParseAddrPort(discovery.Addr().String()), hosts, List{Index: 41})
-	o := &told{loop: l, w: w}
+	if silent {
+		w.silence = 1
+	}
+	o := &told{loop: l}
 	w.Listen(o)
 	w.Watch()
 	if err := l.Run(); err != nil {
@@ -148,9 +153,17 @@
 	} {
 		hosts := NewHosts(nil, nil)
 		hosts.Apply(parse(t, list(1, true, entry("s1", "SERVING"))))
-		heard, asked := watching(t, hosts, c.says)
+		heard, asked := watching(t, hosts, c.says, false)
 		if !slices.Equal(heard, c.want) || asked != "/v1/endpoints?watch=1&from=41" || hosts.Serving() < 1 {
 			t.Errorf("%.60q: heard %v, want %v; asked %s; %d hosts serve", c.says, heard, c.want, asked, hosts.Serving())
 		}
 	}
 }
+
+// A watch that says nothing for too long has failed, though its connection stands.
+func TestSilentWatch(t *testing.T) {
+	heard, _ := watching(t, NewHosts(nil, nil), chunks(list(1, true, entry("s1", "SERVING"))), true)
+	if !slices.Equal(heard, []string{"1:1", "3:0"}) {
+		t.Errorf("heard %v", heard)
+	}
+}
--- a/internal/inventory/watch.go
+++ b/internal/inventory/watch.go
@@ -21,8 +21,8 @@
 const (
 	dialTime   = time.Second
 	answerTime = 4 * time.Second // for the first line: calls wait in turn
-	// silence is the longest gap between lines: discovery sends one each 2 s.
-	silence    = 3 * time.Second
+	// longestGap is how long a watch may say nothing: discovery sends a line each 2 s.
+	longestGap = 3 * time.Second
 	maxList    = 8 << 20 // bytes of a line
 	readBuffer = 16 << 10
 )
@@ -44,11 +44,13 @@
 	index    uint64
 	watch    *watch // nil while there is none
 	broken   bool   // the last one has failed
+	silence  time.Duration
 }
 
 // NewWatcher returns a Watcher that starts from what was known.
 func NewWatcher(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, hosts *Hosts, known List) *Watcher {
-	return &Watcher{loop: l, log: log, address: address, hosts: hosts, index: known.Index}
+	return &Watcher{loop: l, log: log, address: address, hosts: hosts, index: known.Index,
+		silence: longestGap}
 }
 
 // Listen sets who is told; it comes before the first Watch.
@@ -265,7 +267,7 @@
 // connection that stands and says nothing: its changes would be missed.
 func (c *watch) patience() time.Duration {
 	if c.listed {
-		return silence
+		return c.w.silence
 	}
 	return answerTime
 }
