Fix the test of leaving: its deadline was out of bounds, so it waited for ever

The client's X-Remaining of one hour is just over what the front takes, so it got 400, the host was never asked and the loop never stopped. The test stops the loop on any wrong answer now.

--- a/cmd/yardwharf/main_test.go
+++ b/cmd/yardwharf/main_test.go
@@ -88,15 +88,19 @@
 	go func() {
 		r, _ := http.NewRequest("POST", "http://"+address+"/send-alert/ana", strings.NewReader("body"))
 		r.Header.Set("X-Txn", "m1")
-		r.Header.Set("X-Remaining", "3600")
+		r.Header.Set("X-Remaining", "600")
 		answer, err := http.DefaultClient.Do(r)
 		if err != nil {
 			got <- err.Error()
+			l.Post(loop.Func(l.Stop))
 			return
 		}
 		defer answer.Body.Close()
 		body, _ := io.ReadAll(answer.Body)
 		got <- fmt.Sprintf("%d %s close=%t", answer.StatusCode, body, answer.Close)
+		if answer.StatusCode != 200 {
+			l.Post(loop.Func(l.Stop))
+		}
 	}()
 	if err := l.Run(); err != nil {
 		t.Fatal(err)
