--- a/cmd/yardwharf/main.go
+++ b/cmd/yardwharf/main.go
@@ -78,6 +78,7 @@
 	dispatcher *dispatch.Dispatcher
 	front      *front.Front
 	timer      loop.Timer
+	leaving    bool
 }
 
 // build wires the parts together.
@@ -92,7 +93,7 @@
 	p.hosts = inventory.NewHosts(c.Settings.Zones, c.Settings.Kinds)
 	p.watcher = inventory.NewWatcher(l, log, c.Discovery, p.hosts, c.Known)
 	p.watcher.Listen(p)
-	p.pool = southside.NewPool(l, &c.Settings, sockets-clients, p.dispatcher)
+	p.pool = southside.NewPool(l, log, &c.Settings, sockets-clients, p.dispatcher)
 	p.dispatcher.Connect(p.pool, p.watcher)
 	if p.front, err = front.New(l, log, c.Listen, clients, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
@@ -108,7 +109,7 @@
 func (p *program) Told(kind yardwharf.ListKind, entries []inventory.Host) {
 	if kind != yardwharf.ListFailed {
 		p.pool.Update(entries)
-		p.front.SetReady(p.hosts.Serving() > 0)
+		p.front.SetReady(!p.leaving && p.hosts.Serving() > 0)
 	}
 	members := make([]yardwharf.Member, len(entries))
 	for i := range entries {
@@ -121,6 +122,8 @@
 // know yet, then takes nothing new and stops when all that was taken is answered.
 func (p *program) leave() {
 	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
+	p.leaving = true
+	p.front.SetReady(false)
 	p.timer.Task = loop.Func(func() {
 		p.front.Close()
 		p.wait()
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -65,7 +65,9 @@
 
 // Host is one entry of the inventory.
 type Host struct {
+	Name    string
 	Address netip.AddrPort
+	Changed bool // of state, with this telling
 	yardwharf.Member
 }
 
@@ -95,7 +97,7 @@
 			id++
 		}
 		h.ids[name] = id
-		h.byID[id] = &Host{Member: yardwharf.Member{ID: id}}
+		h.byID[id] = &Host{Name: name, Member: yardwharf.Member{ID: id}}
 	}
 	return id
 }
@@ -111,7 +113,9 @@
 	for _, e := range l.Endpoints {
 		id := h.id(e.Name)
 		host := h.byID[id]
+		before := host.State
 		host.State, _ = e.state()
+		host.Changed = host.State != before
 		if e.Address.IsValid() {
 			host.Address = e.Address
 		}
@@ -125,7 +129,7 @@
 	if l.Snapshot {
 		for _, id := range h.ids { // each on its own, so in any order
 			if host := h.byID[id]; !named[id] && host.State != yardwharf.Gone {
-				host.State = yardwharf.Gone
+				host.State, host.Changed = yardwharf.Gone, true
 				told = append(told, *host)
 			}
 		}
--- a/internal/inventory/watch.go
+++ b/internal/inventory/watch.go
@@ -85,7 +85,23 @@
 		kind = yardwharf.ListFull
 	}
 	w.index = l.Index
-	w.listener.Told(kind, w.hosts.Apply(l))
+	told := w.hosts.Apply(l)
+	for i := range told {
+		if h := &told[i]; h.Changed {
+			w.log.Info().Str("host", h.Name).Str("state", stateName(h.State)).Msg("host changed")
+		}
+	}
+	w.listener.Told(kind, told)
+}
+
+func stateName(s yardwharf.WorkerState) string {
+	switch s {
+	case yardwharf.Ready:
+		return "serving"
+	case yardwharf.Draining:
+		return "draining"
+	}
+	return "gone"
 }
 
 // watch is one connection to discovery.
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -158,9 +158,13 @@
 
 // Run implements loop.Task: the connection's time is up.
 func (c *conn) Run() {
-	if c.parked {
+	switch {
+	case c.parked:
 		c.close()
-	} else {
+	case !c.up:
+		c.p.reached(c.h, errors.New("not up in time"))
+		c.end(yardwharf.ConnectFailed)
+	default:
 		c.end(yardwharf.Timeout)
 	}
 }
@@ -168,7 +172,8 @@
 // Ready implements loop.Handler.
 func (c *conn) Ready(events uint32) {
 	if !c.up {
-		if err := sock.Dialled(c.fd); err != nil {
+		err := sock.Dialled(c.fd)
+		if c.p.reached(c.h, err); err != nil {
 			c.end(yardwharf.ConnectFailed)
 			return
 		}
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"yardwharf"
@@ -34,6 +35,7 @@
 // Pool holds the hosts and the connections to them. It implements dispatch.South.
 type Pool struct {
 	loop   *loop.Loop
+	log    zerolog.Logger
 	probed Probed
 	hosts  map[yardwharf.WorkerID]*host
 	names  []string // of a load report's values
@@ -49,15 +51,17 @@
 type host struct {
 	id      yardwharf.WorkerID
 	address netip.AddrPort
+	label   string // its name in the inventory
 	name    []byte // the address as written in requests
+	lost    bool   // the last connection begun did not come up
 	idle    []*conn
 	away    bool          // it drains or is gone
 	until   time.Duration // then no relay may put out its first byte
 }
 
 // NewPool returns a Pool that holds most connections at the most.
-func NewPool(l *loop.Loop, s *yardwharf.Settings, most int, probed Probed) *Pool {
-	p := &Pool{loop: l, probed: probed, hosts: map[yardwharf.WorkerID]*host{},
+func NewPool(l *loop.Loop, log zerolog.Logger, s *yardwharf.Settings, most int, probed Probed) *Pool {
+	p := &Pool{loop: l, log: log, probed: probed, hosts: map[yardwharf.WorkerID]*host{},
 		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, grace: s.DrainGrace, most: most}
 	if p.dial <= 0 {
 		p.dial = defaultDial
@@ -85,6 +89,7 @@
 		if h.away = away; away || h.address != t.Address {
 			p.closeIdle(h)
 		}
+		h.label = t.Name
 		h.address, h.name = t.Address, []byte(t.Address.String())
 	}
 }
@@ -153,6 +158,7 @@
 	}
 	fd, up, err := sock.Dial(h.address)
 	if err != nil {
+		p.reached(h, err)
 		return nil, fmt.Errorf("southside: %w", err)
 	}
 	c := &conn{p: p, h: h, fd: fd, up: up}
@@ -165,6 +171,18 @@
 	return c, nil
 }
 
+// reached takes note of how a connection to a host came out, and logs changes.
+func (p *Pool) reached(h *host, err error) {
+	if lost := err != nil; lost != h.lost {
+		h.lost = lost
+		if lost {
+			p.log.Warn().Str("host", h.label).Stringer("address", h.address).Err(err).Msg("host out of reach")
+		} else {
+			p.log.Info().Str("host", h.label).Stringer("address", h.address).Msg("host in reach")
+		}
+	}
+}
+
 // lru is a ring of idle connections, the one idle for longest first.
 type lru struct{ ends conn }
 
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"yardwharf"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/inventory"
@@ -79,7 +81,7 @@
 	if y.d, err = dispatch.New(l, s, 1); err != nil {
 		t.Fatal(err)
 	}
-	y.pool = NewPool(l, &s, 10, y.d)
+	y.pool = NewPool(l, zerolog.Nop(), &s, 10, y.d)
 	y.d.Connect(y.pool, watcher{})
 	y.tell(yardwharf.Ready)
 	return y
