--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,7 +35,8 @@
 	watcher  Watcher
 	messages map[yardwharf.RequestID]*Message
 	last     yardwharf.RequestID
-	alarms   []*alarm // spare ones
+	alarms   []*alarm   // spare ones
+	spare    []*Message // forgotten ones, to be used again
 }
 
 // New returns a Dispatcher. What it relays through and learns hosts from is set by Connect.
@@ -59,7 +60,14 @@
 func (d *Dispatcher) Take(p Payload, in yardwharf.Request, c Client) *Message {
 	d.last++
 	in.ID = d.last
-	m := &Message{Payload: p, Deadline: in.Deadline, d: d, id: in.ID, client: c}
+	var m *Message
+	if n := len(d.spare); n > 0 {
+		m, d.spare = d.spare[n-1], d.spare[:n-1]
+	} else {
+		m = &Message{}
+	}
+	*m = Message{Payload: p, Deadline: in.Deadline, d: d, id: in.ID, client: c,
+		relays: m.relays[:0], spare: append(m.spare, m.relays...)}
 	d.messages[m.id] = m
 	d.balancer.Request(d.loop.Now(), in)
 	return m
@@ -99,8 +107,24 @@
 	}
 }
 
-// Run implements loop.Task: it ends the message.
-func (m *Message) Run() { m.client.Released() }
+// Run implements loop.Task: it ends the message, which is then used for another.
+func (m *Message) Run() {
+	m.client.Released()
+	m.d.spare = append(m.d.spare, m)
+}
+
+// relay returns a relay for a message's next attempt.
+func (m *Message) relay() *Relay {
+	var r *Relay
+	if n := len(m.spare); n > 0 {
+		r, m.spare = m.spare[n-1], m.spare[:n-1]
+	} else {
+		r = &Relay{}
+	}
+	m.out++
+	m.relays = append(m.relays, r)
+	return r
+}
 
 // alarm is a timer of the Balancer's.
 type alarm struct {
@@ -126,12 +150,11 @@
 		return
 	}
 	now := a.d.loop.Now()
-	r := &Relay{Message: m, Host: host, Until: m.Deadline, n: len(m.relays), sent: now}
+	r := m.relay()
+	*r = Relay{Message: m, Host: host, Until: m.Deadline, n: len(m.relays) - 1, sent: now}
 	if timeout != 0 {
 		r.Until = min(r.Until, now+timeout)
 	}
-	m.relays = append(m.relays, r)
-	m.out++
 	if m.settled || r.Until <= now { // never to be sent, which the Balancer hears of
 		a.d.loop.Defer(loop.Func(func() { r.End(yardwharf.Moot, nil, nil) }))
 		return
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -40,6 +40,7 @@
 	id      yardwharf.RequestID
 	client  Client
 	relays  []*Relay // by number
+	spare   []*Relay // of messages that used this one before
 	out     int      // relays that have not ended
 	settled bool     // answered or withdrawn
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -11,6 +11,7 @@
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/http1"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/lru"
 	"yardwharf/internal/sock"
 )
 
@@ -34,15 +35,16 @@
 
 // conn is a client's connection. It carries one message at a time.
 type conn struct {
-	f          *Front
-	fd         int
-	closed     bool
-	next, prev *conn // in the ring of idle ones
-	stage      stage
-	wants      uint32
-	last       bool       // the connection ends after this answer
-	rejected   bool       // the request was not read to its end
-	timer      loop.Timer // for a client that stalls
+	f        *Front
+	fd       int
+	closed   bool
+	spot     lru.Spot[conn]
+	stage    stage
+	wants    uint32
+	last     bool       // the connection ends after this answer
+	rejected bool       // the request was not read to its end
+	yielded  bool       // the dispatcher has been let finish with the message
+	timer    loop.Timer // for a client that stalls
 
 	in   []byte // what has come: the current request, then what is behind it
 	have int
@@ -102,7 +104,7 @@
 		return
 	}
 	c.closed = true
-	c.f.idle.remove(c)
+	c.f.idle.Remove(&c.spot)
 	c.f.loop.Clear(&c.timer)
 	c.f.loop.CloseFD(c.fd)
 	delete(c.f.conns, c)
@@ -139,7 +141,7 @@
 		}
 		c.have += n
 		if c.stage == waiting {
-			c.f.idle.remove(c)
+			c.f.idle.Remove(&c.spot)
 			if c.have == n { // the request has begun
 				c.stallAfter(stallTime)
 			}
@@ -226,10 +228,9 @@
 		return
 	}
 	c.stage = owing
-	t := &ticket{c: c, lent: true}
-	c.ticket = t
+	c.ticket.lent = true
 	// The answer may be given before Take returns.
-	c.message = c.f.dispatcher.Take(p, in, t)
+	c.message = c.f.dispatcher.Take(p, in, c.ticket)
 }
 
 // Served implements dispatch.Client.
@@ -311,6 +312,11 @@
 	if c.closed {
 		return
 	}
+	if c.ticket.lent && !c.yielded { // most often it is Released within this round
+		c.yielded = true
+		c.f.loop.Defer(c)
+		return
+	}
 	c.f.loop.Clear(&c.timer)
 	switch {
 	case c.rejected:
@@ -338,26 +344,27 @@
 // advance begins the next request with what is there of it.
 func (c *conn) advance() {
 	behind := c.in[c.size:c.have]
-	if c.ticket != nil && c.ticket.lent {
+	if c.ticket.lent {
 		// Relays still refer to the request: it stays where it is. Guards against
 		// a copy on its way to a host that would carry the next message's bytes.
 		c.in = append(make([]byte, 0, max(bufferSize, len(behind))), behind...)
 		c.in = c.in[:cap(c.in)]
 		c.have = len(behind)
+		c.ticket = &ticket{c: c}
 	} else {
 		c.have = copy(c.in, behind)
 		if len(c.in) > bufferSize && c.have == 0 {
 			c.in = nil
 		}
 	}
-	c.message, c.ticket, c.parsed, c.size = nil, nil, false, 0
+	c.message, c.parsed, c.yielded, c.size = nil, false, false, 0
 	c.stage = waiting
 	c.want(loop.In)
 	if c.have > 0 {
 		c.stallAfter(stallTime)
 		c.parse()
 	} else if !c.closed {
-		c.f.idle.add(c)
+		c.f.idle.Add(&c.spot, c)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"yardwharf"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/lru"
 	"yardwharf/internal/sock"
 )
 
@@ -33,7 +34,7 @@
 	short      bool // of connections or descriptors, as logged
 	rest       loop.Timer
 	conns      map[*conn]struct{}
-	idle       ring
+	idle       lru.List[conn]
 }
 
 // New returns a Front that listens, but is not ready yet.
@@ -42,7 +43,6 @@
 	f := &Front{loop: l, log: log, dispatcher: d, classes: s.Classes, most: most, maxOpen: s.MaxOpen,
 		conns: map[*conn]struct{}{}}
 	f.rest.Task = loop.Func(f.resume)
-	f.idle.init()
 	var err error
 	if f.fd, err = sock.Listen(address); err != nil {
 		return nil, fmt.Errorf("front: %w", err)
@@ -65,7 +65,7 @@
 // Ready implements loop.Handler: connections wait to be accepted.
 func (f *Front) Ready(uint32) {
 	for f.fd >= 0 && !f.resting {
-		full, oldest := len(f.conns) >= f.most, f.idle.oldest()
+		full, oldest := len(f.conns) >= f.most, f.idle.Oldest()
 		if full && oldest == nil { // the rest wait, so that relays keep their descriptors
 			f.pause("all client connections are in use")
 			return
@@ -86,13 +86,14 @@
 			f.log.Info().Msg("accepting again")
 		}
 		c := &conn{f: f, fd: fd}
+		c.ticket = &ticket{c: c}
 		if err := f.loop.Add(fd, loop.In, c); err != nil {
 			unix.Close(fd)
 			f.pause(err.Error())
 			return
 		}
 		f.conns[c] = struct{}{}
-		f.idle.add(c)
+		f.idle.Add(&c.spot, c)
 	}
 }
 
@@ -137,27 +138,3 @@
 
 // Clients is the number of open connections.
 func (f *Front) Clients() int { return len(f.conns) }
-
-// ring holds the idle connections, the one idle for longest first.
-type ring struct{ ends conn }
-
-func (q *ring) init() { q.ends.next, q.ends.prev = &q.ends, &q.ends }
-
-func (q *ring) add(c *conn) {
-	c.prev, c.next = q.ends.prev, &q.ends
-	c.prev.next, c.next.prev = c, c
-}
-
-func (q *ring) remove(c *conn) {
-	if c.next != nil {
-		c.prev.next, c.next.prev = c.next, c.prev
-		c.prev, c.next = nil, nil
-	}
-}
-
-func (q *ring) oldest() *conn {
-	if q.ends.next == &q.ends {
-		return nil
-	}
-	return q.ends.next
-}
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -9,6 +9,7 @@
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/http1"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/lru"
 	"yardwharf/internal/sock"
 )
 
@@ -28,9 +29,7 @@
 	closed bool
 	parked bool          // among the idle ones
 	since  time.Duration // when it was parked
-	reused bool          // it has carried something before
-	next   *conn         // in the ring of idle connections
-	prev   *conn
+	spot   lru.Spot[conn]
 
 	relay *dispatch.Relay // nil for a probe, and once the relay has ended
 	probe bool
@@ -69,9 +68,9 @@
 		c.close()
 		return
 	}
-	c.parked, c.reused, c.since = true, true, c.p.loop.Now()
+	c.parked, c.since = true, c.p.loop.Now()
 	c.h.idle = append(c.h.idle, c)
-	c.p.spare.add(c)
+	c.p.spare.Add(&c.spot, c)
 	c.p.loop.Set(&c.timer, c.expiry())
 	if cap(c.in) > bufferSize {
 		c.in = nil
@@ -89,7 +88,7 @@
 			break
 		}
 	}
-	c.p.spare.remove(c)
+	c.p.spare.Remove(&c.spot)
 	c.parked = false
 }
 
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -16,6 +16,7 @@
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/inventory"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/lru"
 	"yardwharf/internal/sock"
 )
 
@@ -44,7 +45,7 @@
 	grace  time.Duration
 	most   int // connections
 	open   int
-	spare  lru // idle connections of all hosts
+	spare  lru.List[conn] // idle connections of all hosts
 }
 
 // host is a south side host as this package knows it.
@@ -69,7 +70,6 @@
 	if p.idle <= 0 {
 		p.idle = defaultIdle
 	}
-	p.spare.init()
 	return p
 }
 
@@ -150,7 +150,7 @@
 		c.close()
 	}
 	if p.open >= p.most {
-		oldest := p.spare.oldest()
+		oldest := p.spare.Oldest()
 		if oldest == nil {
 			return nil, fmt.Errorf("southside: all %d connections are in use", p.most)
 		}
@@ -182,25 +182,3 @@
 		}
 	}
 }
-
-// lru is a ring of idle connections, the one idle for longest first.
-type lru struct{ ends conn }
-
-func (q *lru) init() { q.ends.next, q.ends.prev = &q.ends, &q.ends }
-
-func (q *lru) add(c *conn) {
-	c.prev, c.next = q.ends.prev, &q.ends
-	c.prev.next, c.next.prev = c, c
-}
-
-func (q *lru) remove(c *conn) {
-	c.prev.next, c.next.prev = c.next, c.prev
-	c.prev, c.next = nil, nil
-}
-
-func (q *lru) oldest() *conn {
-	if q.ends.next == &q.ends {
-		return nil
-	}
-	return q.ends.next
-}
