On leaving, serve requests that the machine took and the program has not read

front.go, Close: the listener was closed over connections waiting in its queue, and idle connections over bytes that had come, which resets both. They are accepted and read first now; TestClose fails without it (connection reset by peer).

Also: a probe test, the probe's report is read before its buffer may be dropped, 'discovery watch stands' is logged once a watch, and deploy names internal/wire.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -122,14 +122,22 @@
 }
 
 // Close stops listening and closes each connection once nothing is owed on it.
+// Guards requests that the machine has taken and the program has not seen yet:
+// connections that wait are accepted, and what has come on idle ones is read.
 func (f *Front) Close() {
 	f.closing = true
 	f.loop.Clear(&f.rest)
 	if f.fd >= 0 {
+		f.resting = false
+		f.Ready(loop.In)
+		f.loop.Clear(&f.rest)
 		f.loop.CloseFD(f.fd)
 		f.fd = -1
 	}
 	for c := range f.conns { // each on its own, so in any order
+		if c.idle() {
+			c.read(loop.In)
+		}
 		if c.idle() {
 			c.close()
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -237,6 +237,41 @@
 	}
 }
 
+// Requests that have come when the front closes are answered, whether their
+// connection has been accepted or not; then the connections end.
+func TestClose(t *testing.T) {
+	f, _, dial := open(t, 100, false)
+	old := dial()
+	defer old.Close()
+	io.WriteString(old, job("a", ""))
+	r := bufio.NewReader(old)
+	if answer, err := http.ReadResponse(r, nil); err != nil || answer.Close {
+		t.Fatalf("%+v, %v", answer, err)
+	} else {
+		io.Copy(io.Discard, answer.Body)
+	}
+	fresh := make(chan net.Conn, 1)
+	f.loop.Post(loop.Func(func() {
+		c := dial()
+		io.WriteString(old, job("b", ""))
+		io.WriteString(c, job("c", ""))
+		f.Close()
+		fresh <- c
+	}))
+	c := <-fresh
+	defer c.Close()
+	for _, r := range []*bufio.Reader{r, bufio.NewReader(c)} {
+		answer, err := http.ReadResponse(r, nil)
+		if err != nil || answer.StatusCode != 200 || !answer.Close {
+			t.Errorf("%+v, %v", answer, err)
+			continue
+		}
+		if _, err := io.ReadAll(answer.Body); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // While a relay still refers to an answered message, the next one that comes on
 // the connection does not touch its bytes.
 func TestPayloadStays(t *testing.T) {
--- a/internal/inventory/watch.go
+++ b/internal/inventory/watch.go
@@ -267,8 +267,11 @@
 			if err != nil {
 				return err
 			}
-			c.listed = true
-			c.w.restored(l)
+			if !c.listed {
+				c.listed, c.w.broken = true, false
+				c.w.log.Info().Uint64("index", l.Index).Int("entries", len(l.Endpoints)).
+					Bool("snapshot", l.Snapshot).Msg("discovery watch stands")
+			}
 			c.w.take(l)
 		}
 		c.line = c.line[:0]
@@ -287,11 +290,3 @@
 	}
 	return answerTime
 }
-
-func (w *Watcher) restored(l List) {
-	if w.broken || w.watch != nil && w.index == 0 {
-		w.log.Info().Uint64("index", l.Index).Int("entries", len(l.Endpoints)).Bool("snapshot", l.Snapshot).
-			Msg("discovery watch stands")
-	}
-	w.broken = false
-}
--- a/internal/southside/answer.go
+++ b/internal/southside/answer.go
@@ -112,15 +112,14 @@
 	return []byte(s), true
 }
 
-// endOfBody ends what no line has ended.
-func (c *conn) endOfBody() {
-	load := c.answer.load
+// lastLoad is the report that came with an answer that no line has ended.
+func (c *conn) lastLoad() []float32 {
 	if c.probe && c.answer.status == yardwharf.OK {
-		if got := c.p.report(c.line); got != nil {
-			load = got
+		if load := c.p.report(c.line); load != nil {
+			return load
 		}
 	}
-	c.finish(c.answer.status, nil, load)
+	return c.answer.load
 }
 
 // report reads a load report: its values in the order of the settings. Site pages
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -286,7 +286,7 @@
 func (c *conn) hangUp() {
 	if c.inBody && c.body.ToClose() {
 		c.close()
-		c.endOfBody()
+		c.finish(c.answer.status, nil, c.lastLoad())
 		return
 	}
 	c.end(yardwharf.Reset)
@@ -346,6 +346,7 @@
 
 // bodyCame is the end of an answer.
 func (c *conn) bodyCame(clean bool) {
+	st, load := c.answer.status, c.lastLoad()
 	// A connection whose request is not all out, or with bytes behind its answer,
 	// cannot carry another.
 	if reusable := clean && !c.answer.close && len(c.unsent) == 0; !reusable {
@@ -355,5 +356,5 @@
 		c.p.loop.Clear(&c.timer)
 		c.park()
 	}
-	c.endOfBody()
+	c.finish(st, nil, load)
 }
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -292,3 +292,36 @@
 		}
 	}
 }
+
+// probes keeps how a probe ended and stops the loop.
+type probes struct {
+	loop *loop.Loop
+	got  string
+}
+
+func (o *probes) Probed(host yardwharf.WorkerID, st yardwharf.Status, _ time.Duration, load []float32) {
+	o.got = fmt.Sprint(host, st, load)
+	o.loop.Stop()
+}
+
+// A probe brings the host's report, and its connection may carry a relay then.
+func TestProbe(t *testing.T) {
+	for _, c := range []struct{ reply, want string }{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{\"util\":0.5,\"x0\":2}", "7 0 [0.5 2]"},
+		{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "7 1 []"},
+		{"", "7 5 []"},
+	} {
+		seen := make(chan *http.Request, 2)
+		y := newYard(t, nil, replies(seen, c.reply, chunked(done)))
+		o := &probes{loop: y.loop}
+		y.pool.probed = o
+		y.pool.Probe(7)
+		y.run()
+		if r := <-seen; o.got != c.want || r.RequestURI != "/status/load" {
+			t.Errorf("%q: %s, want %s; asked %s", c.reply, o.got, c.want, r.RequestURI)
+		}
+		if c.reply != "" && (y.answer() != "served résult" || y.pool.open != 1) {
+			t.Errorf("%q: the connection was not used again", c.reply)
+		}
+	}
+}
