End only the probe when its end starts a relay on the same connection

conn.go, finish: went on to end the relay that Probed had just started on the parked connection. Found by reading; the module sends no probes yet. TestProbe now takes a message from within Probed and fails without the fix.

--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -246,8 +246,10 @@
 		c.close()
 	}
 	if c.probe {
+		// The callee may start a relay on this very connection, which has not ended.
 		c.probe = false
 		c.p.probed.Probed(c.h.id, st, c.p.loop.Now()-c.sent, load)
+		return
 	}
 	if r := c.relay; r != nil {
 		c.relay = nil
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -293,15 +293,16 @@
 	}
 }
 
-// probes keeps how a probe ended and stops the loop.
+// probes keeps how a probe ended, and takes a message right then.
 type probes struct {
-	loop *loop.Loop
-	got  string
+	y   *yard
+	c   *client
+	got string
 }
 
 func (o *probes) Probed(host yardwharf.WorkerID, st yardwharf.Status, _ time.Duration, load []float32) {
 	o.got = fmt.Sprint(host, st, load)
-	o.loop.Stop()
+	_, o.c = o.y.take()
 }
 
 // A probe brings the host's report, and its connection may carry a relay then.
@@ -313,14 +314,14 @@
 	} {
 		seen := make(chan *http.Request, 2)
 		y := newYard(t, nil, replies(seen, c.reply, chunked(done)))
-		o := &probes{loop: y.loop}
+		o := &probes{y: y}
 		y.pool.probed = o
 		y.pool.Probe(7)
 		y.run()
 		if r := <-seen; o.got != c.want || r.RequestURI != "/status/load" {
 			t.Errorf("%q: %s, want %s; asked %s", c.reply, o.got, c.want, r.RequestURI)
 		}
-		if c.reply != "" && (y.answer() != "served résult" || y.pool.open != 1) {
+		if c.reply != "" && (o.c.got != "served résult" || y.pool.open != 1) {
 			t.Errorf("%q: the connection was not used again", c.reply)
 		}
 	}
