Read the configuration again on SIGHUP and move the discovery watch

Ruled out: a fault in the watch or in leaving; the process was gone at the first signal.

SIGHUP now loads and checks the file again. A bad one is logged and changes nothing. Messages, connections and the split stay. The module takes a list that comes unasked for a standing watch, so that it does not ask again after a move that follows a failure.

--- a/balancer.go
+++ b/balancer.go
@@ -240,7 +240,7 @@
 		b.after(b.jitter(min(askFirst<<min(b.failures-1, 10), b.s.AskWithin/2)), 0, timerAsk)
 		return
 	}
-	if kind != ListCached && b.asking {
+	if kind != ListCached { // a list also comes unasked, where the host moves the watch
 		b.watching, b.asking, b.failures = true, false, 0
 	}
 	first := len(b.workers) == 0
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -349,6 +349,13 @@
 	if f.watches != 11 {
 		t.Fatalf("%d calls, want none while watching", f.watches)
 	}
+	// The host moves the watch after a failure: its list needs no further call.
+	f.b.Members(f.now, ListFailed, nil)
+	f.b.Members(f.now, ListFull, members(3))
+	f.wait(time.Minute)
+	if f.watches != 11 {
+		t.Fatalf("%d calls, want none for a list that came unasked", f.watches)
+	}
 }
 
 // By hand: K = 4, floor 0.15/4 = 0.0375, step 0.1/4 = 0.025 for each unit of f.
--- a/cmd/yardwharf/main.go
+++ b/cmd/yardwharf/main.go
@@ -42,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	signals := catch() // before anything that takes time: an early signal waits
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("dispatcher", c.Name).Logger()
@@ -55,12 +56,7 @@
 		return err
 	}
 	log.Info().Stringer("listen", c.Listen).Int("known", len(c.Known.Endpoints)).Msg("started")
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		l.Post(loop.Func(p.leave))
-	}()
+	go p.heed(signals)
 	if err := l.Run(); err != nil {
 		return err
 	}
@@ -68,8 +64,28 @@
 	return nil
 }
 
+// catch takes the signals that the platform sends. Guards against SIGHUP, which
+// ends a program that does not ask for it.
+func catch() <-chan os.Signal {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// heed does on the loop what signals ask for.
+func (p *program) heed(signals <-chan os.Signal) {
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			p.loop.Post(loop.Func(p.reload))
+		} else {
+			p.loop.Post(loop.Func(p.leave))
+		}
+	}
+}
+
 // program is the dispatcher's parts.
 type program struct {
+	config     *config.Config
 	loop       *loop.Loop
 	log        zerolog.Logger
 	hosts      *inventory.Hosts
@@ -83,7 +99,7 @@
 
 // build wires the parts together.
 func build(l *loop.Loop, log zerolog.Logger, c *config.Config) (*program, error) {
-	p := &program{loop: l, log: log}
+	p := &program{config: c, loop: l, log: log}
 	var err error
 	if p.dispatcher, err = dispatch.New(l, c.Settings, c.Seed); err != nil {
 		return nil, err
@@ -118,9 +134,31 @@
 	p.dispatcher.Members(kind, members)
 }
 
+// reload reads the configuration again, as SIGHUP asks. The watch moves to the
+// discovery that it names; messages, connections and what the decisions have
+// learned stay. One that cannot be used is logged and changes nothing.
+func (p *program) reload() {
+	if p.leaving {
+		return
+	}
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		p.log.Error().Err(err).Msg("configuration refused")
+		return
+	}
+	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", p.config.Fixed(c)).Msg("configuration read again")
+	if p.config.Discovery != c.Discovery {
+		p.config.Discovery = c.Discovery
+		p.watcher.Move(c.Discovery)
+	}
+}
+
 // leave ends the program as the platform asks: it serves on while clients may not
 // know yet, then takes nothing new and stops when all that was taken is answered.
 func (p *program) leave() {
+	if p.leaving {
+		return
+	}
 	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
 	p.leaving = true
 	p.front.SetReady(false)
--- a/cmd/yardwharf/main_test.go
+++ b/cmd/yardwharf/main_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -34,22 +35,26 @@
 	return l.Addr().String()
 }
 
-// The example's configuration starts a program that knows a host from its last
-// list only, with discovery down. Told to leave while it owes an answer, it stops
-// listening, gives the answer, closes the connection and ends.
-func TestLeave(t *testing.T) {
+// configure writes the example's configuration with other addresses, and one host
+// in the list as last known.
+func configure(t *testing.T, path, address, discovery string, host net.Listener) {
+	t.Helper()
 	text, err := os.ReadFile("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	host, address := listen(t), free(t)
 	known := fmt.Sprintf(`"endpoints": [{"name":"s1","address":%q,"zone":"here","type":"toy","status":"SERVING"}]`, host.Addr())
-	text = []byte(strings.NewReplacer("127.0.0.1:8080", address, "127.0.0.1:8500", free(t), `"endpoints": []`, known).Replace(string(text)))
-	path := t.TempDir() + "/config.json"
+	text = []byte(strings.NewReplacer("127.0.0.1:8080", address, "127.0.0.1:8500", discovery, `"endpoints": []`, known).Replace(string(text)))
 	if !json.Valid(text) || os.WriteFile(path, text, 0o600) != nil {
 		t.Fatalf("no configuration: %s", text)
 	}
-	c, err := config.Load(func(name string) string { return map[string]string{"PROXY_CONFIG": path}[name] })
+}
+
+// start builds a program from a configuration; it is for the caller to run.
+func start(t *testing.T, path string) *program {
+	t.Helper()
+	t.Setenv("PROXY_CONFIG", path)
+	c, err := config.Load(os.Getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,11 +62,80 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(l.Close)
 	p, err := build(l, zerolog.Nop(), c)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return p
+}
+
+// SIGHUP moves the watch to the discovery that the file now names, and the old one
+// is let go; a file that cannot be used changes nothing.
+func TestReload(t *testing.T) {
+	first, second, host := listen(t), listen(t), listen(t)
+	path, address := t.TempDir()+"/config.json", free(t)
+	configure(t, path, address, first.Addr().String(), host)
+	p := start(t, path)
+	go p.heed(catch())
+	asked := func(l net.Listener) (net.Conn, string) {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Error(err)
+			p.loop.Post(loop.Func(p.loop.Stop))
+			return nil, ""
+		}
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			t.Error(err)
+			p.loop.Post(loop.Func(p.loop.Stop))
+			return conn, ""
+		}
+		return conn, r.RequestURI
+	}
+	go func() {
+		old, _ := asked(first)
+		if old == nil {
+			return
+		}
+		defer old.Close()
+		os.WriteFile(path, []byte("{"), 0o600)
+		kept := make(chan bool)
+		p.loop.Post(loop.Func(func() {
+			p.reload()
+			kept <- p.config.Discovery.String() == first.Addr().String()
+		}))
+		if !<-kept {
+			t.Error("a file that cannot be read changed something")
+		}
+		configure(t, path, address, second.Addr().String(), host)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		fresh, uri := asked(second)
+		if fresh == nil {
+			return
+		}
+		defer fresh.Close()
+		if uri != "/v1/endpoints?watch=1&from=0" {
+			t.Errorf("the new discovery is asked for %s", uri)
+		}
+		if _, err := old.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the old watch reads %v, want its end", err)
+		}
+		p.loop.Post(loop.Func(p.loop.Stop))
+	}()
+	if err := p.loop.Run(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The example's configuration starts a program that knows a host from its last
+// list only, with discovery down. Told to leave while it owes an answer, it stops
+// listening, gives the answer, closes the connection and ends.
+func TestLeave(t *testing.T) {
+	host, address, path := listen(t), free(t), t.TempDir()+"/config.json"
+	configure(t, path, address, free(t), host)
+	p := start(t, path)
+	l := p.loop
 	go func() {
 		conn, err := host.Accept()
 		if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"yardwharf"
@@ -118,3 +119,20 @@
 	}
 	return nil
 }
+
+// Fixed names the keys in which a configuration that is read again differs from
+// this one and which count from the next start only.
+func (c *Config) Fixed(again *Config) (keys []string) {
+	for _, k := range []struct {
+		key    string
+		differ bool
+	}{
+		{"name", c.Name != again.Name}, {"listen", c.Listen != again.Listen},
+		{"limits", c.Limits != again.Limits}, {"settings", !reflect.DeepEqual(c.Settings, again.Settings)},
+	} {
+		if k.differ {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -66,3 +68,16 @@
 		t.Errorf("without a file: error %v", err)
 	}
 }
+
+// What a configuration that is read again can change only at the next start is named.
+func TestFixed(t *testing.T) {
+	a, b := &Config{Name: "n1"}, &Config{Name: "n1"}
+	b.Discovery = netip.MustParseAddrPort("127.0.0.1:1")
+	if keys := a.Fixed(b); keys != nil {
+		t.Errorf("%v are fixed", keys)
+	}
+	b.Limits.Sockets, b.Settings.Balancers = 7, 7
+	if keys := a.Fixed(b); !slices.Equal(keys, []string{"limits", "settings"}) {
+		t.Errorf("%v are fixed", keys)
+	}
+}
--- a/internal/inventory/watch.go
+++ b/internal/inventory/watch.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// Move begins a watch at another discovery, in place of one that may stand. It
+// asks for the whole list: the other need not count versions as the old one did.
+func (w *Watcher) Move(address netip.AddrPort) {
+	w.address, w.index = address, 0
+	w.Watch()
+}
+
 // Close ends the watch without a word to the listener.
 func (w *Watcher) Close() {
 	if w.watch != nil {
