Shun workers that fail at once, and thin the draws of slow ones

Ruled out: room, which follows waits and not runs; silence, as slow workers do give signs.

A worker now has a pace: its runs against the usual run of their classes, those that have not ended counted by their age so far. Over 2, its draws fall with the square. A worker with two errors at once is shunned as after silence.

--- a/balancer.go
+++ b/balancer.go
@@ -15,25 +15,31 @@
 )
 
 const (
-	stepSize     = 0.1             // the paper's a, in mean shares: f too high by 1 costs this part of one
-	firstSamples = 10              // L(0): completions of every worker before the first step
-	moreSamples  = 10              // L(n) - L(n-1)
-	floor        = 0.15            // least share, in mean shares: keeps every worker sampled
-	mostSamples  = 40              // L grows no further, so that the split keeps tracking load
-	stepWait     = 2 * time.Second // a step is taken after this even if samples lack
-	prior        = 8               // samples that the kind's mean counts for in a thin estimate
-	mostSample   = 4               // mean delays a sample counts at most: shares outlast a cut link
-	mostF        = 1               // f is clipped to the mean plus this: one loss empties no share
-	crossF       = 4               // what a crossing's price adds to f, in mean service times
-	kindSamples  = 30              // samples of a kind's mean delay that may be its shortest of late
-	homeParts    = 3               // even parts of the workers in a home
-	roomUp       = 0.25            // a job that starts at once with all room taken adds this to it
-	roomDown     = 0.5             // one that waits takes this
-	zoneLost     = 0.7             // a zone with this share of silent ends is taken for cut off
-	zoneNew      = 0.2             // weight of one end in that share
-	zoneTrickle  = 0.05            // part of the draws that it still gets
-	waitFew      = 0.1             // of the slack: a job that waits no longer counts as started at once
-	redraws      = 12              // draws before a worker without room is taken, or none
+	stepSize     = 0.1              // the paper's a, in mean shares: f too high by 1 costs this part of one
+	firstSamples = 10               // L(0): completions of every worker before the first step
+	moreSamples  = 10               // L(n) - L(n-1)
+	floor        = 0.15             // least share, in mean shares: keeps every worker sampled
+	mostSamples  = 40               // L grows no further, so that the split keeps tracking load
+	stepWait     = 2 * time.Second  // a step is taken after this even if samples lack
+	prior        = 8                // samples that the kind's mean counts for in a thin estimate
+	mostSample   = 4                // mean delays a sample counts at most: shares outlast a cut link
+	mostF        = 1                // f is clipped to the mean plus this: one loss empties no share
+	crossF       = 4                // what a crossing's price adds to f, in mean service times
+	kindSamples  = 30               // samples of a kind's mean delay that may be its shortest of late
+	homeParts    = 3                // even parts of the workers in a home
+	roomUp       = 0.25             // a job that starts at once with all room taken adds this to it
+	roomDown     = 0.5              // one that waits takes this
+	zoneLost     = 0.7              // a zone with this share of silent ends is taken for cut off
+	zoneNew      = 0.2              // weight of one end in that share
+	zoneTrickle  = 0.05             // part of the draws that it still gets
+	waitFew      = 0.1              // of the slack: a job that waits no longer counts as started at once
+	paceNew      = 0.2              // weight of one run in a worker's pace
+	paceSpan     = 10 * time.Second // in which a pace fades without runs
+	paceSlow     = 2                // usual runs that a slow worker takes for one
+	paceThin     = 2                // its draws fall with this power of its pace
+	errorNew     = 0.3              // weight of one end in a worker's part of errors
+	errorMost    = 0.5              // over this, two errors at once, it is shunned
+	redraws      = 12               // draws before a worker without room is taken, or none
 
 	coldPart     = 0.5                    // of the cold budget that is spent; the rest is for skew and chance
 	fullPause    = 50 * time.Millisecond  // how long a full worker is not drawn; doubles
@@ -288,7 +294,7 @@
 func (b *Balancer) member(m *Member, first bool) {
 	w := b.byID[m.ID]
 	if w == nil {
-		w = &worker{id: m.ID, room: 1, in: make([]*member, len(b.splits))}
+		w = &worker{id: m.ID, room: 1, pace: 1, in: make([]*member, len(b.splits))}
 		b.byID[m.ID] = w
 		b.workers = append(b.workers, w)
 	}
@@ -308,7 +314,7 @@
 // were silent of late only a trickle is drawn: guards against a cut link, which
 // would otherwise have to be found worker by worker.
 func (b *Balancer) fit(w *worker) bool {
-	return w.state == Ready && b.now >= w.shunned && !b.hung(w) && b.coldFit(w) &&
+	return w.state == Ready && b.now >= w.shunned && !b.hung(w) && b.coldFit(w) && b.paceFit(w) &&
 		(b.lost[w.zone] < zoneLost || b.rng.Float64() < zoneTrickle)
 }
 
@@ -326,6 +332,33 @@
 	return w.waiting > 0 && b.now-w.sign > b.silence
 }
 
+// paceFit thins the draws of a slow worker.
+func (b *Balancer) paceFit(w *worker) bool {
+	p := b.pace(w)
+	return p <= paceSlow || b.rng.Float64() < math.Pow(paceSlow/p, paceThin)
+}
+
+// pace is how much longer than usual jobs run at a worker of late, those counted
+// that have not ended. Guards against a worker that has turned slow: its shares
+// move only by steps, and its jobs tell of it before they end.
+func (b *Balancer) pace(w *worker) float64 {
+	p := 1 + (w.pace-1)*math.Exp(-(b.now-w.paced).Seconds()/paceSpan.Seconds())
+	if w.running > 0 && w.usual > 0 {
+		p = max(p, (float64(w.running)*b.now.Seconds()-w.starts)/w.usual)
+	}
+	return p
+}
+
+// run books that a job runs at a worker, or no longer does.
+func (w *worker) run(a *attempt, by int) {
+	w.running += by
+	w.starts += float64(by) * a.started.Seconds()
+	w.usual += float64(by) * a.usual
+	if w.running == 0 {
+		w.starts, w.usual = 0, 0
+	}
+}
+
 // hasRoom says whether a worker has less than its share of this dispatcher's
 // own work out. Guards against a blind draw that queues on busy workers.
 func (b *Balancer) hasRoom(m *member) bool {
@@ -394,7 +427,7 @@
 }
 
 // shun keeps a worker out of the draw after a sign that it cannot serve: for a
-// short span after a full queue, for a doubling one after silence.
+// short span after a full queue, for a doubling one after silence or errors.
 func (b *Balancer) shun(w *worker, st Status, sent time.Duration) {
 	switch st {
 	case Full:
@@ -404,18 +437,29 @@
 		if st == Timeout && w.sign > sent { // only this job is slow
 			return
 		}
-		w.strikes++
+		b.strike(w)
 		b.lost[w.zone] += zoneNew * (1 - b.lost[w.zone])
-		w.shunned = max(w.shunned, b.now+b.jitter(min(strikePause<<min(w.strikes-1, 10), strikeMost)))
-	case OK, Error:
-		if w.strikes > 1 { // back from silence: cold before the list says so
+	case Error: // one may be the job's own fault
+		if w.errors += errorNew * (1 - w.errors); w.errors > errorMost {
+			b.strike(w)
+		}
+	case OK:
+		if w.strikes > 1 && w.errors < errorMost { // back from silence: cold before the list says so
 			w.coldSince, w.refilled, w.tokens = b.now, b.now, b.rng.Float64()
 		}
 		w.strikes, w.fulls, w.shunned = 0, 0, 0
+		w.errors -= errorNew * w.errors
 		b.lost[w.zone] -= zoneNew * b.lost[w.zone]
 	}
 }
 
+// strike shuns a worker for a span that doubles each time. Guards against workers
+// that fail at once: they look idle and would draw ever more jobs.
+func (b *Balancer) strike(w *worker) {
+	w.strikes++
+	w.shunned = max(w.shunned, b.now+b.jitter(min(strikePause<<min(w.strikes-1, 10), strikeMost)))
+}
+
 // ---- The request's life.
 
 // Request takes on a request.
@@ -651,7 +695,13 @@
 	r.out--
 	a.w.out--
 	a.w.load -= r.slots()
-	if !a.hasStarted {
+	if a.hasStarted {
+		a.w.run(a, -1)
+		if ran := (now - a.started).Seconds(); o.Status == OK && a.usual > 0 {
+			a.w.pace += (ran/a.usual - a.w.pace) * paceNew
+			a.w.paced = now
+		}
+	} else {
 		a.w.waiting--
 	}
 	if o.Status != Timeout && o.Status != Cancelled && o.Status != ConnectFailed && o.Status != Full {
@@ -693,6 +743,8 @@
 			a.hasStarted, a.started = true, now
 			a.w.waiting--
 			a.w.sign = now
+			a.usual = b.classes[r.Class].service
+			a.w.run(a, 1)
 			a.w.learnRoom(now-a.sent <= max(copyLeast, time.Duration(waitFew*float64(b.slack(r.Class)))))
 			b.settle(r, n, false)
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -710,3 +710,52 @@
 		t.Errorf("slack %v after a run of 200 ms, want 400 ms", got)
 	}
 }
+
+// A worker that answers most jobs with an error at once is left alone, though it
+// always looks idle; a single error is no reason.
+func TestFastErrors(t *testing.T) {
+	f := start(t, settings(Class{Effect: Safe, Aim: time.Second}), 4)
+	sick, hits := f.b.workers[0].id, 0
+	for id := RequestID(1); id <= 400; id++ {
+		f.request(id, 0)
+		f.wait(10 * ms)
+		if at := f.last(); at.worker != sick {
+			f.end(at, OK)
+		} else if hits++; hits == 1 || hits%5 != 0 {
+			f.end(at, Error)
+			f.end(f.last(), OK)
+		} else {
+			f.end(at, OK)
+		}
+		if hits == 1 && f.b.workers[0].shunned > f.now {
+			t.Fatal("shunned after one error")
+		}
+	}
+	if hits > 40 {
+		t.Errorf("%d of 400 requests to a worker that fails", hits)
+	}
+}
+
+// A worker whose jobs run on and on is drawn less before any of them has ended.
+func TestSlowWorker(t *testing.T) {
+	s := settings(Class{Effect: Safe, Aim: time.Second})
+	s.TellsStart, s.ParallelTries = true, false
+	f := start(t, s, 6)
+	slow, hits := f.b.splits[0].home[0].w, 0
+	for id := RequestID(1); id <= 200; id++ {
+		f.request(id, 0)
+		at := f.last()
+		f.b.Note(f.now, id, at.n, Started, 0)
+		if f.wait(10 * ms); id > 50 && at.worker == slow.id {
+			hits++
+			continue
+		}
+		f.end(at, OK)
+	}
+	if p := f.b.pace(slow); p < 10 {
+		t.Errorf("pace %.1f with jobs running for over a second in place of 10 ms", p)
+	}
+	if hits > 25 {
+		t.Errorf("%d of 150 requests to the slow worker", hits)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -88,6 +88,11 @@
 	coldSince  time.Duration // start of its warm-up as far as known
 	out        int           // own attempts out
 	load       float64       // slots that those need
+	running    int           // own attempts that have started
+	starts     float64       // their starts added up, in seconds
+	usual      float64       // usual runs of their classes added up, in seconds
+	pace       float64       // runs of late by what is usual, as of paced
+	paced      time.Duration
 	in         []*member     // by split
 	seen       bool          // mark of a full list being read
 	waiting    int           // those of them that have not started
@@ -99,7 +104,8 @@
 	refilled   time.Duration // when tokens were last added
 	shunned    time.Duration // not drawn before this
 	fulls      int           // full queues in a row
-	strikes    int           // silent ends in a row
+	strikes    int           // silent ends in a row, and errors
+	errors     float64       // part of its ends of late that were errors
 }
 
 type request struct {
@@ -122,6 +128,7 @@
 	w             *worker
 	sent, started time.Duration
 	hasStarted    bool
+	usual         float64 // its class's usual run when it started, in seconds
 	done          bool
 	off           bool // called off
 	never         bool // it is proven that it did not run
