Hold bad clients to their time, their room and one relay

An empty X-Remaining passed for an absent one. Silent and half-sent connections were evicted only when idle, and had 5 s, renewed by a pipelined byte.

Now: 4xx from a host ends the message at once, as failed, with no blame (Rejected). Ids in hand are known by hash and not taken twice. A request has 2.5 s from its first byte, the first of a connection from the accept. For room those without a message go first, read once more before. Front and south side share a budget of a fifth of the memory for buffers. One pipelined request a turn, four reads a turn; repeated Content-Length and bytes outside of visible ASCII are errors. Found on the way: a full buffer dropped the interest in writing on, so an unread answer could stick.

--- a/api.go
+++ b/api.go
@@ -186,6 +186,7 @@
 	Reset
 	Cancelled
 	Moot
+	Rejected // the worker cannot use the job, and no other could
 )
 
 // Outcome is the end of an attempt.
--- a/balancer.go
+++ b/balancer.go
@@ -723,7 +723,12 @@
 			b.judge(1)
 		}
 	}
-	if o.Status == OK {
+	// What one worker cannot read none can: to go on would only spread it, and a
+	// refusal would ask for it again.
+	if o.Status == Rejected && !r.answered {
+		b.do.Fail(r.ID)
+	}
+	if o.Status == OK || o.Status == Rejected {
 		r.answered = true
 		b.settle(r, o.Attempt, true)
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -759,3 +759,19 @@
 		t.Errorf("%d of 150 requests to the slow worker", hits)
 	}
 }
+
+// What one worker cannot read goes to no other, and no worker is shunned for it.
+func TestRejected(t *testing.T) {
+	f := start(t, settings(Class{Effect: Safe, Aim: time.Second}), 4)
+	f.request(1, 0)
+	at := f.last()
+	f.end(at, Rejected)
+	if f.answers[1] != "fail" || len(f.sends) != 1 {
+		t.Errorf("answer %q after %d sends, want one failure after one", f.answers[1], len(f.sends))
+	}
+	for _, w := range f.b.workers {
+		if w.shunned > f.now || w.errors > 0 {
+			t.Error("a worker is blamed")
+		}
+	}
+}
--- a/cmd/yardwharf/main.go
+++ b/cmd/yardwharf/main.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"yardwharf"
+	"yardwharf/internal/budget"
 	"yardwharf/internal/config"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/front"
@@ -23,6 +24,7 @@
 )
 
 const (
+	bufferPart = 0.2 // of the machine's memory that the buffers of all connections may hold
 	memoryPart = 0.6 // of the machine's memory that the heap may grow to
 	reserve    = 24  // descriptors for all but clients and south side hosts
 	clientPart = 0.5 // of the rest, for clients
@@ -111,12 +113,13 @@
 	}
 	sockets := c.Limits.Sockets - reserve
 	clients := int(clientPart * float64(sockets))
+	buffers := budget.New(int(bufferPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	p.hosts = inventory.NewHosts(c.Settings.Zones, c.Settings.Kinds)
 	p.watcher = inventory.NewWatcher(l, log, c.Discovery, p.hosts, c.Known)
 	p.watcher.Listen(p)
-	p.pool = southside.NewPool(l, log, &c.Settings, sockets-clients, p.dispatcher)
+	p.pool = southside.NewPool(l, log, &c.Settings, sockets-clients, buffers, p.dispatcher)
 	p.dispatcher.Connect(p.pool, p.watcher)
-	if p.front, err = front.New(l, log, c.Listen, clients, &c.Settings, p.dispatcher); err != nil {
+	if p.front, err = front.New(l, log, c.Listen, clients, buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
 	known := c.Known
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -19,8 +19,13 @@
 	bufferSize = 4 << 10
 	maxBody    = 64 << 10
 	maxTaken   = http1.MaxHead + 2*maxBody // of one request, chunked as it may be
-	lingerTime = time.Second               // for the rest of a rejected request
-	stallTime  = 5 * time.Second           // for the rest of a request, or of an answer
+	lingerTime = time.Second               // for the client to read why it was rejected
+	// wholeTime is how long a request may take from its first byte to its last, and
+	// the first one of a connection from when that was accepted.
+	wholeTime = 2500 * time.Millisecond
+	stallTime = 5 * time.Second        // for the rest of an answer
+	readsTurn = 4                      // reads of a connection in one turn of the loop
+	restTime  = 100 * time.Millisecond // no request is read for so long after a bad one
 )
 
 // stage says what a connection is at.
@@ -45,6 +50,13 @@
 	rejected bool       // the request was not read to its end
 	yielded  bool       // the dispatcher has been let finish with the message
 	timer    loop.Timer // for a client that stalls
+	born     time.Duration
+	proven   bool // a message has been taken from it
+	bad      bool // the request was answered as the client's error
+	resting  bool // nothing is read now
+	rest     loop.Timer
+	thrown   int // bytes thrown away while leaving
+	lent     int // bytes taken from the budget
 
 	in   []byte // what has come: the current request, then what is behind it
 	have int
@@ -67,6 +79,26 @@
 type ticket struct {
 	c    *conn
 	lent bool // the message refers to the connection's buffer
+	hash uint64
+	id   []byte
+}
+
+// more is a connection as a Task: it goes on with the bytes that it has.
+type more conn
+
+// Run implements loop.Task.
+func (m *more) Run() {
+	c := (*conn)(m)
+	if c.closed || c.stage != waiting {
+		return
+	}
+	if c.resting {
+		c.resting = false
+		c.want(loop.In)
+	}
+	if !c.closed && c.have > 0 {
+		c.parse()
+	}
 }
 
 // Ready implements loop.Handler.
@@ -74,7 +106,11 @@
 	if events&loop.Out != 0 && c.stage == writing {
 		c.flush()
 	}
-	if !c.closed && events&^loop.Out != 0 {
+	switch {
+	case c.closed || events&^loop.Out == 0:
+	case c.resting: // only a hang-up is told now
+		c.close()
+	default:
 		c.read(events)
 	}
 }
@@ -91,11 +127,24 @@
 
 // stallAfter closes the connection unless the timer is taken back before. Guards
 // against clients that hold connections and neither send nor read on.
-func (c *conn) stallAfter(d time.Duration) {
+func (c *conn) stallAfter(d time.Duration) { c.closeAt(c.f.loop.Now() + d) }
+
+func (c *conn) closeAt(at time.Duration) {
 	if c.timer.Task == nil {
 		c.timer.Task = loop.Func(c.close)
 	}
-	c.f.loop.Set(&c.timer, c.f.loop.Now()+d)
+	c.f.loop.Set(&c.timer, at)
+}
+
+// await sets the time by which a request must have come that has begun to, or that
+// is the first. No byte renews it. Guards against clients that are silent, send
+// half a request, or one byte at a time.
+func (c *conn) await() {
+	if c.proven {
+		c.stallAfter(c.f.whole)
+	} else {
+		c.closeAt(c.born + c.f.whole)
+	}
 }
 
 // close ends the connection; a message that is still owed is withdrawn.
@@ -106,6 +155,9 @@
 	c.closed = true
 	c.f.idle.Remove(&c.spot)
 	c.f.loop.Clear(&c.timer)
+	c.f.loop.Clear(&c.rest)
+	c.f.budget.Give(c.lent)
+	c.lent = 0
 	c.f.loop.CloseFD(c.fd)
 	delete(c.f.conns, c)
 	if c.stage == owing {
@@ -119,17 +171,24 @@
 // read takes in what has come. While an answer is owed it reads on, to learn that
 // the client has gone, as far as there is room.
 func (c *conn) read(events uint32) {
-	for {
+	for range readsTurn { // the loop tells again of what is left
 		if c.stage == leaving {
+			// Guards against an endless body: past a bound it is left unread.
+			if c.thrown += c.have; c.thrown > maxTaken {
+				c.hangUpOnly(events)
+				return
+			}
 			c.have = 0
 		}
-		if c.have == len(c.in) && !c.grow() {
-			if events&^loop.In != 0 { // hung up, or in error
-				c.close()
+		if c.have == len(c.in) {
+			if c.stage == owing || c.stage == writing || len(c.in) >= maxTaken {
+				c.hangUpOnly(events)
+				return
+			}
+			if !c.grow() {
+				c.reject(503)
 				return
 			}
-			c.want(loop.Hangup)
-			return
 		}
 		n, err := sock.Read(c.fd, c.in[c.have:])
 		if errors.Is(err, sock.ErrWait) {
@@ -141,9 +200,11 @@
 		}
 		c.have += n
 		if c.stage == waiting {
-			c.f.idle.Remove(&c.spot)
-			if c.have == n { // the request has begun
-				c.stallAfter(stallTime)
+			if c.proven {
+				c.f.idle.Remove(&c.spot)
+				if c.have == n { // the request has begun
+					c.await()
+				}
 			}
 			c.parse()
 		}
@@ -153,12 +214,26 @@
 	}
 }
 
+// hangUpOnly reads no more for now; of a hang-up, which may have come, it wants to
+// be told still.
+func (c *conn) hangUpOnly(events uint32) {
+	switch {
+	case events&^loop.In != 0: // hung up, or in error
+		c.close()
+	case len(c.unsent) > 0:
+		c.want(loop.Hangup | loop.Out)
+	default:
+		c.want(loop.Hangup)
+	}
+}
+
 // grow makes room for more of a request; a request's own bound is kept by parse.
 func (c *conn) grow() bool {
-	if c.stage == owing || c.stage == writing || len(c.in) >= maxTaken {
+	n := min(max(bufferSize, len(c.in)), maxTaken-len(c.in))
+	if !c.f.room(c, n) {
 		return false
 	}
-	c.in = append(c.in, make([]byte, min(max(bufferSize, len(c.in)), maxTaken-len(c.in)))...)
+	c.in = append(c.in, make([]byte, n)...)
 	return true
 }
 
@@ -202,7 +277,9 @@
 			return
 		}
 	}
-	c.f.loop.Clear(&c.timer)
+	if c.proven {
+		c.f.loop.Clear(&c.timer)
+	}
 	c.size = c.taken
 	c.last = c.head.Close || c.f.closing
 	c.request()
@@ -227,7 +304,14 @@
 		c.answer(503, nil, 0)
 		return
 	}
-	c.stage = owing
+	if !c.f.register(c.ticket, p.ID) {
+		c.answer(400, nil, 0)
+		return
+	}
+	c.stage, c.proven = owing, true
+	c.f.idle.Remove(&c.spot)
+	c.f.silent.Remove(&c.spot)
+	c.f.loop.Clear(&c.timer)
 	c.ticket.lent = true
 	// The answer may be given before Take returns.
 	c.message = c.f.dispatcher.Take(p, in, c.ticket)
@@ -243,7 +327,10 @@
 func (t *ticket) Failed() { t.c.answer(502, nil, 0) }
 
 // Released implements dispatch.Client.
-func (t *ticket) Released() { t.lent = false }
+func (t *ticket) Released() {
+	t.lent = false
+	t.c.f.forget(t)
+}
 
 // reject answers what cannot be read, and closes.
 func (c *conn) reject(status int) {
@@ -257,7 +344,7 @@
 	if c.closed {
 		return
 	}
-	c.stage = writing
+	c.stage, c.bad = writing, status/100 == 4
 	c.last = c.last || c.f.closing
 	b := append(c.scratch[:0], "HTTP/1.1 "...)
 	b = append(b, statusLine(status)...)
@@ -280,6 +367,11 @@
 		for _, p := range rest {
 			left = append(left, p...)
 		}
+		if !c.f.budget.Take(len(left)) { // a client that does not read
+			c.close()
+			return
+		}
+		c.lent += len(left)
 		c.unsent = [][]byte{left}
 		c.want(loop.In | loop.Out)
 		c.stallAfter(stallTime)
@@ -317,7 +409,9 @@
 		c.f.loop.Defer(c)
 		return
 	}
-	c.f.loop.Clear(&c.timer)
+	if c.proven {
+		c.f.loop.Clear(&c.timer)
+	}
 	switch {
 	case c.rejected:
 		c.leave()
@@ -357,15 +451,27 @@
 			c.in = nil
 		}
 	}
+	c.f.budget.Give(c.lent - len(c.in))
+	c.lent = len(c.in)
 	c.message, c.parsed, c.yielded, c.size = nil, false, false, 0
 	c.stage = waiting
-	c.want(loop.In)
-	if c.have > 0 {
-		c.stallAfter(stallTime)
-		c.parse()
-	} else if !c.closed {
+	if c.have > 0 || !c.proven {
+		c.await()
+	} else {
 		c.f.idle.Add(&c.spot, c)
 	}
+	switch {
+	case c.bad:
+		// Guards against clients that ask again at once, at full speed.
+		c.resting, c.rest.Task = true, (*more)(c)
+		c.f.loop.Set(&c.rest, c.f.loop.Now()+restTime)
+		c.want(loop.Hangup)
+	case c.have > 0: // one request a turn
+		c.f.loop.Yield((*more)(c))
+		fallthrough
+	default:
+		c.want(loop.In)
+	}
 }
 
 func statusLine(status int) string {
@@ -401,7 +507,8 @@
 		return p, yardwharf.Request{}, 404
 	case string(h.Method) != "POST":
 		return p, yardwharf.Request{}, 405
-	case len(p.ID) == 0:
+	case !http1.IsVisible(p.ID), p.Key != nil && !http1.IsVisible(p.Key),
+		f.classes[class].Effect == yardwharf.Keyed && p.Key == nil:
 		return p, yardwharf.Request{}, 400
 	}
 	patience := f.classes[class].Deadline
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,7 +3,9 @@
 package front
 
 import (
+	"bytes"
 	"fmt"
+	"hash/maphash"
 	"net/netip"
 	"time"
 
@@ -11,13 +13,17 @@
 	"golang.org/x/sys/unix"
 
 	"yardwharf"
+	"yardwharf/internal/budget"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/lru"
 	"yardwharf/internal/sock"
 )
 
-const acceptPause = 50 * time.Millisecond // after a lack of descriptors
+const (
+	acceptPause = 50 * time.Millisecond // after a lack of descriptors
+	acceptTurn  = 64                    // connections accepted in one turn of the loop
+)
 
 // Front listens for clients.
 type Front struct {
@@ -34,14 +40,19 @@
 	short      bool // of connections or descriptors, as logged
 	rest       loop.Timer
 	conns      map[*conn]struct{}
-	idle       lru.List[conn]
+	idle       lru.List[conn] // those that messages have come from, between two
+	silent     lru.List[conn] // those that none has come from yet
+	budget     *budget.Budget
+	whole      time.Duration // wholeTime
+	seed       maphash.Seed
+	open       map[uint64]*ticket // messages in hand, by the hash of their ID
 }
 
 // New returns a Front that listens, but is not ready yet.
-func New(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, most int, s *yardwharf.Settings,
-	d *dispatch.Dispatcher) (*Front, error) {
+func New(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, most int, bytes *budget.Budget,
+	s *yardwharf.Settings, d *dispatch.Dispatcher) (*Front, error) {
 	f := &Front{loop: l, log: log, dispatcher: d, classes: s.Classes, most: most, maxOpen: s.MaxOpen,
-		conns: map[*conn]struct{}{}}
+		conns: map[*conn]struct{}{}, budget: bytes, whole: wholeTime, seed: maphash.MakeSeed(), open: map[uint64]*ticket{}}
 	f.rest.Task = loop.Func(f.resume)
 	var err error
 	if f.fd, err = sock.Listen(address); err != nil {
@@ -64,9 +75,10 @@
 
 // Ready implements loop.Handler: connections wait to be accepted.
 func (f *Front) Ready(uint32) {
-	for f.fd >= 0 && !f.resting {
-		full, oldest := len(f.conns) >= f.most, f.idle.Oldest()
-		if full && oldest == nil { // the rest wait, so that relays keep their descriptors
+	for n := 0; f.fd >= 0 && !f.resting && (n < acceptTurn || f.closing); n++ {
+		full := len(f.conns) >= f.most
+		if full && f.silent.Oldest() == nil && f.idle.Oldest() == nil {
+			// The rest wait, so that relays keep their descriptors.
 			f.pause("all client connections are in use")
 			return
 		}
@@ -78,14 +90,14 @@
 			f.pause(err.Error())
 			return
 		}
-		if full { // room is made by one that does not need its own now
-			oldest.close()
+		if full {
+			f.evict()
 		}
 		if f.short {
 			f.short = false
 			f.log.Info().Msg("accepting again")
 		}
-		c := &conn{f: f, fd: fd}
+		c := &conn{f: f, fd: fd, born: f.loop.Now()}
 		c.ticket = &ticket{c: c}
 		if err := f.loop.Add(fd, loop.In, c); err != nil {
 			unix.Close(fd)
@@ -93,8 +105,64 @@
 			return
 		}
 		f.conns[c] = struct{}{}
-		f.idle.Add(&c.spot, c)
+		f.silent.Add(&c.spot, c)
+		c.await()
+	}
+}
+
+// evict closes a connection that does not need to be open now: the one that has
+// gone for longest without a message, else the one that has idled for longest.
+// Guards usual clients against silent and half-sent connections by the hundreds;
+// what has come on one is read before it goes.
+func (f *Front) evict() {
+	for before := len(f.conns); len(f.conns) >= before; {
+		c := f.silent.Oldest()
+		if c == nil {
+			if c = f.idle.Oldest(); c == nil { // all that could go have brought a message
+				return
+			}
+		}
+		if c.stage == waiting {
+			c.read(loop.In)
+		}
+		if c.spot.In() {
+			c.close()
+		}
+	}
+}
+
+// room takes bytes for a connection's buffer from the budget, at the cost of
+// connections that no message has come from.
+func (f *Front) room(c *conn, n int) bool {
+	for !f.budget.Take(n) {
+		other := f.silent.Oldest()
+		if other == nil || other == c {
+			return false
+		}
+		other.close()
+	}
+	c.lent += n
+	return true
+}
+
+// register books a message's ID as in hand, unless it is already. Guards against a
+// second copy: a host would take one that another client words as the same job.
+func (f *Front) register(t *ticket, id []byte) bool {
+	h := maphash.Bytes(f.seed, id)
+	if other := f.open[h]; other != nil {
+		return !bytes.Equal(other.id, id)
+	}
+	t.hash, t.id = h, id
+	f.open[h] = t
+	return true
+}
+
+// forget says that a message is no longer in hand.
+func (f *Front) forget(t *ticket) {
+	if f.open[t.hash] == t {
+		delete(f.open, t.hash)
 	}
+	t.id = nil
 }
 
 // pause leaves connections waiting for a moment. Guards against a loop that spins
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"yardwharf"
+	"yardwharf/internal/budget"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/loop"
 )
@@ -79,7 +80,7 @@
 	}
 	address := free.Addr().String()
 	free.Close()
-	f, err := New(l, zerolog.Nop(), netip.MustParseAddrPort(address), most, &s, d)
+	f, err := New(l, zerolog.Nop(), netip.MustParseAddrPort(address), most, nil, &s, d)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,6 +128,13 @@
 		{"POST /job/1 HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400, false},
 		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: soon\r\nContent-Length: 0\r\n\r\n", 400, false},
 		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: NaN\r\nContent-Length: 0\r\n\r\n", 400, false},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: \r\nContent-Length: 0\r\n\r\n", 400, false},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a b\r\nContent-Length: 0\r\n\r\n", 400, false},
+		{"POST /job/\xc3\xa4 HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 0\r\n\r\n", 400, true},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n", 400, true},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nContent-Length: -1\r\n\r\n", 400, true},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", 400, true},
+		{"POST /job/1 HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + job("b", ""), 400, true},
 		{"GET /ready HTTP/1.1\r\n\r\n", 503, false},
 		{job("a", strings.Repeat("x", maxBody)), 200, false},
 	} {
@@ -288,3 +296,131 @@
 		t.Errorf("payload %q, %d bytes kept", payload, c.have)
 	}
 }
+
+// on runs a step on the front's loop and waits for it.
+func (f *Front) on(step func()) {
+	over := make(chan struct{})
+	f.loop.Post(loop.Func(func() { step(); close(over) }))
+	<-over
+}
+
+func status(conn net.Conn) int {
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode
+}
+
+// Whoever is silent, sends half a request or a byte at a time is closed, counted
+// from the accept; no byte renews the time.
+func TestNeverWhole(t *testing.T) {
+	f, _, dial := open(t, 100, false)
+	f.on(func() { f.whole = 50 * time.Millisecond })
+	for _, text := range []string{"", "POST /job/1 HTTP/1.1\r\nX-T", job("a", "body")[:60], "drip"} {
+		conn := dial()
+		go func() {
+			for text == "drip" { // until it is closed
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+			io.WriteString(conn, text)
+		}()
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%q was answered", text)
+		}
+		conn.Close()
+	}
+}
+
+// Where there is no more room, those that never brought a message go before a
+// client's idle connection; one whose request has come unread is served.
+func TestSilentGoFirst(t *testing.T) {
+	f, _, dial := open(t, 2, false)
+	usual, silent := dial(), dial()
+	io.WriteString(usual, job("a", ""))
+	if s := status(usual); s != 200 {
+		t.Fatal(s)
+	}
+	f.on(func() {}) // both are accepted
+	fresh := dial()
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the silent one reads %v, want its end", err)
+	}
+	for i, conn := range []net.Conn{usual, fresh} {
+		io.WriteString(conn, job(fmt.Sprint("b", i), ""))
+		if s := status(conn); s != 200 {
+			t.Errorf("connection %d is answered %d", i, s)
+		}
+	}
+}
+
+// A message whose ID is in hand already is not taken, and does not touch the first.
+func TestOpenID(t *testing.T) {
+	f, side, dial := open(t, 100, true)
+	first, second := dial(), dial()
+	io.WriteString(first, job("a", ""))
+	<-side.held
+	io.WriteString(second, strings.Replace(job("a", "other"), "/job/a", "/job/b", 1))
+	if s := status(second); s != 400 {
+		t.Errorf("the second is answered %d", s)
+	}
+	f.on(func() {
+		if n := f.dispatcher.Open(); n != 1 || len(f.open) != 1 {
+			t.Errorf("%d messages in hand, %d IDs", n, len(f.open))
+		}
+	})
+	first.Close()
+	<-side.cancelled
+	f.on(func() {})
+	f.on(func() {
+		if len(f.open) != 0 {
+			t.Errorf("%d IDs are kept", len(f.open))
+		}
+	})
+}
+
+// After an error of the client's nothing is read for a while: one that asks again
+// at full speed takes little of the loop.
+func TestRestAfterError(t *testing.T) {
+	f, _, dial := open(t, 100, false)
+	conn := dial()
+	defer conn.Close()
+	io.WriteString(conn, strings.Repeat("POST /other HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 2))
+	if s := status(conn); s != 404 {
+		t.Fatal(s)
+	}
+	f.on(func() {
+		for c := range f.conns {
+			if !c.resting || c.have == 0 {
+				t.Error("the connection is read on")
+			}
+		}
+	})
+	if s := status(conn); s != 404 {
+		t.Errorf("then %d", s)
+	}
+}
+
+// Buffers are bounded together: a connection that no message came from gives way,
+// and what still does not fit is turned away.
+func TestBudget(t *testing.T) {
+	f, _, dial := open(t, 100, false)
+	f.on(func() { f.budget = budget.New(3 * bufferSize) })
+	half := dial()
+	io.WriteString(half, job("a", strings.Repeat("x", maxBody))[:bufferSize])
+	for _, c := range []struct{ size, status int }{{bufferSize, 200}, {maxBody / 2, 503}, {0, 200}} {
+		conn := dial()
+		io.WriteString(conn, job("b", strings.Repeat("x", c.size)))
+		if s := status(conn); s != c.status {
+			t.Errorf("%d bytes are answered %d, want %d", c.size, s, c.status)
+		}
+		conn.Close()
+	}
+	if _, err := half.Read(make([]byte, 1)); err == nil {
+		t.Error("the half request was answered")
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -52,7 +52,7 @@
 	}
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, _ := bytes.Cut(rest, []byte(" "))
-	if !isToken(method) || !isTarget(target) || !h.version(version) {
+	if !isToken(method) || !IsVisible(target) || !h.version(version) {
 		return ErrMalformed
 	}
 	h.Method, h.Target = method, target
@@ -114,6 +114,9 @@
 		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
 		name, value, found := bytes.Cut(line, []byte(":"))
 		value = bytes.Trim(value, " \t")
+		if value == nil { // there, and empty: Get tells that from a field that is not
+			value = []byte{}
+		}
 		if !found || !isToken(name) || !isValue(value) {
 			return nil, ErrMalformed
 		}
@@ -136,7 +139,7 @@
 	switch {
 	case equalFold(name, "Content-Length"):
 		n, ok := digits(value)
-		if !ok || h.Length >= 0 && h.Length != n {
+		if !ok || h.Length >= 0 { // repeated: not to be guessed at
 			return false
 		}
 		h.Length = n
@@ -176,9 +179,11 @@
 	return len(b) > 0
 }
 
-func isTarget(b []byte) bool {
+// IsVisible says whether text is there and all of it is printable ASCII without
+// spaces, which every receiver reads alike.
+func IsVisible(b []byte) bool {
 	for _, c := range b {
-		if c <= ' ' || c == 0x7f {
+		if c <= ' ' || c >= 0x7f {
 			return false
 		}
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -41,6 +41,8 @@
 	events      [128]unix.EpollEvent
 	timers      timers
 	deferred    []Task
+	yielded     []Task // for the next turn
+	spare       []Task
 	stopped     bool
 
 	mu     sync.Mutex
@@ -116,6 +118,10 @@
 // Defer runs a task once the current callback has returned.
 func (l *Loop) Defer(t Task) { l.deferred = append(l.deferred, t) }
 
+// Yield runs a task in the next turn, when others have had theirs. Guards against
+// a connection that always has more to do and would keep the loop from the rest.
+func (l *Loop) Yield(t Task) { l.yielded = append(l.yielded, t) }
+
 // Post runs a task on the loop; it may be called from any goroutine.
 func (l *Loop) Post(t Task) {
 	l.mu.Lock()
@@ -155,10 +161,23 @@
 			l.deliver(&l.events[i])
 		}
 		l.fire()
+		l.resume()
 	}
 	return nil
 }
 
+// resume runs what has yielded; what yields again waits for the turn after.
+func (l *Loop) resume() {
+	tasks := l.yielded
+	l.yielded = l.spare[:0]
+	for i := 0; i < len(tasks) && !l.stopped; i++ {
+		tasks[i].Run()
+		l.flush()
+	}
+	clear(tasks)
+	l.spare = tasks[:0]
+}
+
 // deliver hands an event to the Handler it was meant for. Guards against events
 // for a descriptor that an earlier callback of the same round has closed.
 func (l *Loop) deliver(ev *unix.EpollEvent) {
@@ -181,6 +200,9 @@
 
 // pause is how many milliseconds may be waited; -1 is for ever.
 func (l *Loop) pause() int {
+	if len(l.yielded) > 0 {
+		return 0
+	}
 	if len(l.timers) == 0 {
 		return -1
 	}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -118,3 +118,31 @@
 		t.Errorf("ran %v, error %v", ran, err)
 	}
 }
+
+// What yields goes on only after the others have had their turn.
+func TestYield(t *testing.T) {
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var order []string
+	var greedy Func
+	greedy = func() {
+		if order = append(order, "greedy"); len(order) < 4 {
+			l.Yield(greedy)
+		} else {
+			l.Stop()
+		}
+	}
+	l.Yield(greedy)
+	var timer Timer
+	timer.Task = Func(func() { order = append(order, "timer") })
+	l.Set(&timer, 0)
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if len(order) != 4 || order[0] != "timer" {
+		t.Errorf("order %v", order)
+	}
+}
--- a/internal/lru/lru.go
+++ b/internal/lru/lru.go
@@ -8,6 +8,9 @@
 	of         *T
 }
 
+// In says whether the thing is in a list.
+func (s *Spot[T]) In() bool { return s.next != nil }
+
 // List holds things, the one put in first at its start.
 type List[T any] struct{ ends Spot[T] }
 
--- a/internal/southside/answer.go
+++ b/internal/southside/answer.go
@@ -38,6 +38,8 @@
 		a.status = yardwharf.Reset
 	case (h.Status == 503 || h.Status == 504) && string(h.Get("X-Turned-Away")) == "1":
 		a.status = yardwharf.Full
+	case h.Status >= 400 && h.Status < 500: // the message's fault, not the host's
+		a.status = yardwharf.Rejected
 	}
 	c.answer = a
 }
@@ -58,7 +60,7 @@
 			c.line = c.line[:0]
 		}
 	}
-	if len(c.line) > maxLine {
+	if !c.closed && (len(c.line) > maxLine || !c.hold()) {
 		c.end(yardwharf.Reset)
 	}
 }
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -49,6 +49,7 @@
 	body   http1.Body
 	answer answer
 	line   []byte // the answer's line, or a probe's body, as far as it has come
+	lent   int    // bytes of both taken from the budget
 }
 
 // fresh says whether an idle connection may be used. Guards against a hidden
@@ -78,6 +79,19 @@
 	if cap(c.line) > bufferSize {
 		c.line = nil
 	}
+	c.hold()
+}
+
+// hold books the size of the buffers with the budget that all connections share;
+// it says whether they are within it.
+func (c *conn) hold() bool {
+	size := len(c.in) + cap(c.line)
+	if size > c.lent && !c.p.budget.Take(size-c.lent) {
+		return false
+	}
+	c.p.budget.Give(max(0, c.lent-size))
+	c.lent = size
+	return true
 }
 
 // unpark takes it out again.
@@ -106,6 +120,8 @@
 	c.p.open--
 	c.unsent = nil
 	clear(c.pieces[:])
+	c.p.budget.Give(c.lent)
+	c.lent = 0
 }
 
 // writeRelay lays out a relay's request.
@@ -265,7 +281,10 @@
 				c.end(yardwharf.Reset)
 				return
 			}
-			c.in = append(c.in, make([]byte, max(bufferSize, len(c.in)))...)
+			if c.in = append(c.in, make([]byte, max(bufferSize, len(c.in)))...); !c.hold() {
+				c.end(yardwharf.Reset)
+				return
+			}
 		}
 		n, err := sock.Read(c.fd, c.in[c.have:])
 		if errors.Is(err, sock.ErrWait) {
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"yardwharf"
+	"yardwharf/internal/budget"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/inventory"
 	"yardwharf/internal/loop"
@@ -44,6 +45,7 @@
 	idle   time.Duration
 	grace  time.Duration
 	most   int // connections
+	budget *budget.Budget
 	open   int
 	spare  lru.List[conn] // idle connections of all hosts
 }
@@ -60,10 +62,12 @@
 	until   time.Duration // then no relay may put out its first byte
 }
 
-// NewPool returns a Pool that holds most connections at the most.
-func NewPool(l *loop.Loop, log zerolog.Logger, s *yardwharf.Settings, most int, probed Probed) *Pool {
+// NewPool returns a Pool that holds most connections at the most, and their
+// buffers within a budget.
+func NewPool(l *loop.Loop, log zerolog.Logger, s *yardwharf.Settings, most int, bytes *budget.Budget,
+	probed Probed) *Pool {
 	p := &Pool{loop: l, log: log, probed: probed, hosts: map[yardwharf.WorkerID]*host{},
-		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, grace: s.DrainGrace, most: most}
+		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, grace: s.DrainGrace, most: most, budget: bytes}
 	if p.dial <= 0 {
 		p.dial = defaultDial
 	}
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -81,7 +81,7 @@
 	if y.d, err = dispatch.New(l, s, 1); err != nil {
 		t.Fatal(err)
 	}
-	y.pool = NewPool(l, zerolog.Nop(), &s, 10, y.d)
+	y.pool = NewPool(l, zerolog.Nop(), &s, 10, nil, y.d)
 	y.d.Connect(y.pool, watcher{})
 	y.tell(yardwharf.Ready)
 	return y
@@ -326,3 +326,13 @@
 		}
 	}
 }
+
+// A message that a host cannot use has failed, and goes to none again.
+func TestRejected(t *testing.T) {
+	seen := make(chan *http.Request, 3)
+	y := newYard(t, func(s *yardwharf.Settings) { s.MaxAttempts, s.Classes[0].Effect = 3, yardwharf.Safe },
+		replies(seen, "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n", "", ""))
+	if got := y.answer(); got != "failed" || len(seen) != 1 {
+		t.Errorf("%s after %d requests", got, len(seen))
+	}
+}
