Blame no host for a stale connection, and risk none where a message runs once

Ruled out: the settings' idle time (15 s, never neared), hosts that went down.

Outcome now tells a stale reset, which blames nobody and lets the worker be tried again. Other resets strike once there are two at once, as errors do. The south side follows which part of kept connections prove broken; over 1%, what must not run twice, and repeats, get a new connection.

--- a/api.go
+++ b/api.go
@@ -197,6 +197,7 @@
 	Status  Status
 	Latency time.Duration
 	Closed  bool      // the request has had its final answer
+	Stale   bool      // a Reset of a kept connection before any word came: it tells nothing of the worker
 	Load    []float32 // a load report, or empty
 }
 
--- a/balancer.go
+++ b/balancer.go
@@ -433,13 +433,13 @@
 	case Full:
 		w.fulls++
 		w.shunned = max(w.shunned, b.now+b.jitter(fullPause<<min(w.fulls, fullMost)))
-	case ConnectFailed, Timeout, Reset:
+	case ConnectFailed, Timeout:
 		if st == Timeout && w.sign > sent { // only this job is slow
 			return
 		}
 		b.strike(w)
 		b.lost[w.zone] += zoneNew * (1 - b.lost[w.zone])
-	case Error: // one may be the job's own fault
+	case Error, Reset: // one may be the job's or the connection's own fault
 		if w.errors += errorNew * (1 - w.errors); w.errors > errorMost {
 			b.strike(w)
 		}
@@ -708,7 +708,9 @@
 		a.w.sign = now
 	}
 	b.out--
-	b.shun(a.w, o.Status, a.sent)
+	if a.stale = o.Stale; !o.Stale {
+		b.shun(a.w, o.Status, a.sent)
+	}
 	if m := a.w.in[r.split.index]; m != nil {
 		switch o.Status {
 		case OK, Timeout, Reset, Cancelled:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -775,3 +775,24 @@
 		}
 	}
 }
+
+// A kept connection that proves broken blames no worker, which may be tried again;
+// other resets do once there are two.
+func TestStaleReset(t *testing.T) {
+	for _, stale := range []bool{true, false} {
+		f := start(t, settings(Class{Effect: Safe, Aim: time.Second}), 1)
+		w := f.b.workers[0]
+		for id := RequestID(1); id <= 2; id++ {
+			f.request(id, 0)
+			at := f.last()
+			f.b.Outcome(f.now, Outcome{Request: id, Attempt: at.n, Worker: at.worker, Status: Reset, Stale: stale})
+			if again := f.last(); stale != (again.id == id && again.n == at.n+1) {
+				t.Errorf("stale %t: then %+v", stale, again)
+			}
+			f.b.Withdrawn(f.now, id)
+		}
+		if (w.shunned > f.now) == stale {
+			t.Errorf("stale %t: shunned %t", stale, !stale)
+		}
+	}
+}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -14,6 +14,7 @@
 	Method []byte
 	Target []byte // what the message is about, as the client wrote it
 	Body   []byte
+	Once   bool // it must never run twice
 }
 
 // Client is the front's side of a message: it gives the final answer, once. None
@@ -52,12 +53,16 @@
 	Host    yardwharf.WorkerID
 	Until   time.Duration // it is given up then
 	Conn    any           // the south side's own
+	Stale   bool          // set before a Reset that is the connection's fault, not the host's
 
 	n     int
 	sent  time.Duration
 	ended bool
 }
 
+// Repeat says whether the message has been relayed before.
+func (r *Relay) Repeat() bool { return r.n > 0 }
+
 // Started tells that the job has begun to run.
 func (r *Relay) Started() { r.note(yardwharf.Started, 0) }
 
@@ -86,7 +91,7 @@
 	now := d.loop.Now()
 	d.balancer.Outcome(now, yardwharf.Outcome{
 		Request: m.id, Attempt: r.n, Worker: r.Host, Status: st,
-		Latency: now - r.sent, Closed: m.settled, Load: load,
+		Latency: now - r.sent, Closed: m.settled, Stale: r.Stale, Load: load,
 	})
 	d.forget(m)
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -502,6 +502,7 @@
 	p := dispatch.Payload{ID: h.Get("X-Txn"), Key: h.Get("Idempotency-Key"),
 		Method: h.Method, Target: h.Target, Body: body}
 	class := f.class(h.Target)
+	p.Once = class >= 0 && f.classes[class].Effect == yardwharf.Unsafe
 	switch {
 	case class < 0:
 		return p, yardwharf.Request{}, 404
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -31,6 +31,7 @@
 	since  time.Duration // when it was parked
 	spot   lru.Spot[conn]
 
+	kept  bool            // it was parked before what is on it now, of which no word has come
 	relay *dispatch.Relay // nil for a probe, and once the relay has ended
 	probe bool
 	sent  time.Duration // of a probe
@@ -149,7 +150,7 @@
 // begin starts what has been laid out.
 func (c *conn) begin(until time.Duration) {
 	c.until, c.touched, c.inBody, c.have, c.line = until, false, false, 0, c.line[:0]
-	c.answer = answer{}
+	c.answer, c.kept = answer{}, c.since > 0
 	if !c.up {
 		until = min(until, c.p.loop.Now()+c.p.dial)
 	}
@@ -252,6 +253,12 @@
 	if len(c.unsent) > 0 {
 		st = yardwharf.ConnectFailed
 	}
+	if c.kept && st == yardwharf.Reset {
+		c.kept = false
+		if c.p.reused(true); c.relay != nil {
+			c.relay.Stale = true
+		}
+	}
 	c.close()
 	c.finish(st, nil, nil)
 }
@@ -332,6 +339,10 @@
 				return
 			}
 			used += c.head.Size
+			if c.kept {
+				c.kept = false
+				c.p.reused(false)
+			}
 			if c.head.Status < 200 { // interim
 				continue
 			}
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -27,6 +27,8 @@
 	defaultDial  = time.Second
 	defaultIdle  = 15 * time.Second
 	drainReserve = 50 * time.Millisecond // of the grace in which a first byte may still go out
+	staleNew     = 0.05                  // weight of one reuse in the part of kept connections that prove broken
+	staleMost    = 0.01                  // over this, what must not break gets a new connection
 )
 
 // Probed is told how probes end.
@@ -47,6 +49,7 @@
 	most   int // connections
 	budget *budget.Budget
 	open   int
+	stale  float64        // part of the kept connections of late that broke when used again
 	spare  lru.List[conn] // idle connections of all hosts
 }
 
@@ -107,7 +110,7 @@
 // Start implements dispatch.South.
 func (p *Pool) Start(r *dispatch.Relay) {
 	h := p.hosts[r.Host]
-	c, err := p.connect(h)
+	c, err := p.connect(h, p.stale <= staleMost || !r.Message.Payload.Once && !r.Repeat())
 	if err != nil { // nothing was written anywhere
 		p.loop.Defer(loop.Func(func() { r.End(yardwharf.ConnectFailed, nil, nil) }))
 		return
@@ -130,7 +133,7 @@
 // Probe implements dispatch.South.
 func (p *Pool) Probe(id yardwharf.WorkerID) {
 	h := p.hosts[id]
-	c, err := p.connect(h)
+	c, err := p.connect(h, true)
 	if err != nil {
 		p.loop.Defer(loop.Func(func() { p.probed.Probed(id, yardwharf.ConnectFailed, 0, nil) }))
 		return
@@ -140,12 +143,15 @@
 	c.begin(c.sent + probeTime)
 }
 
-// connect returns the connection to a host that was used last, or a new one.
-func (p *Pool) connect(h *host) (*conn, error) {
+// connect returns the connection to a host that was used last, or a new one where
+// there is none or a kept one will not do. Guards messages that must not run twice:
+// on a kept connection that the host has dropped without a word they end as a
+// reset, and that is their end.
+func (p *Pool) connect(h *host, kept bool) (*conn, error) {
 	if h == nil || !h.address.IsValid() {
 		return nil, fmt.Errorf("southside: host is not in the inventory")
 	}
-	for len(h.idle) > 0 {
+	for kept && len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
 		if c.fresh() {
 			c.unpark()
@@ -175,6 +181,13 @@
 	return c, nil
 }
 
+// reused takes note of whether a kept connection could be used again.
+func (p *Pool) reused(broken bool) {
+	if p.stale -= staleNew * p.stale; broken {
+		p.stale += staleNew
+	}
+}
+
 // reached takes note of how a connection to a host came out, and logs changes.
 func (p *Pool) reached(h *host, err error) {
 	if lost := err != nil; lost != h.lost {
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -98,7 +98,7 @@
 	y.n++
 	c := &client{loop: y.loop}
 	return y.d.Take(dispatch.Payload{ID: fmt.Appendf(nil, "m%d", y.n), Method: []byte("POST"), Target: []byte("/a/b?c"),
-		Key: []byte("k"), Body: []byte("body")}, yardwharf.Request{Deadline: y.loop.Now() + time.Hour}, c), c
+		Key: []byte("k"), Body: []byte("body"), Once: true}, yardwharf.Request{Deadline: y.loop.Now() + time.Hour}, c), c
 }
 
 // answer takes one message through to its end.
@@ -338,3 +338,30 @@
 		t.Errorf("%s after %d requests", got, len(seen))
 	}
 }
+
+// A kept connection that breaks at the next request is not the host's fault, and
+// while that happens a message that must not run twice gets a new one.
+func TestStale(t *testing.T) {
+	y := newYard(t, nil, replies(nil, chunked(done), ""))
+	if got := y.answer(); got != "served résult" {
+		t.Fatal(got)
+	}
+	_, c := y.take()
+	y.run()
+	if c.got != "failed" || y.pool.stale <= staleMost {
+		t.Errorf("%s on the broken connection, stale %v", c.got, y.pool.stale)
+	}
+}
+
+func TestNewConnectionForOnce(t *testing.T) {
+	y := newYard(t, nil, replies(nil, chunked(done), chunked(done)))
+	for i, stale := range []float64{0, 0, 1} {
+		y.pool.stale = stale
+		if got := y.answer(); got != "served résult" {
+			t.Fatal(got)
+		}
+		if want := 1 + i/2; y.pool.open != want {
+			t.Errorf("message %d: %d connections, want %d", i, y.pool.open, want)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -132,6 +132,7 @@
 	done          bool
 	off           bool // called off
 	never         bool // it is proven that it did not run
+	stale         bool // its connection was broken before, so that its worker may be tried again
 }
 
 // classStat is what is known of a class's times, in seconds.
@@ -170,7 +171,7 @@
 
 // tried says whether an attempt went to a worker.
 func (r *request) tried(w *worker) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.w == w })
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.w == w && !a.stale })
 }
 
 // recount keeps count of the requests that are in work and still unanswered.
