Send what cannot be copied where no own job waits, and meet jams sooner

Unsafe and keyed jobs skip workers that leave own jobs waiting; with no room at home those elsewhere that start jobs at once come before a draw by shares.

--- a/balancer.go
+++ b/balancer.go
@@ -71,11 +71,11 @@
 	limitCut     = 0.9                    // a cut leaves this much where starts are not told
 	goodNew      = 0.1                    // weight of a good round in what workers bear well
 	limitGrow    = 1.1                    // what a round with few bad ends makes of it
-	badMost      = 0.5                    // more bad ends than this: cut
+	badMost      = 0.4                    // more bad ends than this: cut
 	badFew       = 0.4                    // fewer: grow
 	limitLeast   = 2                      // requests a worker that the limit leaves, over all dispatchers
 	roundLeast   = 200 * time.Millisecond // a round lasts this long
-	roundEnds    = 20                     // and has so many ends
+	roundEnds    = 10                     // and has so many ends
 )
 
 // ---- The split: a share x for each worker, moved by equation (3) of the paper.
@@ -498,6 +498,9 @@
 func (b *Balancer) tryOn(r *request) bool {
 	var least *member
 	best := b.drawAmong(r, r.split.home, true)
+	if best == nil && b.s.TellsStart {
+		best = b.drawAmong(r, r.split.m, true)
+	}
 	for n := 0; best == nil && n < redraws; n++ {
 		m := r.split.draw(b.rng)
 		if m == nil {
@@ -527,7 +530,7 @@
 func (b *Balancer) drawAmong(r *request, list []*member, home bool) (best *member) {
 	total := 0.0
 	for _, m := range list {
-		if home && m.w.load+r.slots() > m.w.room {
+		if home && (m.w.load+r.slots() > m.w.room || r.class.Effect != Safe && m.w.waiting > 0) {
 			continue
 		}
 		if r.mayRepeatOn(m.w, b.now) && !r.tried(m.w) && b.fit(m.w) {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -796,3 +796,36 @@
 		}
 	}
 }
+
+// What cannot be copied is not sent to wait behind own jobs where another worker of
+// the home leaves none waiting; and with no room at home, it goes where there is some.
+func TestUnsafeAvoidsWaits(t *testing.T) {
+	s := settings(Class{Effect: Unsafe, Aim: time.Second})
+	s.TellsStart = true
+	f := start(t, s, 6)
+	home, away := f.b.splits[0].home, f.b.splits[0].m
+	for _, m := range away {
+		m.w.room = 0
+	}
+	for _, m := range home {
+		m.w.room, m.w.waiting, m.w.sign = 9, 1, f.now
+	}
+	home[0].w.waiting = 0
+	f.request(1, 0)
+	if got := f.last(); got.worker != home[0].w.id {
+		t.Errorf("sent to %d, where a job waits; want %d", got.worker, home[0].w.id)
+	}
+	for _, m := range home {
+		m.w.room = 0
+	}
+	for _, m := range away {
+		if m.w.zone != s.Zone {
+			m.w.room = 9
+			break
+		}
+	}
+	f.request(2, 0)
+	if got := f.last(); f.b.byID[got.worker].room != 9 {
+		t.Errorf("sent to %d, which has no room", got.worker)
+	}
+}
