Go on with what full workers turned away while it can still be in time

Ruled out: the limit (none was set), shunned or hung workers, attempts spent.

At fault: next, which took the end of the patience to hold for the end of all attempts. A request that has been sent now goes on until its slack is over.

--- a/balancer.go
+++ b/balancer.go
@@ -554,8 +554,10 @@
 	}
 	spent := len(r.attempts) >= b.s.MaxAttempts || r.class.Effect == Unsafe && !r.neverRan()
 	if spent || b.now >= r.patience {
-		// Too late for holding; but a late answer may still earn something.
-		if r.class.LateWorth <= 0 || !b.admit(r) || !b.tryOn(r) {
+		// Too late for holding; but another attempt may still be in time, as after
+		// workers that were full, or earn something late.
+		late := len(r.attempts) == 0 || b.now >= r.came+b.slack(r.Class)
+		if spent || late && r.class.LateWorth <= 0 || !b.admit(r) || !b.tryOn(r) {
 			b.answer(r)
 		}
 		return
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -829,3 +829,22 @@
 		t.Errorf("sent to %d, which has no room", got.worker)
 	}
 }
+
+// A request that full workers turned away goes on while it can still be in time,
+// though it would not be held any longer.
+func TestGoesOnAfterFull(t *testing.T) {
+	s := settings(Class{Effect: Unsafe, Aim: 100 * ms})
+	s.Classes[0].LateWorth = 0
+	f := start(t, s, 4)
+	f.request(1, 0)
+	f.wait(80 * ms)
+	f.end(f.last(), Full)
+	if len(f.sends) != 2 || f.answers[1] != "" {
+		t.Fatalf("%d sends, answer %q; want a second send", len(f.sends), f.answers[1])
+	}
+	f.wait(30 * ms)
+	f.end(f.last(), Full)
+	if len(f.sends) != 2 || f.answers[1] != "refuse" {
+		t.Errorf("%d sends, answer %q; want a refusal once it is late", len(f.sends), f.answers[1])
+	}
+}
