--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -401,7 +401,7 @@
 				break
 			}
 		}
-		io.WriteString(conn, job("a", ""))
+		io.WriteString(conn, job(fmt.Sprint(rest), ""))
 		if rest == 1 {
 			<-side.held
 		}
