--- a/cmd/yardwharf/main.go
+++ b/cmd/yardwharf/main.go
@@ -23,11 +23,16 @@
 )
 
 const (
-	memoryPart  = 0.6 // of the machine's memory that the heap may grow to
-	reserve     = 24  // descriptors for all but clients and south side hosts
-	clientPart  = 0.5 // of the rest, for clients
-	acceptAfter = 500 * time.Millisecond
-	checkEvery  = 10 * time.Millisecond
+	memoryPart = 0.6 // of the machine's memory that the heap may grow to
+	reserve    = 24  // descriptors for all but clients and south side hosts
+	clientPart = 0.5 // of the rest, for clients
+	checkEvery = 10 * time.Millisecond
+
+	// After SIGTERM the platform waits for the longest deadline, or leaveMost where
+	// that is less, and leaveExtra before it kills.
+	leaveMost   = 3 * time.Second
+	leaveExtra  = 700 * time.Millisecond
+	leaveMargin = 300 * time.Millisecond // kept of that for the last answers to get out
 )
 
 func main() {
@@ -153,8 +158,11 @@
 	}
 }
 
-// leave ends the program as the platform asks: it serves on while clients may not
-// know yet, then takes nothing new and stops when all that was taken is answered.
+// leave ends the program as the platform asks: it serves on for half of the time
+// that it is given, then takes nothing new and stops when all that was taken is
+// answered. What it takes from now on is cut to end within that time. Guards the
+// clients of dispatchers that leave one after the other: while the others are not
+// back yet, the connections that they have are the only ones to be had.
 func (p *program) leave() {
 	if p.leaving {
 		return
@@ -166,7 +174,13 @@
 		p.front.Close()
 		p.wait()
 	})
-	p.loop.Set(&p.timer, p.loop.Now()+acceptAfter)
+	now, longest := p.loop.Now(), time.Duration(0)
+	for _, c := range p.config.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	given := min(longest, leaveMost) + leaveExtra
+	p.dispatcher.EndBy(now + given - leaveMargin)
+	p.loop.Set(&p.timer, now+given/2)
 }
 
 func (p *program) wait() {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,8 +35,9 @@
 	watcher  Watcher
 	messages map[yardwharf.RequestID]*Message
 	last     yardwharf.RequestID
-	alarms   []*alarm   // spare ones
-	spare    []*Message // forgotten ones, to be used again
+	endBy    time.Duration // messages taken now end by then; 0 while there is no end
+	alarms   []*alarm      // spare ones
+	spare    []*Message    // forgotten ones, to be used again
 }
 
 // New returns a Dispatcher. What it relays through and learns hosts from is set by Connect.
@@ -55,11 +56,17 @@
 // Open is the number of messages that are not yet forgotten.
 func (d *Dispatcher) Open() int { return len(d.messages) }
 
+// EndBy cuts the deadlines of the messages that are taken from now on.
+func (d *Dispatcher) EndBy(at time.Duration) { d.endBy = at }
+
 // Take takes a message on: the client is owed one answer by the deadline. The
 // request's ID is set here.
 func (d *Dispatcher) Take(p Payload, in yardwharf.Request, c Client) *Message {
 	d.last++
 	in.ID = d.last
+	if d.endBy > 0 {
+		in.Deadline = min(in.Deadline, d.endBy)
+	}
 	var m *Message
 	if n := len(d.spare); n > 0 {
 		m, d.spare = d.spare[n-1], d.spare[:n-1]
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -116,3 +116,17 @@
 	w.do(t, func() { w.relays[0].End(yardwharf.Reset, nil, nil) })
 	w.want(t, "refused", "released")
 }
+
+// Before the program ends, messages are taken with what is left of its time.
+func TestEndBy(t *testing.T) {
+	w := newWorld(t, 1)
+	w.do(t, func() {
+		end := w.l.Now() + time.Minute
+		w.d.EndBy(end)
+		if m := w.take(); m.Deadline != end {
+			t.Errorf("the deadline is %v after the end", m.Deadline-end)
+		}
+	})
+	w.do(t, func() { w.relays[0].End(yardwharf.Reset, nil, nil) })
+	w.want(t, "refused", "released")
+}
