Decide in one place what the fleet is, for the roster and for clusters

Need: hosts will come from xDS, too, and must keep the same rules. Seen on the way: a host told with a new address kept its busy connections to the old one and used them again; two hosts of unknown zones passed for neighbours, which share the keys they have seen.

Change: internal/membership (no I/O) takes lists, clusters and endpoints and gives out one consistent change after another: stale versions are put aside, the last host is never taken by leaving it out, half updates warm. The roster goes through it.

--- a/api.go
+++ b/api.go
@@ -148,6 +148,7 @@
 	Kind         int
 	Cell         int
 	CapacityHint float64
+	Pools        []int // beside pool 0, which all workers are in
 }
 
 // ListKind says how a Members event is to be read.
@@ -171,6 +172,7 @@
 	Memory   float64
 	Hint     time.Duration // expected work at speed 1; 0 where unknown
 	Retry    bool          // marked as a client's retry
+	Pool     int           // only workers of this pool may run it; 0 is all of them
 }
 
 // Status says how an attempt or a probe ended.
--- a/balancer.go
+++ b/balancer.go
@@ -97,26 +97,27 @@
 		}
 		x = w.size / sizes
 	}
-	m := &member{w: w, x: x}
+	m := &member{w: w, sp: sp, x: x}
 	sp.m = slices.Insert(sp.m, i, m)
-	w.in[sp.index] = m
+	w.in = append(w.in, m)
 	sp.lacking++
-	sp.stale = true
+	sp.stale, sp.changed = true, true
 }
 
 // leave takes a worker out; its share is spread pro rata.
 func (sp *split) leave(w *worker) {
-	m := w.in[sp.index]
+	m := w.at(sp)
 	if m == nil {
 		return
 	}
-	w.in[sp.index] = nil
+	w.in = slices.DeleteFunc(w.in, func(o *member) bool { return o == m })
 	if i := slices.Index(sp.m, m); i >= 0 {
 		sp.m = slices.Delete(sp.m, i, i+1)
 	}
 	if m.n < sp.need {
 		sp.lacking--
 	}
+	sp.changed = true
 	sp.scale()
 }
 
@@ -198,7 +199,7 @@
 	sp.need = min(sp.need+moreSamples, mostSamples)
 	sp.lacking = len(sp.m)
 	for _, m := range sp.m {
-		*m = member{w: m.w, x: m.x}
+		*m = member{w: m.w, sp: sp, x: m.x}
 	}
 }
 
@@ -251,24 +252,7 @@
 		b.watching, b.asking, b.failures = true, false, 0
 	}
 	first := len(b.workers) == 0
-	for _, w := range b.workers {
-		w.seen = kind == ListDelta
-	}
-	for i := range list {
-		b.member(&list[i], first)
-	}
-	for _, w := range b.workers {
-		if !w.seen && w.state != Gone {
-			b.setState(w, Gone, false)
-		}
-	}
-	for _, sp := range b.splits {
-		if sp.stale && len(sp.m) > 0 {
-			sp.scale()
-		}
-		sp.findHome(&b.s)
-	}
-	b.print = fingerprint(b.splits[0].m)
+	b.learn(kind, list, first)
 	if first && b.s.Peers && b.s.Balancers > 1 {
 		b.heard = make([]time.Duration, b.s.Balancers)
 		b.after(b.jitter(tellLeast), 0, timerTell)
@@ -294,20 +278,18 @@
 func (b *Balancer) member(m *Member, first bool) {
 	w := b.byID[m.ID]
 	if w == nil {
-		w = &worker{id: m.ID, room: 1, pace: 1, in: make([]*member, len(b.splits))}
+		w = &worker{id: m.ID, room: 1, pace: 1}
 		b.byID[m.ID] = w
 		b.workers = append(b.workers, w)
+		b.gone++
 	}
 	w.seen = true
-	w.zone, w.cell, w.kind, w.size = m.Zone, m.Cell, m.Kind, 1
-	if b.s.Hint == HintSize && m.CapacityHint > 0 && m.CapacityHint < 1e6 {
-		w.size = m.CapacityHint
-	}
+	b.place(w, m)
 	if m.Started != w.started {
 		w.started, w.coldSince = m.Started, m.Started
 		w.refilled, w.tokens = b.now, b.rng.Float64()
 	}
-	b.setState(w, m.State, first)
+	b.setState(w, m.State, m.Pools, first)
 }
 
 // fit says whether a worker may be drawn now. Of a zone in which nearly all ends
@@ -483,7 +465,7 @@
 		b.answer(r)
 		return
 	}
-	r.class, r.split = &b.s.Classes[in.Class], b.splitOf[in.Class]
+	r.class, r.split = &b.s.Classes[in.Class], b.splitFor(in.Class, in.Pool)
 	b.after(in.Deadline-now, in.ID, timerDeadline)
 	r.came = now
 	r.patience = min(in.Deadline, now+time.Duration(patience*float64(r.class.Aim)))
@@ -716,7 +698,7 @@
 	if a.stale = o.Stale; !o.Stale {
 		b.shun(a.w, o.Status, a.sent)
 	}
-	if m := a.w.in[r.split.index]; m != nil {
+	if m := a.w.at(r.split); m != nil {
 		switch o.Status {
 		case OK, Timeout, Reset, Cancelled:
 			b.sample(r, a, m, o.Status == OK)
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,167 @@
+package yardwharf
+
+import "slices"
+
+// This file books what the worker list says: which workers there are, and which
+// split each is in. A split holds the workers of one kind in one pool. Pool 0 is
+// all workers; the others are told with each worker, and only those that requests
+// have asked for get splits.
+
+func newSplit(kind, pool int) *split {
+	return &split{kind: kind, pool: pool, need: firstSamples, base: map[int]float64{}}
+}
+
+// learn takes a list, or changes to one; these cost what they change.
+func (b *Balancer) learn(kind ListKind, list []Member, first bool) {
+	whole := kind != ListDelta
+	for _, w := range b.workers {
+		if !whole {
+			break
+		}
+		w.seen = false
+	}
+	for i := range list {
+		b.member(&list[i], first)
+	}
+	for _, w := range b.workers {
+		if !whole {
+			break
+		}
+		if !w.seen && w.state != Gone {
+			b.setState(w, Gone, nil, false)
+		}
+	}
+	for _, sp := range b.splits {
+		sp.settle(&b.s)
+	}
+	for pool, splits := range b.pools { // each on its own, so in any order
+		empty := true
+		for _, sp := range splits {
+			sp.settle(&b.s)
+			empty = empty && len(sp.m) == 0
+		}
+		if empty { // its number may never come again
+			delete(b.pools, pool)
+		}
+	}
+	if b.s.Peers {
+		b.print = fingerprint(b.splits[0].m)
+	}
+	b.forgetGone()
+}
+
+// settle brings a split up to date with its members.
+func (sp *split) settle(s *Settings) {
+	if !sp.changed {
+		return
+	}
+	sp.changed = false
+	if sp.stale && len(sp.m) > 0 {
+		sp.scale()
+	}
+	sp.findHome(s)
+}
+
+// at is a worker's place in a split; nil where it has none.
+func (w *worker) at(sp *split) *member {
+	for _, m := range w.in {
+		if m.sp == sp {
+			return m
+		}
+	}
+	return nil
+}
+
+// place books where a worker stands and how large it is said to be. A new size
+// moves its shares in proportion; the steps go on from there.
+func (b *Balancer) place(w *worker, m *Member) {
+	size := 1.0
+	if b.s.Hint == HintSize && m.CapacityHint > 0 && m.CapacityHint < 1e10 {
+		size = m.CapacityHint
+	}
+	for _, in := range w.in {
+		if in.sp.changed = in.sp.changed || size != w.size || m.Zone != w.zone; size != w.size {
+			in.x *= size / w.size
+			in.sp.stale = true
+		}
+	}
+	w.zone, w.cell, w.kind, w.size = m.Zone, m.Cell, m.Kind, size
+}
+
+// setState books a listed state: ready workers are in their splits, others in none.
+func (b *Balancer) setState(w *worker, s WorkerState, pools []int, first bool) {
+	switch is, was := s == Gone, w.state == Gone; {
+	case is && !was:
+		b.gone++
+	case was && !is:
+		b.gone--
+	}
+	w.state, w.pools = s, pools
+	for i := len(w.in) - 1; i >= 0; i-- {
+		if sp := w.in[i].sp; s != Ready || !w.belongs(sp) {
+			sp.leave(w)
+		}
+	}
+	if s != Ready {
+		return
+	}
+	for _, sp := range b.splits {
+		if w.belongs(sp) {
+			sp.join(w, first)
+		}
+	}
+	for _, pool := range pools {
+		for _, sp := range b.pools[pool] {
+			if w.belongs(sp) {
+				sp.join(w, first)
+			}
+		}
+	}
+}
+
+// belongs says whether a worker is one of a split's.
+func (w *worker) belongs(sp *split) bool {
+	return (sp.kind < 0 || sp.kind == w.kind) && (sp.pool == 0 || slices.Contains(w.pools, sp.pool))
+}
+
+// splitFor is the split that a class's requests in a pool are drawn from.
+func (b *Balancer) splitFor(class, pool int) *split {
+	if pool == 0 {
+		return b.splitOf[class]
+	}
+	kind := b.s.Classes[class].Kind
+	for _, sp := range b.pools[pool] {
+		if sp.kind == kind {
+			return sp
+		}
+	}
+	sp := newSplit(kind, pool)
+	for _, w := range b.workers {
+		if w.state == Ready && w.belongs(sp) {
+			sp.join(w, true)
+		}
+	}
+	sp.settle(&b.s)
+	b.pools[pool] = append(b.pools[pool], sp)
+	return sp
+}
+
+// goneMost is how many workers that are gone are remembered beside those that
+// are not.
+const goneMost = 64
+
+// forgetGone forgets workers that are gone once they are many. Guards against
+// names that never come again.
+func (b *Balancer) forgetGone() {
+	if b.gone <= goneMost+len(b.workers)/2 {
+		return
+	}
+	b.workers = slices.DeleteFunc(b.workers, func(w *worker) bool {
+		if w.state != Gone || w.out > 0 {
+			return false
+		}
+		delete(b.byID, w.id)
+		b.gone--
+		return true
+	})
+}
--- /dev/null
+++ b/internal/app/fleet.go
@@ -0,0 +1,58 @@
+package app
+
+import (
+	"yardwharf"
+	"yardwharf/internal/inventory"
+	"yardwharf/internal/membership"
+)
+
+// known takes the hosts that the configuration knows from before.
+func (p *program) known(list inventory.List) {
+	hosts, gone := list.Split()
+	p.fleet.List(p.loop.Now(), true, hosts, gone)
+	p.tell(yardwharf.ListCached)
+}
+
+// Listed implements inventory.Listener.
+func (p *program) Listed(list inventory.List) {
+	hosts, gone := list.Split()
+	p.fleet.List(p.loop.Now(), list.Snapshot, hosts, gone)
+	p.tell(yardwharf.ListDelta)
+}
+
+// Failed implements inventory.Listener.
+func (p *program) Failed() { p.dispatcher.Members(yardwharf.ListFailed, nil) }
+
+// tell tells of what has changed in the fleet, as a list of this kind or, where it
+// is whole, as a full one. The south side learns of hosts before the decisions do,
+// which may send to them at once.
+func (p *program) tell(kind yardwharf.ListKind) {
+	change, _ := p.fleet.Take(p.loop.Now())
+	if kind == yardwharf.ListDelta && change.Full {
+		kind = yardwharf.ListFull
+	}
+	if kind != yardwharf.ListCached { // what was known before is no change
+		p.report(&change)
+	}
+	p.pool.Update(change.Hosts)
+	p.front.SetReady(!p.leaving && p.fleet.Usable() > 0)
+	members := make([]yardwharf.Member, len(change.Hosts))
+	for i := range change.Hosts {
+		members[i] = change.Hosts[i].Member
+	}
+	p.dispatcher.Members(kind, members)
+	p.pool.Forget(change.Forgotten)
+}
+
+// report logs what has changed. The list of before the start is no change.
+func (p *program) report(change *membership.Change) {
+	for i := range change.Hosts {
+		if h := &change.Hosts[i]; h.Changed {
+			state := h.Why
+			if h.State == yardwharf.Ready {
+				state = "serving"
+			}
+			p.log.Info().Str("host", h.Name).Str("state", state).Msg("host changed")
+		}
+	}
+}
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -3,13 +3,13 @@
 import (
 	"github.com/rs/zerolog"
 
-	"yardwharf"
 	"yardwharf/internal/budget"
 	"yardwharf/internal/config"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/front"
 	"yardwharf/internal/inventory"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/membership"
 	"yardwharf/internal/operator"
 	"yardwharf/internal/southside"
 )
@@ -27,7 +27,7 @@
 	operator   *operator.File
 	loop       *loop.Loop
 	log        zerolog.Logger
-	hosts      *inventory.Hosts
+	fleet      *membership.Fleet
 	watcher    *inventory.Watcher
 	pool       *southside.Pool
 	dispatcher *dispatch.Dispatcher
@@ -47,34 +47,18 @@
 	sockets := c.Limits.Sockets - reserve
 	clients := int(clientPart * float64(sockets))
 	buffers := budget.New(int(bufferPart * float64(c.Limits.MemoryMB) * (1 << 20)))
-	p.hosts = inventory.NewHosts(c.Settings.Zones, c.Settings.Kinds)
-	p.watcher = inventory.NewWatcher(l, log, c.Discovery, p.hosts, c.Known)
+	p.fleet = membership.New(membership.Config{Zones: c.Settings.Zones, Kinds: c.Settings.Kinds})
+	p.watcher = inventory.NewWatcher(l, log, c.Discovery, c.Known)
 	p.watcher.Listen(p)
 	p.pool = southside.NewPool(l, log, &c.Settings, sockets-clients, buffers, p.dispatcher)
 	p.dispatcher.Connect(p.pool, p.watcher)
 	if p.front, err = front.New(l, log, c.Listen, clients, buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
-	known := c.Known
-	known.Snapshot = true
-	p.Told(yardwharf.ListCached, p.hosts.Apply(known))
+	p.known(c.Known)
 	return p, nil
 }
 
-// Told implements inventory.Listener. The south side learns of hosts before the
-// decisions do, which may send to them at once.
-func (p *program) Told(kind yardwharf.ListKind, entries []inventory.Host) {
-	if kind != yardwharf.ListFailed {
-		p.pool.Update(entries)
-		p.front.SetReady(!p.leaving && p.hosts.Serving() > 0)
-	}
-	members := make([]yardwharf.Member, len(entries))
-	for i := range entries {
-		members[i] = entries[i].Member
-	}
-	p.dispatcher.Members(kind, members)
-}
-
 // reload reads both files again, as SIGHUP asks, and takes them whole or not at
 // all. The watch moves to the discovery that is now named; messages, connections
 // and what the decisions have learned stay.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -9,11 +9,12 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
-	"yardwharf"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/membership"
 )
 
 func entry(name, status string) string {
@@ -50,23 +51,14 @@
 	return l
 }
 
-// Hosts keep their ids; a snapshot tells of those it leaves out as gone.
-func TestApply(t *testing.T) {
-	h, other := NewHosts([]string{"a", "b"}, []string{"m1", "m2"}), NewHosts(nil, nil)
-	first := h.Apply(parse(t, list(1, true, entry("s1", "SERVING"), entry("s2", "DRAINING"))))
-	m := first[0]
-	if m.Zone != 1 || m.Kind != 1 || m.Cell != 3 || m.Started.Seconds() != 1.5 || m.CapacityHint != 1.5 || h.Serving() != 1 {
-		t.Errorf("read as %+v", m)
-	}
-	second := h.Apply(parse(t, list(2, true, entry("s2", "SERVING"))))
-	if len(second) != 2 || second[0].ID != first[1].ID || second[1].ID != m.ID || second[1].State != yardwharf.Gone {
-		t.Errorf("then told %+v", second)
-	}
-	if h.Apply(parse(t, list(3, false))) != nil && h.Serving() != 1 {
-		t.Error("an empty change changed something")
-	}
-	if o := other.Apply(parse(t, list(1, true, entry("s2", "SERVING")))); o[0].ID != first[1].ID {
-		t.Error("dispatchers name the same host differently")
+// An entry is read as it is written.
+func TestSplit(t *testing.T) {
+	l := parse(t, list(1, true, entry("s1", "SERVING"), entry("s2", "DRAINING"), entry("s3", "DELETED")))
+	hosts, gone := l.Split()
+	want := membership.Endpoint{Name: "s1", Address: netip.MustParseAddrPort("127.0.0.1:80"), Zone: "b", Type: "m2", Group: 3,
+		HasGroup: true, Since: 1500 * time.Millisecond, Weight: 1.5}
+	if len(hosts) != 2 || hosts[0] != want || hosts[1].Health != membership.Draining || !slices.Equal(gone, []string{"s3"}) {
+		t.Errorf("read as %+v, gone %v", hosts, gone)
 	}
 }
 
@@ -76,16 +68,22 @@
 	list []string
 }
 
-func (o *told) Told(kind yardwharf.ListKind, entries []Host) {
-	o.list = append(o.list, fmt.Sprintf("%d:%d", kind, len(entries)))
-	if kind == yardwharf.ListFailed {
-		o.loop.Stop()
+func (o *told) Listed(l List) {
+	kind := "changes"
+	if l.Snapshot {
+		kind = "list"
 	}
+	o.list = append(o.list, fmt.Sprintf("%s:%d", kind, len(l.Endpoints)))
+}
+
+func (o *told) Failed() {
+	o.list = append(o.list, "failed")
+	o.loop.Stop()
 }
 
 // watching runs one watch against a discovery that says this, and returns what
 // the listener heard and what discovery was asked.
-func watching(t *testing.T, hosts *Hosts, says string, silent bool) ([]string, string) {
+func watching(t *testing.T, says string, silent bool) ([]string, string) {
 	t.Helper()
 	l, err := loop.New()
 	if err != nil {
@@ -114,7 +112,7 @@
 			c.Read(make([]byte, 1))
 		}
 	}()
-	w := NewWatcher(l, zerolog.Nop(), netip.MustParseAddrPort(discovery.Addr().String()), hosts, List{Index: 41})
+	w := NewWatcher(l, zerolog.Nop(), netip.MustParseAddrPort(discovery.Addr().String()), List{Index: 41})
 	if silent {
 		w.silence = 1
 	}
@@ -136,34 +134,32 @@
 }
 
 // Whatever discovery says, each watch brings its lists and then one failure, and
-// garbage leaves the inventory as it was.
+// garbage tells of nothing.
 func TestWatch(t *testing.T) {
 	for _, c := range []struct {
 		says string
 		want []string
 	}{
-		{chunks(list(1, true, entry("s1", "SERVING")), "", list(2, false, entry("s2", "SERVING"))), []string{"1:1", "0:1", "3:0"}},
-		{chunks(list(1, true, entry("s1", "SERVING")), "garbage"), []string{"1:1", "3:0"}},
-		{chunks(list(1, true, entry("s1", "MAYBE"))), []string{"3:0"}},
-		{chunks("") + "0\r\n\r\n", []string{"3:0"}},
-		{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", []string{"3:0"}},
-		{"garbage\r\n\r\n", []string{"3:0"}},
-		{strings.Repeat("garbage", 4000), []string{"3:0"}},
-		{"", []string{"3:0"}},
+		{chunks(list(1, true, entry("s1", "SERVING")), "", list(2, false, entry("s2", "SERVING"))), []string{"list:1", "changes:1", "failed"}},
+		{chunks(list(1, true, entry("s1", "SERVING")), "garbage"), []string{"list:1", "failed"}},
+		{chunks(list(1, true, entry("s1", "MAYBE"))), []string{"failed"}},
+		{chunks("") + "0\r\n\r\n", []string{"failed"}},
+		{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", []string{"failed"}},
+		{"garbage\r\n\r\n", []string{"failed"}},
+		{strings.Repeat("garbage", 4000), []string{"failed"}},
+		{"", []string{"failed"}},
 	} {
-		hosts := NewHosts(nil, nil)
-		hosts.Apply(parse(t, list(1, true, entry("s1", "SERVING"))))
-		heard, asked := watching(t, hosts, c.says, false)
-		if !slices.Equal(heard, c.want) || asked != "/v1/endpoints?watch=1&from=41" || hosts.Serving() < 1 {
-			t.Errorf("%.60q: heard %v, want %v; asked %s; %d hosts serve", c.says, heard, c.want, asked, hosts.Serving())
+		heard, asked := watching(t, c.says, false)
+		if !slices.Equal(heard, c.want) || asked != "/v1/endpoints?watch=1&from=41" {
+			t.Errorf("%.60q: heard %v, want %v; asked %s", c.says, heard, c.want, asked)
 		}
 	}
 }
 
 // A watch that says nothing for too long has failed, though its connection stands.
 func TestSilentWatch(t *testing.T) {
-	heard, _ := watching(t, NewHosts(nil, nil), chunks(list(1, true, entry("s1", "SERVING"))), true)
-	if !slices.Equal(heard, []string{"1:1", "3:0"}) {
+	heard, _ := watching(t, chunks(list(1, true, entry("s1", "SERVING"))), true)
+	if !slices.Equal(heard, []string{"list:1", "failed"}) {
 		t.Errorf("heard %v", heard)
 	}
 }
--- a/internal/inventory/watch.go
+++ b/internal/inventory/watch.go
@@ -1,5 +1,5 @@
-// Package inventory keeps the list of south side hosts: it watches discovery over
-// one connection, reads the lists and changes that come, and tells of each.
+// Package inventory speaks with the platform's discovery: it watches it over one
+// connection, reads the lists and changes that come, and tells of each.
 package inventory
 
 import (
@@ -12,7 +12,6 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf"
 	"yardwharf/internal/http1"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/sock"
@@ -29,9 +28,11 @@
 
 // Listener is told of what discovery says.
 type Listener interface {
-	// Told is called for each list and each change; with ListFailed the call for
-	// a watch has failed or the watch has broken off, and there are no entries.
-	Told(kind yardwharf.ListKind, entries []Host)
+	// Listed is called for each list and each change.
+	Listed(l List)
+	// Failed is called once the call for a watch has failed or the watch has
+	// broken off.
+	Failed()
 }
 
 // Watcher watches discovery. There is one watch at a time.
@@ -39,7 +40,6 @@
 	loop     *loop.Loop
 	log      zerolog.Logger
 	address  netip.AddrPort
-	hosts    *Hosts
 	listener Listener
 	index    uint64
 	watch    *watch // nil while there is none
@@ -48,9 +48,8 @@
 }
 
 // NewWatcher returns a Watcher that starts from what was known.
-func NewWatcher(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, hosts *Hosts, known List) *Watcher {
-	return &Watcher{loop: l, log: log, address: address, hosts: hosts, index: known.Index,
-		silence: longestGap}
+func NewWatcher(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, known List) *Watcher {
+	return &Watcher{loop: l, log: log, address: address, index: known.Index, silence: longestGap}
 }
 
 // Listen sets who is told; it comes before the first Watch.
@@ -87,28 +86,8 @@
 
 // take tells the listener of a list.
 func (w *Watcher) take(l List) {
-	kind := yardwharf.ListDelta
-	if l.Snapshot {
-		kind = yardwharf.ListFull
-	}
 	w.index = l.Index
-	told := w.hosts.Apply(l)
-	for i := range told {
-		if h := &told[i]; h.Changed {
-			w.log.Info().Str("host", h.Name).Str("state", stateName(h.State)).Msg("host changed")
-		}
-	}
-	w.listener.Told(kind, told)
-}
-
-func stateName(s yardwharf.WorkerState) string {
-	switch s {
-	case yardwharf.Ready:
-		return "serving"
-	case yardwharf.Draining:
-		return "draining"
-	}
-	return "gone"
+	w.listener.Listed(l)
 }
 
 // watch is one connection to discovery.
@@ -165,7 +144,7 @@
 		c.w.broken = true
 		c.w.log.Warn().Err(err).Uint64("index", c.w.index).Msg("discovery watch lost")
 	}
-	c.w.listener.Told(yardwharf.ListFailed, nil)
+	c.w.listener.Failed()
 }
 
 // Ready implements loop.Handler.
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,253 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"yardwharf"
+)
+
+// reference is the fleet as a page of paper would hold it: the endpoints of the
+// last accepted delivery of each cluster, and nothing else.
+type reference struct {
+	clusters map[string]bool
+	assigned map[string][]Endpoint
+	version  map[string]int
+}
+
+// usable are the hosts that may be sent to by what is accepted.
+func (r *reference) usable() []string {
+	good, bad := map[string]bool{}, map[string]bool{}
+	for c := range r.clusters {
+		for _, e := range r.assigned[c] {
+			if e.Health.takesWork() {
+				good[e.Name] = true
+			} else {
+				bad[e.Name] = true
+			}
+		}
+	}
+	var names []string
+	for _, name := range sortedNames(good) {
+		if !bad[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// with is the reference with one cluster's endpoints replaced.
+func (r *reference) with(cluster string, list []Endpoint) *reference {
+	next := &reference{clusters: r.clusters, assigned: map[string][]Endpoint{}}
+	for c, l := range r.assigned {
+		next.assigned[c] = l
+	}
+	next.assigned[cluster] = list
+	return next
+}
+
+// names are all hosts that it names.
+func (r *reference) names() map[string]bool {
+	all := map[string]bool{}
+	for c := range r.clusters {
+		for _, e := range r.assigned[c] {
+			all[e.Name] = true
+		}
+	}
+	return all
+}
+
+func drawEndpoints(t *rapid.T) []Endpoint {
+	list := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Endpoint {
+		n := rapid.IntRange(1, 9).Draw(t, "host")
+		return Endpoint{
+			Name:     fmt.Sprintf("s%d", n),
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(rapid.IntRange(0, 1).Draw(t, "net")), byte(n)}), 80),
+			Health:   Health(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3, 4}).Draw(t, "health")),
+			Priority: uint32(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "priority")),
+			Weight:   float64(rapid.IntRange(1, 3).Draw(t, "weight")),
+		}
+	}), 0, 6, func(e Endpoint) string { return e.Name }).Draw(t, "endpoints")
+	slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// After any deliveries, new, repeated, lagging and empty ones, the hosts that may
+// be sent to are those of the last accepted ones, and what was told one by one adds
+// up to the whole.
+func TestAnyDeliveries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Config{StaleHold: time.Minute})
+		ref := &reference{clusters: map[string]bool{}, assigned: map[string][]Endpoint{}, version: map[string]int{}}
+		names := []string{"a", "b", "c"}
+		now, told := time.Hour, map[string]Host{}
+		type delivery struct {
+			version int
+			list    []Endpoint
+		}
+		said := map[string][]delivery{} // what each cluster's endpoints were, newest last
+		cds := 0
+		hear := func() {
+			ch, _ := f.Take(now)
+			for _, h := range ch.Hosts {
+				told[h.Name] = h
+			}
+		}
+		clusters := func(set []string) *Update {
+			cds++
+			u := &Update{OfClusters: true, Whole: true, Version: fmt.Sprint(cds)}
+			for _, name := range set {
+				u.Clusters = append(u.Clusters, Cluster{Name: name, Source: name, Sum: uint64(cds)})
+			}
+			return u
+		}
+		// All clusters stand at first, so that no delivery is about a stranger.
+		if err := f.Update(now, clusters(names)); err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range names {
+			list := []Endpoint{{Name: "first", Address: netip.MustParseAddrPort("10.0.9.9:80")}}
+			if err := f.Update(now, &Update{Assignments: []Assignment{{Name: name, Version: "1", Sum: 1, Endpoints: list}}}); err != nil {
+				t.Fatal(err)
+			}
+			ref.clusters[name], ref.assigned[name], ref.version[name] = true, list, 1
+			said[name] = []delivery{{1, list}}
+		}
+		hear()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "cluster")
+			past := said[name]
+			d := delivery{ref.version[name] + 1, nil}
+			repeat := rapid.IntRange(0, 3).Draw(t, "repeat") == 0
+			if repeat {
+				d = rapid.SampledFrom(past).Draw(t, "old")
+			} else {
+				d.list = drawEndpoints(t)
+			}
+			u := &Update{Assignments: []Assignment{{Name: name, Version: fmt.Sprint(d.version), Sum: uint64(d.version), Endpoints: d.list}}}
+			before, next := ref.usable(), ref.with(name, d.list)
+			lost := slices.ContainsFunc(before, func(n string) bool { return !next.names()[n] })
+			empties := len(before) > 0 && len(next.usable()) == 0 && lost
+			err := f.Update(now, u)
+			switch {
+			case d.version < ref.version[name]:
+				if !errors.Is(err, ErrOld) {
+					t.Fatalf("version %d of %s after %d: %v", d.version, name, ref.version[name], err)
+				}
+			case empties:
+				if err == nil || errors.Is(err, ErrOld) {
+					t.Fatalf("the last host was taken: %v", err)
+				}
+			case err != nil:
+				t.Fatalf("version %d of %s: %v", d.version, name, err)
+			default:
+				ref.assigned[name], ref.version[name] = d.list, d.version
+				said[name] = append(past, d)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "reconnect") == 0 {
+				f.Lost(now)
+			}
+			now += time.Second
+			f.Tick(now)
+			hear()
+			allowed := ref.usable()
+			for _, name := range sortedNames(told) {
+				h := told[name]
+				if h.State == yardwharf.Ready && !slices.Contains(allowed, name) {
+					t.Fatalf("%s may be sent to, but only %v may", name, allowed)
+				}
+				if h.State == yardwharf.Gone == ref.names()[name] {
+					t.Fatalf("%s is told in state %d", name, h.State)
+				}
+			}
+			usable := 0
+			for _, h := range told {
+				if h.State == yardwharf.Ready {
+					usable++
+				}
+			}
+			if usable != f.Usable() {
+				t.Fatalf("%d hosts were told as usable, %d are", usable, f.Usable())
+			}
+			if len(f.asides) == 0 && usable != len(allowed) {
+				t.Fatalf("%d hosts may be sent to, want %v", usable, allowed)
+			}
+		}
+	})
+}
+
+// Levels count what the endpoints say, whatever came in between.
+func TestCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Config{})
+		now := time.Hour
+		f.Update(now, &Update{OfClusters: true, Whole: true, Clusters: []Cluster{{Name: "a", Source: "a"}, {Name: "b", Source: "b"}}})
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "cluster")
+			f.Update(now, &Update{Assignments: []Assignment{{Name: name, Endpoints: drawEndpoints(t)}}})
+		}
+		for _, name := range []string{"a", "b"} {
+			c := f.clusters[name]
+			want := make([]level, len(c.levels))
+			for _, e := range c.endpoints {
+				l, state := &want[e.Priority], f.hosts.byName[e.Name].State
+				l.total++
+				if state == yardwharf.Ready && e.Health == Degraded {
+					l.degraded++
+				} else if state == yardwharf.Ready {
+					l.healthy++
+				}
+			}
+			for i, l := range c.levels {
+				if l.total != want[i].total || l.healthy != want[i].healthy || l.degraded != want[i].degraded {
+					t.Fatalf("%s, priority %d: counted %+v, want %+v", name, i, l, want[i])
+				}
+			}
+			sum := 0.0
+			for _, l := range c.view().Loads {
+				sum += l.Part
+			}
+			if sum != 0 && (sum < 0.999 || sum > 1.001) {
+				t.Fatalf("the parts of %s add up to %v", name, sum)
+			}
+		}
+	})
+}
+
+func TestOrderedVersions(t *testing.T) {
+	for _, c := range []struct {
+		a, b string
+		want bool
+	}{
+		{"6", "7", true}, {"7", "6", false}, {"7", "7", false}, {"9", "10", true}, {"v9", "v10", true}, {"1.9", "1.10", true},
+		{"1", "1.0", false}, {"a1", "a2", false}, {"", "7", false}, {"6", "", false},
+		{"2026-11-24T06:00:00Z", "2026-11-24T06:00:01Z", true}, {"2026-11-24T06:00:00Z/2", "2026-11-24T06:00:00Z/10", true},
+		{"1234567890123456789012", "2234567890123456789012", false}, // a hash of digits only
+	} {
+		if got := before(c.a, c.b); got != c.want {
+			t.Errorf("%q before %q: %t", c.a, c.b, got)
+		}
+	}
+}
+
+// Hosts whose names never come again are forgotten.
+func TestForget(t *testing.T) {
+	f := New(Config{AllowEmpty: true})
+	now, forgotten := time.Hour, 0
+	for i := range 1000 {
+		f.List(now, true, []Endpoint{{Name: fmt.Sprintf("s%d", i), Address: netip.MustParseAddrPort("10.0.0.1:80")}}, nil)
+		ch, _ := f.Take(now)
+		forgotten += len(ch.Forgotten)
+		now += 10 * time.Second
+	}
+	if n := len(f.hosts.byName); n > 200 || forgotten+n != 1000 || len(f.hosts.byID) != n {
+		t.Errorf("%d hosts are remembered, %d forgotten", n, forgotten)
+	}
+}
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -20,10 +21,11 @@
 
 // conn is a connection to a host. It carries one relay or probe at a time.
 type conn struct {
-	p     *Pool
-	h     *host
-	fd    int
-	timer loop.Timer
+	p       *Pool
+	h       *host
+	address netip.AddrPort // it was dialled to
+	fd      int
+	timer   loop.Timer
 
 	up     bool
 	closed bool
@@ -66,7 +68,7 @@
 
 // park puts a connection among the idle ones.
 func (c *conn) park() {
-	if c.h.away {
+	if c.h.away || c.address != c.h.address { // guards an address that a host has left
 		c.close()
 		return
 	}
@@ -219,9 +221,11 @@
 }
 
 // write puts out what it can. Guards the drain: a relay that has waited for its
-// connection must not begin at a host that has been away for the grace.
+// connection must not begin at a host that has been away, or has left this
+// address, for the grace.
 func (c *conn) write() {
-	if !c.touched && c.h.away && c.p.loop.Now() >= c.h.until {
+	now := c.p.loop.Now()
+	if !c.touched && (c.h.away && now >= c.h.until || c.address != c.h.address && now >= c.h.moved) {
 		c.end(yardwharf.ConnectFailed)
 		return
 	}
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -15,9 +15,9 @@
 	"yardwharf"
 	"yardwharf/internal/budget"
 	"yardwharf/internal/dispatch"
-	"yardwharf/internal/inventory"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/lru"
+	"yardwharf/internal/membership"
 	"yardwharf/internal/sock"
 )
 
@@ -63,6 +63,7 @@
 	idle    []*conn
 	away    bool          // it drains or is gone
 	until   time.Duration // then no relay may put out its first byte
+	moved   time.Duration // the same for connections to an earlier address
 }
 
 // NewPool returns a Pool that holds most connections at the most, and their
@@ -82,7 +83,7 @@
 
 // Update takes changes of the inventory. Idle connections to a host that is away
 // or has moved are closed.
-func (p *Pool) Update(told []inventory.Host) {
+func (p *Pool) Update(told []membership.Host) {
 	for _, t := range told {
 		h := p.hosts[t.ID]
 		if h == nil {
@@ -96,11 +97,25 @@
 		if h.away = away; away || h.address != t.Address {
 			p.closeIdle(h)
 		}
+		if h.address != t.Address {
+			h.moved = p.loop.Now() + max(0, p.grace-drainReserve)
+		}
 		h.label = t.Name
 		h.address, h.name = t.Address, []byte(t.Address.String())
 	}
 }
 
+// Forget drops hosts that are gone for good. What is still under way to one ends
+// by itself.
+func (p *Pool) Forget(ids []yardwharf.WorkerID) {
+	for _, id := range ids {
+		if h := p.hosts[id]; h != nil && h.away {
+			p.closeIdle(h)
+			delete(p.hosts, id)
+		}
+	}
+}
+
 func (p *Pool) closeIdle(h *host) {
 	for len(h.idle) > 0 {
 		h.idle[len(h.idle)-1].close()
@@ -171,7 +186,7 @@
 		p.reached(h, err)
 		return nil, fmt.Errorf("southside: %w", err)
 	}
-	c := &conn{p: p, h: h, fd: fd, up: up}
+	c := &conn{p: p, h: h, address: h.address, fd: fd, up: up}
 	c.timer.Task = c
 	if err := p.loop.Add(fd, loop.In|loop.Out, c); err != nil {
 		unix.Close(fd)
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -16,8 +16,8 @@
 
 	"yardwharf"
 	"yardwharf/internal/dispatch"
-	"yardwharf/internal/inventory"
 	"yardwharf/internal/loop"
+	"yardwharf/internal/membership"
 )
 
 // yard is a dispatcher with one south side host, which the test plays.
@@ -90,7 +90,7 @@
 
 func (y *yard) tell(state yardwharf.WorkerState) {
 	m := yardwharf.Member{ID: 7, State: state}
-	y.pool.Update([]inventory.Host{{Address: netip.MustParseAddrPort(y.host.Addr().String()), Member: m}})
+	y.pool.Update([]membership.Host{{Address: netip.MustParseAddrPort(y.host.Addr().String()), Member: m}})
 	y.d.Members(yardwharf.ListDelta, []yardwharf.Member{m})
 }
 
@@ -260,6 +260,47 @@
 	}
 }
 
+// at tells that the host is at another address from now on.
+func (y *yard) at(address string) {
+	m := yardwharf.Member{ID: 7, State: yardwharf.Ready}
+	y.pool.Update([]membership.Host{{Address: netip.MustParseAddrPort(address), Member: m}})
+}
+
+// The same for a host that has moved: its old address is a host that is gone.
+func TestMoveWhileConnecting(t *testing.T) {
+	read := make(chan int, 1)
+	y := newYard(t, nil, func(c net.Conn) {
+		n, _ := io.Copy(io.Discard, c)
+		read <- int(n)
+	})
+	_, c := y.take()
+	y.at("127.0.0.1:9") // without any grace
+	if y.run(); c.got != "refused" {
+		t.Error(c.got)
+	}
+	if n := <-read; n != 0 {
+		t.Errorf("%d bytes were sent to an address that the host has left", n)
+	}
+}
+
+// A connection that was busy while its host moved is not kept for the next relay.
+func TestMoveWhileBusy(t *testing.T) {
+	seen, moved := make(chan *http.Request, 2), make(chan bool)
+	old := replies(seen, chunked(done), chunked(done))
+	var y *yard
+	y = newYard(t, func(s *yardwharf.Settings) { s.DrainGrace = time.Hour }, func(c net.Conn) {
+		y.loop.Post(loop.Func(func() { y.at("127.0.0.1:9"); close(moved) }))
+		<-moved
+		old(c)
+	})
+	if got := y.answer(); got != "served résult" {
+		t.Fatal(got)
+	}
+	if got := y.answer(); got != "refused" || len(seen) != 1 || y.pool.open != 0 {
+		t.Errorf("%s: %d requests went to the address that the host has left, %d connections are open", got, len(seen), y.pool.open)
+	}
+}
+
 // A client that goes away gives its relay up, which the host learns from the end
 // of the connection.
 func TestWithdraw(t *testing.T) {
--- a/settings.go
+++ b/settings.go
@@ -48,15 +48,14 @@
 		byID: make(map[WorkerID]*worker), requests: make(map[RequestID]*request),
 		silence: math.MaxInt64, armed: math.MaxInt64,
 		limit: math.Inf(1), classes: make([]classStat, len(s.Classes)),
-		lost: map[int]float64{}, copyRate: 1,
+		lost: map[int]float64{}, copyRate: 1, pools: map[int][]*split{},
 	}
 	for _, c := range s.Classes {
 		b.silence = min(b.silence, silence(&s, c))
 		i := slices.IndexFunc(b.splits, func(sp *split) bool { return sp.kind == c.Kind })
 		if i < 0 {
 			i = len(b.splits)
-			b.splits = append(b.splits, &split{kind: c.Kind, index: i, need: firstSamples,
-				base: map[int]float64{}})
+			b.splits = append(b.splits, newSplit(c.Kind, 0))
 		}
 		b.splitOf = append(b.splitOf, b.splits[i])
 	}
--- a/state.go
+++ b/state.go
@@ -41,8 +41,10 @@
 
 	workers []*worker
 	byID    map[WorkerID]*worker
-	splits  []*split
-	splitOf []*split // by class
+	gone    int              // workers that are
+	splits  []*split         // of pool 0, by kind
+	splitOf []*split         // those by class
+	pools   map[int][]*split // of other pools, as far as requests have asked for them
 
 	requests map[RequestID]*request
 	free     []*request
@@ -55,21 +57,23 @@
 
 // split holds the shares over the workers that can run one kind of job.
 type split struct {
-	kind, index int
-	m           []*member // by worker id, so that no order depends on a map
-	sum         []float64 // running sums of x
-	total       float64
-	stale       bool            // sum no longer fits m
-	need        int             // L(n)
-	lacking     int             // members with fewer samples than need
-	home        []*member       // those turned to first
-	base        map[int]float64 // by kind: shortest mean delay of late, for want of start notices
-	stepped     time.Duration   // time of the last step
+	kind, pool int
+	m          []*member // by worker id, so that no order depends on a map
+	sum        []float64 // running sums of x
+	total      float64
+	stale      bool            // sum no longer fits m
+	changed    bool            // home no longer fits m
+	need       int             // L(n)
+	lacking    int             // members with fewer samples than need
+	home       []*member       // those turned to first
+	base       map[int]float64 // by kind: shortest mean delay of late, for want of start notices
+	stepped    time.Duration   // time of the last step
 }
 
 // member is a worker's place in a split, with its samples of the current step.
 type member struct {
 	w       *worker
+	sp      *split
 	x       float64
 	n, done int     // samples; those of them that completed
 	delay   float64 // send-to-finish times added up, in seconds
@@ -93,8 +97,9 @@
 	usual      float64       // usual runs of their classes added up, in seconds
 	pace       float64       // runs of late by what is usual, as of paced
 	paced      time.Duration
-	in         []*member     // by split
+	in         []*member     // one for each split that it is in
 	seen       bool          // mark of a full list being read
+	pools      []int         // beside pool 0
 	waiting    int           // those of them that have not started
 	sign       time.Duration // last start or end of a job here, or first send since
 	peers      []byte        // what each peer has out here, as told
@@ -233,15 +238,3 @@
 		}
 	}
 }
-
-// setState books a listed state: ready workers are in the splits, others not.
-func (b *Balancer) setState(w *worker, s WorkerState, first bool) {
-	w.state = s
-	for _, sp := range b.splits {
-		if s != Ready {
-			sp.leave(w)
-		} else if sp.kind < 0 || sp.kind == w.kind {
-			sp.join(w, first)
-		}
-	}
-}
