--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -30,6 +30,7 @@
 #     stale_hold = "1m",                # how long an update that looks old is held
 #     allow_empty = False,              # an update may take the last host
 #     max_message_mb = 16,              # of one response
+#     max_hosts = 100000,               # in all clusters together
 #     backoff_most = "5s",              # between two attempts to reach a server
 #     silence = "20s",                  # a connection that is dead for so long is given up
 # ))
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -4,6 +4,7 @@
 	"yardwharf"
 	"yardwharf/internal/inventory"
 	"yardwharf/internal/membership"
+	"yardwharf/internal/xdslink"
 )
 
 // known takes the hosts that the configuration knows from before.
@@ -24,24 +25,39 @@
 func (p *program) Failed() { p.dispatcher.Members(yardwharf.ListFailed, nil) }
 
 // tell tells of what has changed in the fleet, as a list of this kind or, where it
-// is whole, as a full one. The south side learns of hosts before the decisions do,
-// which may send to them at once.
+// is whole, as a full one. The routes learn of clusters and the south side of hosts
+// before the decisions do, which may send to them at once.
 func (p *program) tell(kind yardwharf.ListKind) {
-	change, _ := p.fleet.Take(p.loop.Now())
+	change, any := p.fleet.Take(p.loop.Now())
 	if kind == yardwharf.ListDelta && change.Full {
 		kind = yardwharf.ListFull
 	}
 	if kind != yardwharf.ListCached { // what was known before is no change
 		p.report(&change)
 	}
+	p.routes.SetOpen(change.Open)
+	p.routes.Update(change.Views)
 	p.pool.Update(change.Hosts)
 	p.front.SetReady(!p.leaving && p.fleet.Usable() > 0)
-	members := make([]yardwharf.Member, len(change.Hosts))
-	for i := range change.Hosts {
-		members[i] = change.Hosts[i].Member
+	if any || p.xds == nil { // the platform's answers are told, whatever is in them
+		members := make([]yardwharf.Member, len(change.Hosts))
+		for i := range change.Hosts {
+			members[i] = change.Hosts[i].Member
+		}
+		p.dispatcher.Members(kind, members)
 	}
-	p.dispatcher.Members(kind, members)
 	p.pool.Forget(change.Forgotten)
+	for _, m := range change.Accepted {
+		if p.xds != nil {
+			p.xds.link.Send(xdslink.ToHelper{Accepted: &m})
+		}
+	}
+	p.checkRoutes()
+	if at, ok := p.fleet.Next(); ok {
+		p.loop.Set(&p.due, at)
+	} else {
+		p.loop.Clear(&p.due)
+	}
 }
 
 // report logs what has changed. The list of before the start is no change.
@@ -55,4 +71,11 @@
 			p.log.Info().Str("host", h.Name).Str("state", state).Msg("host changed")
 		}
 	}
+	for _, n := range change.Notes {
+		line := p.log.Info()
+		if n.Warn {
+			line = p.log.Warn()
+		}
+		line.Str("cluster", n.Cluster).Str("reason", n.Why).Msg(n.What)
+	}
 }
--- a/internal/app/leave.go
+++ b/internal/app/leave.go
@@ -44,6 +44,9 @@
 func (p *program) wait() {
 	if p.front.Clients() == 0 && p.dispatcher.Open() == 0 {
 		p.watcher.Close()
+		if p.xds != nil {
+			p.xds.link.Close()
+		}
 		p.loop.Stop()
 		return
 	}
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -1,6 +1,9 @@
 package app
 
 import (
+	"math/rand/v2"
+	"reflect"
+
 	"github.com/rs/zerolog"
 
 	"yardwharf/internal/budget"
@@ -11,6 +14,7 @@
 	"yardwharf/internal/loop"
 	"yardwharf/internal/membership"
 	"yardwharf/internal/operator"
+	"yardwharf/internal/route"
 	"yardwharf/internal/southside"
 )
 
@@ -29,6 +33,11 @@
 	log        zerolog.Logger
 	fleet      *membership.Fleet
 	watcher    *inventory.Watcher
+	xds        *xdsSource // nil: the platform's discovery is watched
+	routes     *route.Table
+	rng        *rand.Rand
+	missing    []string   // clusters that routes name and that are not there, as logged
+	due        loop.Timer // for what the fleet has to do at a time
 	pool       *southside.Pool
 	dispatcher *dispatch.Dispatcher
 	front      *front.Front
@@ -51,11 +60,17 @@
 	p.watcher = inventory.NewWatcher(l, log, c.Discovery, c.Known)
 	p.watcher.Listen(p)
 	p.pool = southside.NewPool(l, log, &c.Settings, sockets-clients, buffers, p.dispatcher)
-	p.dispatcher.Connect(p.pool, p.watcher)
+	p.dispatcher.Connect(p.pool, p)
+	p.due.Task = loop.Func(p.tick)
+	p.routes, p.rng = route.New(s.classes()), rand.New(rand.NewPCG(c.Seed, routeSeed))
 	if p.front, err = front.New(l, log, c.Listen, clients, buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
 	p.known(c.Known)
+	p.setRoutes()
+	if s.operator.Inventory != nil {
+		p.watchXDS()
+	}
 	return p, nil
 }
 
@@ -73,9 +88,15 @@
 	}
 	c := s.config
 	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", p.config.Fixed(c)).Msg("configuration read again")
+	moved := p.config.Discovery != c.Discovery
+	p.config.Discovery = c.Discovery
+	before := p.operator
 	p.operator = s.operator
-	if p.config.Discovery != c.Discovery {
-		p.config.Discovery = c.Discovery
+	p.setRoutes()
+	switch {
+	case !reflect.DeepEqual(before.Inventory, s.operator.Inventory):
+		p.switchSource()
+	case moved && p.xds == nil:
 		p.watcher.Move(c.Discovery)
 	}
 }
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -8,12 +8,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
 
+	"yardwharf"
 	"yardwharf/internal/config"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/operator"
@@ -23,7 +25,8 @@
 
 // Options are what the command line says of a run.
 type Options struct {
-	Operator string // the operator's file; empty where there is none
+	Operator string   // the operator's file; empty where there is none
+	Helper   []string // the command that speaks xDS; none: yardxds beside this program
 	Level    zerolog.Level
 	Console  bool // log lines for people, not JSON
 	Log      io.Writer
@@ -78,11 +81,59 @@
 	if s.operator, err = operator.Load(o.Operator); err != nil {
 		return sources{}, err
 	}
-	var classes []string
-	for _, class := range c.Settings.Classes {
-		classes = append(classes, class.Name)
+	if err := s.operator.CheckClasses(s.classes()); err != nil {
+		return sources{}, err
+	}
+	return s, s.prepare(o)
+}
+
+// classes are the names of the site's classes.
+func (s *sources) classes() (names []string) {
+	for _, c := range s.config.Settings.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// prepare makes what the operator's file says fit for use here: files are beside
+// it, and the weights of hosts count.
+func (s *sources) prepare(o Options) error {
+	if s.config.Settings.Hint == yardwharf.HintNone { // the platform's weights are all 1 then
+		s.config.Settings.Hint = yardwharf.HintSize
+	}
+	inventory := s.operator.Inventory
+	if inventory == nil {
+		return nil
+	}
+	x := &inventory.XDS
+	x.Clusters = s.operator.Asked()
+	if t := x.TLS; t != nil {
+		for _, file := range []*string{&t.CA, &t.Cert, &t.Key} {
+			if *file != "" && !filepath.IsAbs(*file) {
+				*file = filepath.Join(filepath.Dir(o.Operator), *file)
+			}
+		}
+	}
+	if _, err := o.helper(); err != nil {
+		return err
+	}
+	return nil
+}
+
+// helper is the command that speaks xDS.
+func (o Options) helper() ([]string, error) {
+	if len(o.Helper) > 0 {
+		return o.Helper, nil
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("inventory: xds: looking for the program that speaks it: %w", err)
+	}
+	path := filepath.Join(filepath.Dir(own), "yardxds")
+	if _, err := os.Stat(path); err != nil {
+		return nil, fmt.Errorf("inventory: xds: the program that speaks it is missing beside this one: %w", err)
 	}
-	return s, s.operator.CheckClasses(classes)
+	return []string{path}, nil
 }
 
 func (o Options) logger(name string) zerolog.Logger {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"yardwharf/internal/app"
-	"yardwharf/internal/operator"
+	"yardwharf/internal/script"
 )
 
 // The statuses that the program ends with.
@@ -110,7 +110,7 @@
 		},
 		RunE: func(c *cobra.Command, args []string) error {
 			said, err := app.Check(args[0])
-			var own *operator.Error
+			var own *script.Error
 			switch {
 			case errors.As(err, &own): // the line begins with the file, as compilers have it
 				fmt.Fprintln(log, own)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,12 +27,20 @@
 // call of Dispatcher.Members, not before it returns.
 type Watcher interface{ Watch() }
 
+// Router says, for each message, which pool of hosts may run it, or that it is to
+// be turned away at once.
+type Router interface {
+	Route(class int) (pool int, drop bool)
+}
+
 // Dispatcher drives one Balancer.
 type Dispatcher struct {
 	loop     *loop.Loop
 	balancer *yardwharf.Balancer
 	south    South
 	watcher  Watcher
+	router   Router // nil: every message may go to any host
+	after    time.Duration
 	messages map[yardwharf.RequestID]*Message
 	last     yardwharf.RequestID
 	endBy    time.Duration // messages taken now end by then; 0 while there is no end
@@ -42,7 +50,7 @@
 
 // New returns a Dispatcher. What it relays through and learns hosts from is set by Connect.
 func New(l *loop.Loop, s yardwharf.Settings, seed uint64) (*Dispatcher, error) {
-	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}}
+	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}, after: s.MaxRetryAfter}
 	var err error
 	if d.balancer, err = yardwharf.New(s, seed, actions{d}); err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
@@ -53,6 +61,9 @@
 // Connect sets what the dispatcher acts through; it comes before the first event.
 func (d *Dispatcher) Connect(south South, watcher Watcher) { d.south, d.watcher = south, watcher }
 
+// SetRouter sets what routes messages that are taken from now on.
+func (d *Dispatcher) SetRouter(r Router) { d.router = r }
+
 // Open is the number of messages that are not yet forgotten.
 func (d *Dispatcher) Open() int { return len(d.messages) }
 
@@ -76,6 +87,13 @@
 	*m = Message{Payload: p, Deadline: in.Deadline, d: d, id: in.ID, client: c,
 		relays: m.relays[:0], spare: append(m.spare, m.relays...)}
 	d.messages[m.id] = m
+	if d.router != nil {
+		var drop bool
+		if in.Pool, drop = d.router.Route(in.Class); drop {
+			actions{d}.Refuse(m.id, d.after)
+			return m
+		}
+	}
 	d.balancer.Request(d.loop.Now(), in)
 	return m
 }
--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -87,7 +87,8 @@
 type View struct {
 	Name  string
 	Gone  bool
-	Loads []Load // in the order of priorities; none where no host may be sent to
+	Size  float64 // weights of the hosts that get work, added up
+	Loads []Load  // in the order of priorities; none where no host may be sent to
 	Drops []Drop
 }
 
@@ -120,6 +121,9 @@
 		if l.total == 0 || good <= 0 {
 			continue
 		}
+		if v.Size += l.healthyW; c.degraded {
+			v.Size += l.degradeW
+		}
 		part := min(left, min(1, over/100*good/total))
 		if part <= 0 {
 			continue
@@ -136,5 +140,5 @@
 
 // same says whether two views say the same.
 func (v View) same(o View) bool {
-	return v.Gone == o.Gone && slices.Equal(v.Loads, o.Loads) && slices.Equal(v.Drops, o.Drops)
+	return v.Gone == o.Gone && v.Size == o.Size && slices.Equal(v.Loads, o.Loads) && slices.Equal(v.Drops, o.Drops)
 }
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -74,15 +74,19 @@
 	accepted []Mark
 }
 
-// New returns a Fleet without hosts.
-func New(c Config) *Fleet {
+func (c Config) withDefaults() Config {
 	if c.InitialFetch <= 0 {
 		c.InitialFetch = defaultInitialFetch
 	}
 	if c.MostHosts <= 0 {
 		c.MostHosts = defaultMostHosts
 	}
-	return &Fleet{c: c, hosts: newHosts(c.Zones, c.Kinds), base: &cluster{roster: true}, clusters: map[string]*cluster{},
+	return c
+}
+
+// New returns a Fleet without hosts.
+func New(c Config) *Fleet {
+	return &Fleet{c: c.withDefaults(), hosts: newHosts(c.Zones, c.Kinds), base: &cluster{roster: true}, clusters: map[string]*cluster{},
 		sources: map[string][]*cluster{}, assigned: map[string]*Assignment{}, guards: map[string]*guard{},
 		waiting: map[string]*cluster{}, asides: map[string]*guard{}, views: map[string]View{}}
 }
@@ -93,6 +97,14 @@
 // Listed says whether the source's first whole list counts.
 func (f *Fleet) Listed() bool { return f.listed }
 
+// Version is that of the endpoints last accepted under a name; empty where none are.
+func (f *Fleet) Version(source string) string {
+	if a := f.assigned[source]; a != nil {
+		return a.Version
+	}
+	return ""
+}
+
 // List takes the platform's roster: a whole list, or changed entries and the names
 // of removed ones. It is taken as it comes: the platform's protocol counts versions
 // itself, and says of each host that it goes.
@@ -114,10 +126,8 @@
 // are serve on until its first list counts, and nothing of the old source's
 // versions holds.
 func (f *Fleet) Restart(now time.Duration, c Config) {
-	f.c.AllowEmpty, f.c.StaleHold = c.AllowEmpty, c.StaleHold
-	if f.c.InitialFetch = c.InitialFetch; f.c.InitialFetch <= 0 {
-		f.c.InitialFetch = defaultInitialFetch
-	}
+	c.Zones, c.Kinds = f.c.Zones, f.c.Kinds
+	f.c = c.withDefaults()
 	f.listed, f.clusterd = false, false
 	f.Lost(now)
 	f.guards, f.assigned = map[string]*guard{}, map[string]*Assignment{}
--- a/internal/membership/transcript_test.go
+++ b/internal/membership/transcript_test.go
@@ -155,7 +155,7 @@
 			fmt.Fprintf(&b, "  cluster %s is gone\n", v.Name)
 			continue
 		}
-		fmt.Fprintf(&b, "  cluster %s:", v.Name)
+		fmt.Fprintf(&b, "  cluster %s, size %v:", v.Name, v.Size)
 		if len(v.Loads) == 0 {
 			b.WriteString(" no host")
 		}
