--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -121,13 +121,13 @@
 func (c *Client) stream(ctx context.Context, server string) (answered bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	creds, err := credentials(c.c.TLS)
+	creds, err := transport(c.c.TLS)
 	if err != nil {
 		return false, err
 	}
 	conn, err := grpc.NewClient("passthrough:///"+server, grpc.WithTransportCredentials(creds), grpc.WithUserAgent(agent),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(c.c.MaxMessageMB<<20)),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: min(c.c.Silence, connectMost)}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: backoffFirst, Multiplier: 1, MaxDelay: backoffFirst}, MinConnectTimeout: min(c.c.Silence, connectMost)}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: c.c.Silence / 2, Timeout: c.c.Silence / 2}))
 	if err != nil {
 		return false, err
--- a/internal/xds/tls.go
+++ b/internal/xds/tls.go
@@ -12,10 +12,10 @@
 	"yardwharf/internal/xdslink"
 )
 
-// credentials reads the keys for one connection; nil is plain text. They are read
+// transport reads the keys for one connection; nil is plain text. They are read
 // for each attempt, and the certificate again at each handshake, so that files that
 // change count without a restart.
-func credentials(t *xdslink.TLS) (grpccreds.TransportCredentials, error) {
+func transport(t *xdslink.TLS) (grpccreds.TransportCredentials, error) {
 	if t == nil {
 		return insecure.NewCredentials(), nil
 	}
