--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -139,7 +139,7 @@
 func (o Options) logger(name string) zerolog.Logger {
 	w := o.Log
 	if o.Console {
-		w = zerolog.ConsoleWriter{Out: o.Log, TimeFormat: "15:04:05.000", NoColor: !terminal(o.Log)}
+		w = zerolog.ConsoleWriter{Out: o.Log, TimeFormat: "15:04:05", NoColor: !terminal(o.Log)}
 	}
 	return zerolog.New(w).Level(o.Level).With().Timestamp().Str("dispatcher", name).Logger()
 }
--- a/internal/script/args.go
+++ b/internal/script/args.go
@@ -185,6 +185,23 @@
 	return d
 }
 
+// List is a list of anything; none where it is left out.
+func (a *Args) List(key string) (out []starlark.Value) {
+	v := a.Value(key)
+	if v == nil {
+		return nil
+	}
+	list, ok := v.(starlark.Iterable)
+	if !ok {
+		a.Fault(key, "is "+v.Type(), "a list")
+		return nil
+	}
+	for e := range starlark.Elements(list) {
+		out = append(out, e)
+	}
+	return out
+}
+
 // Strs is a list of strings that are not empty; none is told twice.
 func (a *Args) Strs(key string) []string {
 	v := a.Value(key)
--- a/internal/xdslink/source.go
+++ b/internal/xdslink/source.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"syscall"
 	"time"
 
 	"yardwharf/internal/loop"
@@ -100,6 +101,7 @@
 func (s *Source) run() error {
 	cmd := exec.Command(s.command[0], s.command[1:]...)
 	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is for the dispatcher, which answers first
 	in, err := cmd.StdinPipe()
 	if err != nil {
 		return fmt.Errorf("xds helper: %w", err)
