--- a/internal/app/xds.go
+++ b/internal/app/xds.go
@@ -89,8 +89,8 @@
 	switch {
 	case m.Update != nil:
 		err := p.fleet.Update(p.loop.Now(), m.Update)
-		v := xdslink.Verdict{N: m.N}
-		if err != nil {
+		v := xdslink.Verdict{N: m.N, Again: errors.Is(err, membership.ErrBase)}
+		if err != nil && !v.Again {
 			v.Reason, v.Old = err.Error(), errors.Is(err, membership.ErrOld)
 			if !v.Old {
 				p.log.Warn().Err(err).Msg("xds update refused")
--- a/internal/app/xds_test.go
+++ b/internal/app/xds_test.go
@@ -307,7 +307,7 @@
 			}
 		}
 		if mode == "delta" { // an answer to what a new stream was told does not count
-			s.until("version "+v+" is held", func() bool { return s.p.fleet.Version("a") == v })
+			s.until("version "+v+" is held", func() bool { return s.p.fleet.Held("a") != nil && s.p.fleet.Held("a").Version == v })
 		}
 		mu.Lock()
 		book()
--- a/internal/membership/clock.go
+++ b/internal/membership/clock.go
@@ -66,7 +66,7 @@
 		return
 	}
 	f.note(true, "update counts after all", name, "version %s has stood for %v", printable(version), f.c.StaleHold)
-	f.accepted = append(f.accepted, Mark{u.OfClusters, name, version})
+	f.accepted = append(f.accepted, Mark{OfClusters: u.OfClusters, Name: name, Version: version})
 }
 
 // name is the resource of an update that was put aside, and its version.
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -44,9 +44,10 @@
 
 // Mark names a version of a resource.
 type Mark struct {
-	OfClusters bool
-	Name       string // "" where it is a whole list of clusters
-	Version    string
+	OfClusters bool   `json:"of_clusters,omitempty"`
+	Name       string `json:"name,omitempty"` // "" where it is a whole list of clusters
+	Version    string `json:"version,omitempty"`
+	Sum        uint64 `json:"sum,omitempty"` // of its content, where that matters
 }
 
 // Fleet is the fleet as far as it is known. Its zero time is the Unix epoch.
@@ -97,13 +98,9 @@
 // Listed says whether the source's first whole list counts.
 func (f *Fleet) Listed() bool { return f.listed }
 
-// Version is that of the endpoints last accepted under a name; empty where none are.
-func (f *Fleet) Version(source string) string {
-	if a := f.assigned[source]; a != nil {
-		return a.Version
-	}
-	return ""
-}
+// Held is the endpoints last accepted under a name; nil where there are none. It
+// must not be changed.
+func (f *Fleet) Held(source string) *Assignment { return f.assigned[source] }
 
 // List takes the platform's roster: a whole list, or changed entries and the names
 // of removed ones. It is taken as it comes: the platform's protocol counts versions
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -251,3 +251,29 @@
 		t.Errorf("%d hosts are remembered, %d forgotten", n, forgotten)
 	}
 }
+
+// Differences, sent and taken back, are the whole; without their base they are
+// asked for again.
+func TestDifferences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Config{AllowEmpty: true})
+		f.Update(1, &Update{OfClusters: true, Whole: true, Clusters: []Cluster{{Name: "a", Source: "a"}}})
+		base := Assignment{Name: "a", Version: "1", Sum: 1, Endpoints: drawEndpoints(t)}
+		next := Assignment{Name: "a", Version: "2", Sum: 2, Endpoints: drawEndpoints(t)}
+		told := next.Since(&base)
+		if told.Base != nil && len(told.Endpoints)+len(told.Gone) > len(next.Endpoints)/2 {
+			t.Fatal("the differences are longer than the whole")
+		}
+		if err := f.Update(1, &Update{Assignments: []Assignment{told}}); told.Base != nil && !errors.Is(err, ErrBase) {
+			t.Fatalf("differences from nothing: %v", err)
+		}
+		f.Update(1, &Update{Assignments: []Assignment{base}})
+		told = next.Since(&base)
+		if err := f.Update(1, &Update{Assignments: []Assignment{told}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := f.Held("a").Endpoints; !slices.Equal(got, next.Endpoints) {
+			t.Fatalf("%v and then %v gave %v", base.Endpoints, next.Endpoints, got)
+		}
+	})
+}
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -11,6 +11,10 @@
 // ErrOld says that an update looks older than what is held and was put aside.
 var ErrOld = errors.New("older than what is held")
 
+// ErrBase says that an update tells differences from endpoints that are not held:
+// they are wanted whole.
+var ErrBase = errors.New("tells differences from endpoints that are not held")
+
 // Update takes a delivery of clusters or endpoints, whole or not at all. The error
 // says why it is refused; with ErrOld it is put aside and may count later, see
 // Change.Accepted. Resources that have been accepted before may come again.
@@ -298,6 +302,11 @@
 	t := f.begin()
 	for i := range u.Assignments {
 		a := &u.Assignments[i]
+		if a.Base != nil {
+			if err := f.expand(a); err != nil {
+				return err
+			}
+		}
 		users := f.users(a.Name)
 		if len(users) == 0 {
 			f.note(false, "endpoints passed over", a.Name, "no cluster names them")
@@ -351,6 +360,59 @@
 	return aside
 }
 
+// expand makes differences whole.
+func (f *Fleet) expand(a *Assignment) error {
+	base := f.assigned[a.Name]
+	if base == nil || base.Version != a.Base.Version || base.Sum != a.Base.Sum {
+		return fmt.Errorf("endpoints of %q: %w", a.Name, ErrBase)
+	}
+	whole := make([]Endpoint, 0, len(base.Endpoints)+len(a.Endpoints))
+	changed, gone := a.Endpoints, a.Gone
+	for _, e := range base.Endpoints {
+		for len(changed) > 0 && changed[0].Name < e.Name {
+			whole, changed = append(whole, changed[0]), changed[1:]
+		}
+		for len(gone) > 0 && gone[0] < e.Name {
+			gone = gone[1:]
+		}
+		switch {
+		case len(changed) > 0 && changed[0].Name == e.Name:
+			whole, changed = append(whole, changed[0]), changed[1:]
+		case len(gone) > 0 && gone[0] == e.Name:
+			gone = gone[1:]
+		default:
+			whole = append(whole, e)
+		}
+	}
+	a.Endpoints, a.Base, a.Gone = append(whole, changed...), nil, nil
+	return nil
+}
+
+// Since gives an assignment as its differences from another one, where that is
+// shorter; both are whole. It is what expand takes back.
+func (a *Assignment) Since(base *Assignment) Assignment {
+	out := *a
+	out.Base, out.Endpoints = &Mark{Version: base.Version, Sum: base.Sum}, nil
+	have, next := base.Endpoints, a.Endpoints
+	for len(have) > 0 || len(next) > 0 {
+		switch {
+		case len(next) == 0 || len(have) > 0 && have[0].Name < next[0].Name:
+			out.Gone, have = append(out.Gone, have[0].Name), have[1:]
+		case len(have) == 0 || next[0].Name < have[0].Name:
+			out.Endpoints, next = append(out.Endpoints, next[0]), next[1:]
+		default:
+			if have[0] != next[0] {
+				out.Endpoints = append(out.Endpoints, next[0])
+			}
+			have, next = have[1:], next[1:]
+		}
+		if len(out.Gone)+len(out.Endpoints) > len(a.Endpoints)/2 {
+			return *a
+		}
+	}
+	return out
+}
+
 func namesOf(list []*Assignment) (names []string) {
 	for _, a := range list {
 		names = append(names, fmt.Sprintf("%q", a.Name))
--- a/internal/membership/values.go
+++ b/internal/membership/values.go
@@ -72,6 +72,12 @@
 	Overprovision uint32        `json:"over,omitempty"`        // percent; 0 is Envoy's default of 140
 	ByWeight      bool          `json:"by_weight,omitempty"`   // priorities' health by weight, not by count
 	StaleAfter    time.Duration `json:"stale_after,omitempty"` // 0: never
+
+	// With Base, Endpoints are only those that differ from what was accepted last,
+	// which is that version, and Gone the names of those that it lacks. Guards a
+	// dispatcher against reading a whole large cluster for each changed endpoint.
+	Base *Mark    `json:"base,omitempty"`
+	Gone []string `json:"gone,omitempty"`
 }
 
 // Cluster is a named group of endpoints, after config.cluster.v3.Cluster.
--- a/internal/standin/mgmt/server.go
+++ b/internal/standin/mgmt/server.go
@@ -46,6 +46,7 @@
 	address string
 	creds   credentials.TransportCredentials
 	grpc    *grpc.Server
+	served  chan struct{}
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -84,11 +85,15 @@
 	if s.creds != nil {
 		options = append(options, grpc.Creds(s.creds))
 	}
+	g, served := grpc.NewServer(options...), make(chan struct{})
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(g, s)
 	s.mu.Lock()
-	s.address, s.grpc = l.Addr().String(), grpc.NewServer(options...)
+	s.address, s.grpc, s.served = l.Addr().String(), g, served
 	s.mu.Unlock()
-	discoveryv3.RegisterAggregatedDiscoveryServiceServer(s.grpc, s)
-	go s.grpc.Serve(l)
+	go func() {
+		defer close(served)
+		g.Serve(l)
+	}()
 	return nil
 }
 
@@ -102,10 +107,11 @@
 // Stop closes the door and all connections.
 func (s *Server) Stop() {
 	s.mu.Lock()
-	g := s.grpc
+	g, served := s.grpc, s.served
 	s.mu.Unlock()
 	if g != nil {
 		g.Stop()
+		<-served // the address is free then
 	}
 }
 
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -61,6 +61,11 @@
 	c.calls <- func(core *Core) { core.Verdict(n, reason, old) }
 }
 
+// Again asks for a delivery whole, see Core.Again.
+func (c *Client) Again(n uint64) {
+	c.calls <- func(core *Core) { core.Again(n) }
+}
+
 // Accepted says that an update that was refused as old counts after all.
 func (c *Client) Accepted(m membership.Mark) {
 	c.calls <- func(core *Core) { core.Accepted(m) }
--- a/internal/xds/core.go
+++ b/internal/xds/core.go
@@ -64,7 +64,8 @@
 	clusters []string // asked for; none is all
 	open     bool
 	types    map[string]*typeState
-	sources  map[string]string // the EDS resource of each accepted cluster
+	sources  map[string]string                 // the EDS resource of each accepted cluster
+	held     map[string]*membership.Assignment // accepted endpoints, by EDS resource
 	waiting  []Response
 	out      *pending
 	n        uint64
@@ -85,12 +86,13 @@
 // pending is a response whose update is being judged.
 type pending struct {
 	Delivery
-	r Response
+	whole *membership.Update
+	r     Response
 }
 
 // NewCore returns a Core that asks for these clusters; none is all that there are.
 func NewCore(delta bool, clusters []string) *Core {
-	c := &Core{delta: delta, clusters: slices.Sorted(slices.Values(clusters)), sources: map[string]string{},
+	c := &Core{delta: delta, clusters: slices.Sorted(slices.Values(clusters)), sources: map[string]string{}, held: map[string]*membership.Assignment{},
 		aside: map[membership.Mark]*membership.Update{}}
 	c.types = map[string]*typeState{ClusterType: {versions: map[string]string{}}, AssignmentType: {versions: map[string]string{}}}
 	return c
@@ -194,9 +196,35 @@
 			c.refuse(&r, err.Error())
 			continue
 		}
-		c.n++
-		c.out = &pending{Delivery{c.n, u}, r}
-		c.ready.Deliver = &c.out.Delivery
+		c.deliver(u, c.differences(u), r)
+	}
+}
+
+func (c *Core) deliver(whole, told *membership.Update, r Response) {
+	c.n++
+	c.out = &pending{Delivery{c.n, told}, whole, r}
+	c.ready.Deliver = &c.out.Delivery
+}
+
+// differences tells endpoints by what differs from those that were accepted last.
+func (c *Core) differences(u *membership.Update) *membership.Update {
+	out := *u
+	out.Assignments = nil
+	for i := range u.Assignments {
+		a := u.Assignments[i]
+		if base := c.held[a.Name]; base != nil {
+			a = a.Since(base)
+		}
+		out.Assignments = append(out.Assignments, a)
+	}
+	return &out
+}
+
+// Again says that the delivery that is out is wanted whole: the differences in it
+// are from something that is not held there.
+func (c *Core) Again(n uint64) {
+	if c.out != nil && c.out.N == n {
+		c.deliver(c.out.whole, c.out.whole, c.out.r)
 	}
 }
 
@@ -247,11 +275,11 @@
 	c.out = nil
 	if reason != "" {
 		if old {
-			c.keepAside(p.Update)
+			c.keepAside(p.whole)
 		}
 		c.refuse(&p.r, reason)
 	} else {
-		c.accept(p.Update, &p.r)
+		c.accept(p.whole, &p.r)
 	}
 	c.next()
 }
@@ -284,13 +312,24 @@
 		c.sources[cl.Name] = cl.Source
 		t.versions[cl.Name] = cl.Version
 	}
-	for _, a := range u.Assignments {
-		t.versions[a.Name] = a.Version
+	for i := range u.Assignments {
+		t.versions[u.Assignments[i].Name] = u.Assignments[i].Version
+		c.held[u.Assignments[i].Name] = &u.Assignments[i]
 	}
 	for _, name := range u.Removed {
 		delete(t.versions, name)
 		if u.OfClusters {
 			delete(c.sources, name)
+		} else {
+			delete(c.held, name)
+		}
+	}
+	if u.OfClusters {
+		wanted := c.wanted()
+		for name := range c.held {
+			if _, still := slices.BinarySearch(wanted, name); !still {
+				delete(c.held, name)
+			}
 		}
 	}
 }
@@ -331,7 +370,7 @@
 	}
 	for _, a := range u.Assignments {
 		c.aside[membership.Mark{Name: a.Name, Version: a.Version}] =
-			&membership.Update{Version: u.Version, Assignments: []membership.Assignment{{Name: a.Name, Version: a.Version}}}
+			&membership.Update{Version: u.Version, Assignments: []membership.Assignment{a}}
 	}
 }
 
--- a/internal/xds/core_test.go
+++ b/internal/xds/core_test.go
@@ -107,7 +107,11 @@
 			fmt.Fprintf(&b, " %s from %q", cl.Name, cl.Source)
 		}
 		for _, a := range u.Assignments {
-			fmt.Fprintf(&b, " %s with %d hosts", a.Name, len(a.Endpoints))
+			if a.Base != nil {
+				fmt.Fprintf(&b, " %s with %d hosts changed and %d gone since %s", a.Name, len(a.Endpoints), len(a.Gone), a.Base.Version)
+			} else {
+				fmt.Fprintf(&b, " %s with %d hosts", a.Name, len(a.Endpoints))
+			}
 		}
 		if len(u.Removed) > 0 {
 			fmt.Fprintf(&b, " without %v", u.Removed)
@@ -151,6 +155,8 @@
 					c.Verdict(n, "not so", false)
 				case "old":
 					c.Verdict(n, "older than what is held", true)
+				case "again":
+					c.Again(n)
 				case "late": // on a delivery of a stream that has ended
 					c.Verdict(n, "", false)
 				}
--- a/internal/xdshelper/helper.go
+++ b/internal/xdshelper/helper.go
@@ -43,6 +43,8 @@
 			return fmt.Errorf("reading what the dispatcher says: %w", err)
 		}
 		switch {
+		case m.Verdict != nil && m.Verdict.Again:
+			client.Again(m.Verdict.N)
 		case m.Verdict != nil:
 			client.Verdict(m.Verdict.N, m.Verdict.Reason, m.Verdict.Old)
 		case m.Accepted != nil:
--- a/internal/xdslink/link.go
+++ b/internal/xdslink/link.go
@@ -60,6 +60,7 @@
 	N      uint64 `json:"n"`
 	Reason string `json:"reason,omitempty"` // why it is refused; empty: it is accepted
 	Old    bool   `json:"old,omitempty"`    // refused as old: it may count later
+	Again  bool   `json:"again,omitempty"`  // neither: it is wanted whole
 }
 
 // FromHelper is a line from the helper; one of the fields is set, N with Update.
--- a/internal/yardlab/bench.go
+++ b/internal/yardlab/bench.go
@@ -39,9 +39,8 @@
 	first          time.Duration
 	p50, p99, most time.Duration
 	changes        int
-	cpu, helperCPU float64       // seconds for each second of changes
+	cpu, helperCPU time.Duration // a change
 	rss, helperRSS int           // kB at the end
-	perChange      time.Duration // CPU of both programs
 }
 
 func benchCommand(out io.Writer) *cobra.Command {
@@ -58,8 +57,8 @@
 					return usageError{fmt.Errorf("--hosts: %d is not from 1 to 100000", n)}
 				}
 			}
-			fmt.Fprintf(out, "%-6s %7s %10s %9s %9s %9s %8s %10s %10s %9s %9s\n", "mode", "hosts", "first list", "p50", "p99", "most",
-				"changes", "CPU/change", "CPU", "RSS", "helper")
+			fmt.Fprintf(out, "%-6s %7s %10s %9s %9s %9s %8s %9s %9s %9s %9s\n", "mode", "hosts", "first list", "p50", "p99", "most",
+				"changes", "CPU", "helper", "RSS", "helper")
 			for _, b.delta = range []bool{true, false} {
 				var all []figures
 				for _, b.hosts = range sizes {
@@ -69,12 +68,12 @@
 					}
 					all = append(all, f)
 					mode := map[bool]string{true: "delta", false: "sotw"}[b.delta]
-					fmt.Fprintf(out, "%-6s %7d %10v %9v %9v %9v %8d %10v %9.1f%% %6.1f MB %6.1f MB\n", mode, b.hosts, round(f.first), round(f.p50),
-						round(f.p99), round(f.most), f.changes, round(f.perChange), 100*(f.cpu+f.helperCPU), float64(f.rss)/1024, float64(f.helperRSS)/1024)
+					fmt.Fprintf(out, "%-6s %7d %10v %9v %9v %9v %8d %9v %9v %6.1f MB %6.1f MB\n", mode, b.hosts, round(f.first), round(f.p50),
+						round(f.p99), round(f.most), f.changes, round(f.cpu), round(f.helperCPU), float64(f.rss)/1024, float64(f.helperRSS)/1024)
 				}
 				first, last := all[0], all[len(all)-1]
 				fmt.Fprintf(out, "       the largest against the smallest: p50 %.2f times, CPU a change %.2f times\n",
-					float64(last.p50)/float64(first.p50), float64(last.perChange)/float64(first.perChange))
+					float64(last.p50)/float64(first.p50), float64(last.cpu+last.helperCPU)/float64(first.cpu+first.helperCPU))
 			}
 			return nil
 		}}
@@ -172,12 +171,13 @@
 			return f, err
 		}
 	}
-	took := time.Since(start).Seconds()
 	f.changes = int(h.TotalCount())
 	f.p50, f.p99, f.most = time.Duration(h.ValueAtQuantile(50)), time.Duration(h.ValueAtQuantile(99)), time.Duration(h.Max())
 	own, other := cpu(cmd.Process.Pid)-before, cpu(helper)-helperBefore
-	f.cpu, f.helperCPU = own/took, other/took
-	f.perChange = time.Duration((own + other) / float64(f.changes) * float64(time.Second))
+	each := func(seconds float64) time.Duration {
+		return time.Duration(seconds / float64(f.changes) * float64(time.Second))
+	}
+	f.cpu, f.helperCPU = each(own), each(other)
 	f.rss, f.helperRSS = rss(cmd.Process.Pid), rss(helper)
 	return f, nil
 }
--- a/internal/yardlab/dump.go
+++ b/internal/yardlab/dump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -87,7 +88,6 @@
 	client   *xds.Client
 	whole    chan struct{}
 	specs    map[string]membership.Cluster
-	lists    map[string]membership.Assignment
 	ended    bool
 }
 
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	d := &Dump{fleet: membership.New(membership.Config{AllowEmpty: true, InitialFetch: wait}), whole: make(chan struct{}),
-		specs: map[string]membership.Cluster{}, lists: map[string]membership.Assignment{}}
+		specs: map[string]membership.Cluster{}}
 	d.client = xds.NewClient(c, 0, d)
 	ended := make(chan struct{})
 	go func() { defer close(ended); d.client.Run(ctx) }()
@@ -150,16 +150,18 @@
 // Deliver takes an update as a dispatcher would.
 func (d *Dump) Deliver(n uint64, u *membership.Update) {
 	reason := ""
-	if err := d.fleet.Update(time.Duration(time.Now().UnixNano()), u); err != nil {
+	err := d.fleet.Update(time.Duration(time.Now().UnixNano()), u)
+	if errors.Is(err, membership.ErrBase) {
+		d.client.Again(n)
+		return
+	}
+	if err != nil {
 		reason = err.Error()
 		d.Faults = append(d.Faults, reason)
 	} else {
 		for _, c := range u.Clusters {
 			d.specs[c.Name] = c
 		}
-		for _, a := range u.Assignments {
-			d.lists[a.Name] = a
-		}
 		for _, name := range u.Removed {
 			if u.OfClusters {
 				delete(d.specs, name)
@@ -185,9 +187,13 @@
 	}
 	for _, name := range sortedKeys(d.specs) {
 		c := d.specs[name]
-		list, there := d.lists[c.Source]
+		list := d.fleet.Held(c.Source)
 		if c.Inline != nil {
-			list, there = *c.Inline, true
+			list = c.Inline
+		}
+		there := list != nil
+		if !there {
+			list = &membership.Assignment{}
 		}
 		out := DumpCluster{Name: name, Version: c.Version, Source: c.Source, Arrived: there, Size: views[name].Size}
 		for _, l := range views[name].Loads {
