Test the module's pools, weights and forgetting of workers that are gone

Need: routes rest on the module's splits by pool, which only the program's test reached.

Change: tests of pools through retries and moves, of shares under new weights, of the bound on remembered workers; a benchmark of one changed worker.

--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,142 @@
+package yardwharf
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// ask sends one request to a pool and returns the worker that got it; 0 for none.
+func (f *fake) ask(id RequestID, pool int) WorkerID {
+	f.b.Request(f.now, Request{ID: id, Deadline: f.now + 5*time.Second, Pool: pool})
+	if n := len(f.sends); n > 0 && f.sends[n-1].id == id {
+		return f.sends[n-1].worker
+	}
+	return 0
+}
+
+// done ends the last relay well.
+func (f *fake) done() { f.end(f.last(), OK) }
+
+// A request stays in its pool, through retries, while workers move between pools;
+// a pool without workers sends nothing and refuses.
+func TestPools(t *testing.T) {
+	f := start(t, settings(Class{Effect: Safe}), 6)
+	list := members(6)
+	in := func(pools ...[]int) {
+		for i := range list {
+			list[i].Pools = pools[i]
+		}
+		f.b.Members(f.now, ListDelta, list)
+	}
+	in([]int{1}, []int{1}, []int{1, 2}, []int{2}, nil, nil)
+	next := RequestID(100)
+	seen := func(pool int) (ids []WorkerID) {
+		for range 200 {
+			next++
+			w := f.ask(next, pool)
+			f.done()
+			if !slices.Contains(ids, w) {
+				ids = append(ids, w)
+			}
+			f.now += 10 * ms
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	for pool, want := range map[int][]WorkerID{0: {1, 2, 3, 4, 5, 6}, 1: {1, 2, 3}, 2: {3, 4}} {
+		if got := seen(pool); !slices.Equal(got, want) {
+			t.Errorf("pool %d is drawn from %v, want %v", pool, got, want)
+		}
+	}
+	in([]int{2}, []int{1}, nil, nil, nil, []int{1})
+	for pool, want := range map[int][]WorkerID{1: {2, 6}, 2: {1}} {
+		if got := seen(pool); !slices.Equal(got, want) {
+			t.Errorf("then pool %d is drawn from %v, want %v", pool, got, want)
+		}
+	}
+	// A retry goes to the other worker of the pool, and to no third.
+	next++
+	first := f.ask(next, 1)
+	f.end(f.last(), Full)
+	if second := f.last().worker; second == first || second != 2 && second != 6 {
+		t.Errorf("tried on %d, then on %d", first, second)
+	}
+	// Drained there is drained everywhere.
+	list[0].State = Draining
+	f.b.Members(f.now, ListDelta, list[:1])
+	next++
+	if w := f.ask(next, 2); w != 0 {
+		t.Errorf("sent to %d, and no worker of the pool is ready", w)
+	}
+	f.wait(time.Second)
+	if f.answers[next] != "refuse" {
+		t.Errorf("a request without a worker is answered %q", f.answers[next])
+	}
+}
+
+// A new weight moves a worker's share in proportion, at once.
+func TestWeights(t *testing.T) {
+	s := settings(Class{Effect: Safe})
+	s.Hint = HintSize
+	f := start(t, s, 4)
+	share := func(id WorkerID) float64 {
+		for _, m := range f.b.splits[0].m {
+			if m.w.id == id {
+				return m.x
+			}
+		}
+		return 0
+	}
+	list := members(4)
+	for i := range list {
+		list[i].CapacityHint = 1
+	}
+	f.b.Members(f.now, ListDelta, list)
+	list[0].CapacityHint = 5
+	f.b.Members(f.now, ListDelta, list[:1])
+	if x := share(1); math.Abs(x-5.0/8) > 1e-9 {
+		t.Errorf("the share is %v, want 5/8", x)
+	}
+	f.b.Members(f.now, ListDelta, []Member{{ID: 9, State: Ready, CapacityHint: 8}})
+	if x := share(9); math.Abs(x-0.5) > 1e-9 {
+		t.Errorf("a newcomer as heavy as all others has %v, want 1/2", x)
+	}
+}
+
+// Workers whose ids never come again are forgotten, but not while they run jobs.
+func TestForgetsTheGone(t *testing.T) {
+	f := start(t, settings(Class{Effect: Safe}), 1)
+	f.ask(1, 0)
+	f.b.Members(f.now, ListDelta, []Member{{ID: 1, State: Gone}})
+	for id := WorkerID(10); id < 1000; id++ {
+		f.b.Members(f.now, ListDelta, []Member{{ID: id, State: Ready}})
+		f.b.Members(f.now, ListDelta, []Member{{ID: id, State: Gone}})
+	}
+	if n := len(f.b.workers); n > 3*goneMost || len(f.b.byID) != n {
+		t.Errorf("%d workers are remembered", n)
+	}
+	if f.b.byID[1] == nil {
+		t.Error("a worker was forgotten while it ran a job")
+	}
+	f.done()
+}
+
+// What a change costs by the size of the list: a new weight rescales all shares.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range []int{100, 10_000} {
+		b.Run(map[int]string{100: "100 workers", 10_000: "10000 workers"}[n], func(b *testing.B) {
+			f := &fake{now: time.Second, answers: map[RequestID]string{}}
+			s := settings(Class{Effect: Safe})
+			s.Hint = HintSize
+			f.b, _ = New(s, 1, f)
+			f.b.Members(f.now, ListCached, members(n))
+			m := members(n)[n/2 : n/2+1]
+			for i := 0; b.Loop(); i++ {
+				m[0].CapacityHint = float64(1 + i%7)
+				f.b.Members(f.now, ListDelta, m)
+			}
+		})
+	}
+}
