Give a cold host that is alone a least budget, and take a host that comes back for cold

Seen: a class routed to one new host over xDS was refused for the whole warm-up time: the cold budget is a part of the rate of completions, and where nothing is completed there is none. Hosts that came back under their old address without since_ms counted as warm. rapid with changes of clusters found that a cluster that goes while it is warming counted as one that is waited for, and kept a removed cluster's hosts serving.

Change: the cold budget is one job in the time of an overload at least, over all dispatchers together; what is listed again is taken for just started; the fleet's reference test changes clusters, too.

--- a/balancer.go
+++ b/balancer.go
@@ -42,6 +42,7 @@
 	redraws      = 12               // draws before a worker without room is taken, or none
 
 	coldPart     = 0.5                    // of the cold budget that is spent; the rest is for skew and chance
+	coldLeast    = 1                      // jobs in an overload's time: least budget, over all dispatchers
 	fullPause    = 50 * time.Millisecond  // how long a full worker is not drawn; doubles
 	fullMost     = 5                      // times at most
 	strikePause  = time.Second            // the same after a silent end; doubles
@@ -402,6 +403,7 @@
 		return true
 	}
 	part := coldPart * b.s.OverloadFactor * b.s.StartCapacity * b.rate / float64(max(1, len(b.splits[0].m)))
+	part = max(part, coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers))
 	depth := max(1, part*b.s.OverloadFor.Seconds())
 	w.tokens = min(depth, w.tokens+part*(b.now-w.refilled).Seconds())
 	w.refilled = b.now
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -140,3 +140,22 @@
 		})
 	}
 }
+
+// A cold worker that is alone gets work at a pace that pushes nothing over, though
+// nothing has been completed yet that the pace could be taken from.
+func TestColdAlone(t *testing.T) {
+	s := settings(Class{Effect: Safe})
+	f := start(t, s, 0)
+	f.b.Members(f.now, ListDelta, []Member{{ID: 1, State: Ready, Started: f.now}})
+	served := 0
+	for id := RequestID(1); f.now < 5*time.Second; id++ {
+		f.ask(id, 0)
+		f.wait(50 * ms)
+		for ; served < len(f.sends); served++ {
+			f.end(f.sends[served], OK)
+		}
+	}
+	if most := 5 * time.Second.Seconds() / s.OverloadFor.Seconds() * 4; served == 0 || float64(served) > most {
+		t.Errorf("%d jobs were sent, want 1 to %v", served, most)
+	}
+}
--- a/internal/app/xds_test.go
+++ b/internal/app/xds_test.go
@@ -147,7 +147,8 @@
 	_, port, _ := net.SplitHostPort(address)
 	var n uint32
 	fmt.Sscan(port, &n)
-	return mgmt.Endpoint{Name: s.senders[i].Name, Address: "127.0.0.1", Port: n, Health: health, Zone: "here", Type: "toy", Weight: 1}
+	return mgmt.Endpoint{Name: s.senders[i].Name, Address: "127.0.0.1", Port: n, Health: health, Zone: "here", Type: "toy", Weight: 1,
+		SinceMS: 1} // none is cold
 }
 
 // put lays out the endpoints of a cluster at the next version.
@@ -276,7 +277,8 @@
 			}
 		})
 	}
-	stale := 0
+	stale, told := 0, make([]time.Time, hosts) // when each host was last ruled out; zero while it is not
+	var latest time.Duration
 	for u := range updates {
 		before := lay()
 		switch rng.IntN(8) {
@@ -299,6 +301,7 @@
 				list[c] = append(list[c], s.endpoint(i, health))
 			}
 		}
+		put := time.Now()
 		v := s.put(lay()...)
 		var h mgmt.Heard
 		for h.Error != "" || mode == "sotw" && h.Version != v || mode == "delta" && h.Nonce == "" {
@@ -312,6 +315,18 @@
 		mu.Lock()
 		book()
 		mu.Unlock()
+		for i, one := range s.senders {
+			if !usable[u+1][one.Name] && told[i].IsZero() {
+				told[i] = put
+			} else if usable[u+1][one.Name] && !told[i].IsZero() {
+				for _, j := range one.Jobs() {
+					if j.At.After(told[i]) && j.At.Before(put) {
+						latest = max(latest, j.At.Sub(told[i]))
+					}
+				}
+				told[i] = time.Time{}
+			}
+		}
 		accepted.Add(1)
 		if rng.IntN(4) == 0 { // out of order: the version before comes again
 			stale++
@@ -347,7 +362,8 @@
 	if len(faults) > 0 {
 		t.Errorf("%d faults, the first: %s", len(faults), faults[0])
 	}
-	t.Logf("%s: %d updates, %d stale ones, %d messages, answers %v", mode, updates, stale, len(spans), statuses)
+	t.Logf("%s: %d updates, %d stale ones, %d messages, answers %v; the last job reached a host that was ruled out %v after the server had sent it",
+		mode, updates, stale, len(spans), statuses, latest)
 	if statuses[200] < len(spans)*9/10 {
 		t.Errorf("only %d of %d messages were served", statuses[200], len(spans))
 	}
@@ -365,16 +381,22 @@
 	s.server.Put(mgmt.Clusters, "1", mgmt.EDS("a", ""))
 	s.put(mgmt.Assignment("a", mgmt.Policy{}, s.endpoint(1, corev3.HealthStatus_HEALTHY)))
 	s.until("the first list counts", func() bool { return s.p.fleet.Listed() })
+	// The server goes while a host drains: it stays drained, the other serves.
+	s.put(mgmt.Assignment("a", mgmt.Policy{}, s.endpoint(0, corev3.HealthStatus_DRAINING), s.endpoint(1, corev3.HealthStatus_HEALTHY)))
+	s.until("the drain is known", func() bool { return len(s.p.fleet.Held("a").Endpoints) == 2 })
 	s.server.Stop()
 	s.until("the stream is lost", func() bool { return !s.p.xds.up })
-	if status, _ := s.send(c, "status-check", "m2"); status != 200 || len(s.senders[1].Jobs()) != 1 {
-		t.Errorf("without a server: %d", status)
+	for i := range 5 {
+		if status, _ := s.send(c, "status-check", fmt.Sprintf("m2-%d", i)); status != 200 || len(s.senders[1].Jobs()) != i+1 {
+			t.Errorf("without a server: %d", status)
+		}
 	}
 	address := s.server.Addr()
 	if err := s.server.Listen(address); err != nil {
 		t.Fatal(err)
 	}
-	s.until("the stream stands again", func() bool { return s.p.xds.up })
+	s.put(mgmt.Assignment("a", mgmt.Policy{}, s.endpoint(1, corev3.HealthStatus_HEALTHY)))
+	s.until("the stream stands again", func() bool { return s.p.xds.up && len(s.p.fleet.Held("a").Endpoints) == 1 })
 
 	path := s.p.options.Operator
 	s.operate(path, `inventory(xds(server = SERVER, node = node(id = "n0"), mode = "big"))`)
@@ -392,7 +414,7 @@
 			t.Errorf("routed: %d", status)
 		}
 	}
-	if len(s.senders[0].Jobs()) != 11 || len(s.senders[1].Jobs()) != 1 {
+	if len(s.senders[0].Jobs()) != 11 || len(s.senders[1].Jobs()) != 5 {
 		t.Errorf("the route was not kept: %d and %d jobs", len(s.senders[0].Jobs()), len(s.senders[1].Jobs()))
 	}
 	s.operate(path, "")
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -17,11 +18,47 @@
 // reference is the fleet as a page of paper would hold it: the endpoints of the
 // last accepted delivery of each cluster, and nothing else.
 type reference struct {
-	clusters map[string]bool
+	clusters map[string]bool // true; false while it is removed and serves on
 	assigned map[string][]Endpoint
 	version  map[string]int
 }
 
+// clone is a copy whose maps can be changed.
+func (r *reference) clone() *reference {
+	return &reference{clusters: maps.Clone(r.clusters), assigned: maps.Clone(r.assigned), version: r.version}
+}
+
+// empties says whether a step to next takes the last host by leaving it out.
+func (r *reference) empties(next *reference) bool {
+	before := r.usable()
+	lost := slices.ContainsFunc(before, func(n string) bool { return !next.names()[n] })
+	return len(before) > 0 && len(next.usable()) == 0 && lost
+}
+
+// settle drops the clusters that only serve on, once others can.
+func (r *reference) settle() {
+	next := r.clone()
+	for c, stays := range r.clusters {
+		if !stays {
+			delete(next.clusters, c)
+			delete(next.assigned, c)
+		}
+	}
+	if !r.empties(next) {
+		r.clusters, r.assigned = next.clusters, next.assigned
+	}
+}
+
+// warming says whether a cluster waits for its endpoints.
+func (r *reference) warming() bool {
+	for c, stays := range r.clusters {
+		if _, there := r.assigned[c]; stays && !there {
+			return true
+		}
+	}
+	return false
+}
+
 // usable are the hosts that may be sent to by what is accepted.
 func (r *reference) usable() []string {
 	good, bad := map[string]bool{}, map[string]bool{}
@@ -45,14 +82,26 @@
 
 // with is the reference with one cluster's endpoints replaced.
 func (r *reference) with(cluster string, list []Endpoint) *reference {
-	next := &reference{clusters: r.clusters, assigned: map[string][]Endpoint{}}
-	for c, l := range r.assigned {
-		next.assigned[c] = l
-	}
+	next := r.clone()
 	next.assigned[cluster] = list
 	return next
 }
 
+// to is the reference with other clusters; those that are new have no endpoints yet.
+func (r *reference) to(set []string) *reference {
+	next := r.clone()
+	for c, stays := range r.clusters {
+		if stays && !slices.Contains(set, c) {
+			delete(next.clusters, c)
+			delete(next.assigned, c)
+		}
+	}
+	for _, c := range set {
+		next.clusters[c] = true
+	}
+	return next
+}
+
 // names are all hosts that it names.
 func (r *reference) names() map[string]bool {
 	all := map[string]bool{}
@@ -84,7 +133,7 @@
 // up to the whole.
 func TestAnyDeliveries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := New(Config{StaleHold: time.Minute})
+		f := New(Config{StaleHold: time.Minute, InitialFetch: time.Hour})
 		ref := &reference{clusters: map[string]bool{}, assigned: map[string][]Endpoint{}, version: map[string]int{}}
 		names := []string{"a", "b", "c"}
 		now, told := time.Hour, map[string]Host{}
@@ -122,7 +171,37 @@
 		}
 		hear()
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if rapid.IntRange(0, 5).Draw(t, "clusters") == 0 {
+				set := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 3, rapid.ID[string]).Draw(t, "set")
+				next := ref.to(set)
+				err := f.Update(now, clusters(set))
+				switch {
+				case !ref.empties(next):
+					ref = next
+				case next.warming(): // half an update: what goes serves on
+					for c := range ref.clusters {
+						if !next.clusters[c] {
+							next.clusters[c], next.assigned[c] = false, ref.assigned[c]
+						}
+					}
+					ref = next
+				default:
+					if err == nil {
+						t.Fatal("the last host was taken with its cluster")
+					}
+					continue
+				}
+				if err != nil {
+					t.Fatalf("clusters %v: %v", set, err)
+				}
+				ref.settle()
+				hear()
+				continue
+			}
 			name := rapid.SampledFrom(names).Draw(t, "cluster")
+			if _, known := ref.clusters[name]; !known {
+				continue
+			}
 			past := said[name]
 			d := delivery{ref.version[name] + 1, nil}
 			repeat := rapid.IntRange(0, 3).Draw(t, "repeat") == 0
@@ -132,9 +211,7 @@
 				d.list = drawEndpoints(t)
 			}
 			u := &Update{Assignments: []Assignment{{Name: name, Version: fmt.Sprint(d.version), Sum: uint64(d.version), Endpoints: d.list}}}
-			before, next := ref.usable(), ref.with(name, d.list)
-			lost := slices.ContainsFunc(before, func(n string) bool { return !next.names()[n] })
-			empties := len(before) > 0 && len(next.usable()) == 0 && lost
+			empties := ref.empties(ref.with(name, d.list))
 			err := f.Update(now, u)
 			switch {
 			case d.version < ref.version[name]:
@@ -149,6 +226,7 @@
 				t.Fatalf("version %d of %s: %v", d.version, name, err)
 			default:
 				ref.assigned[name], ref.version[name] = d.list, d.version
+				ref.settle()
 				said[name] = append(past, d)
 			}
 			if rapid.IntRange(0, 4).Draw(t, "reconnect") == 0 {
--- a/internal/membership/host.go
+++ b/internal/membership/host.go
@@ -111,7 +111,7 @@
 	if len(n.refs) == 0 {
 		n.State, n.Why, n.Pools = yardwharf.Gone, "gone", nil
 	} else {
-		h.describe(n, now, first)
+		h.describe(n, now, first, before.State == yardwharf.Gone)
 	}
 	if n.State != before.State {
 		switch {
@@ -138,7 +138,7 @@
 
 // describe sets what is told of a host that is there. The newest word counts on
 // what it is, the strictest on whether it gets work.
-func (h *hosts) describe(n *host, now time.Duration, first bool) {
+func (h *hosts) describe(n *host, now time.Duration, first, back bool) {
 	newest, weight := n.refs[0], 0.0
 	n.State, n.Why, n.Pools = yardwharf.Ready, "", nil
 	for _, r := range n.refs {
@@ -154,7 +154,7 @@
 		n.State, n.Why = yardwharf.Draining, "unfit in an update put aside"
 	}
 	e := newest.e
-	moved := n.Address != e.Address
+	fresh := back || n.Address != e.Address
 	n.Address, n.CapacityHint = e.Address, max(weight, 0)
 	if n.CapacityHint == 0 {
 		n.CapacityHint = 1
@@ -166,9 +166,9 @@
 	switch {
 	case e.Since > 0, newest.c.roster: // the roster's 0 says that it was long ago
 		n.Started = e.Since
-	case moved && !first: // a process that has just been listed is taken for cold
+	case fresh && !first: // a process that has just been listed is taken for cold
 		n.Started = now
-	case first && moved:
+	case fresh:
 		n.Started = 0
 	}
 	if n.State == yardwharf.Ready {
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -132,7 +132,10 @@
 		}
 	}
 	var fresh []*cluster // clusters that are new, or changed: as they will be
-	warming := f.warming()
+	warming := false // what goes with this very update is not waited for
+	for _, c := range f.waiting {
+		warming = warming || c.warmBy > 0 && !slices.Contains(gone, c)
+	}
 	for _, name := range sortedNames(next) {
 		c := f.clusters[name]
 		if c == nil {
