--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -132,7 +132,7 @@
 		}
 	}
 	var fresh []*cluster // clusters that are new, or changed: as they will be
-	warming := false // what goes with this very update is not waited for
+	warming := false     // what goes with this very update is not waited for
 	for _, c := range f.waiting {
 		warming = warming || c.warmBy > 0 && !slices.Contains(gone, c)
 	}
