--- a/api.go
+++ b/api.go
@@ -173,6 +173,7 @@
 	Hint     time.Duration // expected work at speed 1; 0 where unknown
 	Retry    bool          // marked as a client's retry
 	Pool     int           // only workers of this pool may run it; 0 is all of them
+	Ahead    bool          // it goes before all others that wait for room
 }
 
 // Status says how an attempt or a probe ended.
--- a/balancer.go
+++ b/balancer.go
@@ -843,6 +843,9 @@
 
 // value is the order of admission: worth per second of work.
 func (b *Balancer) value(r *request) float64 {
+	if r.Ahead { // it has waited elsewhere: worth alone would starve it
+		return math.Inf(1)
+	}
 	if b.s.WorthByWork {
 		return r.class.Worth
 	}
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -18,7 +18,7 @@
 	"yardwharf/internal/loop"
 )
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +28,7 @@
 	return l
 }
 
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	l := listen(t)
 	defer l.Close()
 	return l.Addr().String()
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -39,6 +39,9 @@
 	p.routes.Update(change.Views)
 	p.pool.Update(change.Hosts)
 	p.front.SetReady(!p.leaving && p.fleet.Usable() > 0)
+	if p.jobs != nil {
+		p.jobs.SetOpen(p.fleet.Usable() > 0)
+	}
 	if any || p.xds == nil { // the platform's answers are told, whatever is in them
 		members := make([]yardwharf.Member, len(change.Hosts))
 		for i := range change.Hosts {
--- a/internal/app/leave.go
+++ b/internal/app/leave.go
@@ -28,6 +28,10 @@
 	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
 	p.leaving = true
 	p.front.SetReady(false)
+	if p.jobs != nil {
+		p.jobs.Leave()
+		p.saveJobs() // now, too: who is killed before the end has not lost them
+	}
 	p.timer.Task = loop.Func(func() {
 		p.front.Close()
 		p.wait()
@@ -44,6 +48,10 @@
 func (p *program) wait() {
 	if p.front.Clients() == 0 && p.dispatcher.Open() == 0 {
 		p.watcher.Close()
+		if p.jobs != nil {
+			p.saveJobs()
+			p.jobsAPI.Close()
+		}
 		if p.xds != nil {
 			p.xds.link.Close()
 		}
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"reflect"
 
@@ -11,6 +12,7 @@
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/front"
 	"yardwharf/internal/inventory"
+	"yardwharf/internal/jobs"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/membership"
 	"yardwharf/internal/operator"
@@ -36,8 +38,10 @@
 	xds        *xdsSource // nil: the platform's discovery is watched
 	routes     *route.Table
 	rng        *rand.Rand
-	missing    []string   // clusters that routes name and that are not there, as logged
-	due        loop.Timer // for what the fleet has to do at a time
+	missing    []string     // clusters that routes name and that are not there, as logged
+	due        loop.Timer   // for what the fleet has to do at a time
+	jobs       *jobs.Runner // nil: there is no front for jobs that wait
+	jobsAPI    *jobs.API
 	pool       *southside.Pool
 	dispatcher *dispatch.Dispatcher
 	front      *front.Front
@@ -54,6 +58,11 @@
 		return nil, err
 	}
 	sockets := c.Limits.Sockets - reserve
+	if s.operator.Jobs != nil {
+		if sockets -= jobs.ConnsMost; sockets < 2 {
+			return nil, fmt.Errorf("config: key limits.sockets leaves none beside the %d of the job API", jobs.ConnsMost)
+		}
+	}
 	clients := int(clientPart * float64(sockets))
 	buffers := budget.New(int(bufferPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	p.fleet = membership.New(membership.Config{Zones: c.Settings.Zones, Kinds: c.Settings.Kinds})
@@ -66,6 +75,11 @@
 	if p.front, err = front.New(l, log, c.Listen, clients, buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
+	if s.operator.Jobs != nil {
+		if err := p.startJobs(s.operator.Jobs); err != nil {
+			return nil, err
+		}
+	}
 	p.known(c.Known)
 	p.setRoutes()
 	if s.operator.Inventory != nil {
@@ -87,7 +101,11 @@
 		return
 	}
 	c := s.config
-	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", p.config.Fixed(c)).Msg("configuration read again")
+	fixed := p.config.Fixed(c)
+	if !reflect.DeepEqual(p.operator.Jobs, s.operator.Jobs) {
+		fixed = append(fixed, "jobs")
+	}
+	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", fixed).Msg("configuration read again")
 	moved := p.config.Discovery != c.Discovery
 	p.config.Discovery = c.Discovery
 	before := p.operator
--- a/internal/app/xds_test.go
+++ b/internal/app/xds_test.go
@@ -38,9 +38,11 @@
 
 const patience = 30 * time.Second // that slow machines are given
 
+const work = time.Millisecond // of a job at a stand-in sender
+
 // scene is a dispatcher with its hosts over xDS, stand-in senders and clients.
 type scene struct {
-	t       *testing.T
+	t       testing.TB
 	p       *program
 	server  *mgmt.Server
 	senders []*sender.Sender
@@ -71,7 +73,7 @@
 
 // play starts everything; the operator's file is what is given, SERVER being the
 // address of the management server.
-func play(t *testing.T, senders int, operator string) *scene {
+func play(t testing.TB, senders int, operator string) *scene {
 	t.Helper()
 	s := &scene{t: t, server: mgmt.New(nil), log: &logs{}, address: free(t), ended: make(chan struct{})}
 	if err := s.server.Listen("127.0.0.1:0"); err != nil {
@@ -79,7 +81,7 @@
 	}
 	t.Cleanup(s.server.Stop)
 	for i := range senders {
-		one, err := sender.Start(fmt.Sprintf("s%d", i), "127.0.0.1:0", time.Millisecond)
+		one, err := sender.Start(fmt.Sprintf("s%d", i), "127.0.0.1:0", work)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -92,7 +94,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text = []byte(strings.NewReplacer("127.0.0.1:8080", s.address, "127.0.0.1:8500", free(t)).Replace(string(text)))
+	text = []byte(strings.NewReplacer(`"Effect": "pure", "Points": 5}`, `"Effect": "pure", "Points": 5},
+   {"Name": "campaign-batch", "Aim": 250, "Deadline": 6000, "Effect": "token", "KeyTtl": 10000, "Points": 3}`, "127.0.0.1:8080", s.address, "127.0.0.1:8500", free(t)).Replace(string(text)))
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -444,7 +447,7 @@
 	}
 }
 
-func parseKnown(t *testing.T, one *sender.Sender) inventory.List {
+func parseKnown(t testing.TB, one *sender.Sender) inventory.List {
 	t.Helper()
 	l, err := inventory.ParseList(fmt.Appendf(nil, `{"index":1,"snapshot":true,"endpoints":[`+
 		`{"name":"old","address":%q,"zone":"here","type":"toy","status":"SERVING"}]}`, one.Addr()))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	after    time.Duration
 	messages map[yardwharf.RequestID]*Message
 	last     yardwharf.RequestID
+	ran      time.Duration
 	endBy    time.Duration // messages taken now end by then; 0 while there is no end
 	alarms   []*alarm      // spare ones
 	spare    []*Message    // forgotten ones, to be used again
@@ -67,6 +68,10 @@
 // Open is the number of messages that are not yet forgotten.
 func (d *Dispatcher) Open() int { return len(d.messages) }
 
+// Ran is how long the messages that have been served ran at their hosts, added up
+// since the start; where a host has not told of a start, since they were sent.
+func (d *Dispatcher) Ran() time.Duration { return d.ran }
+
 // EndBy cuts the deadlines of the messages that are taken from now on.
 func (d *Dispatcher) EndBy(at time.Duration) { d.endBy = at }
 
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -36,6 +36,7 @@
 type Message struct {
 	Payload  Payload
 	Deadline time.Duration
+	Ran      time.Duration // how long it ran at the host that served it
 
 	d       *Dispatcher
 	id      yardwharf.RequestID
@@ -55,16 +56,20 @@
 	Conn    any           // the south side's own
 	Stale   bool          // set before a Reset that is the connection's fault, not the host's
 
-	n     int
-	sent  time.Duration
-	ended bool
+	n       int
+	sent    time.Duration
+	started time.Duration // 0 while it has not told
+	ended   bool
 }
 
 // Repeat says whether the message has been relayed before.
 func (r *Relay) Repeat() bool { return r.n > 0 }
 
 // Started tells that the job has begun to run.
-func (r *Relay) Started() { r.note(yardwharf.Started, 0) }
+func (r *Relay) Started() {
+	r.started = r.Message.d.loop.Now()
+	r.note(yardwharf.Started, 0)
+}
 
 // Progress tells which share of the job is done.
 func (r *Relay) Progress(share float64) { r.note(yardwharf.Progress, share) }
@@ -85,6 +90,8 @@
 	m.out--
 	if st == yardwharf.OK && !m.settled {
 		m.settled = true
+		m.Ran = m.d.loop.Now() - max(r.sent, r.started)
+		m.d.ran += m.Ran
 		m.client.Served(result)
 	}
 	d := m.d
--- /dev/null
+++ b/internal/operator/jobs.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"time"
+
+	"go.starlark.net/starlark"
+
+	"yardwharf/internal/script"
+	"yardwharf/internal/waiting"
+)
+
+// Jobs sets up the front for jobs that wait.
+type Jobs struct {
+	Listen   string // ip:port of the API
+	Snapshot string // where jobs are handed to the next start; empty: nowhere
+	Limits   waiting.Limits
+	Ageing   waiting.Ageing
+}
+
+func (r *reader) jobs(c script.Call) (starlark.Value, error) {
+	a := c.Args("listen")
+	if r.file.Jobs != nil {
+		a.Fault("jobs", "is called twice", "one call")
+	}
+	out := &Jobs{Snapshot: a.Str("snapshot", "")}
+	if list := a.Addresses("listen"); len(list) == 1 {
+		out.Listen = list[0]
+	} else if len(list) > 1 {
+		a.Fault("listen", "is a list", "one address")
+	}
+	if v := a.Value("limits"); v != nil {
+		l, ok := v.(script.Value[waiting.Limits])
+		if !ok {
+			a.Fault("limits", "is "+v.Type(), "limits(...)")
+		}
+		out.Limits = l.V
+	}
+	out.Limits.KeepFor = a.Span("hold", 10*time.Minute, time.Second, 7*24*time.Hour)
+	out.Limits.KeepBytes = a.Number("hold_mb", 16, 1, 1024) << 20
+	switch v := a.Value("ageing").(type) {
+	case nil:
+	case starlark.Bool:
+		if out.Ageing.Off = !bool(v); bool(v) {
+			a.Fault("ageing", "is True", "ageing(...) or False")
+		}
+	case script.Value[waiting.Ageing]:
+		out.Ageing = v.V
+	default:
+		a.Fault("ageing", "is "+v.Type(), "ageing(...) or False")
+	}
+	r.file.Jobs = out
+	return starlark.None, a.Done()
+}
+
+func (r *reader) ageing(c script.Call) (starlark.Value, error) {
+	a := c.Args("bound")
+	out := waiting.Ageing{Bound: a.Span("bound", 30*time.Second, time.Second, 24*time.Hour),
+		Reserve: float64(a.Number("reserve_percent", 10, 1, 90)) / 100}
+	return script.Value[waiting.Ageing]{V: out, Name: "ageing"}, a.Done()
+}
+
+func (r *reader) limits(c script.Call) (starlark.Value, error) {
+	a := c.Args()
+	const most = 100_000_000
+	out := waiting.Limits{
+		Jobs: a.Number("jobs", 0, 1, most), PerClass: a.Number("per_class", 0, 1, most), Edges: a.Number("edges", 0, 1, most),
+		FanIn: a.Number("fan_in", 0, 1, most), Depth: a.Number("depth", 0, 1, most), Batch: a.Number("batch", 0, 1, 1_000_000),
+		Repeats: a.Number("repeats", 0, 1, 1_000_000), Bytes: a.Number("mb", 0, 1, 100_000) << 20,
+	}
+	return script.Value[waiting.Limits]{V: out, Name: "limits"}, a.Done()
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,7 @@
 type File struct {
 	Inventory *Inventory // nil: the platform's own discovery
 	Routes    []Route
+	Jobs      *Jobs // nil: there is no front for jobs that wait
 }
 
 // Load runs the file at path. An error that the file is to blame for is a *script.Error.
@@ -90,7 +91,7 @@
 
 // String says in one line what the file asks for.
 func (f *File) String() string {
-	if f.Inventory == nil && len(f.Routes) == 0 {
+	if f.Inventory == nil && len(f.Routes) == 0 && f.Jobs == nil {
 		return "nothing is set, all is as the platform's configuration says"
 	}
 	var parts []string
@@ -115,5 +116,12 @@
 		}
 		parts = append(parts, fmt.Sprintf("%s to %s", r.Class, strings.Join(to, ", ")))
 	}
+	if j := f.Jobs; j != nil {
+		age := "without ageing"
+		if !j.Ageing.Off {
+			age = fmt.Sprintf("none ready for over %v as far as the reserve reaches", j.Ageing.Bound)
+		}
+		parts = append(parts, fmt.Sprintf("jobs that wait at %s, %s", j.Listen, age))
+	}
 	return strings.Join(parts, "; ")
 }
--- a/internal/waiting/bench_test.go
+++ b/internal/waiting/bench_test.go
@@ -76,7 +76,7 @@
 			served := 0
 			for b.Loop() {
 				if j, _ := k.Release(time.Hour); j != nil {
-					k.End(time.Hour, j.ID, Served, nil, 0, 0)
+					k.End(time.Hour, j.ID, Served, nil, 0, 0, 0)
 					served++
 				}
 				for k.Advance(time.Hour, time.Hour, 100) {
--- a/internal/waiting/core.go
+++ b/internal/waiting/core.go
@@ -87,7 +87,7 @@
 func New(c Config) *Core {
 	c.Limits = c.Limits.withDefaults()
 	c.Ageing = c.Ageing.withDefaults()
-	k := &Core{c: c, jobs: map[ID]*Job{}, keys: map[string]*Job{}, marks: map[ID]struct{}{}, pace: newPace(c.Ageing)}
+	k := &Core{c: c, jobs: map[ID]*Job{}, keys: map[string]*Job{}, marks: map[ID]struct{}{}, pace: newPace(c.Ageing, len(c.Worth))}
 	k.counts.perClass = make([]int, len(c.Worth))
 	k.ready = heap{which: byDue, less: func(a, b *Job) bool { return a.due < b.due || a.due == b.due && a.ID < b.ID }}
 	k.starts = heap{which: byStart, less: func(a, b *Job) bool { return a.Spec.NotBefore < b.Spec.NotBefore }}
--- a/internal/waiting/model_test.go
+++ b/internal/waiting/model_test.go
@@ -184,7 +184,7 @@
 				}
 				id, o := pick(), Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))
 				if j := ref.job(id); j.state == Running {
-					k.End(now, id, o, nil, time.Second, 0.5)
+					k.End(now, id, o, nil, 0, time.Second, 0.5)
 					switch j.state = []State{Done, Failed, Ready}[o]; {
 					case o == TurnedAway && j.held:
 						j.state = Waiting
@@ -353,7 +353,7 @@
 		case "serve", "lose":
 			for j, _ := k.Release(now); j != nil; j, _ = k.Release(now) {
 			}
-			k.End(now, id, map[string]Outcome{"serve": Served, "lose": Lost}[verb], nil, 0, 0)
+			k.End(now, id, map[string]Outcome{"serve": Served, "lose": Lost}[verb], nil, 0, 0, 0)
 		case "cancel":
 			k.Cancel(id, false)
 		}
@@ -404,7 +404,7 @@
 		t.Fatal(err)
 	}
 	k.Release(now)
-	k.End(now, 1, Lost, nil, 0, 0)
+	k.End(now, 1, Lost, nil, 0, 0, 0)
 	turns := 0
 	for more := true; more; turns++ {
 		more = k.Advance(now, now, 100)
--- a/internal/waiting/release.go
+++ b/internal/waiting/release.go
@@ -9,7 +9,7 @@
 type Ageing struct {
 	Off     bool          // worth alone counts: a stream of worthier messages may starve a job
 	Bound   time.Duration // the wait that it aims at; 30 s
-	Reserve float64       // part of the fleet's completions that overdue jobs may take; 0.1
+	Reserve float64       // part of the fleet's work that overdue jobs may take; 0.1
 }
 
 func (a Ageing) withDefaults() Ageing {
@@ -43,26 +43,38 @@
 	window  float64
 	running int           // released and not overdue
 	until   time.Duration // the end of the pause
-	tokens  float64       // overdue jobs that may go
+	tokens  float64       // seconds of work that overdue jobs may take
 	filled  time.Duration
 	reserve float64
+	cost    []float64 // of each class: seconds that its jobs run for of late
 }
 
 const (
 	windowMost  = 1000
-	tokensMost  = 20
-	tokensLeast = 0.5 // a second, also while nothing is completed
+	tokensMost  = 20  // jobs' worth that may be saved up
+	tokensLeast = 0.5 // jobs a second, also while nothing is completed
 	pauseFirst  = 100 * time.Millisecond
+	costFirst   = 0.5 // seconds, until jobs have told
+	costNew     = 0.1 // weight of one job in the cost of its class
 )
 
-func newPace(a Ageing) pace { return pace{window: 1, reserve: a.Reserve} }
+func newPace(a Ageing, classes int) pace {
+	p := pace{window: 1, reserve: a.Reserve, cost: make([]float64, classes)}
+	for i := range p.cost {
+		p.cost[i] = costFirst
+	}
+	return p
+}
 
 // SetOpen says whether there is a host that jobs may go to.
 func (k *Core) SetOpen(yes bool) { k.pace.open = yes }
 
-// Completed says that the fleet has completed messages, jobs or not.
-func (k *Core) Completed(n int) {
-	k.pace.tokens = min(tokensMost, k.pace.tokens+float64(n)*k.pace.reserve)
+// Completed says how long the messages have run that the fleet has completed since,
+// jobs or not, all together.
+func (k *Core) Completed(ran time.Duration) { k.pace.fill(ran.Seconds() * k.pace.reserve) }
+
+func (p *pace) fill(seconds float64) {
+	p.tokens = min(tokensMost*slices.Max(p.cost), p.tokens+seconds)
 }
 
 // Release takes the job that is to be released now; nil where none is. ahead says
@@ -70,14 +82,15 @@
 func (k *Core) Release(now time.Duration) (j *Job, ahead bool) {
 	k.now = max(k.now, now)
 	p := &k.pace
-	p.tokens = min(tokensMost, p.tokens+tokensLeast*max(0, k.now-p.filled).Seconds())
-	p.filled = k.now
 	if j = k.ready.top(); j == nil || !p.open {
 		return nil, false
 	}
+	cost := p.cost[j.Spec.Class]
+	p.fill(tokensLeast * cost * max(0, k.now-p.filled).Seconds())
+	p.filled = k.now
 	switch {
-	case !k.c.Ageing.Off && j.due <= k.now && p.tokens >= 1:
-		p.tokens--
+	case !k.c.Ageing.Off && j.due <= k.now && p.tokens >= cost:
+		p.tokens -= cost
 		ahead = true
 	case k.now >= p.until && float64(p.running) < p.window:
 		p.running++
@@ -110,8 +123,8 @@
 	}
 	if !k.c.Ageing.Off {
 		token := k.now
-		if p.tokens < 1 {
-			token += time.Duration((1 - p.tokens) / tokensLeast * float64(time.Second))
+		if cost := p.cost[j.Spec.Class]; p.tokens < cost {
+			token += time.Duration((1 - p.tokens/cost) / tokensLeast * float64(time.Second))
 		}
 		soonest(max(j.due, token))
 	}
@@ -128,9 +141,10 @@
 	TurnedAway         // a back-off answer: it has not run, or may run again
 )
 
-// End says how a released job came out. after is when a back-off answer says to come
-// back; draw is a random number from 0 up to 1 that spreads those who do.
-func (k *Core) End(now time.Duration, id ID, o Outcome, result []byte, after time.Duration, draw float64) {
+// End says how a released job came out, once for each release. ran is how long it ran
+// at its host, if it was served; after is when a back-off answer says to come back;
+// draw is a random number from 0 up to 1 that spreads those who do.
+func (k *Core) End(now time.Duration, id ID, o Outcome, result []byte, ran, after time.Duration, draw float64) {
 	k.now = max(k.now, now)
 	j := k.jobs[id]
 	if j == nil {
@@ -148,6 +162,9 @@
 		if !j.ahead {
 			p.window = min(windowMost, p.window+1/p.window)
 		}
+		if c := &k.pace.cost[j.Spec.Class]; ran > 0 {
+			*c += (ran.Seconds() - *c) * costNew
+		}
 		j.Result = result
 		k.end(j, Done, "", 0)
 	case Lost:
--- a/internal/waiting/transcript_test.go
+++ b/internal/waiting/transcript_test.go
@@ -192,7 +192,7 @@
 		if v := value("after"); v != "" {
 			after = s.span(v)
 		}
-		s.k.End(s.now, ParseID(arg(0)), o, []byte("result"), after, 0.5)
+		s.k.End(s.now, ParseID(arg(0)), o, []byte("result"), 0, after, 0.5)
 		for s.k.Advance(s.now, s.wall, 1000) {
 		}
 		return s.said()
@@ -231,8 +231,7 @@
 		s.k.SetOpen(d.Cmd == "open")
 		return ""
 	case "completed":
-		n, _ := strconv.Atoi(arg(0))
-		s.k.Completed(n)
+		s.k.Completed(s.span(arg(0)))
 		return ""
 	case "get":
 		j, forgotten := s.k.Get(ParseID(arg(0)))
