Write jobs up for operators, keep a job's graph after its end, bound floods

Seen in the example: the graph of a job that had ended no longer showed what came after it. Seen in review: a read timeout of the server would have ended long polls and event streams after 30 s, and a client that went away early left its watcher behind.

--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -38,3 +38,15 @@
 # ---- Which clusters may serve a class; a class without a route: all of them
 #
 # route(class_ = "campaign-batch", clusters = {"senders": 90, "senders-b": 10})
+#
+# ---- Jobs that wait for others or for a time (docs/JOBS.md); from the next start on
+#
+# jobs(
+#     listen = "127.0.0.1:8090",        # needed; where the API serves
+#     snapshot = "jobs.snapshot",       # default none; hands jobs over a planned restart
+#     ageing = ageing(bound = "30s", reserve_percent = 10),   # or False: worth alone
+#     hold = "10m",                     # how long the ends of jobs are remembered
+#     hold_mb = 16,                     # and how many MB of results
+#     limits = limits(jobs = 100000, per_class = 100000, edges = 400000, fan_in = 1000, depth = 1000,
+#                     mb = 64, batch = 10000, repeats = 100),
+# )
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -23,7 +23,7 @@
 	ConnsMost    = 64               // of the API, at once
 	headMost     = 16 << 10         // bytes of a head
 	headTime     = 5 * time.Second  // for a head
-	bodyTime     = 30 * time.Second // for a whole request
+	bodyTime     = 30 * time.Second // for a body
 	idleTime     = time.Minute
 	writeTime    = 10 * time.Second // for one event to a slow reader
 	requestMost  = 8 << 20          // bytes of a batch
@@ -52,7 +52,7 @@
 		return nil, fmt.Errorf("jobs: %w", err)
 	}
 	a := &API{r: r, listen: l, ended: make(chan struct{})}
-	a.server = &http.Server{Handler: http.MaxBytesHandler(a.routes(), requestMost), ReadHeaderTimeout: headTime, ReadTimeout: bodyTime,
+	a.server = &http.Server{Handler: http.MaxBytesHandler(a.routes(), requestMost), ReadHeaderTimeout: headTime,
 		IdleTimeout: idleTime, MaxHeaderBytes: headMost}
 	go a.server.Serve(netutil.LimitListener(l, ConnsMost))
 	return a, nil
@@ -195,6 +195,10 @@
 		Jobs []Submit `json:"jobs"`
 		Submit
 	}
+	// For the body alone: as the server's own bound it would end long polls as well.
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTime))
+	defer control.SetReadDeadline(time.Time{})
 	in := json.NewDecoder(req.Body)
 	in.DisallowUnknownFields()
 	if err := in.Decode(&batch); err != nil {
@@ -348,13 +352,23 @@
 }
 
 // follow begins to watch a job and says how it stands now.
-func (a *API) follow(req *http.Request) (now Job, w *watcher, err error) {
-	err = a.find(req, func(j *waiting.Job) error {
+func (a *API) follow(req *http.Request) (Job, *watcher, error) {
+	var now Job
+	var w *watcher
+	err := a.find(req, func(j *waiting.Job) error {
 		a.r.tell() // what has happened is in what is shown
 		now, w = a.r.show(j), a.r.watch(j.ID)
 		return nil
 	})
-	return now, w, err
+	if err != nil { // of a client that went away before the loop had its turn
+		a.r.loop.Post(loop.Func(func() {
+			if w != nil {
+				a.r.unwatch(w)
+			}
+		}))
+		return Job{}, nil, err
+	}
+	return now, w, nil
 }
 
 func (a *API) leave(w *watcher) { a.r.loop.Post(loop.Func(func() { a.r.unwatch(w) })) }
--- a/internal/jobs/api_test.go
+++ b/internal/jobs/api_test.go
@@ -14,6 +14,8 @@
 	"path/filepath"
 	"reflect"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -295,6 +297,45 @@
 	})
 }
 
+// Submissions at full speed past the limits: each is answered, what is over is
+// refused with the time to come back, and what is held stays within the limits.
+func TestFlood(t *testing.T) {
+	const most = 300
+	s := play(t, waiting.Config{Limits: waiting.Limits{Jobs: most, Bytes: 1 << 20}})
+	s.on(func() { s.r.SetOpen(false) })
+	var taken, refused atomic.Int64
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 20 {
+				var batch []Submit
+				for range 10 {
+					batch = append(batch, Submit{Class: "status-check", Body: strings.Repeat("x", 100)})
+				}
+				p, err := s.c.Submit(context.Background(), batch)
+				var problem *Problem
+				switch {
+				case err == nil:
+					taken.Add(int64(len(p.Jobs)))
+				case errors.As(err, &problem) && problem.Status == 429 && strings.Contains(problem.Detail, "come back in"):
+					refused.Add(10)
+				default:
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if taken.Load() != most || refused.Load() != 1600-most {
+		t.Errorf("%d were taken, %d refused", taken.Load(), refused.Load())
+	}
+	s.on(func() {
+		if n := s.r.core.Count(waiting.Ready); n != most {
+			t.Errorf("%d are held", n)
+		}
+	})
+}
+
 // Lists are paged and filtered.
 func TestList(t *testing.T) {
 	s := play(t, waiting.Config{})
--- a/internal/lab/order/order_test.go
+++ b/internal/lab/order/order_test.go
@@ -77,6 +77,22 @@
 	}
 }
 
+// A thousand jobs due at the same moment, at a fleet that has just started: no cold
+// host is sent what makes it fall over, and all are served in the end.
+func TestThousandAtOnce(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		c := Config{Seed: seed, Hosts: 6, Slots: 4, Load: 0.2, Burst: 1000, Cold: true, Length: 3 * time.Minute}
+		r, err := Run(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("pressure %.2f, %d of %d served, service of messages %.3f", r.Pressure, r.Served, r.Jobs, r.Service())
+		if r.Pressure >= 1 || r.Served < r.Jobs {
+			t.Errorf("pressure %.2f, %d of %d served", r.Pressure, r.Served, r.Jobs)
+		}
+	}
+}
+
 // One seed replays a run.
 func TestReplay(t *testing.T) {
 	c := small(9, waiting.Ageing{})
--- a/internal/lab/order/yard.go
+++ b/internal/lab/order/yard.go
@@ -25,6 +25,8 @@
 	Length   time.Duration
 	Ageing   waiting.Ageing
 	StopJobs time.Duration // no job is submitted after this
+	Burst    int           // jobs that are due at one moment, 10 s after the start
+	Cold     bool          // all hosts have just started
 }
 
 // Result is what came of a run.
@@ -33,7 +35,8 @@
 	Jobs, Served     int
 	Longest          time.Duration // a job was ready for, until the release that served it, or until now
 	P50, P99         time.Duration
-	Unserved         int // jobs that are ready and have not been served at the end
+	Unserved         int     // jobs that are ready and have not been served at the end
+	Pressure         float64 // the most work that a cold host was sent in 2 s, as a part of what makes it fall over
 }
 
 // Service is the part of the worthy messages that were in time.
@@ -52,6 +55,7 @@
 	c        Config
 	rng      *rand.Rand
 	now      time.Duration
+	began    time.Duration
 	events   events
 	seq      int
 	b        *yardwharf.Balancer
@@ -68,6 +72,39 @@
 	id      yardwharf.WorkerID
 	running int
 	queue   []*relay
+	sent    []dose // work, while it is cold
+}
+
+// dose is work that a host was sent at a time.
+type dose struct {
+	at   time.Duration
+	work time.Duration
+}
+
+const (
+	warmUp    = 24 * time.Second
+	startPart = 0.13
+	fallOver  = 4 // times its present capacity
+	fallTime  = 2 * time.Second
+)
+
+// press books work that a cold host is sent.
+func (y *yard) press(h *host, work time.Duration) {
+	age := y.now - y.began
+	if !y.c.Cold || age >= warmUp {
+		return
+	}
+	h.sent = append(h.sent, dose{y.now, work})
+	for h.sent[0].at <= y.now-fallTime {
+		h.sent = h.sent[1:]
+	}
+	sum := time.Duration(0)
+	for _, d := range h.sent {
+		sum += d.work
+	}
+	warmth := startPart + (1-startPart)*float64(age)/float64(warmUp)
+	bears := fallOver * warmth * float64(y.c.Slots) * fallTime.Seconds()
+	y.result.Pressure = max(y.result.Pressure, sum.Seconds()/bears)
 }
 
 type relay struct {
@@ -136,11 +173,24 @@
 	for i := range c.Hosts {
 		h := &host{id: yardwharf.WorkerID(i + 1)}
 		y.hosts = append(y.hosts, h)
-		list = append(list, yardwharf.Member{ID: h.id, State: yardwharf.Ready, CapacityHint: 1})
+		m := yardwharf.Member{ID: h.id, State: yardwharf.Ready, CapacityHint: 1}
+		if c.Cold {
+			m.Started = y.now
+		}
+		list = append(list, m)
 	}
 	y.b.Members(y.now, yardwharf.ListFull, list)
 	end := y.now + c.Length
 	slots := float64(c.Hosts * c.Slots)
+	y.began = y.now
+	if c.Burst > 0 {
+		y.result.Jobs += c.Burst
+		due := y.now + 10*time.Second
+		if _, _, err := y.k.Submit(y.now, y.now, slices.Repeat([]waiting.Spec{{Class: lowly, NotBefore: due}}, c.Burst)); err != nil {
+			return Result{}, fmt.Errorf("order: %w", err)
+		}
+		y.at(due, y.look)
+	}
 	y.arrivals(slots*c.Load/meanWorthy.Seconds(), end, func() { y.arrive(worthy, 0) })
 	if c.JobLoad > 0 {
 		until := end
@@ -251,6 +301,7 @@
 	}
 	r := &relay{m: m, n: len(m.relays), host: y.hosts[w-1], sent: y.now}
 	m.relays = append(m.relays, r)
+	y.press(r.host, m.work)
 	y.after(2*time.Millisecond, func() {
 		h := r.host
 		switch {
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -9,6 +9,11 @@
 	"yardwharf/internal/waiting"
 )
 
+const (
+	usualBound   = 30 * time.Second
+	usualReserve = 10 // percent
+)
+
 // Jobs sets up the front for jobs that wait.
 type Jobs struct {
 	Listen   string // ip:port of the API
@@ -39,6 +44,7 @@
 	out.Limits.KeepBytes = a.Number("hold_mb", 16, 1, 1024) << 20
 	switch v := a.Value("ageing").(type) {
 	case nil:
+		out.Ageing = waiting.Ageing{Bound: usualBound, Reserve: usualReserve / 100.0}
 	case starlark.Bool:
 		if out.Ageing.Off = !bool(v); bool(v) {
 			a.Fault("ageing", "is True", "ageing(...) or False")
@@ -54,8 +60,8 @@
 
 func (r *reader) ageing(c script.Call) (starlark.Value, error) {
 	a := c.Args("bound")
-	out := waiting.Ageing{Bound: a.Span("bound", 30*time.Second, time.Second, 24*time.Hour),
-		Reserve: float64(a.Number("reserve_percent", 10, 1, 90)) / 100}
+	out := waiting.Ageing{Bound: a.Span("bound", usualBound, time.Second, 24*time.Hour),
+		Reserve: float64(a.Number("reserve_percent", usualReserve, 1, 90)) / 100}
 	return script.Value[waiting.Ageing]{V: out, Name: "ageing"}, a.Done()
 }
 
--- a/internal/waiting/core.go
+++ b/internal/waiting/core.go
@@ -233,19 +233,15 @@
 func (k *Core) spread() bool {
 	for len(k.doomed) > 0 {
 		j := k.doomed[0]
-		if len(j.children) == 0 {
+		if int(j.told) == len(j.children) {
 			k.doomed[0] = nil
 			if k.doomed = k.doomed[1:]; len(k.doomed) == 0 {
 				k.doomed = nil
 			}
 			continue
 		}
-		n := len(j.children) - 1
-		c := k.jobs[j.children[n]]
-		j.children = j.children[:n]
-		if n == 0 {
-			j.children = nil
-		}
+		c := k.jobs[j.children[j.told]]
+		j.told++
 		if c != nil && !c.State.Final() {
 			k.parentEnded(c, j)
 		}
@@ -257,7 +253,7 @@
 // parentEnded takes the end of a job for one that comes after it.
 func (k *Core) parentEnded(c, parent *Job) {
 	for i := range c.after {
-		if e := &c.after[i]; e.Job == parent.ID {
+		if e := &c.after[i]; e.Job == parent.ID && !e.ended {
 			if !e.Any && parent.State != Done {
 				k.end(c, Failed, "came after "+parent.ID.String()+", which "+verb(parent.State), parent.ID)
 				return
@@ -341,7 +337,7 @@
 func (k *Core) forget() {
 	for k.old != nil && (k.now-k.old.Ended >= k.c.Limits.KeepFor || k.counts.kept > k.c.Limits.KeepBytes) {
 		j := k.old
-		if len(j.children) > 0 { // they have not been told yet
+		if int(j.told) < len(j.children) { // they have not been told yet
 			return
 		}
 		if k.old = j.next; k.old != nil {
--- a/internal/waiting/job.go
+++ b/internal/waiting/job.go
@@ -106,6 +106,7 @@
 
 	after    []Edge // those that it comes after
 	children []ID   // those that come after it
+	told     int32  // of them, once it has ended
 	open     int32  // edges that are not satisfied
 	depth    int32
 	ahead    bool // it was released as overdue
--- a/internal/waiting/submit.go
+++ b/internal/waiting/submit.go
@@ -272,11 +272,14 @@
 	ended := parent.State.Final()
 	child.after = append(child.after, Edge{parent.ID, any, ended})
 	s.edges = append(s.edges, drawn{parent, child})
-	if ended {
-		return nil
-	}
 	parent.children = append(parent.children, child.ID)
-	return s.deepen(i, parent, child)
+	if !ended {
+		return s.deepen(i, parent, child)
+	}
+	if int(parent.told) == len(parent.children)-1 { // all others have been told; this one knows
+		parent.told++
+	}
+	return nil
 }
 
 // at is a job by its ID, those of the batch included.
@@ -377,11 +380,9 @@
 // undo takes back what link has done; the orders may stay, as they hold.
 func (s *submission) undo() {
 	for _, e := range slices.Backward(s.edges) {
-		last := len(e.child.after) - 1
-		if !e.child.after[last].ended {
-			e.parent.children = e.parent.children[:len(e.parent.children)-1]
-		}
-		e.child.after = e.child.after[:last]
+		e.parent.children = e.parent.children[:len(e.parent.children)-1]
+		e.parent.told = min(e.parent.told, int32(len(e.parent.children)))
+		e.child.after = e.child.after[:len(e.child.after)-1]
 	}
 	for j, depth := range s.depths {
 		j.depth = depth
