--- a/internal/waiting/submit.go
+++ b/internal/waiting/submit.go
@@ -261,7 +261,8 @@
 	if parent == child {
 		return &Fault{Kind: Cycle, Ref: i + 1, What: "it would wait for itself", Path: []string{s.label(child)}}
 	}
-	if parent.order > child.order {
+	ended := parent.State.Final() // nobody waits for it any more
+	if !ended && parent.order > child.order {
 		if path := s.reorder(parent, child); path != nil {
 			return &Fault{Kind: Cycle, Ref: i + 1, What: "jobs would wait for each other", Path: path}
 		}
@@ -269,7 +270,6 @@
 	if most := s.k.c.Limits.FanIn; len(child.after) == most {
 		return &Fault{Kind: TooLarge, Ref: i + 1, What: fmt.Sprintf("%s would come after more than %d jobs", s.label(child), most)}
 	}
-	ended := parent.State.Final()
 	child.after = append(child.after, Edge{parent.ID, any, ended})
 	s.edges = append(s.edges, drawn{parent, child})
 	parent.children = append(parent.children, child.ID)
@@ -303,7 +303,7 @@
 	for i := 0; i < len(below); i++ {
 		for _, id := range below[i].children {
 			n := s.at(id)
-			if n == nil || n.order > parent.order {
+			if n == nil || n.order > parent.order || n.State.Final() {
 				continue
 			}
 			if _, seen := came[n]; seen {
@@ -324,7 +324,7 @@
 	above := []*Job{parent} // those before the parent, down to the child's order
 	for i := 0; i < len(above); i++ {
 		for _, e := range above[i].after {
-			if n := s.at(e.Job); n != nil && n.order >= child.order && !seen[n] {
+			if n := s.at(e.Job); n != nil && n.order >= child.order && !n.State.Final() && !seen[n] {
 				seen[n] = true
 				above = append(above, n)
 			}
@@ -368,7 +368,7 @@
 			return &Fault{Kind: TooLarge, Ref: i + 1, What: fmt.Sprintf("the chain would be longer than %d jobs", s.k.c.Limits.Depth)}
 		}
 		for _, id := range j.children {
-			if c := s.at(id); c != nil && c.depth <= j.depth {
+			if c := s.at(id); c != nil && !c.State.Final() && c.depth <= j.depth {
 				set(c, j.depth+1)
 				list = append(list, c)
 			}
