Await the answer to the stale update itself in the test of xDS under traffic

Seen under the race detector: the ACK of an update before it came late and was taken for the answer to the stale one. The stale one has a nonce of its own now.

--- a/internal/app/xds_test.go
+++ b/internal/app/xds_test.go
@@ -333,12 +333,13 @@
 		accepted.Add(1)
 		if rng.IntN(4) == 0 { // out of order: the version before comes again
 			stale++
-			s.at = len(s.server.Heard())
-			s.server.Raw(mgmt.Assignments, fmt.Sprint(s.version-1), "", before, nil)
-			if h := s.answered(mgmt.Assignments); !strings.Contains(h.Error, "older than what is held") {
+			nonce := fmt.Sprint("stale-", stale) // answers to earlier ones may still be on their way
+			s.server.Raw(mgmt.Assignments, fmt.Sprint(s.version-1), nonce, before, nil)
+			h, at, ok := s.server.Await(s.at, patience, func(h mgmt.Heard) bool { return h.Nonce == nonce })
+			if !ok || !strings.Contains(h.Error, "older than what is held") {
 				t.Fatalf("a stale update was answered with %+v", h)
 			}
-			s.at = len(s.server.Heard())
+			s.at = at + 1
 		}
 	}
 	close(stop)
