--- a/internal/lab/order/yard.go
+++ b/internal/lab/order/yard.go
@@ -4,13 +4,14 @@
 package order
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"yardwharf"
+	"yardwharf/internal/lab/sim"
+	"yardwharf/internal/lab/yard"
 	"yardwharf/internal/waiting"
 )
 
@@ -50,14 +51,13 @@
 	stretch       = 2.5
 )
 
-// yard is the run.
-type yard struct {
+// run is one run.
+type run struct {
 	c        Config
 	rng      *rand.Rand
 	now      time.Duration
 	began    time.Duration
-	events   events
-	seq      int
+	clock    *sim.Clock
 	b        *yardwharf.Balancer
 	k        *waiting.Core
 	hosts    []*host
@@ -81,29 +81,22 @@
 	work time.Duration
 }
 
-const (
-	warmUp    = 24 * time.Second
-	startPart = 0.13
-	fallOver  = 4 // times its present capacity
-	fallTime  = 2 * time.Second
-)
-
 // press books work that a cold host is sent.
-func (y *yard) press(h *host, work time.Duration) {
+func (y *run) press(h *host, work time.Duration) {
 	age := y.now - y.began
-	if !y.c.Cold || age >= warmUp {
+	if !y.c.Cold || age >= yard.WarmUp {
 		return
 	}
 	h.sent = append(h.sent, dose{y.now, work})
-	for h.sent[0].at <= y.now-fallTime {
+	for h.sent[0].at <= y.now-yard.OverloadFor {
 		h.sent = h.sent[1:]
 	}
 	sum := time.Duration(0)
 	for _, d := range h.sent {
 		sum += d.work
 	}
-	warmth := startPart + (1-startPart)*float64(age)/float64(warmUp)
-	bears := fallOver * warmth * float64(y.c.Slots) * fallTime.Seconds()
+	warmth := yard.StartCapacity + (1-yard.StartCapacity)*float64(age)/float64(yard.WarmUp)
+	bears := yard.OverloadFactor * warmth * float64(y.c.Slots) * yard.OverloadFor.Seconds()
 	y.result.Pressure = max(y.result.Pressure, sum.Seconds()/bears)
 }
 
@@ -125,38 +118,18 @@
 	closed bool
 }
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
-func (y *yard) at(t time.Duration, do func()) {
-	y.seq++
-	heap.Push(&y.events, event{max(t, y.now), y.seq, do})
+func (y *run) at(t time.Duration, do func()) {
+	y.clock.At(t, func() {
+		y.now = y.clock.Now()
+		do()
+	})
 }
 
-func (y *yard) after(d time.Duration, do func()) { y.at(y.now+d, do) }
+func (y *run) after(d time.Duration, do func()) { y.at(y.now+d, do) }
 
 // Run plays one run.
 func Run(c Config) (Result, error) {
-	y := &yard{c: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), now: time.Hour, messages: map[yardwharf.RequestID]*message{}}
+	y := &run{c: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), now: time.Hour, clock: sim.New(time.Hour), messages: map[yardwharf.RequestID]*message{}}
 	s := yardwharf.Settings{Balancers: 1, MaxAttempts: 5, Cancel: true, ParallelTries: true, TellsStart: true, StartCapacity: 0.13,
 		WarmUp: 24 * time.Second, OverloadFactor: 4, OverloadFor: 2 * time.Second, MaxRetryAfter: 2 * time.Second, DrainGrace: 500 * time.Millisecond,
 		Zones: []string{"here"}, Classes: []yardwharf.Class{
@@ -199,17 +172,13 @@
 		}
 		y.arrivals(slots*c.JobLoad/meanLowly.Seconds(), until, y.submit)
 	}
-	for len(y.events) > 0 && y.events[0].at <= end {
-		e := heap.Pop(&y.events).(event)
-		y.now = e.at
-		e.do()
-	}
+	y.clock.Run(end)
 	y.now = end
 	return y.finish(), nil
 }
 
 // arrivals has something come at random times of a mean rate.
-func (y *yard) arrivals(rate float64, until time.Duration, do func()) {
+func (y *run) arrivals(rate float64, until time.Duration, do func()) {
 	var next func()
 	next = func() {
 		do()
@@ -221,9 +190,9 @@
 }
 
 // arrive takes a message, or a job that has been released.
-func (y *yard) arrive(class int, job waiting.ID) { y.take(class, job, false) }
+func (y *run) arrive(class int, job waiting.ID) { y.take(class, job, false) }
 
-func (y *yard) take(class int, job waiting.ID, ahead bool) {
+func (y *run) take(class int, job waiting.ID, ahead bool) {
 	y.last++
 	mean := meanWorthy
 	if class == lowly {
@@ -244,7 +213,7 @@
 }
 
 // submit hands in a waiting job, which is ready at once.
-func (y *yard) submit() {
+func (y *run) submit() {
 	y.result.Jobs++
 	if _, _, err := y.k.Submit(y.now, y.now, []waiting.Spec{{Class: lowly}}); err != nil {
 		y.result.Jobs--
@@ -253,7 +222,7 @@
 }
 
 // look does what the runner of the program does.
-func (y *yard) look() {
+func (y *run) look() {
 	y.k.Advance(y.now, y.now, 1000)
 	y.k.Take()
 	for {
@@ -270,7 +239,7 @@
 }
 
 // final gives a message its answer.
-func (y *yard) final(m *message, o waiting.Outcome, after time.Duration) {
+func (y *run) final(m *message, o waiting.Outcome, after time.Duration) {
 	if m == nil || m.closed {
 		return
 	}
@@ -294,7 +263,7 @@
 }
 
 // Send implements yardwharf.Actions, as the rest.
-func (y *yard) Send(id yardwharf.RequestID, w yardwharf.WorkerID, _ time.Duration) {
+func (y *run) Send(id yardwharf.RequestID, w yardwharf.WorkerID, _ time.Duration) {
 	m := y.messages[id]
 	if m == nil {
 		return
@@ -316,7 +285,7 @@
 	})
 }
 
-func (y *yard) start(r *relay) {
+func (y *run) start(r *relay) {
 	r.host.running++
 	y.b.Note(y.now, r.m.id, r.n, yardwharf.Started, 0)
 	y.after(r.m.work, func() {
@@ -333,7 +302,7 @@
 }
 
 // end tells the module how a relay ended.
-func (y *yard) end(r *relay, st yardwharf.Status) {
+func (y *run) end(r *relay, st yardwharf.Status) {
 	if r.done {
 		return
 	}
@@ -345,15 +314,15 @@
 }
 
 // Refuse is a back-off answer.
-func (y *yard) Refuse(id yardwharf.RequestID, after time.Duration) {
+func (y *run) Refuse(id yardwharf.RequestID, after time.Duration) {
 	y.final(y.messages[id], waiting.TurnedAway, after)
 }
 
 // Fail is the end of a message.
-func (y *yard) Fail(id yardwharf.RequestID) { y.final(y.messages[id], waiting.Lost, 0) }
+func (y *run) Fail(id yardwharf.RequestID) { y.final(y.messages[id], waiting.Lost, 0) }
 
 // Cancel gives a relay up; one that runs goes on, as its host does not look up.
-func (y *yard) Cancel(id yardwharf.RequestID, n int) {
+func (y *run) Cancel(id yardwharf.RequestID, n int) {
 	if m := y.messages[id]; m != nil && n < len(m.relays) {
 		r := m.relays[n]
 		y.after(0, func() { y.end(r, yardwharf.Cancelled) })
@@ -361,14 +330,14 @@
 }
 
 // SetTimer sets one.
-func (y *yard) SetTimer(after time.Duration) { y.after(after, func() { y.b.Timer(y.now) }) }
+func (y *run) SetTimer(after time.Duration) { y.after(after, func() { y.b.Timer(y.now) }) }
 
 // Probe, Tell and Watch have nothing to do here.
-func (y *yard) Probe(yardwharf.WorkerID) {}
-func (y *yard) Tell([]byte)              {}
-func (y *yard) Watch()                   {}
+func (y *run) Probe(yardwharf.WorkerID) {}
+func (y *run) Tell([]byte)              {}
+func (y *run) Watch()                   {}
 
-func (y *yard) finish() Result {
+func (y *run) finish() Result {
 	y.result.Served = len(y.waits)
 	jobs, _ := y.k.List(0, 1<<30, func(j *waiting.Job) bool { return j.State == waiting.Ready || j.State == waiting.Running })
 	for _, j := range jobs {
--- a/internal/yardlab/cli_test.go
+++ b/internal/yardlab/cli_test.go
@@ -77,8 +77,34 @@
 	}
 }
 
+// A scenario passes or fails by what it expects, and a seed replays to the byte.
+func TestRun(t *testing.T) {
+	dir := t.TempDir()
+	good, bad := filepath.Join(dir, "good.star"), filepath.Join(dir, "bad.star")
+	os.WriteFile(good, []byte("about(\"a try\")\nsite(\"here\")\ntraffic(rate = 20)\nexpect(service = \"at least 50%\")\nrun(length = \"10s\")"), 0o600)
+	status, out, log := call("run", good, "--seeds", "2")
+	if status != 0 || log != "" || !strings.Contains(out, "good") {
+		t.Errorf("status %d\n%s%s", status, out, log)
+	}
+	_, first, _ := call("run", good, "--json", "--seed", "7")
+	if _, again, _ := call("run", good, "--json", "--seed", "7"); again != first || !strings.Contains(first, `"seed": 7`) {
+		t.Errorf("%s, then %s", first, again)
+	}
+	if status, out, _ := call("list", "--dir", dir); status != 0 || !strings.Contains(out, "a try") {
+		t.Errorf("status %d, %s", status, out)
+	}
+	os.WriteFile(bad, []byte("site(\"here\")\nexpect(service = \"at least 101%\")\nrun(length = \"5s\", seeds = 1)"), 0o600)
+	if status, out, _ := call("run", bad); status != 1 || !strings.Contains(out, "not as expected: service is") {
+		t.Errorf("status %d\n%s", status, out)
+	}
+	os.WriteFile(bad, []byte("site(\"here\", hosts = -1)"), 0o600)
+	if status, _, log := call("run", bad); status != 1 || !strings.Contains(log, "bad.star:1:22: hosts: is -1") {
+		t.Errorf("status %d, %s", status, log)
+	}
+}
+
 func TestUsage(t *testing.T) {
-	for _, args := range []string{"dance", "xds", "xds a b", "xds dump", "xds dump --server x", "xds dump --server 127.0.0.1:1 --mode big", "xds bench --hosts 0", "sender x"} {
+	for _, args := range []string{"dance", "xds", "xds a b", "xds dump", "xds dump --server x", "xds dump --server 127.0.0.1:1 --mode big", "xds bench --hosts 0", "sender x", "run", "list --dir /nowhere", "order --seeds 0"} {
 		if status, _, log := call(strings.Fields(args)...); status != 2 || strings.Count(log, "\n") != 1 {
 			t.Errorf("yardlab %s: status %d, logged %q", args, status, log)
 		}
