--- a/internal/yardlab/cli_test.go
+++ b/internal/yardlab/cli_test.go
@@ -104,7 +104,7 @@
 }
 
 func TestUsage(t *testing.T) {
-	for _, args := range []string{"dance", "xds", "xds a b", "xds dump", "xds dump --server x", "xds dump --server 127.0.0.1:1 --mode big", "xds bench --hosts 0", "sender x", "run", "list --dir /nowhere", "order --seeds 0"} {
+	for _, args := range []string{"dance", "xds", "xds a b", "xds dump", "xds dump --server x", "xds dump --server 127.0.0.1:1 --mode big", "xds bench --hosts 0", "sender x", "run", "list --dir /nowhere", "order --seeds 0", "load", "load ftp://127.0.0.1/", "load http://10.0.0.1/", "load http://127.0.0.1:1/ --rate 0", "load http://127.0.0.1:1/ -H x"} {
 		if status, _, log := call(strings.Fields(args)...); status != 2 || strings.Count(log, "\n") != 1 {
 			t.Errorf("yardlab %s: status %d, logged %q", args, status, log)
 		}
--- a/internal/yardlab/run.go
+++ b/internal/yardlab/run.go
@@ -36,7 +36,7 @@
 				fmt.Fprintf(out, "%-22s %8s %8s %8s %9s %8s %8s %9s\n", "scenario", "service", "worst", "refused", "crossings", "attempts", "pressure", "wall time")
 			}
 			for _, path := range args {
-				s, err := load(path, log)
+				s, err := scenarioAt(path, log)
 				if err != nil {
 					return err
 				}
@@ -75,8 +75,8 @@
 	return c
 }
 
-// load reads a scenario; a fault in the file is printed as compilers have it.
-func load(path string, log io.Writer) (*scenario.Scenario, error) {
+// scenarioAt reads a scenario; a fault in the file is printed as compilers have it.
+func scenarioAt(path string, log io.Writer) (*scenario.Scenario, error) {
 	s, err := scenario.Load(path)
 	var own *script.Error
 	if errors.As(err, &own) {
@@ -95,7 +95,7 @@
 				return usageError{fmt.Errorf("list: there are no scenarios in %s", dir)}
 			}
 			for _, path := range paths {
-				s, err := load(path, log)
+				s, err := scenarioAt(path, log)
 				if err != nil {
 					return err
 				}
