--- a/internal/lab/order/yard.go
+++ b/internal/lab/order/yard.go
@@ -339,10 +339,14 @@
 
 func (y *run) finish() Result {
 	y.result.Served = len(y.waits)
-	jobs, _ := y.k.List(0, 1<<30, func(j *waiting.Job) bool { return j.State == waiting.Ready || j.State == waiting.Running })
-	for _, j := range jobs {
-		y.result.Unserved++
-		y.result.Longest = max(y.result.Longest, y.now-j.ReadyAt)
+	open := func(j *waiting.Job) bool { return j.State == waiting.Ready || j.State == waiting.Running }
+	for after, more := waiting.ID(0), true; more; more = after > 0 { // a page at a time
+		var jobs []*waiting.Job
+		jobs, after = y.k.List(after, 1000, open)
+		for _, j := range jobs {
+			y.result.Unserved++
+			y.result.Longest = max(y.result.Longest, y.now-j.ReadyAt)
+		}
 	}
 	slices.Sort(y.waits)
 	if n := len(y.waits); n > 0 {
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -125,14 +125,16 @@
 		if m == nil {
 			continue
 		}
-		w.check.Void(m.id)
 		for _, r := range m.relays {
 			if !r.ended {
 				r.ended = true
 				r.h.GiveUp(r.task)
 			}
 		}
-		w.again(m.req)
+		if !m.answered { // the client of one that is has its answer
+			w.check.Void(m.id)
+			w.again(m.req)
+		}
 	}
 	d.messages = nil
 }
@@ -165,6 +167,7 @@
 	m.answered = true
 	w := m.d.w
 	w.check.Answered(w.clock.Now(), m.id, harmless)
+	w.clock.After(0, m.forget) // not now: the module may be about to end a relay of it
 	w.clock.After(w.delay(m.d.site, m.req.site), func() {
 		if served {
 			w.served(m.req)
@@ -199,6 +202,20 @@
 	}
 	d.b.Outcome(w.clock.Now(), yardwharf.Outcome{Request: yardwharf.RequestID(m.id), Attempt: r.n, Worker: r.h.id, Status: st,
 		Latency: w.clock.Now() - r.sent, Closed: m.answered})
+	m.forget()
+}
+
+// forget lets go of a message that has its answer and no relay out.
+func (m *message) forget() {
+	if !m.answered || m.d.messages[yardwharf.RequestID(m.id)] != m {
+		return
+	}
+	for _, r := range m.relays {
+		if !r.ended {
+			return
+		}
+	}
+	delete(m.d.messages, yardwharf.RequestID(m.id))
 }
 
 // Send implements yardwharf.Actions, as the rest.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -80,6 +80,7 @@
 	Margin       time.Duration // of the grace, the least
 	Pressure     float64       // on a cold host, the most, as a part of what pushes it over
 	Events       uint64
+	Open         int // messages that are still held at the end
 }
 
 // ClassResult is one class's part.
@@ -320,6 +321,9 @@
 			w.check.Fell(w.clock.Now(), h.index)
 		}
 	}
+	for _, d := range w.disp {
+		r.Open += len(d.messages)
+	}
 	r.Broken, r.Margin, r.Events = w.check.Broken(), w.check.Margin, w.clock.Events()
 }
 
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -25,6 +25,9 @@
 			t.Error(err)
 			return ""
 		}
+		if r.Open > 0 {
+			t.Errorf("seed %d: %d messages are held at the end", seed, r.Open)
+		}
 		text, err := json.Marshal(r)
 		if err != nil {
 			t.Error(err)
--- a/internal/membership/clock.go
+++ b/internal/membership/clock.go
@@ -1,9 +1,6 @@
 package membership
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // Next is when Tick has something to do; ok is false where nothing is due ever.
 func (f *Fleet) Next() (at time.Duration, ok bool) {
@@ -87,8 +84,3 @@
 		f.release(f.asides[key], now)
 	}
 }
-
-// String is the fleet as transcripts show it.
-func (f *Fleet) String() string {
-	return fmt.Sprintf("%d hosts, %d may be sent to", len(f.hosts.byName)-f.hosts.gone, f.hosts.usable)
-}
--- a/internal/waiting/core.go
+++ b/internal/waiting/core.go
@@ -1,7 +1,6 @@
 package waiting
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -102,9 +101,6 @@
 	return j, j == nil && id > 0 && id <= k.last
 }
 
-// ByKey returns the job that a client has submitted under its own key.
-func (k *Core) ByKey(key string) *Job { return k.keys[key] }
-
 // Count is how many jobs are in a state.
 func (k *Core) Count(s State) int { return k.counts.states[s] }
 
@@ -370,8 +366,3 @@
 	}
 	return out, 0
 }
-
-// String is a summary for logs.
-func (k *Core) String() string {
-	return fmt.Sprintf("%d waiting, %d ready, %d running", k.Count(Waiting), k.Count(Ready), k.Count(Running))
-}
--- a/internal/xdslink/source.go
+++ b/internal/xdslink/source.go
@@ -37,6 +37,7 @@
 	config  Config
 	handler Handler
 	lines   chan ToHelper
+	stuck   chan struct{}
 	done    chan struct{}
 	once    sync.Once
 	helpers uint64 // started so far
@@ -45,17 +46,22 @@
 // Start starts a helper by its command. It does not fail: a helper that does not
 // start is told by Died and tried again.
 func Start(l *loop.Loop, command []string, c Config, h Handler) *Source {
-	s := &Source{loop: l, command: command, config: c, handler: h, lines: make(chan ToHelper, queueMost), done: make(chan struct{})}
+	s := &Source{loop: l, command: command, config: c, handler: h, lines: make(chan ToHelper, queueMost), stuck: make(chan struct{}, 1), done: make(chan struct{})}
 	go s.keep()
 	return s
 }
 
 // Send puts a line out; it never waits. A helper that has not read for so long that
-// the queue is full has hung, and what is dropped here is asked for anew by the next.
+// the queue is full has hung: it is ended, as it would wait for the verdict that is
+// dropped here, and the next one asks for everything anew.
 func (s *Source) Send(m ToHelper) {
 	select {
 	case s.lines <- m:
 	default:
+		select {
+		case s.stuck <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -113,6 +119,10 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("xds helper: %w", err)
 	}
+	select {
+	case <-s.stuck: // it was the last one that was
+	default:
+	}
 	ended := make(chan struct{})
 	s.helpers++
 	go s.write(in, ended)
@@ -124,6 +134,8 @@
 			case <-time.After(time.Second):
 				cmd.Process.Kill()
 			}
+		case <-s.stuck:
+			cmd.Process.Kill()
 		case <-ended:
 		}
 	}()
