--- /dev/null
+++ b/deploy/operator.star
@@ -0,0 +1,39 @@
+# The operator's file of this installation. Everything is off: the dispatcher runs
+# as the platform's configuration says. It is read where the command line names it
+#
+#     bin/yardwharf run --operator deploy/operator.star
+#
+# and again at each SIGHUP, whole or not at all. `bin/yardwharf check FILE` checks
+# one without running anything. It is Starlark: loops, functions and load() of
+# files beside it work; there is no clock, no randomness and no I/O. What each key
+# means is in docs/OPERATOR.md; the values shown are the defaults unless marked.
+#
+# ---- Where the list of south side hosts comes from
+#
+# inventory(xds(
+#     server = "127.0.0.1:18000",       # needed; ip:port, or a list, tried in order
+#     node = node(                      # needed; what the server is told of us
+#         id = "n0",                    # needed
+#         cluster = "yard",             # default ""
+#         zone = "montevideo",          # default ""
+#     ),
+#     mode = "delta",                   # or "sotw", state of the world
+#     clusters = ["senders"],           # default []: all that CDS gives; else these
+#                                       # and those that routes name
+#     tls = tls(                        # default None: plain text
+#         ca = "ca.pem",                # needed; who signs the server's certificate
+#         cert = "n0.pem",              # ours; read again when the file changes
+#         key = "n0.key",
+#         server_name = "xds",          # default: the address
+#     ),
+#     initial_fetch_timeout = "15s",    # a cluster is waited for no longer
+#     stale_hold = "1m",                # how long an update that looks old is held
+#     allow_empty = False,              # an update may take the last host
+#     max_message_mb = 16,              # of one response
+#     backoff_most = "5s",              # between two attempts to reach a server
+#     silence = "20s",                  # a connection that is dead for so long is given up
+# ))
+#
+# ---- Which clusters may serve a class; a class without a route: all of them
+#
+# route(class_ = "campaign-batch", clusters = {"senders": 90, "senders-b": 10})
--- /dev/null
+++ b/internal/app/leave.go
@@ -0,0 +1,52 @@
+package app
+
+import (
+	"time"
+
+	"yardwharf/internal/loop"
+)
+
+const (
+	checkEvery = 10 * time.Millisecond
+
+	// After SIGTERM the platform waits for the longest deadline, or leaveMost where
+	// that is less, and leaveExtra before it kills.
+	leaveMost   = 3 * time.Second
+	leaveExtra  = 700 * time.Millisecond
+	leaveMargin = 300 * time.Millisecond // kept of that for the last answers to get out
+)
+
+// leave ends the program as the platform asks: it serves on for half of the time
+// that it is given, then takes nothing new and stops when all that was taken is
+// answered. What it takes from now on is cut to end within that time. Guards the
+// clients of dispatchers that leave one after the other: while the others are not
+// back yet, the connections that they have are the only ones to be had.
+func (p *program) leave() {
+	if p.leaving {
+		return
+	}
+	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
+	p.leaving = true
+	p.front.SetReady(false)
+	p.timer.Task = loop.Func(func() {
+		p.front.Close()
+		p.wait()
+	})
+	now, longest := p.loop.Now(), time.Duration(0)
+	for _, c := range p.config.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	given := min(longest, leaveMost) + leaveExtra
+	p.dispatcher.EndBy(now + given - leaveMargin)
+	p.loop.Set(&p.timer, now+given/2)
+}
+
+func (p *program) wait() {
+	if p.front.Clients() == 0 && p.dispatcher.Open() == 0 {
+		p.watcher.Close()
+		p.loop.Stop()
+		return
+	}
+	p.timer.Task = loop.Func(p.wait)
+	p.loop.Set(&p.timer, p.loop.Now()+checkEvery)
+}
