Give cold hosts what the fleet carries for its warmth, not a fixed trickle

Ruled out: refused or failed sends to them (none), late lists (all told within 0.4 s). Cause: coldFit in balancer.go. Its refill took the starting share of capacity for the whole warm-up and the dispatcher's rate over all hosts, the cold ones counted as full: 1.2 jobs a second a host at 80 dispatchers, however warm it had become. Change: the refill is a multiple of what hosts carry for the warmth they have, times this host's warmth.

--- a/balancer.go
+++ b/balancer.go
@@ -43,6 +43,7 @@
 
 	coldPart     = 0.5                    // of the cold budget that is spent; the rest is for skew and chance
 	coldLeast    = 1                      // jobs in an overload's time: least budget, over all dispatchers
+	warmEvery    = 100 * time.Millisecond // how old the sum of all warmth may be
 	fullPause    = 50 * time.Millisecond  // how long a full worker is not drawn; doubles
 	fullMost     = 5                      // times at most
 	strikePause  = time.Second            // the same after a silent end; doubles
@@ -395,14 +396,15 @@
 }
 
 // coldFit thins the draws of a cold worker to its warmth and holds this
-// dispatcher to its part of what the worker can take, whatever else is unfit.
+// dispatcher to its part of what the worker can take now, whatever else is unfit:
+// a multiple of what the workers carry for the warmth that they have.
 // Guards against all dispatchers together pushing a cold worker over.
 func (b *Balancer) coldFit(w *worker) bool {
 	c := b.warmth(w)
 	if c >= 1 {
 		return true
 	}
-	part := coldPart * b.s.OverloadFactor * b.s.StartCapacity * b.rate / float64(max(1, len(b.splits[0].m)))
+	part := coldPart * b.s.OverloadFactor * c * b.rate / b.warm()
 	part = max(part, coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers))
 	depth := max(1, part*b.s.OverloadFor.Seconds())
 	w.tokens = min(depth, w.tokens+part*(b.now-w.refilled).Seconds())
@@ -410,6 +412,17 @@
 	return w.tokens >= 1 && b.rng.Float64() < c
 }
 
+// warm is the warmth of all ready workers added up, as of a short while ago.
+func (b *Balancer) warm() float64 {
+	if b.now-b.warmed >= warmEvery || b.warmSum == 0 {
+		b.warmed, b.warmSum = b.now, 0
+		for _, m := range b.splits[0].m {
+			b.warmSum += b.warmth(m.w)
+		}
+	}
+	return max(1, b.warmSum)
+}
+
 // shun keeps a worker out of the draw after a sign that it cannot serve: for a
 // short span after a full queue, for a doubling one after silence or errors.
 func (b *Balancer) shun(w *worker, st Status, sent time.Duration) {
--- a/state.go
+++ b/state.go
@@ -39,6 +39,9 @@
 	copies    float64         // copies that may be sent now
 	holding   bool            // a timer for them is set
 
+	warmSum float64 // warmth of all ready workers, as of warmed
+	warmed  time.Duration
+
 	workers []*worker
 	byID    map[WorkerID]*worker
 	gone    int              // workers that are
