Let dispatchers call discovery in turns, and size the cold budget by reported use

A call that is given up keeps its place in the queue, and changes for watches that stand wait behind it: told 4 to 5 s late. At fault: askSpread (50 ms whatever the fleet) and the repeats in Members, balancer.go. Change: first calls go out in the order of the dispatchers' numbers, 80 ms each (8/10 of the time between calls at most), and a repeat waits for a turn. The cold budget takes what hosts carry over the share of their cores that reports call busy, which is what they could carry, and cold hosts are no longer thinned besides.

--- a/balancer.go
+++ b/balancer.go
@@ -43,6 +43,8 @@
 
 	coldPart     = 0.5                    // of the cold budget that is spent; the rest is for skew and chance
 	coldLeast    = 1                      // jobs in an overload's time: least budget, over all dispatchers
+	utilNew      = 0.05                   // weight of one report in how busy workers are
+	utilLeast    = 0.25                   // least that they are taken for
 	warmEvery    = 100 * time.Millisecond // how old the sum of all warmth may be
 	fullPause    = 50 * time.Millisecond  // how long a full worker is not drawn; doubles
 	fullMost     = 5                      // times at most
@@ -61,7 +63,9 @@
 	tellLeast    = 20 * time.Millisecond  // messages to peers are this far apart at least
 	peerStale    = time.Second            // a peer's counts are forgotten after this silence
 	ttlMargin    = 100 * time.Millisecond // kept of a key's window for the way to the worker
-	askSpread    = 50 * time.Millisecond  // spread of the first discovery calls
+	askSpread    = 50 * time.Millisecond  // least spread of the first discovery calls
+	askEach      = 80 * time.Millisecond  // of it for each dispatcher
+	askMost      = 8                      // tenths of the longest time between calls: most spread
 	askFirst     = 500 * time.Millisecond // wait after the first failed call; doubles
 	meanMemory   = 200                    // completions that a class's mean delay remembers
 	baseSamples  = 100                    // completions in a mean that may be the shortest of late
@@ -247,7 +251,9 @@
 	if kind == ListFailed {
 		b.watching, b.asking = false, !b.s.AskDiscovery
 		b.failures++
-		b.after(b.jitter(min(askFirst<<min(b.failures-1, 10), b.s.AskWithin/2)), 0, timerAsk)
+		turn := b.askTurn()
+		wait := min(max(askFirst, turn)<<min(b.failures-1, 10), max(turn, b.s.AskWithin/2))
+		b.after(b.jitter(wait), 0, timerAsk)
 		return
 	}
 	if kind != ListCached { // a list also comes unasked, where the host moves the watch
@@ -260,11 +266,19 @@
 		b.after(b.jitter(tellLeast), 0, timerTell)
 	}
 	if kind == ListCached && b.s.AskDiscovery {
-		// Many dispatchers may start at once: spread their first calls a little.
-		b.after(b.jitter(askSpread), 0, timerAsk)
+		at := (float64(b.s.Me) + b.rng.Float64()) / float64(b.s.Balancers)
+		b.after(seconds(at*b.askTurn().Seconds()), 0, timerAsk)
 	}
 }
 
+// askTurn is the time in which each dispatcher calls discovery once, in the order
+// of their numbers, where all start at once. Discovery works off a call at a time,
+// also one that has been given up: guards against calls and repeats of all
+// dispatchers that keep it overbooked for good, so that it serves none.
+func (b *Balancer) askTurn() time.Duration {
+	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), askMost*b.s.AskWithin/10))
+}
+
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(b.rng.Float64()*float64(d/2))
 }
@@ -386,7 +400,7 @@
 	return total + b.others
 }
 
-// warmth is the part of its capacity that a worker has at least.
+// warmth is the part of its capacity that a worker has at least, by its age.
 func (b *Balancer) warmth(w *worker) float64 {
 	if w.coldSince <= 0 || b.now-w.coldSince >= b.s.WarmUp {
 		return 1
@@ -404,12 +418,12 @@
 	if c >= 1 {
 		return true
 	}
-	part := coldPart * b.s.OverloadFactor * c * b.rate / b.warm()
+	part := coldPart * b.s.OverloadFactor * c * b.rate / b.warm() / b.util
 	part = max(part, coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers))
 	depth := max(1, part*b.s.OverloadFor.Seconds())
 	w.tokens = min(depth, w.tokens+part*(b.now-w.refilled).Seconds())
 	w.refilled = b.now
-	return w.tokens >= 1 && b.rng.Float64() < c
+	return w.tokens >= 1
 }
 
 // warm is the warmth of all ready workers added up, as of a short while ago.
@@ -710,6 +724,9 @@
 		a.w.sign = now
 	}
 	b.out--
+	if i := slices.Index(b.s.ReportFields, FieldUtil); i >= 0 && i < len(o.Load) && o.Load[i] >= 0 {
+		b.util = max(utilLeast, b.util+(min(1, float64(o.Load[i]))-b.util)*utilNew)
+	}
 	if a.stale = o.Stale; !o.Stale {
 		b.shun(a.w, o.Status, a.sent)
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -20,6 +20,7 @@
 	watches  int
 	tells    int
 	lastTell []byte
+	load     []float32 // the report in each outcome
 }
 
 type sent struct {
@@ -133,7 +134,7 @@
 		closed = true
 	}
 	f.b.Outcome(f.now, Outcome{Request: s.id, Attempt: s.n, Worker: s.worker, Status: st,
-		Latency: f.now - s.at, Closed: closed})
+		Latency: f.now - s.at, Closed: closed, Load: f.load})
 }
 
 func (f *fake) last() sent {
--- a/size_test.go
+++ b/size_test.go
@@ -1,6 +1,7 @@
 package yardwharf
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -13,7 +14,8 @@
 	now  time.Duration
 	id   RequestID
 	runs time.Duration
-	done []int // by dispatcher: sends whose end has been told
+	load []float32 // the report in each answer
+	done []int     // by dispatcher: sends whose end has been told
 }
 
 func newCrowd(t *testing.T, s Settings, n, workers int, runs time.Duration) *crowd {
@@ -39,8 +41,18 @@
 	}
 }
 
-// load lets time pass, with one request every so often at each dispatcher in turn.
-func (c *crowd) load(d, every time.Duration) {
+// replace has cold workers, from 101 on, in the place of the first n.
+func (c *crowd) replace(n int) {
+	var list []Member
+	for i := 1; i <= n; i++ {
+		list = append(list, Member{ID: WorkerID(i), State: Gone},
+			Member{ID: WorkerID(100 + i), Zone: i % 2, State: Ready, Started: c.now})
+	}
+	c.tell(list)
+}
+
+// spend lets time pass, with one request every so often at each dispatcher in turn.
+func (c *crowd) spend(d, every time.Duration) {
 	step := every / time.Duration(len(c.f))
 	for end := c.now + d; c.now < end; {
 		for i, f := range c.f {
@@ -56,6 +68,7 @@
 func (c *crowd) finish(i int) {
 	f := c.f[i]
 	for c.done[i] < len(f.sends) && f.sends[c.done[i]].at+c.runs <= c.now {
+		f.load = c.load
 		f.end(f.sends[c.done[i]], OK)
 		c.done[i]++
 	}
@@ -81,15 +94,10 @@
 	s.Balancers, s.StartCapacity, s.OverloadFactor = 80, 0.13, 4
 	const workers, replaced = 20, 12
 	c := newCrowd(t, s, s.Balancers, workers, 50*ms)
-	c.load(8*time.Second, 500*ms) // 160 a second: 8 a worker, its half
+	c.spend(8*time.Second, 500*ms) // 160 a second: 8 a worker, its half
 	began := c.now
-	var list []Member
-	for i := 1; i <= replaced; i++ {
-		list = append(list, Member{ID: WorkerID(i), State: Gone},
-			Member{ID: WorkerID(100 + i), Zone: i % 2, State: Ready, Started: c.now})
-	}
-	c.tell(list)
-	c.load(s.WarmUp, 500*ms)
+	c.replace(replaced)
+	c.spend(s.WarmUp, 500*ms)
 	const carried = 8.0 // by a warm worker before
 	for w := WorkerID(101); w <= 100+replaced; w++ {
 		used := 0.0
@@ -109,3 +117,74 @@
 		}
 	}
 }
+
+// Where reports say that workers are a third busy, they could carry three times
+// what they do, and so could cold ones for their warmth. Reports that are no shares
+// say nothing.
+func TestColdBudgetByReports(t *testing.T) {
+	nan := float32(math.NaN())
+	got := map[string]int{}
+	for name, load := range map[string][]float32{"none": nil, "busy": {1}, "idle": {0.3}, "odd": {nan},
+		"below": {-1}, "above": {7}, "other": {}} {
+		s := settings(Class{Effect: Safe})
+		s.Balancers, s.StartCapacity, s.ReportFields = 40, 0.13, []Field{FieldUtil}
+		c := newCrowd(t, s, s.Balancers, 4, 50*ms)
+		c.load = load
+		c.spend(20*time.Second, time.Second)
+		c.replace(4) // none but the budget says what these get
+		c.spend(s.OverloadFor, 200*ms)
+		for w := WorkerID(101); w <= 104; w++ {
+			got[name] += c.sent(w, 0, c.now)
+		}
+	}
+	for _, name := range []string{"busy", "odd", "below", "above", "other"} {
+		if got[name] != got["none"] {
+			t.Errorf("%s: %d jobs, want %d as without reports", name, got[name], got["none"])
+		}
+	}
+	if 2*got["idle"] < 3*got["none"] {
+		t.Errorf("idle: %d jobs, not half as many again as the %d without reports", got["idle"], got["none"])
+	}
+}
+
+// All dispatchers start in one moment with the same list, before a discovery that
+// takes one call in 62 ms, in turn, answers 503 to one that has waited for 2 s and
+// works it off all the same. Each gets its list before a rule counts it as told.
+func TestDiscoveryIsCalledInTurns(t *testing.T) {
+	s := settings(Class{Effect: Safe})
+	s.Balancers, s.AskDiscovery, s.AskWithin = 80, true, 10*time.Second
+	c := newCrowd(t, s, s.Balancers, 3, 50*ms)
+	const takes, patience = 62 * ms, 2 * time.Second
+	type call struct {
+		by int
+		at time.Duration
+	}
+	var queue []call
+	var free time.Duration
+	asked, failed := make([]int, len(c.f)), 0
+	for served := 0; served < len(c.f); c.now += 2 * ms {
+		if c.now > time.Second+s.AskWithin {
+			t.Fatalf("%d of %d have their list after %v, %d calls have failed", served, len(c.f), s.AskWithin, failed)
+		}
+		for i, f := range c.f {
+			if f.wait(c.now - f.now); f.watches > asked[i] {
+				asked[i] = f.watches
+				queue = append(queue, call{i, c.now})
+			}
+		}
+		for i := range queue { // those that have waited for too long
+			if q := &queue[i]; q.by >= 0 && c.now-q.at >= patience {
+				c.f[q.by].b.Members(c.now, ListFailed, nil)
+				q.by = -1
+				failed++
+			}
+		}
+		if len(queue) > 0 && c.now >= free {
+			if free = c.now + takes; queue[0].by >= 0 {
+				c.f[queue[0].by].b.Members(c.now, ListDelta, nil)
+				served++
+			}
+			queue = queue[1:]
+		}
+	}
+}
