Draw in the own zone before others, and forget a host's failures at its restart

Change (balancer.go): a draw among the own zone between home and all, where home is a part of the zone only; a listed restart clears strikes, room, pace and the zone's losses, and ends of attempts at the process before count for nothing; samples and pace are counted at full warmth.

--- a/balancer.go
+++ b/balancer.go
@@ -59,14 +59,7 @@
 	copyCut      = 0.7                    // by this, each round
 	silenceLeast = 250 * time.Millisecond // a worker that starts nothing for this long may hang
 	silenceAims  = 1                      // or for this many times the shortest aim
-	peerBytes    = 128                    // peer message bytes delivered a request: the price of fresh counts
-	tellLeast    = 20 * time.Millisecond  // messages to peers are this far apart at least
-	peerStale    = time.Second            // a peer's counts are forgotten after this silence
 	ttlMargin    = 100 * time.Millisecond // kept of a key's window for the way to the worker
-	askSpread    = 50 * time.Millisecond  // least spread of the first discovery calls
-	askEach      = 80 * time.Millisecond  // of it for each dispatcher
-	askMost      = 8                      // tenths of the longest time between calls: most spread
-	askFirst     = 500 * time.Millisecond // wait after the first failed call; doubles
 	meanMemory   = 200                    // completions that a class's mean delay remembers
 	baseSamples  = 100                    // completions in a mean that may be the shortest of late
 	baseDrift    = 1.08                   // growth of the shortest mean with each new one: it forgets
@@ -244,68 +237,10 @@
 
 // ---- Fitness: who may be drawn now.
 
-// Members takes a worker list or changes to it.
-func (b *Balancer) Members(now time.Duration, kind ListKind, list []Member) {
-	b.now = now
-	defer b.arm()
-	if kind == ListFailed {
-		b.watching, b.asking = false, !b.s.AskDiscovery
-		b.failures++
-		turn := b.askTurn()
-		wait := min(max(askFirst, turn)<<min(b.failures-1, 10), max(turn, b.s.AskWithin/2))
-		b.after(b.jitter(wait), 0, timerAsk)
-		return
-	}
-	if kind != ListCached { // a list also comes unasked, where the host moves the watch
-		b.watching, b.asking, b.failures = true, false, 0
-	}
-	first := len(b.workers) == 0
-	b.learn(kind, list, first)
-	if first && b.s.Peers && b.s.Balancers > 1 {
-		b.heard = make([]time.Duration, b.s.Balancers)
-		b.after(b.jitter(tellLeast), 0, timerTell)
-	}
-	if kind == ListCached && b.s.AskDiscovery {
-		at := (float64(b.s.Me) + b.rng.Float64()) / float64(b.s.Balancers)
-		b.after(seconds(at*b.askTurn().Seconds()), 0, timerAsk)
-	}
-}
-
-// askTurn is the time in which each dispatcher calls discovery once, in the order
-// of their numbers, where all start at once. Discovery works off a call at a time,
-// also one that has been given up: guards against calls and repeats of all
-// dispatchers that keep it overbooked for good, so that it serves none.
-func (b *Balancer) askTurn() time.Duration {
-	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), askMost*b.s.AskWithin/10))
-}
-
-func (b *Balancer) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(b.rng.Float64()*float64(d/2))
-}
-
-// ask subscribes to the list, if no call is out and no watch stands.
-func (b *Balancer) ask() {
-	if !b.watching && !b.asking {
-		b.asking = true
-		b.do.Watch()
-	}
-}
-
-func (b *Balancer) member(m *Member, first bool) {
-	w := b.byID[m.ID]
-	if w == nil {
-		w = &worker{id: m.ID, room: 1, pace: 1}
-		b.byID[m.ID] = w
-		b.workers = append(b.workers, w)
-		b.gone++
-	}
-	w.seen = true
-	b.place(w, m)
-	if m.Started != w.started {
-		w.started, w.coldSince = m.Started, m.Started
-		w.refilled, w.tokens = b.now, b.rng.Float64()
-	}
-	b.setState(w, m.State, m.Pools, first)
+// renew forgets what was learned of a worker's process, as another runs now.
+// Guards against strikes of before its restart that keep it out while it serves.
+func (w *worker) renew() {
+	w.shunned, w.fulls, w.strikes, w.errors, w.room, w.pace = 0, 0, 0, 0, 1, 1
 }
 
 // fit says whether a worker may be drawn now. Of a zone in which nearly all ends
@@ -373,6 +308,7 @@
 			sp.home = append(sp.home, m)
 		}
 	}
+	sp.near = append(sp.near[:0], sp.home...)
 	n := len(sp.home)
 	_, at := math.Modf(float64(s.Me) * math.Phi)
 	size := min(n, (homeParts*len(sp.m)+s.Balancers-1)/s.Balancers)
@@ -440,6 +376,9 @@
 // shun keeps a worker out of the draw after a sign that it cannot serve: for a
 // short span after a full queue, for a doubling one after silence or errors.
 func (b *Balancer) shun(w *worker, st Status, sent time.Duration) {
+	if sent < w.started { // it was another process
+		return
+	}
 	switch st {
 	case Full:
 		w.fulls++
@@ -509,6 +448,9 @@
 func (b *Balancer) tryOn(r *request) bool {
 	var least *member
 	best := b.drawAmong(r, r.split.home, true)
+	if best == nil && len(r.split.near) > len(r.split.home) {
+		best = b.drawAmong(r, r.split.near, true)
+	}
 	if best == nil && b.s.TellsStart {
 		best = b.drawAmong(r, r.split.m, true)
 	}
@@ -714,7 +656,7 @@
 	if a.hasStarted {
 		a.w.run(a, -1)
 		if ran := (now - a.started).Seconds(); o.Status == OK && a.usual > 0 {
-			a.w.pace += (ran/a.usual - a.w.pace) * paceNew
+			a.w.pace += (ran*b.warmth(a.w)/a.usual - a.w.pace) * paceNew
 			a.w.paced = now
 		}
 	} else {
@@ -777,31 +719,6 @@
 	}
 }
 
-// Peer takes a message from another dispatcher: what it has out at each worker.
-func (b *Balancer) Peer(now time.Duration, from int, data []byte) {
-	b.now = now
-	if from >= 0 && from < len(b.heard) && from != b.s.Me && readCounts(data, b.print, from, b.splits[0].m) {
-		b.heard[from] = now
-	}
-}
-
-// tell sends the peers what is out at each worker, as often as the traffic pays
-// for, and forgets what peers told that have fallen silent.
-func (b *Balancer) tell() {
-	list, bytes := b.splits[0].m, 0
-	for from := 0; from < len(list) && len(list) <= math.MaxUint16; from += countsMost {
-		b.message = appendCounts(b.message[:0], b.print, from, list)
-		bytes += len(b.message)
-		if b.tellEvery <= peerStale/2 {
-			b.do.Tell(b.message)
-		}
-	}
-	b.forget(b.now - peerStale)
-	pays := peerBytes * max(b.rate, 1) / float64(max(1, b.s.Balancers-1))
-	b.tellEvery = max(tellLeast, min(seconds(float64(bytes)/pays), peerStale))
-	b.after(b.jitter(2*b.tellEvery), 0, timerTell)
-}
-
 // Timer takes the end of a timer.
 func (b *Balancer) Timer(now time.Duration) {
 	b.now = now
@@ -856,7 +773,8 @@
 	if !completed && !a.hasStarted {
 		delay += unit // it waited this long and would have had to run yet
 	}
-	r.split.sample(m, min(delay/unit, mostSample), service/unit, completed)
+	warm := b.warmth(a.w) // so that one that warms does not pass for slow
+	r.split.sample(m, min(warm*delay/unit, mostSample), warm*service/unit, completed)
 	if r.split.lacking <= 0 || b.now-r.split.stepped >= stepWait {
 		r.split.stepped = b.now
 		r.split.step(b)
--- a/fleet.go
+++ b/fleet.go
@@ -1,12 +1,90 @@
 package yardwharf
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // This file books what the worker list says: which workers there are, and which
 // split each is in. A split holds the workers of one kind in one pool. Pool 0 is
 // all workers; the others are told with each worker, and only those that requests
 // have asked for get splits.
 
+const (
+	askSpread = 50 * time.Millisecond  // least spread of the first discovery calls
+	askEach   = 80 * time.Millisecond  // of it for each dispatcher
+	askMost   = 8                      // tenths of the longest time between calls: most spread
+	askFirst  = 500 * time.Millisecond // wait after the first failed call; doubles
+)
+
+// Members takes a worker list or changes to it.
+func (b *Balancer) Members(now time.Duration, kind ListKind, list []Member) {
+	b.now = now
+	defer b.arm()
+	if kind == ListFailed {
+		b.watching, b.asking = false, !b.s.AskDiscovery
+		b.failures++
+		turn := b.askTurn()
+		wait := min(max(askFirst, turn)<<min(b.failures-1, 10), max(turn, b.s.AskWithin/2))
+		b.after(b.jitter(wait), 0, timerAsk)
+		return
+	}
+	if kind != ListCached { // a list also comes unasked, where the host moves the watch
+		b.watching, b.asking, b.failures = true, false, 0
+	}
+	first := len(b.workers) == 0
+	b.learn(kind, list, first)
+	if first && b.s.Peers && b.s.Balancers > 1 {
+		b.heard = make([]time.Duration, b.s.Balancers)
+		b.after(b.jitter(tellLeast), 0, timerTell)
+	}
+	if kind == ListCached && b.s.AskDiscovery {
+		at := (float64(b.s.Me) + b.rng.Float64()) / float64(b.s.Balancers)
+		b.after(seconds(at*b.askTurn().Seconds()), 0, timerAsk)
+	}
+}
+
+// askTurn is the time in which each dispatcher calls discovery once, in the order
+// of their numbers, where all start at once. Discovery works off a call at a time,
+// also one that has been given up: guards against calls and repeats of all
+// dispatchers that keep it overbooked for good, so that it serves none.
+func (b *Balancer) askTurn() time.Duration {
+	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), askMost*b.s.AskWithin/10))
+}
+
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(b.rng.Float64()*float64(d/2))
+}
+
+// ask subscribes to the list, if no call is out and no watch stands.
+func (b *Balancer) ask() {
+	if !b.watching && !b.asking {
+		b.asking = true
+		b.do.Watch()
+	}
+}
+
+func (b *Balancer) member(m *Member, first bool) {
+	w, known := b.byID[m.ID]
+	if !known {
+		w = &worker{id: m.ID, room: 1, pace: 1}
+		b.byID[m.ID] = w
+		b.workers = append(b.workers, w)
+		b.gone++
+	}
+	w.seen = true
+	b.place(w, m)
+	if m.Started != w.started {
+		if known { // its zone answers discovery again, too
+			w.renew()
+			b.lost[w.zone] = 0
+		}
+		w.started, w.coldSince = m.Started, m.Started
+		w.refilled, w.tokens = b.now, b.rng.Float64()
+	}
+	b.setState(w, m.State, m.Pools, first)
+}
+
 func newSplit(kind, pool int) *split {
 	return &split{kind: kind, pool: pool, need: firstSamples, base: map[int]float64{}}
 }
--- a/peers.go
+++ b/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 )
 
@@ -76,3 +77,34 @@
 		}
 	}
 }
+
+const (
+	peerBytes = 128                   // peer message bytes delivered a request: the price of fresh counts
+	tellLeast = 20 * time.Millisecond // messages to peers are this far apart at least
+	peerStale = time.Second           // a peer's counts are forgotten after this silence
+)
+
+// Peer takes a message from another dispatcher: what it has out at each worker.
+func (b *Balancer) Peer(now time.Duration, from int, data []byte) {
+	b.now = now
+	if from >= 0 && from < len(b.heard) && from != b.s.Me && readCounts(data, b.print, from, b.splits[0].m) {
+		b.heard[from] = now
+	}
+}
+
+// tell sends the peers what is out at each worker, as often as the traffic pays
+// for, and forgets what peers told that have fallen silent.
+func (b *Balancer) tell() {
+	list, bytes := b.splits[0].m, 0
+	for from := 0; from < len(list) && len(list) <= math.MaxUint16; from += countsMost {
+		b.message = appendCounts(b.message[:0], b.print, from, list)
+		bytes += len(b.message)
+		if b.tellEvery <= peerStale/2 {
+			b.do.Tell(b.message)
+		}
+	}
+	b.forget(b.now - peerStale)
+	pays := peerBytes * max(b.rate, 1) / float64(max(1, b.s.Balancers-1))
+	b.tellEvery = max(tellLeast, min(seconds(float64(bytes)/pays), peerStale))
+	b.after(b.jitter(2*b.tellEvery), 0, timerTell)
+}
--- a/size_test.go
+++ b/size_test.go
@@ -188,3 +188,50 @@
 		}
 	}
 }
+
+// With no room at home the rest of the own zone comes before other zones: at 80
+// dispatchers homes are small, and each crossing has its price.
+func TestOwnZoneBeforeOthers(t *testing.T) {
+	s := settings(Class{Effect: Unsafe})
+	s.Balancers, s.TellsStart = 20, true
+	f := start(t, s, 20) // ten in each zone, three at home
+	for id := RequestID(1); id <= 10; id++ {
+		f.request(id, 0)
+		if w := f.last().worker; w%2 != 0 {
+			t.Fatalf("request %d crosses to worker %d while the own zone has room", id, w)
+		}
+	}
+	if f.request(11, 0); f.last().worker%2 == 0 {
+		t.Errorf("request 11 waits at worker %d while another zone has room", f.last().worker)
+	}
+}
+
+// What failed a worker before its listed restart says nothing of the process that
+// runs since: it is drawn again, as one that is cold, and ends of old attempts
+// count for nothing.
+func TestRestartedWorkerStartsAfresh(t *testing.T) {
+	s := settings(Class{Effect: Safe})
+	f := start(t, s, 1)
+	for id := RequestID(1); id <= 9; id++ {
+		f.request(id, 0)
+	}
+	old := f.sends
+	f.now += 10 * ms
+	for _, x := range old[:len(old)-1] {
+		f.end(x, ConnectFailed)
+	}
+	w := f.b.byID[1]
+	if f.now >= w.shunned {
+		t.Fatal("the worker is not shunned, so that this tests nothing")
+	}
+	f.now += 100 * ms
+	f.b.Members(f.now, ListDelta, []Member{{ID: 1, Zone: 1, State: Ready, Started: f.now - 50*ms}})
+	if f.now < w.shunned || w.strikes > 0 || f.b.lost[1] > 0 {
+		t.Errorf("after its restart it is shunned %v, with %d strikes, its zone lost by %v",
+			w.shunned-f.now, w.strikes, f.b.lost[1])
+	}
+	f.end(old[len(old)-1], Timeout)
+	if w.strikes > 0 || f.b.lost[1] > 0 {
+		t.Error("the end of an attempt at the old process counts against the new one")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -43,6 +43,8 @@
 	warmed  time.Duration
 	util    float64 // how busy workers said to be of late; 1 where they tell nothing
 
+	coldRuns, coldTimes float64 // runs at cold workers of late, and how long they took at full warmth
+
 	workers []*worker
 	byID    map[WorkerID]*worker
 	gone    int              // workers that are
@@ -70,6 +72,7 @@
 	need       int             // L(n)
 	lacking    int             // members with fewer samples than need
 	home       []*member       // those turned to first
+	near       []*member       // those of the own zone
 	base       map[int]float64 // by kind: shortest mean delay of late, for want of start notices
 	stepped    time.Duration   // time of the last step
 }
