Believe errors that reports tell of, and risk no unsafe job on a host that failed

Each of 80 dispatchers needs two errors of its own to shun one; 560 pairs of dispatcher and host. The reports in those answers say 1.5 to 7 errors a second from the first on. Jobs begun before the failure end well meanwhile and cleared the shunning, and the trial after it was as often a send-alert, which then has failed for good, as any other. Change: the report's errors a second reach the module (wire, api); an error with 1.5 or more in its report, which cannot be this dispatcher's alone, counts as many; an end of what was sent before a strike clears nothing; unsafe and keyed jobs are not drawn to a host with errors or strikes, others try it. Values that are no numbers are passed over.

--- a/api.go
+++ b/api.go
@@ -87,6 +87,7 @@
 	FieldQueue
 	FieldUtil
 	FieldFreeSlots
+	FieldErrors
 )
 
 // Settings are what a Balancer is told when it starts.
--- a/balancer.go
+++ b/balancer.go
@@ -39,6 +39,7 @@
 	paceThin     = 2                // its draws fall with this power of its pace
 	errorNew     = 0.3              // weight of one end in a worker's part of errors
 	errorMost    = 0.5              // over this, two errors at once, it is shunned
+	errorsMany   = 1.5              // errors a second that are not this dispatcher's alone
 	redraws      = 12               // draws before a worker without room is taken, or none
 
 	coldPart     = 0.5                    // of the cold budget that is spent; the rest is for skew and chance
@@ -394,6 +395,9 @@
 			b.strike(w)
 		}
 	case OK:
+		if sent < w.struck { // what it did before tells nothing of it now
+			return
+		}
 		if w.strikes > 1 && w.errors < errorMost { // back from silence: cold before the list says so
 			w.coldSince, w.refilled, w.tokens = b.now, b.now, b.rng.Float64()
 		}
@@ -407,6 +411,7 @@
 // that fail at once: they look idle and would draw ever more jobs.
 func (b *Balancer) strike(w *worker) {
 	w.strikes++
+	w.struck = b.now
 	w.shunned = max(w.shunned, b.now+b.jitter(min(strikePause<<min(w.strikes-1, 10), strikeMost)))
 }
 
@@ -459,7 +464,7 @@
 		if m == nil {
 			break
 		}
-		if !b.fit(m.w) || r.tried(m.w) || !r.mayRepeatOn(m.w, b.now) {
+		if !b.fit(m.w) || r.tried(m.w) || !r.mayRepeatOn(m.w, b.now) || n < redraws/2 && !r.trusts(m.w) {
 			continue
 		}
 		if b.hasRoom(m) {
@@ -478,12 +483,19 @@
 	return best != nil && b.send(r, best)
 }
 
+// trusts says whether a request may find out how a worker is that has failed of
+// late: one that may be repeated elsewhere loses nothing by it.
+func (r *request) trusts(w *worker) bool {
+	return r.class.Effect == Safe || w.strikes == 0 && w.errors < errorNew
+}
+
 // drawAmong draws by shares among few: the workers that a keyed request which may
 // have run can still go to, or those of the home that have room.
 func (b *Balancer) drawAmong(r *request, list []*member, home bool) (best *member) {
 	total := 0.0
 	for _, m := range list {
-		if home && (m.w.load+r.slots() > m.w.room || r.class.Effect != Safe && m.w.waiting > 0) {
+		full := m.w.load+r.slots() > m.w.room || r.class.Effect != Safe && m.w.waiting > 0
+		if home && (full || !r.trusts(m.w)) {
 			continue
 		}
 		if r.mayRepeatOn(m.w, b.now) && !r.tried(m.w) && b.fit(m.w) {
@@ -666,8 +678,11 @@
 		a.w.sign = now
 	}
 	b.out--
-	if i := slices.Index(b.s.ReportFields, FieldUtil); i >= 0 && i < len(o.Load) && o.Load[i] >= 0 {
-		b.util = max(utilLeast, b.util+(min(1, float64(o.Load[i]))-b.util)*utilNew)
+	if util, told := b.told(o.Load, FieldUtil); told {
+		b.util = max(utilLeast, b.util+(min(1, util)-b.util)*utilNew)
+	}
+	if eps, _ := b.told(o.Load, FieldErrors); o.Status == Error && eps >= errorsMany {
+		a.w.errors = 1 // others have met with errors there, too
 	}
 	if a.stale = o.Stale; !o.Stale {
 		b.shun(a.w, o.Status, a.sent)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -146,6 +146,8 @@
 				f = cm.FieldQueue
 			case "utilization":
 				f = cm.FieldUtil
+			case "errors_per_s":
+				f = cm.FieldErrors
 			case "x0":
 				if p.Specifics.ReportX0 == "free slots" {
 					f = cm.FieldFreeSlots
--- a/size_test.go
+++ b/size_test.go
@@ -235,3 +235,50 @@
 		t.Error("the end of an attempt at the old process counts against the new one")
 	}
 }
+
+// An error in whose report others' errors show keeps a worker out of the draw at
+// once; jobs that must not run twice do not go where one failed of late, and the end
+// of a job begun before a failure does not undo it.
+func TestReportedErrors(t *testing.T) {
+	for _, c := range []struct {
+		eps  float32
+		shun bool
+	}{{4, true}, {0.5, false}, {float32(math.NaN()), false}, {float32(math.Inf(1)), false}, {-3, false}} {
+		s := settings(Class{Effect: Safe}, Class{Effect: Unsafe})
+		s.ReportFields = []Field{FieldUtil, FieldErrors}
+		f := start(t, s, 1)
+		f.request(1, 0)
+		long := f.last()
+		f.request(2, 0)
+		f.load = []float32{0.5, c.eps}
+		f.now += 10 * ms
+		f.end(f.last(), Error)
+		w := f.b.byID[1]
+		if got := w.shunned > f.now; got != c.shun {
+			t.Errorf("%v errors a second: shunned is %v", c.eps, got)
+		}
+		f.now += 10 * ms
+		before := w.shunned
+		f.end(long, OK)
+		if w.shunned != before {
+			t.Errorf("%v errors a second: a job begun before the error ends the shunning", c.eps)
+		}
+	}
+	s := settings(Class{Effect: Safe}, Class{Effect: Unsafe})
+	s.TellsStart = true
+	f := start(t, s, 8)
+	f.request(1, 0)
+	bad := f.last()
+	f.now += 10 * ms
+	f.end(bad, Error)
+	n := len(f.sends)
+	for id := RequestID(10); id < 40; id++ {
+		f.request(id, 1)
+		f.end(f.last(), OK)
+	}
+	for _, x := range f.sends[n:] {
+		if x.id >= 10 && x.worker == bad.worker {
+			t.Fatalf("unsafe request %d goes to the worker that has just failed", x.id)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package yardwharf
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -116,7 +117,9 @@
 	refilled   time.Duration // when tokens were last added
 	shunned    time.Duration // not drawn before this
 	fulls      int           // full queues in a row
+	good       time.Duration // time of its last good end
 	strikes    int           // silent ends in a row, and errors
+	struck     time.Duration // time of the last of them
 	errors     float64       // part of its ends of late that were errors
 }
 
@@ -245,3 +248,12 @@
 		}
 	}
 }
+
+// told is a value of a load report; reports may lack it, or hold what is no number.
+func (b *Balancer) told(load []float32, f Field) (float64, bool) {
+	i := slices.Index(b.s.ReportFields, f)
+	if i < 0 || i >= len(load) || !(load[i] >= 0) || load[i] > math.MaxFloat32 {
+		return 0, false
+	}
+	return float64(load[i]), true
+}
