Find a zone that is cut off by probes, and give up connects by what others took

Over the fleet 60 to 100 failed connects a second until the zone is back, 5 s later. All 4,170 connects that came up took under 1 ms. After the return 15 to 20% are turned away with 2 or 3 messages in hand and starts at once: the limit of a quiet dispatcher stands at 1.5 and grows by a tenth each 10 ends, 3 s. At fault: zoneNew and zoneTrickle in fit and shun, limit in judge, a fixed dial time. Change: a silent connect has three other hosts of the zone probed over new connections; a zone taken for cut off gets one probe a second and no messages. A refused connect no longer counts against its zone. Connections get 8 times the slowest connect of late, 50 ms at least, and the whole dial time where a host was not reached before. The limit grows by one at least. The laboratory's mutant that is deaf to starts now runs 20 dispatchers a site: with one each the module's other care saves it.

--- a/api.go
+++ b/api.go
@@ -199,10 +199,10 @@
 	Attempt int
 	Worker  WorkerID
 	Status  Status
-	Latency time.Duration
-	Closed  bool      // the request has had its final answer
-	Stale   bool      // a Reset of a kept connection before any word came: it tells nothing of the worker
-	Load    []float32 // a load report, or empty
+	Latency time.Duration // a connection on which nothing came back counts DialTimeout at least
+	Closed  bool          // the request has had its final answer
+	Stale   bool          // a Reset of a kept connection before any word came: it tells nothing of the worker
+	Load    []float32     // a load report, or empty
 }
 
 // NoteKind says what a Note tells of a running attempt.
--- a/balancer.go
+++ b/balancer.go
@@ -31,6 +31,9 @@
 	roomDown     = 0.5              // one that waits takes this
 	zoneLost     = 0.7              // a zone with this share of silent ends is taken for cut off
 	zoneNew      = 0.2              // weight of one end in that share
+	zoneProbed   = 0.4              // the same of a probe
+	lookEvery    = time.Second      // probes into a zone are this far apart
+	lookMost     = 3                // and so many
 	zoneTrickle  = 0.05             // part of the draws that it still gets
 	waitFew      = 0.1              // of the slack: a job that waits no longer counts as started at once
 	paceNew      = 0.2              // weight of one run in a worker's pace
@@ -249,7 +252,7 @@
 // would otherwise have to be found worker by worker.
 func (b *Balancer) fit(w *worker) bool {
 	return w.state == Ready && b.now >= w.shunned && !b.hung(w) && b.coldFit(w) && b.paceFit(w) &&
-		(b.lost[w.zone] < zoneLost || b.rng.Float64() < zoneTrickle)
+		(b.lost[w.zone] < zoneLost || !b.s.Probes && b.rng.Float64() < zoneTrickle)
 }
 
 // silence is how long a worker may start and end nothing while own jobs wait.
@@ -376,7 +379,7 @@
 
 // shun keeps a worker out of the draw after a sign that it cannot serve: for a
 // short span after a full queue, for a doubling one after silence or errors.
-func (b *Balancer) shun(w *worker, st Status, sent time.Duration) {
+func (b *Balancer) shun(w *worker, st Status, sent, took time.Duration) {
 	if sent < w.started { // it was another process
 		return
 	}
@@ -389,7 +392,11 @@
 			return
 		}
 		b.strike(w)
+		if st == ConnectFailed && took < b.s.DialTimeout*4/5 { // refused: its machine is there
+			return
+		}
 		b.lost[w.zone] += zoneNew * (1 - b.lost[w.zone])
+		b.lookAround(w.zone)
 	case Error, Reset: // one may be the job's or the connection's own fault
 		if w.errors += errorNew * (1 - w.errors); w.errors > errorMost {
 			b.strike(w)
@@ -407,6 +414,50 @@
 	}
 }
 
+// lookAround probes a few workers of a zone in which one was silent, and one in each
+// span of a zone that is taken for cut off, to learn of its return. Guards against a
+// cut link that each dispatcher finds worker by worker, with the jobs it loses there.
+func (b *Balancer) lookAround(zone int) {
+	at, before := b.looked[zone]
+	if !b.s.Probes || before && b.now < at+lookEvery {
+		return
+	}
+	b.looked[zone] = b.now
+	b.after(b.jitter(2*lookEvery), 0, timerLook)
+	n, seen := lookMost, 0.0
+	if b.lost[zone] >= zoneLost {
+		n = 1
+	}
+	var among []*worker
+	for _, m := range b.splits[0].m { // each as likely as any other
+		if w := m.w; w.zone == zone && (b.lost[zone] >= zoneLost || b.now >= w.shunned) {
+			if seen++; len(among) < n {
+				among = append(among, w)
+			} else if i := int(b.rng.Float64() * seen); i < n {
+				among[i] = w
+			}
+		}
+	}
+	for _, w := range among {
+		b.do.Probe(w.id)
+	}
+}
+
+// Probed takes the result of a probe: whether a worker's machine can be reached.
+func (b *Balancer) Probed(now time.Duration, id WorkerID, st Status, took time.Duration, _ []float32) {
+	b.now = now
+	defer b.arm()
+	w := b.byID[id]
+	switch {
+	case w == nil || st == Timeout: // it may be busy
+	case st == ConnectFailed && took >= b.s.DialTimeout*4/5:
+		b.strike(w)
+		b.lost[w.zone] += zoneProbed * (1 - b.lost[w.zone])
+	default:
+		b.lost[w.zone] -= zoneProbed * b.lost[w.zone]
+	}
+}
+
 // strike shuns a worker for a span that doubles each time. Guards against workers
 // that fail at once: they look idle and would draw ever more jobs.
 func (b *Balancer) strike(w *worker) {
@@ -685,7 +736,7 @@
 		a.w.errors = 1 // others have met with errors there, too
 	}
 	if a.stale = o.Stale; !o.Stale {
-		b.shun(a.w, o.Status, a.sent)
+		b.shun(a.w, o.Status, a.sent, o.Latency)
 	}
 	if m := a.w.at(r.split); m != nil {
 		switch o.Status {
@@ -746,6 +797,12 @@
 		switch t.kind {
 		case timerAsk:
 			b.ask()
+		case timerLook:
+			for zone := range b.s.Zones {
+				if b.lost[zone] >= zoneLost {
+					b.lookAround(zone)
+				}
+			}
 		case timerHeld:
 			b.holding = false
 			b.release()
@@ -879,7 +936,7 @@
 		// What a worker bore while all was well it bears when it is slow, too.
 		b.good += (float64(b.busy)/up - b.good) * goodNew
 		if float64(b.busy) > 0.7*b.limit {
-			b.limit *= limitGrow
+			b.limit = max(b.limit*limitGrow, b.limit+1)
 		}
 	}
 	b.bad, b.ends, b.ended, b.inTime, b.delays, b.round = 0, 0, 0, 0, 0, b.now
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -18,6 +18,7 @@
 	cancels  []int
 	timers   []time.Duration
 	watches  int
+	probes   []WorkerID
 	tells    int
 	lastTell []byte
 	load     []float32 // the report in each outcome
@@ -52,7 +53,7 @@
 func (f *fake) Fail(id RequestID)                    { f.answer(id, "fail") }
 func (f *fake) Cancel(_ RequestID, n int)            { f.cancels = append(f.cancels, n) }
 func (f *fake) SetTimer(d time.Duration)             { f.timers = append(f.timers, f.now+d) }
-func (f *fake) Probe(WorkerID)                       {}
+func (f *fake) Probe(w WorkerID)                     { f.probes = append(f.probes, w) }
 func (f *fake) Tell(data []byte)                     { f.tells++; f.lastTell = append([]byte(nil), data...) }
 func (f *fake) Watch()                               { f.watches++ }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	watcher  Watcher
 	router   Router // nil: every message may go to any host
 	after    time.Duration
+	dial     time.Duration // what a silent connection counts at least
 	messages map[yardwharf.RequestID]*Message
 	last     yardwharf.RequestID
 	ran      time.Duration
@@ -51,7 +52,7 @@
 
 // New returns a Dispatcher. What it relays through and learns hosts from is set by Connect.
 func New(l *loop.Loop, s yardwharf.Settings, seed uint64) (*Dispatcher, error) {
-	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}, after: s.MaxRetryAfter}
+	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}, after: s.MaxRetryAfter, dial: s.DialTimeout}
 	var err error
 	if d.balancer, err = yardwharf.New(s, seed, actions{d}); err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -55,6 +55,7 @@
 	Until   time.Duration // it is given up then
 	Conn    any           // the south side's own
 	Stale   bool          // set before a Reset that is the connection's fault, not the host's
+	Silent  bool          // set before a ConnectFailed where nothing at all came back
 
 	n       int
 	sent    time.Duration
@@ -96,9 +97,13 @@
 	}
 	d := m.d
 	now := d.loop.Now()
+	took := now - r.sent
+	if r.Silent {
+		took = max(took, d.dial)
+	}
 	d.balancer.Outcome(now, yardwharf.Outcome{
 		Request: m.id, Attempt: r.n, Worker: r.Host, Status: st,
-		Latency: now - r.sent, Closed: m.settled, Stale: r.Stale, Load: load,
+		Latency: took, Closed: m.settled, Stale: r.Stale, Load: load,
 	})
 	d.forget(m)
 }
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -62,9 +62,13 @@
 		rule   int
 		f      Failure
 		rate   float64
-	}{{"", 0, drain, 50}, {"", 0, hang, 50}, {"deaf to drains", 3, drain, 50}, {"deaf to starts", 4, drain, 250},
-		{"loses refusals", 1, hang, 120}, {"forgets what ran", 2, hang, 50}} {
+		each   int // dispatchers a site: what pushes a cold host over is how many send to it
+	}{{"", 0, drain, 50, 1}, {"", 0, hang, 50, 1}, {"", 0, drain, 250, 20}, {"deaf to drains", 3, drain, 50, 1},
+		{"deaf to starts", 4, drain, 250, 20}, {"loses refusals", 1, hang, 120, 1}, {"forgets what ran", 2, hang, 50, 1}} {
 		config := ferreira(3, c.f)
+		for i := range config.Sites {
+			config.Sites[i].Dispatchers = c.each
+		}
 		config.mutant, config.Rate = c.mutant, c.rate
 		r, err := Run(config)
 		if err != nil {
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -27,6 +27,8 @@
 	fd      int
 	timer   loop.Timer
 
+	begun  time.Duration // when it was dialled
+	upBy   time.Duration // given up if it is not up by then
 	up     bool
 	closed bool
 	parked bool          // among the idle ones
@@ -154,7 +156,8 @@
 	c.until, c.touched, c.inBody, c.have, c.line = until, false, false, 0, c.line[:0]
 	c.answer, c.kept = answer{}, c.since > 0
 	if !c.up {
-		until = min(until, c.p.loop.Now()+c.p.dial)
+		c.upBy = c.p.loop.Now() + c.p.patience(c.h)
+		until = min(until, c.upBy)
 	}
 	c.p.loop.Set(&c.timer, until)
 	if c.up {
@@ -181,6 +184,9 @@
 		c.close()
 	case !c.up:
 		c.p.reached(c.h, errors.New("not up in time"))
+		if c.relay != nil {
+			c.relay.Silent = true
+		}
 		c.end(yardwharf.ConnectFailed)
 	default:
 		c.end(yardwharf.Timeout)
@@ -196,6 +202,7 @@
 			return
 		}
 		c.up = true
+		c.p.cameUp(c.p.loop.Now() - c.begun)
 		c.p.loop.Set(&c.timer, c.until)
 	}
 	if events&loop.Out != 0 && len(c.unsent) > 0 {
@@ -275,7 +282,11 @@
 	if c.probe {
 		// The callee may start a relay on this very connection, which has not ended.
 		c.probe = false
-		c.p.probed.Probed(c.h.id, st, c.p.loop.Now()-c.sent, load)
+		took := c.p.loop.Now() - c.sent
+		if !c.up && c.p.loop.Now() >= c.upBy {
+			took = max(took, c.p.dial)
+		}
+		c.p.probed.Probed(c.h.id, st, took, load)
 		return
 	}
 	if r := c.relay; r != nil {
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -27,6 +27,9 @@
 	defaultDial  = time.Second
 	defaultIdle  = 15 * time.Second
 	drainReserve = 50 * time.Millisecond // of the grace in which a first byte may still go out
+	dialTimes    = 8                     // a connection not up in so many times the slowest of late ...
+	dialLeast    = 50 * time.Millisecond // ... and this is given up
+	dialFade     = 0.98                  // what each new connection leaves of the slowest
 	staleNew     = 0.05                  // weight of one reuse in the part of kept connections that prove broken
 	staleMost    = 0.01                  // over this, what must not break gets a new connection
 )
@@ -44,6 +47,7 @@
 	hosts  map[yardwharf.WorkerID]*host
 	names  []string // of a load report's values
 	dial   time.Duration
+	slow   time.Duration // the slowest connection of late took this to come up; 0 before the first
 	idle   time.Duration
 	grace  time.Duration
 	most   int // connections
@@ -148,7 +152,7 @@
 // Probe implements dispatch.South.
 func (p *Pool) Probe(id yardwharf.WorkerID) {
 	h := p.hosts[id]
-	c, err := p.connect(h, true)
+	c, err := p.connect(h, false)
 	if err != nil {
 		p.loop.Defer(loop.Func(func() { p.probed.Probed(id, yardwharf.ConnectFailed, 0, nil) }))
 		return
@@ -186,7 +190,7 @@
 		p.reached(h, err)
 		return nil, fmt.Errorf("southside: %w", err)
 	}
-	c := &conn{p: p, h: h, address: h.address, fd: fd, up: up}
+	c := &conn{p: p, h: h, begun: p.loop.Now(), address: h.address, fd: fd, up: up}
 	c.timer.Task = c
 	if err := p.loop.Add(fd, loop.In|loop.Out, c); err != nil {
 		unix.Close(fd)
@@ -197,6 +201,22 @@
 }
 
 // reused takes note of whether a kept connection could be used again.
+// patience is how long a connection may take to come up. Guards against the whole
+// dial time lost to each host of a zone that is cut off, where hosts that can be
+// reached answer in a fraction of it. A host that was not reached in the shorter
+// time has all of it the next time: it may just be far.
+func (p *Pool) patience(h *host) time.Duration {
+	if p.slow == 0 || h.lost {
+		return p.dial
+	}
+	return min(p.dial, max(dialLeast, dialTimes*p.slow))
+}
+
+// cameUp books how long a connection took to come up.
+func (p *Pool) cameUp(took time.Duration) {
+	p.slow = max(took, time.Duration(dialFade*float64(p.slow)), 1)
+}
+
 func (p *Pool) reused(broken bool) {
 	if p.stale -= staleNew * p.stale; broken {
 		p.stale += staleNew
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,11 +14,13 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"yardwharf"
 	"yardwharf/internal/dispatch"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/membership"
+	"yardwharf/internal/sock"
 )
 
 // yard is a dispatcher with one south side host, which the test plays.
@@ -406,3 +409,60 @@
 		}
 	}
 }
+
+// Where connections come up in a moment, one that does not is given up long before
+// the dial time, with the word that nothing came back; the next one to that host has
+// the whole time, as it may be far.
+func TestGivesUpWhereOthersCameUp(t *testing.T) {
+	y := newYard(t, nil, replies(nil, chunked(done)))
+	if got := y.answer(); got != "served résult" || y.pool.slow <= 0 {
+		t.Fatal(got, y.pool.slow)
+	}
+	y.pool.slow = time.Millisecond
+	h := y.pool.hosts[7]
+	if got := y.pool.patience(h); got != dialLeast {
+		t.Errorf("a connection gets %v, want %v", got, dialLeast)
+	}
+	y.pool.slow = 20 * time.Millisecond
+	if got := y.pool.patience(h); got != dialTimes*y.pool.slow {
+		t.Errorf("a connection gets %v where the slowest took %v", got, y.pool.slow)
+	}
+	y.pool.cameUp(time.Millisecond)
+	if got := y.pool.slow; got >= 20*time.Millisecond || got < 19*time.Millisecond {
+		t.Errorf("the slowest fades to %v at once", got)
+	}
+	h.lost = true
+	if got := y.pool.patience(h); got != y.pool.dial {
+		t.Errorf("a host that did not come up gets %v, want all of %v", got, y.pool.dial)
+	}
+	h.lost = false
+	y.pool.closeIdle(h)
+	full(t, h)
+	if got := y.answer(); got != "refused" {
+		t.Errorf("%s by a host that is silent", got)
+	}
+}
+
+// full points a host at a socket that takes no connections any more and says nothing.
+func full(t *testing.T, h *host) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(at.(*unix.SockaddrInet4).Port))
+	for range 4 {
+		c, _, err := sock.Dial(h.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { unix.Close(c) })
+	}
+}
--- a/size_test.go
+++ b/size_test.go
@@ -282,3 +282,64 @@
 		}
 	}
 }
+
+// A silent worker has a few others of its zone probed: where those are silent, too,
+// the zone gets no jobs but a probe a second, until one of these is answered. A
+// connection that is refused, or a probe that waits, says nothing of the zone.
+func TestProbesOfASilentZone(t *testing.T) {
+	s := settings(Class{Effect: Safe})
+	s.Probes, s.DialTimeout, s.Zones = true, 250*ms, []string{"a", "b"}
+	f := start(t, s, 20)
+	silent := func(took time.Duration) {
+		for id := RequestID(1000 + len(f.sends)); ; id++ {
+			if f.request(id, 0); f.last().worker%2 == 1 {
+				break
+			}
+			f.end(f.last(), OK)
+		}
+		f.now += took
+		f.end(f.last(), ConnectFailed)
+	}
+	if silent(5 * ms); len(f.probes) != 0 {
+		t.Fatal("a refused connection has the zone probed")
+	}
+	silent(250 * ms)
+	if len(f.probes) != 3 {
+		t.Fatalf("%d probes after a silent worker, want 3", len(f.probes))
+	}
+	for _, w := range f.probes {
+		if w%2 != 1 {
+			t.Errorf("worker %d of another zone is probed", w)
+		}
+	}
+	f.b.Probed(f.now, f.probes[0], Timeout, 300*ms, nil)
+	if f.b.lost[1] > 0.5 {
+		t.Error("a probe that waits counts as silence")
+	}
+	f.now += 250 * ms
+	for _, w := range f.probes {
+		f.b.Probed(f.now, w, ConnectFailed, 250*ms, nil)
+	}
+	for id := RequestID(1); id <= 100; id++ {
+		if f.request(id, 0); f.last().worker%2 == 1 {
+			t.Fatalf("request %d is sent into a zone that is cut off", id)
+		}
+		f.end(f.last(), OK)
+	}
+	n := len(f.probes)
+	f.wait(6 * lookEvery)
+	if got := len(f.probes) - n; got < 3 || got > 7 {
+		t.Fatalf("%d probes in 6 s of a zone that is cut off", got)
+	}
+	for range 3 {
+		f.b.Probed(f.now, f.probes[n], OK, ms, nil)
+	}
+	for id, found := RequestID(200), false; !found; id++ {
+		if id == 400 {
+			t.Fatal("the zone gets nothing though probes are answered")
+		}
+		f.request(id, 0)
+		found = f.last().worker%2 == 1
+		f.end(f.last(), OK)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -34,11 +34,12 @@
 	print     uint32 // fingerprint of the worker list
 	others    int    // what peers have out, added up at summed
 	summed    time.Duration
-	good      float64         // most requests in work a worker while few ends were bad
-	lost      map[int]float64 // by zone: share of silent ends of late
-	copyRate  float64         // copies allowed a request
-	copies    float64         // copies that may be sent now
-	holding   bool            // a timer for them is set
+	good      float64               // most requests in work a worker while few ends were bad
+	lost      map[int]float64       // by zone: share of silent ends of late
+	looked    map[int]time.Duration // by zone: when probes went out
+	copyRate  float64               // copies allowed a request
+	copies    float64               // copies that may be sent now
+	holding   bool                  // a timer for them is set
 
 	warmSum float64 // warmth of all ready workers, as of warmed
 	warmed  time.Duration
@@ -233,11 +234,6 @@
 	}
 }
 
-// Probed takes the result of a probe.
-func (b *Balancer) Probed(now time.Duration, id WorkerID, st Status, took time.Duration, load []float32) {
-	b.now = now
-}
-
 // addUp brings the running sums of x up to date.
 func (sp *split) addUp() {
 	if sp.stale {
--- a/timers.go
+++ b/timers.go
@@ -10,6 +10,7 @@
 	timerHeld
 	timerTell
 	timerCopy
+	timerLook
 )
 
 // timer is something to do at a time; the host holds one timer for the earliest.
