Grow the limit by the most in work in a round, not by what is left at its end

Cause: judge asks at the end of a round, just after a message has ended, whether work in hand is near the limit; of a limit of 2 one is then left, 0.5, and the limit never grows. Change: the most in work in the round counts.

--- a/balancer.go
+++ b/balancer.go
@@ -935,11 +935,11 @@
 	} else if share < badFew {
 		// What a worker bore while all was well it bears when it is slow, too.
 		b.good += (float64(b.busy)/up - b.good) * goodNew
-		if float64(b.busy) > 0.7*b.limit {
+		if float64(b.peak) > 0.7*b.limit {
 			b.limit = max(b.limit*limitGrow, b.limit+1)
 		}
 	}
-	b.bad, b.ends, b.ended, b.inTime, b.delays, b.round = 0, 0, 0, 0, 0, b.now
+	b.bad, b.ends, b.ended, b.inTime, b.delays, b.round, b.peak = 0, 0, 0, 0, 0, b.now, b.busy
 }
 
 // admit says whether a request may be sent now.
--- a/size_test.go
+++ b/size_test.go
@@ -343,3 +343,27 @@
 		f.end(f.last(), OK)
 	}
 }
+
+// The limit of a dispatcher that has few messages in work grows again when most
+// start in time, though none is in work at the moment that a round ends.
+func TestLimitOfAQuietDispatcherGrows(t *testing.T) {
+	s := settings(Class{Effect: Safe})
+	s.TellsStart, s.Balancers = true, 80
+	f := start(t, s, 60)
+	f.b.limit = 2
+	for id := RequestID(1); id <= 60; id += 2 {
+		f.request(id, 0)
+		f.request(id+1, 0)
+		f.wait(100 * ms)
+		for _, x := range f.sends[len(f.sends)-2:] {
+			f.b.Note(f.now, x.id, x.n, Started, 0)
+		}
+		f.wait(300 * ms)
+		for _, x := range f.sends[len(f.sends)-2:] {
+			f.end(x, OK)
+		}
+	}
+	if f.b.limit < 4 {
+		t.Errorf("the limit is %.1f after 60 good ends", f.b.limit)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -19,6 +19,7 @@
 	counted   time.Duration // when rate was last brought up to date
 	limit     float64       // most own attempts out; +Inf until waits grow
 	busy      int           // requests in work and unanswered
+	peak      int           // most of those, this round
 	inTime    float64       // service times and part of the aims of what was completed, this round
 	ended     int           // completed attempts, this round
 	ends      int           // those and full ones
@@ -195,6 +196,7 @@
 	if in := r.out > 0 && !r.answered; in != r.counted {
 		if r.counted = in; in {
 			b.busy++
+			b.peak = max(b.peak, b.busy)
 		} else {
 			b.busy--
 		}
