--- a/balancer.go
+++ b/balancer.go
@@ -71,6 +71,8 @@
 	patience     = 0.5                    // a request is held for this many aims at most
 	rateSpan     = 2 * time.Second        // memory of the rate of completions
 	waitAims     = 0.5                    // the limit lets requests wait for this part of the aim
+	worthMore    = 1.5                    // what is worth so many times the usual has twice the limit
+	valueNew     = 0.02                   // weight of one request in what they are worth
 	limitCut     = 0.9                    // a cut leaves this much where starts are not told
 	goodNew      = 0.1                    // weight of a good round in what workers bear well
 	limitGrow    = 1.1                    // what a round with few bad ends makes of it
@@ -134,20 +136,6 @@
 	return sp.m[min(i, len(sp.m)-1)]
 }
 
-// sample books one attempt's send-to-finish and start-to-finish time. A lost job
-// counts at its time-out, without a start-to-finish time.
-func (sp *split) sample(m *member, delay, service float64, completed bool) {
-	m.n++
-	m.delay += delay
-	if completed {
-		m.done++
-		m.service += service
-	}
-	if m.n == sp.need {
-		sp.lacking--
-	}
-}
-
 // marginal is equation (4) with c = 1, beta = 1 and the misprinted square
 // dropped: the marginal delay of one more job at a worker.
 func marginal(delay, service float64) float64 {
@@ -286,16 +274,6 @@
 	return p
 }
 
-// run books that a job runs at a worker, or no longer does.
-func (w *worker) run(a *attempt, by int) {
-	w.running += by
-	w.starts += float64(by) * a.started.Seconds()
-	w.usual += float64(by) * a.usual
-	if w.running == 0 {
-		w.starts, w.usual = 0, 0
-	}
-}
-
 // hasRoom says whether a worker has less than its share of this dispatcher's
 // own work out. Guards against a blind draw that queues on busy workers.
 func (b *Balancer) hasRoom(m *member) bool {
@@ -494,6 +472,11 @@
 	r.came = now
 	r.patience = min(in.Deadline, now+time.Duration(patience*float64(r.class.Aim)))
 	r.value = b.value(r)
+	if v := b.worth(r); b.usualValue == 0 {
+		b.usualValue = v
+	} else {
+		b.usualValue += (v - b.usualValue) * valueNew
+	}
 	b.copies = min(b.copies+b.copyRate, copyBurst)
 	b.next(r)
 }
@@ -861,15 +844,25 @@
 	return c.Aim + seconds(max(0, c.Stretch-1)*b.classes[class].service)
 }
 
-// value is the order of admission: worth per second of work.
+// value is the order of admission.
 func (b *Balancer) value(r *request) float64 {
 	if r.Ahead { // it has waited elsewhere: worth alone would starve it
 		return math.Inf(1)
 	}
-	if b.s.WorthByWork {
+	return b.worth(r)
+}
+
+// worth is what a request is worth a second of work.
+func (b *Balancer) worth(r *request) float64 {
+	c := &b.classes[r.Class]
+	work := c.base
+	if b.s.TellsStart { // a quiet dispatcher knows it long before the base
+		work = c.service
+	}
+	if b.s.WorthByWork || work <= 0 {
 		return r.class.Worth
 	}
-	return r.class.Worth / max(1e-3, b.classes[r.Class].base)
+	return r.class.Worth / work
 }
 
 // observe learns from a completion how long jobs of its class take.
@@ -943,7 +936,13 @@
 }
 
 // admit says whether a request may be sent now.
-func (b *Balancer) admit(r *request) bool { return float64(b.busy) < b.limit || r.counted }
+func (b *Balancer) admit(r *request) bool {
+	limit := b.limit
+	if r.value >= worthMore*b.usualValue { // little of this should be turned away
+		limit *= 2
+	}
+	return float64(b.busy) < limit || r.counted
+}
 
 // hold keeps a request until there is room or its patience ends.
 func (b *Balancer) hold(r *request) {
--- a/size_test.go
+++ b/size_test.go
@@ -367,3 +367,39 @@
 		t.Errorf("the limit is %.1f after 60 good ends", f.b.limit)
 	}
 }
+
+// Where the limit binds, what is worth much for its work still goes, and a quiet
+// dispatcher knows how long each class runs from the first ends on.
+func TestLimitByWorth(t *testing.T) {
+	s := settings(Class{Effect: Safe, Aim: time.Second}, Class{Effect: Safe, Aim: time.Second})
+	s.TellsStart, s.Balancers = true, 80
+	f := start(t, s, 60)
+	id, runs := RequestID(0), []time.Duration{800 * ms, 100 * ms}
+	for range 10 {
+		for class, run := range runs {
+			id++
+			f.request(id, class)
+			f.b.Note(f.now, id, 0, Started, 0)
+			f.wait(run)
+			f.end(f.last(), OK)
+		}
+	}
+	took := func(class int) (n int) {
+		f.b.limit = 2
+		for range 12 {
+			id++
+			before := len(f.sends)
+			if f.request(id, class); len(f.sends) > before {
+				n++
+			}
+		}
+		f.wait(2 * time.Second)
+		for _, x := range f.sends[len(f.sends)-n:] {
+			f.end(x, OK)
+		}
+		return n
+	}
+	if long, short := took(0), took(1); long != 2 || short != 4 {
+		t.Errorf("%d long and %d short jobs in work with a limit of 2, want 2 and 4", long, short)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -14,33 +14,34 @@
 	rng *rand.Rand
 	now time.Duration
 
-	out       int           // own attempts out
-	rate      float64       // own completions a second
-	counted   time.Duration // when rate was last brought up to date
-	limit     float64       // most own attempts out; +Inf until waits grow
-	busy      int           // requests in work and unanswered
-	peak      int           // most of those, this round
-	inTime    float64       // service times and part of the aims of what was completed, this round
-	ended     int           // completed attempts, this round
-	ends      int           // those and full ones
-	bad       float64       // how bad those were, added up
-	delays    float64       // completed attempts' delays added up, this round
-	silence   time.Duration // what is too long for a worker to start nothing
-	round     time.Duration // start of the round
-	classes   []classStat
-	held      []*request      // waiting for room, by worth per second and age
-	heard     []time.Duration // when each peer was last heard; nil without peers
-	tellEvery time.Duration
-	message   []byte
-	print     uint32 // fingerprint of the worker list
-	others    int    // what peers have out, added up at summed
-	summed    time.Duration
-	good      float64               // most requests in work a worker while few ends were bad
-	lost      map[int]float64       // by zone: share of silent ends of late
-	looked    map[int]time.Duration // by zone: when probes went out
-	copyRate  float64               // copies allowed a request
-	copies    float64               // copies that may be sent now
-	holding   bool                  // a timer for them is set
+	out        int           // own attempts out
+	rate       float64       // own completions a second
+	counted    time.Duration // when rate was last brought up to date
+	limit      float64       // most own attempts out; +Inf until waits grow
+	busy       int           // requests in work and unanswered
+	usualValue float64       // what requests are worth a second of work, of late
+	peak       int           // most of those, this round
+	inTime     float64       // service times and part of the aims of what was completed, this round
+	ended      int           // completed attempts, this round
+	ends       int           // those and full ones
+	bad        float64       // how bad those were, added up
+	delays     float64       // completed attempts' delays added up, this round
+	silence    time.Duration // what is too long for a worker to start nothing
+	round      time.Duration // start of the round
+	classes    []classStat
+	held       []*request      // waiting for room, by worth per second and age
+	heard      []time.Duration // when each peer was last heard; nil without peers
+	tellEvery  time.Duration
+	message    []byte
+	print      uint32 // fingerprint of the worker list
+	others     int    // what peers have out, added up at summed
+	summed     time.Duration
+	good       float64               // most requests in work a worker while few ends were bad
+	lost       map[int]float64       // by zone: share of silent ends of late
+	looked     map[int]time.Duration // by zone: when probes went out
+	copyRate   float64               // copies allowed a request
+	copies     float64               // copies that may be sent now
+	holding    bool                  // a timer for them is set
 
 	warmSum float64 // warmth of all ready workers, as of warmed
 	warmed  time.Duration
@@ -182,6 +183,30 @@
 	m.delay, m.service = m.delay+o.delay, m.service+o.service
 }
 
+// sample books one attempt's send-to-finish and start-to-finish time. A lost job
+// counts at its time-out, without a start-to-finish time.
+func (sp *split) sample(m *member, delay, service float64, completed bool) {
+	m.n++
+	m.delay += delay
+	if completed {
+		m.done++
+		m.service += service
+	}
+	if m.n == sp.need {
+		sp.lacking--
+	}
+}
+
+// run books that a job runs at a worker, or no longer does.
+func (w *worker) run(a *attempt, by int) {
+	w.running += by
+	w.starts += float64(by) * a.started.Seconds()
+	w.usual += float64(by) * a.usual
+	if w.running == 0 {
+		w.starts, w.usual = 0, 0
+	}
+}
+
 // slots is how many slots a request's job needs.
 func (r *request) slots() float64 { return max(1, r.Slots) }
 
