Probe lost zones that the settings do not name, and let doubt of a host end

Seen in the code: the timer that probes a lost zone walked the zones of the settings, so one that an inventory over xDS brings would have stayed cut off for good; a probe for which no connection could be had here counted as a sign of the zone's life, a relay cut short by its own deadline as its silence; a failed host was kept from unsafe jobs until a safe one ended well there, which an installation without safe classes never sees; an error of a process that has been replaced counted against the new one; a dispatcher's number beyond the configured count would have called discovery too late. Tests cover each but the relay's deadline, and fail without it.

--- a/balancer.go
+++ b/balancer.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -43,6 +44,7 @@
 	errorNew     = 0.3              // weight of one end in a worker's part of errors
 	errorMost    = 0.5              // over this, two errors at once, it is shunned
 	errorsMany   = 1.5              // errors a second that are not this dispatcher's alone
+	doubtFor     = 20 * time.Second // after a failure, unsafe requests keep off for so long
 	redraws      = 12               // draws before a worker without room is taken, or none
 
 	coldPart     = 0.5                    // of the cold budget that is spent; the rest is for skew and chance
@@ -235,9 +237,9 @@
 	w.shunned, w.fulls, w.strikes, w.errors, w.room, w.pace = 0, 0, 0, 0, 1, 1
 }
 
-// fit says whether a worker may be drawn now. Of a zone in which nearly all ends
-// were silent of late only a trickle is drawn: guards against a cut link, which
-// would otherwise have to be found worker by worker.
+// fit says whether a worker may be drawn now. A zone in which nearly all ends were
+// silent of late gets probes, or a trickle of draws where there are none. Guards
+// against a cut link, which would otherwise have to be found worker by worker.
 func (b *Balancer) fit(w *worker) bool {
 	return w.state == Ready && b.now >= w.shunned && !b.hung(w) && b.coldFit(w) && b.paceFit(w) &&
 		(b.lost[w.zone] < zoneLost || !b.s.Probes && b.rng.Float64() < zoneTrickle)
@@ -327,9 +329,9 @@
 	return b.s.StartCapacity + (1-b.s.StartCapacity)*age
 }
 
-// coldFit thins the draws of a cold worker to its warmth and holds this
-// dispatcher to its part of what the worker can take now, whatever else is unfit:
-// a multiple of what the workers carry for the warmth that they have.
+// coldFit holds this dispatcher to its part of what a cold worker can take now,
+// whatever else is unfit: a multiple of what the workers could carry for the warmth
+// that they have, by what they carry and how busy they say they are.
 // Guards against all dispatchers together pushing a cold worker over.
 func (b *Balancer) coldFit(w *worker) bool {
 	c := b.warmth(w)
@@ -358,9 +360,6 @@
 // shun keeps a worker out of the draw after a sign that it cannot serve: for a
 // short span after a full queue, for a doubling one after silence or errors.
 func (b *Balancer) shun(w *worker, st Status, sent, took time.Duration) {
-	if sent < w.started { // it was another process
-		return
-	}
 	switch st {
 	case Full:
 		w.fulls++
@@ -376,6 +375,7 @@
 		b.lost[w.zone] += zoneNew * (1 - b.lost[w.zone])
 		b.lookAround(w.zone)
 	case Error, Reset: // one may be the job's or the connection's own fault
+		w.doubted = b.now + doubtFor
 		if w.errors += errorNew * (1 - w.errors); w.errors > errorMost {
 			b.strike(w)
 		}
@@ -427,7 +427,8 @@
 	defer b.arm()
 	w := b.byID[id]
 	switch {
-	case w == nil || st == Timeout: // it may be busy
+	case w == nil, st == Timeout, st == Cancelled, st == Moot: // it may be busy, or was not asked
+	case now-took < w.started: // another process was
 	case st == ConnectFailed && took >= b.s.DialTimeout*4/5:
 		b.strike(w)
 		b.lost[w.zone] += zoneProbed * (1 - b.lost[w.zone])
@@ -440,7 +441,7 @@
 // that fail at once: they look idle and would draw ever more jobs.
 func (b *Balancer) strike(w *worker) {
 	w.strikes++
-	w.struck = b.now
+	w.struck, w.doubted = b.now, b.now+doubtFor
 	w.shunned = max(w.shunned, b.now+b.jitter(min(strikePause<<min(w.strikes-1, 10), strikeMost)))
 }
 
@@ -498,7 +499,8 @@
 		if m == nil {
 			break
 		}
-		if !b.fit(m.w) || r.tried(m.w) || !r.mayRepeatOn(m.w, b.now) || n < redraws/2 && !r.trusts(m.w) {
+		if !b.fit(m.w) || r.tried(m.w) || !r.mayRepeatOn(m.w, b.now) ||
+			n < redraws/2 && !r.trusts(m.w, b.now) {
 			continue
 		}
 		if b.hasRoom(m) {
@@ -518,9 +520,10 @@
 }
 
 // trusts says whether a request may find out how a worker is that has failed of
-// late: one that may be repeated elsewhere loses nothing by it.
-func (r *request) trusts(w *worker) bool {
-	return r.class.Effect == Safe || w.strikes == 0 && w.errors < errorNew
+// late: one that may be repeated elsewhere loses nothing by it. The doubt ends by
+// itself: where no request may be repeated, none would ever end it.
+func (r *request) trusts(w *worker, now time.Duration) bool {
+	return r.class.Effect == Safe || now >= w.doubted || w.strikes == 0 && w.errors < errorNew
 }
 
 // drawAmong draws by shares among few: the workers that a keyed request which may
@@ -529,7 +532,7 @@
 	total := 0.0
 	for _, m := range list {
 		full := m.w.load+r.slots() > m.w.room || r.class.Effect != Safe && m.w.waiting > 0
-		if home && (full || !r.trusts(m.w)) {
+		if home && (full || !r.trusts(m.w, b.now)) {
 			continue
 		}
 		if r.mayRepeatOn(m.w, b.now) && !r.tried(m.w) && b.fit(m.w) {
@@ -715,10 +718,10 @@
 	if util, told := b.told(o.Load, FieldUtil); told {
 		b.util = max(utilLeast, b.util+(min(1, util)-b.util)*utilNew)
 	}
-	if eps, _ := b.told(o.Load, FieldErrors); o.Status == Error && eps >= errorsMany {
-		a.w.errors = 1 // others have met with errors there, too
-	}
-	if a.stale = o.Stale; !o.Stale {
+	if a.stale = o.Stale; !o.Stale && a.sent >= a.w.started { // else it was another process
+		if eps, _ := b.told(o.Load, FieldErrors); o.Status == Error && eps >= errorsMany {
+			a.w.errors = 1 // others have met with errors there, too
+		}
 		b.shun(a.w, o.Status, a.sent, o.Latency)
 	}
 	if m := a.w.at(r.split); m != nil {
@@ -781,7 +784,7 @@
 		case timerAsk:
 			b.ask()
 		case timerLook:
-			for zone := range b.s.Zones {
+			for _, zone := range slices.Sorted(maps.Keys(b.looked)) { // the settings may not name all
 				if b.lost[zone] >= zoneLost {
 					b.lookAround(zone)
 				}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -574,6 +574,7 @@
 	for name, spoil := range map[string]func(*Settings){
 		"Balancers":      func(s *Settings) { s.Balancers = 0 },
 		"MaxAttempts":    func(s *Settings) { s.MaxAttempts = -1 },
+		"Me":             func(s *Settings) { s.Me = -1 },
 		"Classes":        func(s *Settings) { s.Classes = nil },
 		"StartCapacity":  func(s *Settings) { s.StartCapacity = math.NaN() },
 		"OverloadFactor": func(s *Settings) { s.OverloadFactor = math.Inf(1) },
--- a/fleet.go
+++ b/fleet.go
@@ -39,7 +39,7 @@
 		b.after(b.jitter(tellLeast), 0, timerTell)
 	}
 	if kind == ListCached && b.s.AskDiscovery {
-		at := (float64(b.s.Me) + b.rng.Float64()) / float64(b.s.Balancers)
+		at := (float64(b.s.Me%b.s.Balancers) + b.rng.Float64()) / float64(b.s.Balancers)
 		b.after(seconds(at*b.askTurn().Seconds()), 0, timerAsk)
 	}
 }
--- a/internal/southside/conn.go
+++ b/internal/southside/conn.go
@@ -184,8 +184,8 @@
 		c.close()
 	case !c.up:
 		c.p.reached(c.h, errors.New("not up in time"))
-		if c.relay != nil {
-			c.relay.Silent = true
+		if c.relay != nil { // cut short by its own deadline, it tells nothing
+			c.relay.Silent = c.p.loop.Now() >= c.upBy
 		}
 		c.end(yardwharf.ConnectFailed)
 	default:
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -149,12 +149,14 @@
 	}
 }
 
-// Probe implements dispatch.South.
+// Probe implements dispatch.South. It takes a new connection: on a kept one a machine
+// that is cut off and one that is busy look alike. Where none can be had here, the
+// probe is moot and tells nothing of the host.
 func (p *Pool) Probe(id yardwharf.WorkerID) {
 	h := p.hosts[id]
 	c, err := p.connect(h, false)
 	if err != nil {
-		p.loop.Defer(loop.Func(func() { p.probed.Probed(id, yardwharf.ConnectFailed, 0, nil) }))
+		p.loop.Defer(loop.Func(func() { p.probed.Probed(id, yardwharf.Moot, 0, nil) }))
 		return
 	}
 	c.probe, c.sent = true, p.loop.Now()
@@ -200,7 +202,6 @@
 	return c, nil
 }
 
-// reused takes note of whether a kept connection could be used again.
 // patience is how long a connection may take to come up. Guards against the whole
 // dial time lost to each host of a zone that is cut off, where hosts that can be
 // reached answer in a fraction of it. A host that was not reached in the shorter
@@ -217,6 +218,7 @@
 	p.slow = max(took, time.Duration(dialFade*float64(p.slow)), 1)
 }
 
+// reused takes note of whether a kept connection could be used again.
 func (p *Pool) reused(broken bool) {
 	if p.stale -= staleNew * p.stale; broken {
 		p.stale += staleNew
--- a/settings.go
+++ b/settings.go
@@ -28,6 +28,9 @@
 			return err
 		}
 	}
+	if s.Me < 0 {
+		return fmt.Errorf("Me must be 0 at least, is %d", s.Me)
+	}
 	if s.AskDiscovery && s.AskWithin <= 0 {
 		return fmt.Errorf("AskWithin must be above 0, is %v", s.AskWithin)
 	}
--- a/size_test.go
+++ b/size_test.go
@@ -281,6 +281,14 @@
 			t.Fatalf("unsafe request %d goes to the worker that has just failed", x.id)
 		}
 	}
+	f.now += doubtFor
+	for id := RequestID(100); f.last().worker != bad.worker; id++ {
+		if id == 300 {
+			t.Fatal("a worker that failed once is kept from unsafe requests for good")
+		}
+		f.request(id, 1)
+		f.end(f.last(), OK)
+	}
 }
 
 // A silent worker has a few others of its zone probed: where those are silent, too,
@@ -288,7 +296,7 @@
 // connection that is refused, or a probe that waits, says nothing of the zone.
 func TestProbesOfASilentZone(t *testing.T) {
 	s := settings(Class{Effect: Safe})
-	s.Probes, s.DialTimeout, s.Zones = true, 250*ms, []string{"a", "b"}
+	s.Probes, s.DialTimeout = true, 250*ms // no zone is named, as where an inventory brings its own
 	f := start(t, s, 20)
 	silent := func(took time.Duration) {
 		for id := RequestID(1000 + len(f.sends)); ; id++ {
@@ -312,9 +320,11 @@
 			t.Errorf("worker %d of another zone is probed", w)
 		}
 	}
-	f.b.Probed(f.now, f.probes[0], Timeout, 300*ms, nil)
-	if f.b.lost[1] > 0.5 {
-		t.Error("a probe that waits counts as silence")
+	before := f.b.lost[1]
+	for _, st := range []Status{Timeout, Moot} {
+		if f.b.Probed(f.now, f.probes[0], st, 300*ms, nil); f.b.lost[1] != before {
+			t.Errorf("a probe that ends as %d counts for the zone", st)
+		}
 	}
 	f.now += 250 * ms
 	for _, w := range f.probes {
--- a/state.go
+++ b/state.go
@@ -19,8 +19,8 @@
 	counted    time.Duration // when rate was last brought up to date
 	limit      float64       // most own attempts out; +Inf until waits grow
 	busy       int           // requests in work and unanswered
-	usualValue float64       // what requests are worth a second of work, of late
 	peak       int           // most of those, this round
+	usualValue float64       // what requests are worth a second of work, of late
 	inTime     float64       // service times and part of the aims of what was completed, this round
 	ended      int           // completed attempts, this round
 	ends       int           // those and full ones
@@ -47,8 +47,6 @@
 	warmed  time.Duration
 	util    float64 // how busy workers said to be of late; 1 where they tell nothing
 
-	coldRuns, coldTimes float64 // runs at cold workers of late, and how long they took at full warmth
-
 	workers []*worker
 	byID    map[WorkerID]*worker
 	gone    int              // workers that are
@@ -122,6 +120,7 @@
 	fulls      int           // full queues in a row
 	strikes    int           // silent ends in a row, and errors
 	struck     time.Duration // time of the last of them
+	doubted    time.Duration // until then no unsafe or keyed request finds out how it is
 	errors     float64       // part of its ends of late that were errors
 }
 
