Open a door for operators, send clients away, and take an inherited listening socket

Cause: with PROXY_FD set the platform holds the clients' address, so the second process could not listen (sock.Listen in front.New) and ended with status 1; nobody answered drain/start, so clients were still sent 4 s later.

Change: admin/PROXY_ADMIN and PROXY_FD in the configuration; internal/admin on the program's loop; front.Source takes an inherited listener (checked, never shut down, out of epoll before its copy is closed); SetAway closes connections spread over 1.2 s. Without the new keys nothing listens and nothing changes.

Ruled out: checking the protocol number of the socket, as Go's own listeners are MPTCP.

--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -38,7 +38,7 @@
 	p.routes.SetOpen(change.Open)
 	p.routes.Update(change.Views)
 	p.pool.Update(change.Hosts)
-	p.front.SetReady(!p.leaving && p.fleet.Usable() > 0)
+	p.settle()
 	if p.jobs != nil {
 		p.jobs.SetOpen(p.fleet.Usable() > 0)
 	}
--- a/internal/app/leave.go
+++ b/internal/app/leave.go
@@ -27,7 +27,7 @@
 	}
 	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
 	p.leaving = true
-	p.front.SetReady(false)
+	p.settle()
 	if p.jobs != nil {
 		p.jobs.Leave()
 		p.saveJobs() // now, too: who is killed before the end has not lost them
@@ -48,6 +48,9 @@
 func (p *program) wait() {
 	if p.front.Clients() == 0 && p.dispatcher.Open() == 0 {
 		p.watcher.Close()
+		if p.door != nil {
+			p.door.Close()
+		}
 		if p.jobs != nil {
 			p.saveJobs()
 			p.jobsAPI.Close()
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"yardwharf/internal/admin"
 	"yardwharf/internal/budget"
 	"yardwharf/internal/config"
 	"yardwharf/internal/dispatch"
@@ -47,6 +48,8 @@
 	front      *front.Front
 	timer      loop.Timer
 	leaving    bool
+	draining   bool        // clients are sent away until operators say otherwise
+	door       *admin.Door // nil: operators cannot call
 }
 
 // build wires the parts together.
@@ -63,6 +66,11 @@
 			return nil, fmt.Errorf("config: key limits.sockets leaves none beside the %d of the job API", jobs.ConnsMost)
 		}
 	}
+	if c.Admin.IsValid() {
+		if sockets -= admin.CallersMost + 1; sockets < 2 {
+			return nil, fmt.Errorf("config: key limits.sockets leaves none beside the %d of the operators' door", admin.CallersMost+1)
+		}
+	}
 	clients := int(clientPart * float64(sockets))
 	buffers := budget.New(int(bufferPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	p.fleet = membership.New(membership.Config{Zones: c.Settings.Zones, Kinds: c.Settings.Kinds})
@@ -72,7 +80,7 @@
 	p.dispatcher.Connect(p.pool, p)
 	p.due.Task = loop.Func(p.tick)
 	p.routes, p.rng = route.New(s.classes()), rand.New(rand.NewPCG(c.Seed, routeSeed))
-	if p.front, err = front.New(l, log, c.Listen, clients, buffers, &c.Settings, p.dispatcher); err != nil {
+	if p.front, err = front.New(l, log, front.Source{Address: c.Listen, Inherited: c.FD}, clients, buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
 	if s.operator.Jobs != nil {
@@ -80,6 +88,11 @@
 			return nil, err
 		}
 	}
+	if c.Admin.IsValid() {
+		if p.door, err = admin.Open(l, log, c.Admin, calls{p}); err != nil {
+			return nil, fmt.Errorf("config: key admin: %w", err)
+		}
+	}
 	p.known(c.Known)
 	p.setRoutes()
 	if s.operator.Inventory != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,8 @@
 	Name      string
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
+	Admin     netip.AddrPort // where operators call; not valid: nowhere
+	FD        int            // the clients' listening socket, inherited; -1: it is opened here
 	Seed      uint64
 	Limits    Limits
 	Known     inventory.List
@@ -42,7 +44,7 @@
 
 // file is the configuration as it is written.
 type file struct {
-	Name, Listen, Discovery, Seed string
+	Name, Listen, Discovery, Admin, Seed string
 
 	Limits   Limits
 	Known    json.RawMessage
@@ -70,12 +72,12 @@
 	for _, v := range []struct {
 		at       *string
 		variable string
-	}{{&f.Name, "PROXY_NAME"}, {&f.Listen, "PROXY_LISTEN"}, {&f.Discovery, "PROXY_DISCOVERY"}} {
+	}{{&f.Name, "PROXY_NAME"}, {&f.Listen, "PROXY_LISTEN"}, {&f.Discovery, "PROXY_DISCOVERY"}, {&f.Admin, "PROXY_ADMIN"}} {
 		if *v.at == "" {
 			*v.at = getenv(v.variable)
 		}
 	}
-	c := &Config{Name: f.Name, Limits: f.Limits}
+	c := &Config{Name: f.Name, Limits: f.Limits, FD: -1}
 	var err error
 	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("config: key listen: %w", err)
@@ -83,6 +85,16 @@
 	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("config: key discovery: %w", err)
 	}
+	if f.Admin != "" {
+		if c.Admin, err = netip.ParseAddrPort(f.Admin); err != nil {
+			return nil, fmt.Errorf("config: key admin: %w", err)
+		}
+	}
+	if v := getenv("PROXY_FD"); v != "" {
+		if c.FD, err = strconv.Atoi(v); err != nil || c.FD < 0 {
+			return nil, fmt.Errorf("config: variable PROXY_FD: %q is no descriptor's number", v)
+		}
+	}
 	if f.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("config: key seed: %w", err)
@@ -128,6 +140,7 @@
 		differ bool
 	}{
 		{"name", c.Name != again.Name}, {"listen", c.Listen != again.Listen},
+		{"admin", c.Admin != again.Admin},
 		{"limits", c.Limits != again.Limits}, {"settings", !reflect.DeepEqual(c.Settings, again.Settings)},
 	} {
 		if k.differ {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -36,12 +36,12 @@
 		t.Fatal(err)
 	}
 	if c.Name != "n3" || c.Seed != 0x8c1f30d27a5be964 || c.Limits.Sockets != 512 || c.Known.Index != 41 ||
-		c.Settings.Classes[0].Name != "job" || c.Settings.ConnIdle.Seconds() != 15 || c.Settings.Zones[0] != "a" {
+		c.Admin.IsValid() || c.FD != -1 || c.Settings.Classes[0].Name != "job" || c.Settings.ConnIdle.Seconds() != 15 || c.Settings.Zones[0] != "a" {
 		t.Errorf("read as %+v", c)
 	}
 	c, err = load(t, strings.Replace(strings.Replace(good, `"listen":"127.0.0.1:8080",`, "", 1),
-		`"limits":{"cores":1.0,"memory_mb":128,"sockets":512},`, "", 1), map[string]string{"PROXY_LISTEN": "127.0.0.9:1"})
-	if err != nil || c.Listen.String() != "127.0.0.9:1" || c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Sockets != defaultSockets {
+		`"limits":{"cores":1.0,"memory_mb":128,"sockets":512},`, "", 1), map[string]string{"PROXY_LISTEN": "127.0.0.9:1", "PROXY_ADMIN": "127.0.0.9:2", "PROXY_FD": "3"})
+	if err != nil || c.Admin.Port() != 2 || c.FD != 3 || c.Listen.String() != "127.0.0.9:1" || c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Sockets != defaultSockets {
 		t.Errorf("without listen and limits: %+v, %v", c, err)
 	}
 }
@@ -58,12 +58,18 @@
 		{`"SERVING"`, `"HERE"`, "key known"},
 		{`"settings"`, `"setting"`, "key settings"},
 		{`"MyZone":0,`, ``, "key MyZone"},
+		{`"n3",`, `"n3","admin":"door",`, "key admin"},
 	} {
 		_, err := load(t, strings.Replace(good, c.from, c.to, 1), nil)
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s for %.30s: error %v, want one line with %q", c.to, c.from, err, c.want)
 		}
 	}
+	for variable, want := range map[string]string{"PROXY_ADMIN": "key admin", "PROXY_FD": "variable PROXY_FD"} {
+		if _, err := load(t, good, map[string]string{variable: "three"}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want %q", variable, err, want)
+		}
+	}
 	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
 		t.Errorf("without a file: error %v", err)
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -281,7 +281,7 @@
 		c.f.loop.Clear(&c.timer)
 	}
 	c.size = c.taken
-	c.last = c.head.Close || c.f.closing
+	c.last = c.head.Close || c.f.closing || c.f.away
 	c.request()
 }
 
@@ -345,7 +345,7 @@
 		return
 	}
 	c.stage, c.bad = writing, status/100 == 4
-	c.last = c.last || c.f.closing
+	c.last = c.last || c.f.closing || c.f.away
 	b := append(c.scratch[:0], "HTTP/1.1 "...)
 	b = append(b, statusLine(status)...)
 	if after > 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,10 @@
 const (
 	acceptPause = 50 * time.Millisecond // after a lack of descriptors
 	acceptTurn  = 64                    // connections accepted in one turn of the loop
+
+	awayTime   = 1200 * time.Millisecond // over which idle connections are closed when clients are sent away
+	awayStep   = 20 * time.Millisecond
+	awaySilent = 500 * time.Millisecond // a new connection then has so long to send
 )
 
 // Front listens for clients.
@@ -35,7 +39,12 @@
 	maxOpen    int // messages at once
 	ready      bool
 	closing    bool
-	fd         int // -1 while it does not listen
+	fd         int  // -1 while it does not listen
+	shared     bool // other processes hold the listening socket, too
+	held       bool // connections are left to those
+	away       bool // clients are sent away
+	awayBy     time.Duration
+	awayTimer  loop.Timer
 	resting    bool
 	short      bool // of connections or descriptors, as logged
 	rest       loop.Timer
@@ -49,14 +58,32 @@
 	open       map[uint64]*ticket // messages in hand, by the hash of their ID
 }
 
+// Source is where clients' connections come from: an address, or a listening
+// socket that other processes may hold as well.
+type Source struct {
+	Address   netip.AddrPort
+	Inherited int // its descriptor; negative: the address counts
+}
+
+func (s Source) open() (int, error) {
+	if s.Inherited < 0 {
+		return sock.Listen(s.Address)
+	}
+	if err := sock.Inherited(s.Inherited); err != nil {
+		return -1, fmt.Errorf("PROXY_FD: %w", err)
+	}
+	return s.Inherited, nil
+}
+
 // New returns a Front that listens, but is not ready yet.
-func New(l *loop.Loop, log zerolog.Logger, address netip.AddrPort, most int, bytes *budget.Budget,
+func New(l *loop.Loop, log zerolog.Logger, source Source, most int, bytes *budget.Budget,
 	s *yardwharf.Settings, d *dispatch.Dispatcher) (*Front, error) {
-	f := &Front{loop: l, log: log, dispatcher: d, classes: s.Classes, most: most, maxOpen: s.MaxOpen,
+	f := &Front{loop: l, log: log, shared: source.Inherited >= 0, dispatcher: d, classes: s.Classes, most: most, maxOpen: s.MaxOpen,
 		conns: map[*conn]struct{}{}, budget: bytes, whole: wholeTime, restFor: restTime, seed: maphash.MakeSeed(), open: map[uint64]*ticket{}}
 	f.rest.Task = loop.Func(f.resume)
+	f.awayTimer.Task = loop.Func(f.sendAway)
 	var err error
-	if f.fd, err = sock.Listen(address); err != nil {
+	if f.fd, err = source.open(); err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
 	if err := l.Add(f.fd, loop.In, f); err != nil {
@@ -74,9 +101,92 @@
 	}
 }
 
+// Hold leaves the connections that wait to the other processes that hold the
+// listening socket, or takes them again.
+func (f *Front) Hold(on bool) {
+	if f.held == on || f.fd < 0 {
+		return
+	}
+	f.held = on
+	f.listen()
+}
+
+// listen wants connections that wait, or not, as things are.
+func (f *Front) listen() {
+	events := uint32(loop.In)
+	if f.held || f.resting {
+		events = 0
+	}
+	if err := f.loop.Want(f.fd, events); err != nil {
+		f.log.Error().Err(err).Msg("listener lost")
+	}
+}
+
+// SetMost changes how many clients' connections there may be at once; those that
+// are idle give way.
+func (f *Front) SetMost(most int) {
+	f.most = most
+	for len(f.conns) > f.most {
+		if before := len(f.conns); !f.evict() || len(f.conns) == before {
+			return
+		}
+	}
+}
+
+// SetAway sends clients away, or takes them in again. Away means that each answer
+// is the last one on its connection, and that connections on which nothing is owed
+// are closed, spread over a while: guards the other dispatchers against all
+// clients at once.
+func (f *Front) SetAway(on bool) {
+	if f.away == on {
+		return
+	}
+	f.away = on
+	f.log.Info().Bool("on", on).Int("clients", len(f.conns)).Msg("sending clients away")
+	if !on {
+		f.loop.Clear(&f.awayTimer)
+		return
+	}
+	f.awayBy = f.loop.Now() + awayTime
+	f.sendAway()
+}
+
+// sendAway closes the next few idle connections, those that have idled for longest
+// first, and the silent ones.
+func (f *Front) sendAway() {
+	now := f.loop.Now()
+	idle := 0
+	for c := range f.conns { // each on its own, so in any order
+		switch {
+		case !c.idle():
+		case c.proven:
+			idle++
+		case now-c.born >= awaySilent:
+			f.dismiss(c)
+		}
+	}
+	steps := 1 + max(0, f.awayBy-now)/awayStep
+	for n := (idle + int(steps) - 1) / int(steps); n > 0; n-- {
+		if c := f.idle.Oldest(); c != nil {
+			f.dismiss(c)
+		}
+	}
+	f.loop.Set(&f.awayTimer, now+awayStep)
+}
+
+// dismiss closes an idle connection, unless a request has come on it.
+func (f *Front) dismiss(c *conn) {
+	if c.idle() && !c.resting {
+		c.read(loop.In)
+	}
+	if c.idle() {
+		c.close()
+	}
+}
+
 // Ready implements loop.Handler: connections wait to be accepted.
 func (f *Front) Ready(uint32) {
-	for n := 0; f.fd >= 0 && !f.resting && (n < acceptTurn || f.closing); n++ {
+	for n := 0; f.fd >= 0 && !f.resting && !f.held && (n < acceptTurn || f.closing); n++ {
 		full := len(f.conns) >= f.most
 		if full && f.silent.Oldest() == nil && f.idle.Oldest() == nil {
 			// The rest wait, so that relays keep their descriptors.
@@ -115,12 +225,13 @@
 // gone for longest without a message, else the one that has idled for longest.
 // Guards usual clients against silent and half-sent connections by the hundreds;
 // what has come on one is read before it goes.
-func (f *Front) evict() {
+// It says whether there was any.
+func (f *Front) evict() bool {
 	for before := len(f.conns); len(f.conns) >= before; {
 		c := f.silent.Oldest()
 		if c == nil {
 			if c = f.idle.Oldest(); c == nil { // all that could go have brought a message
-				return
+				return false
 			}
 		}
 		if c.stage == waiting && !c.resting {
@@ -130,6 +241,7 @@
 			c.close()
 		}
 	}
+	return true
 }
 
 // room takes bytes for a connection's buffer from the budget, at the cost of
@@ -174,9 +286,7 @@
 		f.log.Warn().Str("reason", why).Int("clients", len(f.conns)).Msg("accepting paused")
 	}
 	f.resting = true
-	if err := f.loop.Want(f.fd, 0); err != nil {
-		f.log.Error().Err(err).Msg("listener lost")
-	}
+	f.listen()
 	f.loop.Set(&f.rest, f.loop.Now()+acceptPause)
 }
 
@@ -185,22 +295,26 @@
 		return
 	}
 	f.resting = false
-	if err := f.loop.Want(f.fd, loop.In); err != nil {
-		f.log.Error().Err(err).Msg("listener lost")
-	}
+	f.listen()
 }
 
 // Close stops listening and closes each connection once nothing is owed on it.
 // Guards requests that the machine has taken and the program has not seen yet:
-// connections that wait are accepted, and what has come on idle ones is read.
+// connections that wait are accepted, unless they are left to other processes, and
+// what has come on idle ones is read.
 func (f *Front) Close() {
 	f.closing = true
 	f.loop.Clear(&f.rest)
+	f.loop.Clear(&f.awayTimer)
 	if f.fd >= 0 {
 		f.resting = false
 		f.Ready(loop.In)
 		f.loop.Clear(&f.rest)
-		f.loop.CloseFD(f.fd)
+		if f.shared {
+			f.loop.Release(f.fd)
+		} else {
+			f.loop.CloseFD(f.fd)
+		}
 		f.fd = -1
 	}
 	for c := range f.conns { // each on its own, so in any order
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 
 	"yardwharf"
@@ -60,6 +61,19 @@
 
 // open runs a front in the background until the test ends.
 func open(t *testing.T, most int, hold bool) (*Front, *south, func() net.Conn) {
+	t.Helper()
+	l, d, s, side := world(t, hold)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	return serve(t, l, d, s, side, Source{netip.MustParseAddrPort(address), -1}, address, most)
+}
+
+// world is a dispatcher with one class and one host.
+func world(t *testing.T, hold bool) (*loop.Loop, *dispatch.Dispatcher, *yardwharf.Settings, *south) {
 	t.Helper()
 	s := yardwharf.Settings{Balancers: 1, MaxAttempts: 1, StartCapacity: 1, OverloadFactor: 4, OverloadFor: time.Second,
 		Classes: []yardwharf.Class{{Name: "job", Aim: time.Hour, Deadline: time.Hour, Worth: 1, Kind: -1}}}
@@ -74,13 +88,30 @@
 	side := &south{l: l, hold: hold, held: make(chan struct{}), cancelled: make(chan struct{})}
 	d.Connect(side, side)
 	d.Members(yardwharf.ListFull, []yardwharf.Member{{ID: 1, State: yardwharf.Ready}})
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	return l, d, &s, side
+}
+
+// inherit runs a front on a copy of a listening socket.
+func inherit(t *testing.T, listener net.Listener) *Front {
+	t.Helper()
+	file, err := listener.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := free.Addr().String()
-	free.Close()
-	f, err := New(l, zerolog.Nop(), netip.MustParseAddrPort(address), most, nil, &s, d)
+	fd, err := unix.Dup(int(file.Fd()))
+	file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, d, s, side := world(t, false)
+	f, _, _ := serve(t, l, d, s, side, Source{Inherited: fd}, "", 100)
+	return f
+}
+
+func serve(t *testing.T, l *loop.Loop, d *dispatch.Dispatcher, s *yardwharf.Settings, side *south, source Source, address string,
+	most int) (*Front, *south, func() net.Conn) {
+	t.Helper()
+	f, err := New(l, zerolog.Nop(), source, most, nil, s, d)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -439,3 +470,116 @@
 		t.Error("the half request was answered")
 	}
 }
+
+// Two processes on one listening socket serve all that comes, whichever of them is
+// woken. One that leaves it closes its copy only: it has no further events, and
+// what waits is served by the other.
+func TestInheritedListener(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	first, second := inherit(t, listener), inherit(t, listener)
+	served := func() (n int) {
+		for i := range 20 {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { conn.Close() })
+			io.WriteString(conn, job(fmt.Sprint("m", i), ""))
+			if status(conn) == 200 {
+				n++
+			}
+		}
+		return n
+	}
+	clients := func(f *Front) (n int) { f.on(func() { n = f.Clients() }); return n }
+	if n := served(); n != 20 || clients(first)+clients(second) != 20 {
+		t.Errorf("%d of 20 served together, by %d and %d connections", n, clients(first), clients(second))
+	}
+	before := clients(first)
+	first.on(func() { first.Hold(true) })
+	if n := served(); n != 20 || clients(first) != before {
+		t.Errorf("%d of 20 served beside one that holds back", n)
+	}
+	second.on(func() { second.Hold(true) })
+	waiting, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waiting.Close()
+	io.WriteString(waiting, job("w", ""))
+	first.on(func() { first.Close() }) // leaves the backlog, and the socket listening
+	second.on(func() { second.Hold(false) })
+	if s := status(waiting); s != 200 {
+		t.Errorf("what waited is answered %d", s)
+	}
+	if n := served(); n != 20 {
+		t.Errorf("%d of 20 served after one has left", n)
+	}
+}
+
+// What is no listening TCP socket is not taken.
+func TestNotInherited(t *testing.T) {
+	l, d, s, _ := world(t, false)
+	defer l.Close()
+	connected, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(connected)
+	for fd, want := range map[int]string{connected: "no listening socket", 0x3ff: "not open"} {
+		if _, err := New(l, zerolog.Nop(), Source{Inherited: fd}, 1, nil, s, d); err == nil ||
+			!strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "PROXY_FD") {
+			t.Errorf("descriptor %d: %v, want %q", fd, err, want)
+		}
+	}
+}
+
+// Clients are sent away: a request half read and one on a new connection are
+// answered, and each connection ends, the idle and the silent ones by themselves.
+// Taken in again, connections stay.
+func TestSetAway(t *testing.T) {
+	f, _, dial := open(t, 100, false)
+	idle, half, silent := dial(), dial(), dial()
+	for _, c := range []net.Conn{idle, half} {
+		io.WriteString(c, job(fmt.Sprint("a", c.LocalAddr()), ""))
+		if s := status(c); s != 200 {
+			t.Fatal(s)
+		}
+	}
+	text := job("b", "body")
+	io.WriteString(half, text[:40])
+	f.on(func() {
+		f.SetReady(true)
+		f.SetAway(true)
+	})
+	fresh := dial()
+	io.WriteString(fresh, job("c", ""))
+	for _, c := range []net.Conn{idle, silent} {
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("a connection without a message reads %v, want its end", err)
+		}
+	}
+	io.WriteString(half, text[40:])
+	for _, c := range []net.Conn{half, fresh} {
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || answer.StatusCode != 200 || !answer.Close {
+			t.Errorf("%+v, %v", answer, err)
+		}
+	}
+	f.on(func() { f.SetAway(false) })
+	back := dial()
+	io.WriteString(back, job("d", ""))
+	if answer, err := http.ReadResponse(bufio.NewReader(back), nil); err != nil || answer.Close {
+		t.Errorf("%+v, %v", answer, err)
+	}
+	f.on(func() {
+		if n := f.Clients(); n != 1 {
+			t.Errorf("%d connections, want the one that came back", n)
+		}
+	})
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -115,6 +115,14 @@
 	unix.Close(fd)
 }
 
+// Release takes a descriptor that was given to Add out of the loop and closes it.
+// Guards against one that other processes hold as well: closing a copy alone leaves
+// it in the epoll set, and its events come on.
+func (l *Loop) Release(fd int) {
+	unix.EpollCtl(l.epoll, unix.EPOLL_CTL_DEL, fd, &unix.EpollEvent{}) // fails only if it is not there
+	l.CloseFD(fd)
+}
+
 // Defer runs a task once the current callback has returned.
 func (l *Loop) Defer(t Task) { l.deferred = append(l.deferred, t) }
 
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -95,6 +95,10 @@
 // Usable is how many hosts may be sent to.
 func (f *Fleet) Usable() int { return f.hosts.usable }
 
+// Fit is how many hosts may be sent to by what the source says, also if they are
+// out by hand.
+func (f *Fleet) Fit() int { return f.hosts.fit }
+
 // Listed says whether the source's first whole list counts.
 func (f *Fleet) Listed() bool { return f.listed }
 
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -47,6 +47,33 @@
 	return fd, nil
 }
 
+// Inherited makes a listening socket that another process has opened fit for use
+// here. Its other copies are nonblocking from then on, too.
+func Inherited(fd int) error {
+	flags, err := unix.FcntlInt(uintptr(fd), unix.F_GETFD, 0)
+	if err != nil {
+		return fmt.Errorf("descriptor %d is not open", fd)
+	}
+	listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	if err != nil || listens == 0 {
+		return fmt.Errorf("descriptor %d is no listening socket", fd)
+	}
+	// A Unix socket listens as well; by protocol a TCP socket may be MPTCP, so the
+	// family and the type say what it is.
+	kind, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_TYPE)
+	family, err2 := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DOMAIN)
+	if err != nil || err2 != nil || kind != unix.SOCK_STREAM || family != unix.AF_INET && family != unix.AF_INET6 {
+		return fmt.Errorf("descriptor %d is no TCP socket", fd)
+	}
+	if _, err := unix.FcntlInt(uintptr(fd), unix.F_SETFD, flags|unix.FD_CLOEXEC); err != nil {
+		return os.NewSyscallError("fcntl", err)
+	}
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return os.NewSyscallError("fcntl", err)
+	}
+	return nil
+}
+
 // Accept takes a connection that waits; unix.EAGAIN says that there is none.
 func Accept(listener int) (int, error) {
 	for {
