Take hosts out by hand, and hand bans, drains and clients over in an upgrade

Cause: a host told out by hand got 404, and the two processes of an upgrade knew nothing of each other: the new one took clients from the shared socket before its list had come, the old one served on for 1.85 s after SIGTERM and then drained the backlog beside its successor (leave.go).

Change: membership.SetOut tells such hosts as draining with no grace, and as just started when put back unless a list has told of a start since; internal/handover keeps wishes, names and runs in TMPDIR, read, changed and renamed under a lock before a yes; a successor leaves the backlog until its list has come or 4 s are over; the old process leaves it once told to end with a successor ready; two processes share descriptors, buffers and heap. ListOwn tells the decisions of changes without a word of the watch: with ListDelta a ban while the watch is down would have ended the asking for good.

Seen on the way: a shared listener can be made blocking by any other holder (a test's File() did), and the loop then waited in accept for ever; it is made nonblocking before each round of accepts and has a time limit.

--- a/api.go
+++ b/api.go
@@ -161,6 +161,7 @@
 	ListFull                   // the complete list
 	ListCached                 // the complete list as last seen, maybe stale
 	ListFailed                 // a call failed or the watch broke off; no entries
+	ListOwn                    // changed entries that the host has decided on itself: no word of the watch
 )
 
 // Request is a request that this dispatcher has taken.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -346,6 +346,18 @@
 		}
 		last = f.now
 	}
+	// What the host has decided on itself is no word of the watch, which has failed.
+	f.b.Members(f.now, ListFailed, nil)
+	f.b.Members(f.now, ListOwn, []Member{{ID: 2, State: Draining}})
+	for f.watches < 12 {
+		if f.wait(10 * ms); f.now-last > 2*s.AskWithin {
+			t.Fatal("after a change of the host's own discovery is not asked again")
+		}
+	}
+	if w := f.b.byID[1]; w.state != Ready {
+		t.Fatal("a change of the host's own took a worker that it does not name")
+	}
+	f.watches = 11
 	f.b.Members(f.now, ListFull, members(3))
 	f.wait(time.Minute)
 	if f.watches != 11 {
--- a/fleet.go
+++ b/fleet.go
@@ -29,7 +29,7 @@
 		b.after(b.jitter(wait), 0, timerAsk)
 		return
 	}
-	if kind != ListCached { // a list also comes unasked, where the host moves the watch
+	if kind != ListCached && kind != ListOwn { // a list also comes unasked, where the host moves the watch
 		b.watching, b.asking, b.failures = true, false, 0
 	}
 	first := len(b.workers) == 0
@@ -91,7 +91,7 @@
 
 // learn takes a list, or changes to one; these cost what they change.
 func (b *Balancer) learn(kind ListKind, list []Member, first bool) {
-	whole := kind != ListDelta
+	whole := kind != ListDelta && kind != ListOwn
 	for _, w := range b.workers {
 		if !whole {
 			break
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -16,6 +16,7 @@
 
 // Listed implements inventory.Listener.
 func (p *program) Listed(list inventory.List) {
+	p.told = true
 	hosts, gone := list.Split()
 	p.fleet.List(p.loop.Now(), list.Snapshot, hosts, gone)
 	p.tell(yardwharf.ListDelta)
--- a/internal/app/leave.go
+++ b/internal/app/leave.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yardwharf/internal/handover"
 	"yardwharf/internal/loop"
 )
 
@@ -27,6 +28,10 @@
 	}
 	p.log.Info().Int("open", p.dispatcher.Open()).Msg("stopping")
 	p.leaving = true
+	if p.operations.store != nil {
+		p.book(handover.Leaving)
+		p.look() // the platform tells as soon as the successor is ready
+	}
 	p.settle()
 	if p.jobs != nil {
 		p.jobs.Leave()
@@ -51,6 +56,7 @@
 		if p.door != nil {
 			p.door.Close()
 		}
+		p.finish()
 		if p.jobs != nil {
 			p.saveJobs()
 			p.jobsAPI.Close()
--- a/internal/app/operations.go
+++ b/internal/app/operations.go
@@ -1,32 +1,265 @@
 package app
 
 import (
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"yardwharf"
 	"yardwharf/internal/admin"
+	"yardwharf/internal/handover"
+	"yardwharf/internal/loop"
+)
+
+const (
+	lookEvery = 50 * time.Millisecond // at what the other process has written
+	writeRest = time.Second           // after a write that failed and nobody waits for
+	listWait  = 4 * time.Second       // a successor waits so long for its first list: it has 6 s
 )
 
+// operations is what operators have asked for, and what the other process of an
+// upgrade does.
+type operations struct {
+	state  handover.State // what counts now
+	store  *handover.Store
+	phase  handover.Phase
+	by     time.Duration // a successor that starts takes clients by then, listed or not
+	peers  int           // other processes of this dispatcher
+	ready  bool          // one of them takes clients
+	timer  loop.Timer
+	broken string // the fault of the store that was last told of
+	listed int    // names that the fleet had when the state was last given its names
+	rest   time.Duration
+}
+
+// enter begins to share what operators ask for: with other processes where there is
+// a folder for it, else within this process alone. What an earlier process has
+// written counts from the start.
+func (p *program) enter(folder string) {
+	ops := &p.operations
+	ops.state, ops.phase = handover.NewState(), handover.Ready
+	if folder == "" {
+		p.log.Warn().Str("reason", "TMPDIR is not set").Msg("what operators ask for ends with this process")
+		return
+	}
+	var err error
+	if ops.store, err = handover.New(folder, p.config.Name); err != nil {
+		p.storeFails(err)
+		return
+	}
+	_, err = ops.store.Look()
+	p.storeFails(err)
+	ops.phase = handover.Starting
+	if len(ops.store.Peers()) == 0 { // nobody serves: clients are taken at once
+		ops.phase = handover.Ready
+	}
+	p.front.Hold(ops.phase == handover.Starting)
+	p.book(ops.phase)
+	ops.by = p.loop.Now() + listWait
+	ops.timer.Task = loop.Func(p.look)
+	p.look()
+	if ops.phase == handover.Starting {
+		p.log.Info().Int("processes", ops.peers).Msg("takes over from a process that serves")
+		p.watcher.Watch() // it alone starts, so it need not wait for its turn
+	}
+}
+
+// storeFails logs a fault of the store, once until another comes or it is over.
+func (p *program) storeFails(err error) {
+	why := ""
+	if err != nil {
+		why = err.Error()
+	}
+	if why != p.operations.broken {
+		if p.operations.broken = why; err != nil {
+			p.log.Error().Err(err).Msg("handover fails")
+		}
+	}
+}
+
+// look takes in what the other process has written, and whether there is one.
+func (p *program) look() {
+	ops := &p.operations
+	_, err := ops.store.Look()
+	p.storeFails(err)
+	ops.state = *ops.store.State()
+	peers := ops.store.Peers()
+	ops.ready = false
+	for _, phase := range peers {
+		ops.ready = ops.ready || phase == handover.Ready
+	}
+	if n := len(peers); n != ops.peers {
+		ops.peers = n
+		p.log.Info().Int("others", n).Msg("processes of this dispatcher")
+		p.shareOut()
+	}
+	p.takeOver()
+	p.yield()
+	if now := p.loop.Now(); now >= ops.rest {
+		p.keepNames()
+		if !ops.store.Entered() {
+			p.book(ops.phase)
+		}
+	}
+	p.apply()
+	p.loop.Set(&ops.timer, p.loop.Now()+lookEvery)
+}
+
+// takeOver ends the start of a successor: it takes clients once its list is
+// discovery's, has waited for that long enough, or is alone.
+func (p *program) takeOver() {
+	ops := &p.operations
+	if ops.phase != handover.Starting || p.fleet.Fit() == 0 && ops.ready {
+		return
+	}
+	if !p.told && !p.fleet.Listed() && p.loop.Now() < ops.by && ops.ready {
+		return
+	}
+	p.book(handover.Ready)
+	p.log.Info().Bool("listed", p.told).Msg("takes clients")
+	p.front.Hold(false)
+}
+
+// book writes down what this process is at, for the others to see.
+func (p *program) book(phase handover.Phase) {
+	p.operations.phase = phase
+	p.write(p.operations.store.Enter(phase))
+}
+
+// write takes note of how a write ended that nobody waits for. Guards against a loop
+// that is held up by one vain wait for the lock after the other.
+func (p *program) write(err error) {
+	if p.storeFails(err); err != nil {
+		p.operations.rest = p.loop.Now() + writeRest
+	}
+}
+
+// yield leaves new clients to another process that takes them, while this one
+// leaves; to none where there is none any more.
+func (p *program) yield() {
+	if p.leaving {
+		p.succeeded = p.operations.ready
+		p.front.Hold(p.succeeded)
+	}
+}
+
+// finish takes this process out of those that run.
+func (p *program) finish() {
+	if p.operations.store != nil {
+		p.loop.Clear(&p.operations.timer)
+		p.storeFails(p.operations.store.Leave())
+	}
+}
+
+// keepNames writes down names that have been listed: a host of which an earlier
+// process was told can still be taken out.
+func (p *program) keepNames() {
+	ops := &p.operations
+	if n := p.fleet.Listings(); n != ops.listed {
+		names := p.fleet.Names()
+		err := ops.store.Change(func(s *handover.State) { s.List(names) })
+		if p.write(err); err == nil {
+			ops.listed = n
+		}
+	}
+}
+
+// change has operators' wish written down, and done. Where it cannot be written
+// nothing is done: what is answered with a no has not happened.
+func (p *program) change(wish func(*handover.State)) error {
+	ops := &p.operations
+	if ops.store == nil {
+		wish(&ops.state)
+		p.apply()
+		return nil
+	}
+	if err := ops.store.Change(wish); err != nil {
+		return fmt.Errorf("not written down, and not done: %w", err)
+	}
+	ops.state = *ops.store.State()
+	p.apply()
+	return nil
+}
+
+// apply makes the parts do what operators have asked for.
+func (p *program) apply() {
+	if p.fleet.SetOut(p.loop.Now(), p.operations.state.Out) {
+		p.tell(yardwharf.ListOwn)
+	}
+	p.settle()
+}
+
+// settle makes the front do as things are. While clients are sent away or the
+// process leaves to a successor, no answer leaves a connection open.
+func (p *program) settle() {
+	drain := p.operations.state.Drain
+	p.front.SetReady(!p.leaving && !drain && p.fleet.Usable() > 0)
+	p.front.SetAway(drain || p.leaving && p.succeeded)
+}
+
+// shareOut bounds this process by its part of what the dispatcher may use: all of
+// its processes count together.
+func (p *program) shareOut() {
+	n := 1 + p.operations.peers
+	clients, hosts := p.descriptors(n)
+	p.front.SetMost(clients)
+	p.pool.SetMost(hosts)
+	p.buffers.Resize(p.bufferBytes() / n)
+	debug.SetMemoryLimit(p.heapBytes() / int64(n))
+}
+
 // calls is what operators can ask of a program.
 type calls struct{ p *program }
 
 var _ admin.Calls = calls{}
 
-// Serving implements admin.Calls.
-func (c calls) Serving() bool { return !c.p.leaving && c.p.fleet.Fit() > 0 }
+// Serving implements admin.Calls. Hosts out by hand count: an upgrade goes on
+// whatever operators have taken out.
+func (c calls) Serving() bool {
+	return !c.p.leaving && c.p.operations.phase == handover.Ready && c.p.fleet.Fit() > 0
+}
 
 // Drain implements admin.Calls.
 func (c calls) Drain(on bool) error {
-	c.p.draining = on
-	c.p.settle()
+	if err := c.p.change(func(s *handover.State) { s.Drain = on }); err != nil {
+		return err
+	}
+	c.p.log.Info().Bool("on", on).Msg("drain by hand")
 	return nil
 }
 
 // Down implements admin.Calls.
-func (c calls) Down(string) error { return admin.ErrUnknown }
+func (c calls) Down(host string) error {
+	if !c.known(host) {
+		return admin.ErrUnknown
+	}
+	now := c.p.loop.Now()
+	return c.hand(host, "down", func(s *handover.State) {
+		if _, already := s.Out[host]; !already {
+			s.Out[host] = now
+		}
+	})
+}
 
 // Up implements admin.Calls.
-func (c calls) Up(string) error { return admin.ErrUnknown }
+func (c calls) Up(host string) error {
+	if !c.known(host) {
+		return admin.ErrUnknown
+	}
+	return c.hand(host, "up", func(s *handover.State) { delete(s.Out, host) })
+}
 
-// settle makes the front do as things are.
-func (p *program) settle() {
-	p.front.SetReady(!p.leaving && !p.draining && p.fleet.Usable() > 0)
-	p.front.SetAway(p.draining)
+func (c calls) hand(host, call string, wish func(*handover.State)) error {
+	if err := c.p.change(wish); err != nil {
+		return err
+	}
+	c.p.log.Info().Str("host", host).Str("call", call).Msg("host by hand")
+	return nil
+}
+
+// known says whether a host was ever listed, here or to an earlier process.
+func (c calls) known(host string) bool {
+	s := &c.p.operations.state
+	_, out := s.Out[host]
+	return out || c.p.fleet.Knows(host) || s.Has(host)
 }
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"runtime/debug"
 
 	"github.com/rs/zerolog"
 
@@ -48,7 +49,10 @@
 	front      *front.Front
 	timer      loop.Timer
 	leaving    bool
-	draining   bool        // clients are sent away until operators say otherwise
+	succeeded  bool // another process takes clients while this one leaves
+	told       bool // discovery's list has come
+	buffers    *budget.Budget
+	operations operations
 	door       *admin.Door // nil: operators cannot call
 }
 
@@ -56,31 +60,24 @@
 func build(l *loop.Loop, log zerolog.Logger, s sources, o Options) (*program, error) {
 	c := s.config
 	p := &program{options: o, config: c, operator: s.operator, loop: l, log: log}
+	debug.SetMemoryLimit(p.heapBytes())
 	var err error
 	if p.dispatcher, err = dispatch.New(l, c.Settings, c.Seed); err != nil {
 		return nil, err
 	}
-	sockets := c.Limits.Sockets - reserve
-	if s.operator.Jobs != nil {
-		if sockets -= jobs.ConnsMost; sockets < 2 {
-			return nil, fmt.Errorf("config: key limits.sockets leaves none beside the %d of the job API", jobs.ConnsMost)
-		}
-	}
-	if c.Admin.IsValid() {
-		if sockets -= admin.CallersMost + 1; sockets < 2 {
-			return nil, fmt.Errorf("config: key limits.sockets leaves none beside the %d of the operators' door", admin.CallersMost+1)
-		}
+	if p.sockets(1) < 2 {
+		return nil, fmt.Errorf("config: key limits.sockets leaves none beside the %d that are kept", c.Limits.Sockets-p.sockets(1))
 	}
-	clients := int(clientPart * float64(sockets))
-	buffers := budget.New(int(bufferPart * float64(c.Limits.MemoryMB) * (1 << 20)))
+	clients, hosts := p.descriptors(1)
+	p.buffers = budget.New(p.bufferBytes())
 	p.fleet = membership.New(membership.Config{Zones: c.Settings.Zones, Kinds: c.Settings.Kinds})
 	p.watcher = inventory.NewWatcher(l, log, c.Discovery, c.Known)
 	p.watcher.Listen(p)
-	p.pool = southside.NewPool(l, log, &c.Settings, sockets-clients, buffers, p.dispatcher)
+	p.pool = southside.NewPool(l, log, &c.Settings, hosts, p.buffers, p.dispatcher)
 	p.dispatcher.Connect(p.pool, p)
 	p.due.Task = loop.Func(p.tick)
 	p.routes, p.rng = route.New(s.classes()), rand.New(rand.NewPCG(c.Seed, routeSeed))
-	if p.front, err = front.New(l, log, front.Source{Address: c.Listen, Inherited: c.FD}, clients, buffers, &c.Settings, p.dispatcher); err != nil {
+	if p.front, err = front.New(l, log, front.Source{Address: c.Listen, Inherited: c.FD}, clients, p.buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
 	if s.operator.Jobs != nil {
@@ -88,6 +85,9 @@
 			return nil, err
 		}
 	}
+	if c.Admin.IsValid() || c.FD >= 0 {
+		p.enter(o.Getenv("TMPDIR"))
+	}
 	if c.Admin.IsValid() {
 		if p.door, err = admin.Open(l, log, c.Admin, calls{p}); err != nil {
 			return nil, fmt.Errorf("config: key admin: %w", err)
@@ -101,6 +101,35 @@
 	return p, nil
 }
 
+// sockets is how many descriptors there are for clients and hosts, where so many
+// processes share what the dispatcher may use.
+func (p *program) sockets(processes int) int {
+	n := p.config.Limits.Sockets/processes - reserve
+	if p.operator.Jobs != nil {
+		n -= jobs.ConnsMost
+	}
+	if p.config.Admin.IsValid() {
+		n -= admin.CallersMost + 1
+	}
+	return n
+}
+
+// descriptors is how many of them clients and hosts may have.
+func (p *program) descriptors(processes int) (clients, hosts int) {
+	n := max(2, p.sockets(processes))
+	clients = int(clientPart * float64(n))
+	return clients, n - clients
+}
+
+// bufferBytes is the bound of all buffers, heapBytes that of the heap.
+func (p *program) bufferBytes() int {
+	return int(bufferPart * float64(p.config.Limits.MemoryMB) * (1 << 20))
+}
+
+func (p *program) heapBytes() int64 {
+	return int64(memoryPart * float64(p.config.Limits.MemoryMB) * (1 << 20))
+}
+
 // reload reads both files again, as SIGHUP asks, and takes them whole or not at
 // all. The watch moves to the discovery that is now named; messages, connections
 // and what the decisions have learned stay.
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -42,7 +41,6 @@
 	}
 	signals := catch() // before anything that takes time: an early signal waits
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.config.Limits.MemoryMB) * (1 << 20)))
 	l, err := loop.New()
 	if err != nil {
 		return err
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -186,6 +186,13 @@
 
 // Ready implements loop.Handler: connections wait to be accepted.
 func (f *Front) Ready(uint32) {
+	if f.shared && f.fd >= 0 {
+		// Guards against another holder of the socket that has made it blocking: the
+		// loop would wait in each accept that finds nothing.
+		if err := sock.Nonblocking(f.fd); err != nil {
+			f.log.Error().Err(err).Msg("listener lost")
+		}
+	}
 	for n := 0; f.fd >= 0 && !f.resting && !f.held && (n < acceptTurn || f.closing); n++ {
 		full := len(f.conns) >= f.most
 		if full && f.silent.Oldest() == nil && f.idle.Oldest() == nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -521,6 +521,24 @@
 	}
 }
 
+// With less room for clients' connections the idle ones give way, and no others.
+func TestSetMost(t *testing.T) {
+	f, side, dial := open(t, 100, true)
+	busy := dial()
+	defer busy.Close()
+	io.WriteString(busy, job("a", ""))
+	<-side.held
+	for range 3 {
+		defer dial().Close()
+	}
+	f.on(func() {})
+	f.on(func() {
+		if f.SetMost(1); f.Clients() != 1 || f.dispatcher.Open() != 1 {
+			t.Errorf("%d connections and %d messages are left", f.Clients(), f.dispatcher.Open())
+		}
+	})
+}
+
 // What is no listening TCP socket is not taken.
 func TestNotInherited(t *testing.T) {
 	l, d, s, _ := world(t, false)
--- a/internal/membership/host.go
+++ b/internal/membership/host.go
@@ -15,6 +15,7 @@
 	Address netip.AddrPort
 	Why     string // why it is not Ready, for logs; empty where it is
 	Changed bool   // of state, with this telling
+	Out     bool   // operators have taken it out: nothing more may begin at it, at once
 	yardwharf.Member
 }
 
@@ -31,6 +32,8 @@
 	gone   time.Duration         // when it went
 	mark   bool                  // among those that have changed since the last Take
 	told   yardwharf.WorkerState // as of the last Take
+	wasOut time.Duration         // it went out by hand then, the last time that it was put back
+	back   time.Duration         // and that was then
 }
 
 // ref is what one cluster says of a host.
@@ -44,6 +47,7 @@
 type hosts struct {
 	byName map[string]*host
 	byID   map[yardwharf.WorkerID]*host
+	out    map[string]time.Duration // hosts out by hand, listed or not, and since when
 	zones  map[string]int
 	kinds  []string
 	number int
@@ -53,7 +57,7 @@
 }
 
 func newHosts(zones, kinds []string) hosts {
-	h := hosts{byName: map[string]*host{}, byID: map[yardwharf.WorkerID]*host{}, zones: map[string]int{}, kinds: kinds}
+	h := hosts{byName: map[string]*host{}, byID: map[yardwharf.WorkerID]*host{}, out: map[string]time.Duration{}, zones: map[string]int{}, kinds: kinds}
 	for i, z := range zones {
 		h.zones[z] = i
 	}
@@ -128,7 +132,7 @@
 			h.gone--
 		}
 	}
-	return n.State != before.State || n.Address != before.Address || n.Why != before.Why || !same(n.Member, before.Member)
+	return n.State != before.State || n.Out != before.Out || n.Address != before.Address || n.Why != before.Why || !same(n.Member, before.Member)
 }
 
 func same(a, b yardwharf.Member) bool {
@@ -171,6 +175,7 @@
 	case fresh:
 		n.Started = 0
 	}
+	h.byHand(n)
 	if n.State == yardwharf.Ready {
 		for _, r := range n.refs {
 			if pool := r.pool(); pool > 0 && !slices.Contains(n.Pools, pool) {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -68,12 +68,18 @@
 	if _, err := unix.FcntlInt(uintptr(fd), unix.F_SETFD, flags|unix.FD_CLOEXEC); err != nil {
 		return os.NewSyscallError("fcntl", err)
 	}
-	if err := unix.SetNonblock(fd, true); err != nil {
-		return os.NewSyscallError("fcntl", err)
+	// That it is nonblocking is a flag that all copies share, and another process may
+	// take it back at any time (programs do so without a word when they hand a socket
+	// on). With a time limit an accept that finds nothing still returns.
+	if err := unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Usec: 1000}); err != nil {
+		return os.NewSyscallError("setsockopt", err)
 	}
-	return nil
+	return Nonblocking(fd)
 }
 
+// Nonblocking makes a descriptor nonblocking again.
+func Nonblocking(fd int) error { return os.NewSyscallError("fcntl", unix.SetNonblock(fd, true)) }
+
 // Accept takes a connection that waits; unix.EAGAIN says that there is none.
 func Accept(listener int) (int, error) {
 	for {
--- a/internal/southside/pool.go
+++ b/internal/southside/pool.go
@@ -65,7 +65,7 @@
 	name    []byte // the address as written in requests
 	lost    bool   // the last connection begun did not come up
 	idle    []*conn
-	away    bool          // it drains or is gone
+	away    bool          // it drains, is gone, or is out by hand
 	until   time.Duration // then no relay may put out its first byte
 	moved   time.Duration // the same for connections to an earlier address
 }
@@ -85,6 +85,14 @@
 	return p
 }
 
+// SetMost changes how many connections there may be; idle ones give way.
+func (p *Pool) SetMost(most int) {
+	p.most = most
+	for p.open > p.most && p.spare.Oldest() != nil {
+		p.spare.Oldest().close()
+	}
+}
+
 // Update takes changes of the inventory. Idle connections to a host that is away
 // or has moved are closed.
 func (p *Pool) Update(told []membership.Host) {
@@ -98,6 +106,9 @@
 		if away && !h.away {
 			h.until = p.loop.Now() + max(0, p.grace-drainReserve)
 		}
+		if t.Out { // one that must have no more work is given no grace
+			h.until = min(h.until, p.loop.Now())
+		}
 		if h.away = away; away || h.address != t.Address {
 			p.closeIdle(h)
 		}
--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -263,6 +263,25 @@
 	}
 }
 
+// A host out by hand has no grace, also where it drained before.
+func TestOutWhileConnecting(t *testing.T) {
+	read := make(chan int, 1)
+	y := newYard(t, func(s *yardwharf.Settings) { s.DrainGrace = time.Hour }, func(c net.Conn) {
+		n, _ := io.Copy(io.Discard, c)
+		read <- int(n)
+	})
+	_, c := y.take()
+	y.tell(yardwharf.Draining)
+	m := yardwharf.Member{ID: 7, State: yardwharf.Draining}
+	y.pool.Update([]membership.Host{{Address: netip.MustParseAddrPort(y.host.Addr().String()), Out: true, Member: m}})
+	if y.run(); c.got != "refused" {
+		t.Error(c.got)
+	}
+	if n := <-read; n != 0 {
+		t.Errorf("%d bytes were sent to a host out by hand", n)
+	}
+}
+
 // at tells that the host is at another address from now on.
 func (y *yard) at(address string) {
 	m := yardwharf.Member{ID: 7, State: yardwharf.Ready}
