--- a/internal/app/operations.go
+++ b/internal/app/operations.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime/debug"
 	"time"
@@ -12,9 +13,10 @@
 )
 
 const (
-	lookEvery = 50 * time.Millisecond // at what the other process has written
-	writeRest = time.Second           // after a write that failed and nobody waits for
-	listWait  = 4 * time.Second       // a successor waits so long for its first list: it has 6 s
+	lookEvery = 50 * time.Millisecond  // at what the other process has written
+	writeRest = time.Second            // after a write that failed and nobody waits for
+	listWait  = 4 * time.Second        // a successor waits so long for its first list: it has 6 s
+	lessonFor = 300 * time.Millisecond // and so long for what the other has learned
 )
 
 // operations is what operators have asked for, and what the other process of an
@@ -24,6 +26,8 @@
 	store  *handover.Store
 	phase  handover.Phase
 	by     time.Duration // a successor that starts takes clients by then, listed or not
+	began  time.Duration // when it started
+	taught bool          // the process that starts now has been told what was learned
 	peers  int           // other processes of this dispatcher
 	ready  bool          // one of them takes clients
 	timer  loop.Timer
@@ -55,7 +59,8 @@
 	}
 	p.front.Hold(ops.phase == handover.Starting)
 	p.book(ops.phase)
-	ops.by = p.loop.Now() + listWait
+	ops.began = p.loop.Now()
+	ops.by = ops.began + listWait
 	ops.timer.Task = loop.Func(p.look)
 	p.look()
 	if ops.phase == handover.Starting {
@@ -85,9 +90,12 @@
 	ops.state = *ops.store.State()
 	peers := ops.store.Peers()
 	ops.ready = false
+	starting := false
 	for _, phase := range peers {
 		ops.ready = ops.ready || phase == handover.Ready
+		starting = starting || phase == handover.Starting
 	}
+	p.teach(starting)
 	if n := len(peers); n != ops.peers {
 		ops.peers = n
 		p.log.Info().Int("others", n).Msg("processes of this dispatcher")
@@ -112,14 +120,48 @@
 	if ops.phase != handover.Starting || p.fleet.Fit() == 0 && ops.ready {
 		return
 	}
-	if !p.told && !p.fleet.Listed() && p.loop.Now() < ops.by && ops.ready {
+	now, lesson := p.loop.Now(), ops.state.Lesson
+	if ops.ready && (now < ops.by && !p.told && !p.fleet.Listed() || now < ops.began+lessonFor && lesson == nil) {
 		return
 	}
+	p.learn(lesson)
 	p.book(handover.Ready)
 	p.log.Info().Bool("listed", p.told).Msg("takes clients")
 	p.front.Hold(false)
 }
 
+// teach writes down what the decisions have learned, for a process that starts to
+// take over. Guards the first seconds after an upgrade, in which that process would
+// not know how much work fits, and hold cold hosts to next to nothing.
+func (p *program) teach(starting bool) {
+	ops := &p.operations
+	if ops.phase != handover.Ready || ops.taught == starting {
+		return
+	}
+	if ops.taught = starting; !starting {
+		return
+	}
+	lesson, err := json.Marshal(p.dispatcher.Learned())
+	if err == nil {
+		err = ops.store.Change(func(s *handover.State) { s.Lesson = lesson })
+	}
+	p.write(err)
+}
+
+// learn begins with what the other process has learned, if it has told.
+func (p *program) learn(lesson json.RawMessage) {
+	if lesson == nil {
+		return
+	}
+	var l yardwharf.Learned
+	err := json.Unmarshal(lesson, &l)
+	if err == nil {
+		p.dispatcher.Resume(l)
+		err = p.operations.store.Change(func(s *handover.State) { s.Lesson = nil })
+	}
+	p.write(err)
+}
+
 // book writes down what this process is at, for the others to see.
 func (p *program) book(phase handover.Phase) {
 	p.operations.phase = phase
--- a/internal/app/operations_test.go
+++ b/internal/app/operations_test.go
@@ -252,8 +252,14 @@
 			}
 		}
 	}()
+	for range 20 { // so that there is something to learn
+		s.send(fmt.Sprint("w", time.Now().UnixNano()))
+	}
 	second := s.start()
 	s.eventually("the second process is ready", second.ready)
+	if !second.on(func() bool { return second.dispatcher.Learned().Rate > 0 }) {
+		t.Error("the second begins with nothing learned")
+	}
 	first.on(func() bool { first.leave(); return true })
 	if !first.on(func() bool { return first.succeeded }) {
 		t.Error("the first does not see that it is succeeded")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -124,6 +124,13 @@
 	d.balancer.Members(d.loop.Now(), kind, list)
 }
 
+// Learned is what the decisions have learned up to now, Resume begins with what
+// those of another process have.
+func (d *Dispatcher) Learned() yardwharf.Learned { return d.balancer.Learned(d.loop.Now()) }
+
+// Resume implements the above.
+func (d *Dispatcher) Resume(l yardwharf.Learned) { d.balancer.Resume(d.loop.Now(), l) }
+
 // Probed tells how a probe ended.
 func (d *Dispatcher) Probed(host yardwharf.WorkerID, st yardwharf.Status, took time.Duration, load []float32) {
 	d.balancer.Probed(d.loop.Now(), host, st, took, load)
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -35,6 +35,7 @@
 	Out    map[string]time.Duration // hosts out by hand, and since when
 	Listed []string                 // names of hosts that were listed once, the oldest first
 	Runs   map[string]Phase         // processes, by their tokens
+	Lesson json.RawMessage          // what a process has learned, for the one that takes over; nil: nothing
 }
 
 // NewState returns a State that says nothing.
@@ -44,7 +45,7 @@
 
 // Clone is a copy that can be changed.
 func (s *State) Clone() State {
-	return State{Drain: s.Drain, Out: maps.Clone(s.Out), Listed: slices.Clone(s.Listed), Runs: maps.Clone(s.Runs)}
+	return State{Drain: s.Drain, Out: maps.Clone(s.Out), Listed: slices.Clone(s.Listed), Runs: maps.Clone(s.Runs), Lesson: s.Lesson}
 }
 
 // Has says whether a name was listed.
@@ -79,6 +80,8 @@
 	Listed     string        `json:"listed,omitempty"`
 	Run        string        `json:"run,omitempty"`
 	Phase      Phase         `json:"phase,omitempty"`
+
+	Lesson json.RawMessage `json:"lesson,omitempty"`
 }
 
 // text writes a State down: a line for each thing, with a checksum in front.
@@ -93,6 +96,9 @@
 	for _, token := range slices.Sorted(maps.Keys(s.Runs)) {
 		records = append(records, record{Run: token, Phase: s.Runs[token]})
 	}
+	if s.Lesson != nil {
+		records = append(records, record{Lesson: s.Lesson})
+	}
 	for _, name := range s.Listed {
 		records = append(records, record{Listed: name})
 	}
@@ -131,6 +137,8 @@
 			s.Drain = true
 		case r.Out != "":
 			s.Out[r.Out] = r.Since
+		case r.Lesson != nil:
+			s.Lesson = r.Lesson
 		case r.Listed != "":
 			names = append(names, r.Listed)
 		case r.Run != "" && !strings.ContainsAny(r.Run, "/."): // it names a file
--- /dev/null
+++ b/learned_test.go
@@ -0,0 +1,36 @@
+package yardwharf
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+)
+
+// A successor begins with what was learned: how much fits, how fast work is done and
+// what each worker bears; it goes over as JSON. What makes no sense is left out.
+func TestResume(t *testing.T) {
+	s := settings(Class{Effect: Safe, Aim: 100 * ms})
+	old, next := start(t, s, 3), start(t, s, 3)
+	old.b.rate, old.b.counted, old.b.limit, old.b.util, old.b.classes[0].service = 12, old.now, 7, 0.4, 0.3
+	old.b.byID[2].room, old.b.byID[2].pace, old.b.byID[2].paced = 5, 3, old.now
+	old.b.setState(old.b.byID[3], Gone, nil, false)
+	text, err := json.Marshal(old.b.Learned(old.now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l Learned
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.Fatal(err)
+	}
+	next.b.Resume(next.now, l)
+	b := next.b
+	if b.rate != 12 || b.limit != 7 || b.util != 0.4 || b.classes[0].service != 0.3 || b.byID[2].room != 5 || b.pace(b.byID[2]) != 3 || b.byID[3].room != 1 {
+		t.Errorf("resumed with rate %v, limit %v, util %v, service %v, room %v, pace %v, %v", b.rate, b.limit, b.util, b.classes[0].service,
+			b.byID[2].room, b.pace(b.byID[2]), b.byID[3].room)
+	}
+	fresh := start(t, s, 3).b
+	fresh.Resume(next.now, Learned{Rate: -1, Limit: 0, Util: math.Inf(1), Class: make([]LearnedClass, 9), Worker: map[WorkerID]LearnedWorker{1: {-1, 0}, 99: {1, 1}}})
+	if fresh.rate != 0 || !math.IsInf(fresh.limit, 1) || fresh.util > 1 || fresh.byID[1].room != 1 || fresh.byID[1].pace != 1 {
+		t.Errorf("from nonsense: rate %v, limit %v, util %v, %+v", fresh.rate, fresh.limit, fresh.util, fresh.byID[1])
+	}
+}
