Count the cold budget and the ids in hand over both processes of an upgrade

Need: two processes are one dispatcher. Both spent a whole cold budget while both ran (coldFit's part), now more so as the successor begins with the old one's rate; and an id in hand at the old process was taken a second time by the new one (front.register knows its own only).

--- a/balancer.go
+++ b/balancer.go
@@ -339,7 +339,7 @@
 		return true
 	}
 	part := coldPart * b.s.OverloadFactor * c * b.rate / b.warm() / b.util
-	part = max(part, coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers))
+	part = max(part, coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers)) / b.parts
 	depth := max(1, part*b.s.OverloadFor.Seconds())
 	w.tokens = min(depth, w.tokens+part*(b.now-w.refilled).Seconds())
 	w.refilled = b.now
--- a/internal/app/operations.go
+++ b/internal/app/operations.go
@@ -58,6 +58,7 @@
 		ops.phase = handover.Ready
 	}
 	p.front.Hold(ops.phase == handover.Starting)
+	p.front.SetClaims(ops.store)
 	p.book(ops.phase)
 	ops.began = p.loop.Now()
 	ops.by = ops.began + listWait
@@ -244,6 +245,7 @@
 func (p *program) shareOut() {
 	n := 1 + p.operations.peers
 	clients, hosts := p.descriptors(n)
+	p.dispatcher.SetParts(n)
 	p.front.SetMost(clients)
 	p.pool.SetMost(hosts)
 	p.buffers.Resize(p.bufferBytes() / n)
--- a/internal/app/operations_test.go
+++ b/internal/app/operations_test.go
@@ -26,7 +26,8 @@
 	host      net.Listener
 	discovery net.Listener
 	folder    string
-	quiet     bool // discovery accepts calls and answers none
+	quiet     bool      // discovery accepts calls and answers none
+	slow      chan bool // the host answers once it is closed; nil: at once
 }
 
 func newSite(t *testing.T) *site {
@@ -46,6 +47,9 @@
 						return
 					}
 					io.Copy(io.Discard, r.Body)
+					if s.slow != nil {
+						<-s.slow
+					}
 					line := fmt.Sprintf(`{"id":%q,"state":"done","result":"did"}`+"\n", r.Header.Get("X-Txn"))
 					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
 				}
@@ -302,6 +306,30 @@
 	}
 }
 
+// A message that the old process has in hand is not taken a second time by the new.
+func TestIDInHandElsewhere(t *testing.T) {
+	s := newSite(t)
+	s.slow = make(chan bool)
+	first := s.start()
+	s.eventually("the first process is ready", first.ready)
+	answered := make(chan int, 1)
+	go func() { answered <- s.send("m1") }()
+	s.eventually("it is in hand", func() bool { return first.on(func() bool { return first.dispatcher.Open() == 1 }) })
+	second := s.start()
+	s.eventually("the second process is ready", second.ready)
+	first.on(func() bool { first.front.Hold(true); return true })
+	if got := s.send("m1"); got != 400 {
+		t.Errorf("its second copy is answered %d", got)
+	}
+	close(s.slow)
+	if got := <-answered; got != 200 {
+		t.Errorf("the first copy is answered %d", got)
+	}
+	if got := s.send("m1"); got != 200 {
+		t.Errorf("when it is done it is answered %d", got)
+	}
+}
+
 // Two processes share what one may hold; the one that is left has it again.
 func TestSharesOut(t *testing.T) {
 	s := newSite(t)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -124,13 +124,15 @@
 	d.balancer.Members(d.loop.Now(), kind, list)
 }
 
-// Learned is what the decisions have learned up to now, Resume begins with what
-// those of another process have.
+// Learned is what the decisions have learned up to now.
 func (d *Dispatcher) Learned() yardwharf.Learned { return d.balancer.Learned(d.loop.Now()) }
 
-// Resume implements the above.
+// Resume begins with what another process has learned.
 func (d *Dispatcher) Resume(l yardwharf.Learned) { d.balancer.Resume(d.loop.Now(), l) }
 
+// SetParts says how many processes the dispatcher has.
+func (d *Dispatcher) SetParts(n int) { d.balancer.SetParts(n) }
+
 // Probed tells how a probe ended.
 func (d *Dispatcher) Probed(host yardwharf.WorkerID, st yardwharf.Status, took time.Duration, load []float32) {
 	d.balancer.Probed(d.loop.Now(), host, st, took, load)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,13 @@
 	awaySilent = 500 * time.Millisecond // a new connection then has so long to send
 )
 
+// Claims says which messages are in hand anywhere, beside this front.
+type Claims interface {
+	// Claim books an id as in hand here, unless it is in hand elsewhere.
+	Claim(id []byte) bool
+	Release(id []byte)
+}
+
 // Front listens for clients.
 type Front struct {
 	loop       *loop.Loop
@@ -56,6 +63,7 @@
 	restFor    time.Duration // restTime
 	seed       maphash.Seed
 	open       map[uint64]*ticket // messages in hand, by the hash of their ID
+	claims     Claims             // nil: this front is the only one
 }
 
 // Source is where clients' connections come from: an address, or a listening
@@ -101,6 +109,9 @@
 	}
 }
 
+// SetClaims sets what other processes are asked through for what they have in hand.
+func (f *Front) SetClaims(c Claims) { f.claims = c }
+
 // Hold leaves the connections that wait to the other processes that hold the
 // listening socket, or takes them again.
 func (f *Front) Hold(on bool) {
@@ -272,6 +283,9 @@
 	if other := f.open[h]; other != nil {
 		return !bytes.Equal(other.id, id)
 	}
+	if f.claims != nil && !f.claims.Claim(id) {
+		return false
+	}
 	t.hash, t.id = h, id
 	f.open[h] = t
 	return true
@@ -281,6 +295,9 @@
 func (f *Front) forget(t *ticket) {
 	if f.open[t.hash] == t {
 		delete(f.open, t.hash)
+		if f.claims != nil {
+			f.claims.Release(t.id)
+		}
 	}
 	t.id = nil
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -160,6 +160,47 @@
 	}
 }
 
+// An id that one process has in hand is not taken by another, until it is released
+// or its process has ended; thousands of others do not get in its way.
+func TestClaims(t *testing.T) {
+	folder := t.TempDir()
+	first, second := store(t, folder), store(t, folder)
+	for _, s := range []*Store{first, second} {
+		if err := s.Enter(Ready); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first.Look()
+	for _, s := range []*Store{first, second} {
+		s.Peers()
+	}
+	id := func(i int) []byte { return fmt.Append(nil, "message ", i) }
+	for round := range 5 {
+		for i := range 2000 {
+			if !first.Claim(id(i)) {
+				t.Fatalf("round %d: message %d is not to be had", round, i)
+			}
+		}
+		for i := range 2000 {
+			if second.Claim(id(i)) {
+				t.Fatalf("round %d: message %d is in two hands", round, i)
+			}
+			if !second.Claim(id(i + 10000)) {
+				t.Fatalf("round %d: message %d is taken for one in hand", round, i+10000)
+			}
+			first.Release(id(i))
+			second.Release(id(i + 10000))
+		}
+	}
+	first.Claim(id(1))
+	first.own.Close() // killed
+	first.own = nil
+	second.Peers()
+	if !second.Claim(id(1)) {
+		t.Error("what a dead process had in hand is not to be had")
+	}
+}
+
 // What cannot be written has not happened, and is told.
 func TestNotWritten(t *testing.T) {
 	folder := t.TempDir()
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -30,6 +30,8 @@
 	text       []byte   // as last read
 	state      State
 	faulty     string // the fault that was last told of
+	ids        *ids   // of this process, those in hand; nil: they are not shared
+	others     map[string]*ids
 }
 
 // New returns a Store in a folder of the given one. Nothing is read or written yet.
@@ -39,7 +41,7 @@
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	name := strings.ReplaceAll(url.PathEscape(dispatcher), ".", "%2e") // never . or ..
-	return &Store{dir: filepath.Join(folder, "yardwharf-"+name), dispatcher: dispatcher, token: hex.EncodeToString(token[:]), state: NewState()}, nil
+	return &Store{dir: filepath.Join(folder, "yardwharf-"+name), dispatcher: dispatcher, token: hex.EncodeToString(token[:]), state: NewState(), others: map[string]*ids{}}, nil
 }
 
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
@@ -67,6 +69,12 @@
 		}
 		s.own = f
 	}
+	if s.ids == nil {
+		var err error
+		if s.ids, err = mapIDs(s.path("ids-"+s.token), true); err != nil {
+			return err
+		}
+	}
 	return s.Change(func(st *State) { st.Runs[s.token] = p })
 }
 
@@ -82,6 +90,12 @@
 		return nil
 	}
 	err := s.Change(func(st *State) { delete(st.Runs, s.token) })
+	if s.ids != nil {
+		s.ids.close()
+		s.ids = nil
+	}
+	s.meet(nil)
+	os.Remove(s.path("ids-" + s.token))
 	os.Remove(s.own.Name())
 	s.own.Close()
 	s.own = nil
@@ -110,6 +124,7 @@
 		if !s.runs(token) {
 			delete(next.Runs, token)
 			os.Remove(s.path("run-" + token))
+			os.Remove(s.path("ids-" + token))
 		}
 	}
 	text, err := next.text(s.dispatcher)
@@ -195,7 +210,8 @@
 	return true, nil
 }
 
-// Peers are the other processes that run now, and what they are at.
+// Peers are the other processes that run now, and what they are at. From then on
+// what they have in hand is seen by Claim.
 func (s *Store) Peers() map[string]Phase {
 	var peers map[string]Phase
 	for token, phase := range s.state.Runs {
@@ -206,6 +222,7 @@
 			peers[token] = phase
 		}
 	}
+	s.meet(peers)
 	return peers
 }
 
--- a/learned_test.go
+++ b/learned_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"testing"
+	"time"
 )
 
 // A successor begins with what was learned: how much fits, how fast work is done and
@@ -34,3 +35,31 @@
 		t.Errorf("from nonsense: rate %v, limit %v, util %v, %+v", fresh.rate, fresh.limit, fresh.util, fresh.byID[1])
 	}
 }
+// Two processes of one dispatcher send a cold worker no more than one may.
+func TestPartsShareColdBudget(t *testing.T) {
+	sent := func(processes int) (n int) {
+		for i := range processes {
+			s := settings(Class{Effect: Safe, Aim: time.Hour})
+			s.StartCapacity, s.WarmUp, s.OverloadFactor, s.OverloadFor, s.Balancers = 0.1, time.Hour, 4, 2*time.Second, 1
+			f := start(t, s, 4)
+			f.b.SetParts(processes)
+			f.b.rate, f.b.counted, f.b.util = 40, f.now, 1
+			f.b.Members(f.now, ListOwn, []Member{{ID: 1, State: Ready, Started: f.now}})
+			w := f.b.byID[1]
+			w.tokens = float64(i) / 2
+			for range 1000 {
+				f.now += 10 * ms
+				f.b.now = f.now
+				if f.b.coldFit(w) {
+					w.tokens--
+					n++
+				}
+			}
+		}
+		return n
+	}
+	one, two := sent(1), sent(2)
+	if two > one+1 || two < one-2 {
+		t.Errorf("two processes send %d, one alone %d", two, one)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 
 	warmSum float64 // warmth of all ready workers, as of warmed
 	warmed  time.Duration
+	parts   float64 // processes that this dispatcher has
 	util    float64 // how busy workers said to be of late; 1 where they tell nothing
 
 	workers []*worker
