--- a/internal/app/operations_test.go
+++ b/internal/app/operations_test.go
@@ -330,6 +330,53 @@
 	}
 }
 
+// A host that only an earlier process was told of can be taken out; what no process
+// was told of cannot.
+func TestListedToAnEarlierProcess(t *testing.T) {
+	s := newSite(t)
+	store, err := handover.New(s.folder, "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Change(func(st *handover.State) { st.List([]string{"s7"}) }); err != nil {
+		t.Fatal(err)
+	}
+	p := s.start()
+	p.want("POST", "/ops/senders/down/s7", 200)
+	p.want("POST", "/ops/senders/up/s7", 200)
+	p.want("POST", "/ops/senders/down/s8", 404)
+	s.eventually("what this one was told of is written down", func() bool {
+		store.Look()
+		return store.State().Has("s1") && store.State().Has("s2")
+	})
+}
+
+// With discovery down a successor takes clients from its last list once it has
+// waited for long enough; one without any host leaves them where they are.
+func TestUpgradeWithoutDiscovery(t *testing.T) {
+	s := newSite(t)
+	first := s.start()
+	s.eventually("the first process is ready", first.ready)
+	s.quiet = true
+	second := s.start()
+	over := func(hosts bool) {
+		second.on(func() bool {
+			if !hosts {
+				second.fleet.List(second.loop.Now(), true, nil, nil)
+			}
+			second.operations.by, second.operations.began = 1, 1
+			return true
+		})
+	}
+	over(false)
+	time.Sleep(3 * lookEvery)
+	if second.ready() || second.on(func() bool { return second.operations.phase == handover.Ready }) {
+		t.Error("without a host it says that it can serve")
+	}
+	second.on(func() bool { second.known(second.config.Known); return true })
+	s.eventually("the second takes clients from its last list", second.ready)
+}
+
 // Two processes share what one may hold; the one that is left has it again.
 func TestSharesOut(t *testing.T) {
 	s := newSite(t)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -521,6 +521,38 @@
 	}
 }
 
+// A drain that ends at once leaves the connections; one on which a message runs
+// for longer than the drain takes ends with its answer, not before.
+func TestAwayWhileRunning(t *testing.T) {
+	f, side, dial := open(t, 100, true)
+	idle, busy := dial(), dial()
+	defer idle.Close()
+	io.WriteString(busy, job("a", ""))
+	<-side.held
+	f.on(func() {
+		f.SetAway(true)
+		f.SetAway(false)
+	})
+	f.on(func() {
+		if f.Clients() != 2 {
+			t.Errorf("%d connections are left of 2", f.Clients())
+		}
+		f.SetAway(true)
+		f.awayBy = 0 // all its time is over
+		f.sendAway()
+		if f.Clients() == 0 || f.dispatcher.Open() != 1 {
+			t.Error("a message that runs is given up")
+		}
+		for _, c := range f.open {
+			c.Served([]byte("late"))
+		}
+	})
+	answer, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	if err != nil || answer.StatusCode != 200 || !answer.Close {
+		t.Errorf("%+v, %v", answer, err)
+	}
+}
+
 // With less room for clients' connections the idle ones give way, and no others.
 func TestSetMost(t *testing.T) {
 	f, side, dial := open(t, 100, true)
