Test at size: few dispatchers alive, a zone that returns twice, a list cut off in a line

Twenty of eighty dispatchers alive, with all the traffic, use the cold hosts and push none over; a zone that returned and is cut off again while cold gets probes only, and work once they are answered; a list of which half a line has come changes nothing, whether discovery ends or falls silent there. No code changes.

--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -156,10 +156,17 @@
 	}
 }
 
-// A watch that says nothing for too long has failed, though its connection stands.
+// A watch that says nothing for too long has failed, though its connection stands;
+// what it had said of a line by then does not count, nor where discovery ends in it.
 func TestSilentWatch(t *testing.T) {
-	heard, _ := watching(t, chunks(list(1, true, entry("s1", "SERVING"))), true)
-	if !slices.Equal(heard, []string{"list:1", "failed"}) {
-		t.Errorf("heard %v", heard)
+	whole := chunks(list(1, true, entry("s1", "SERVING")))
+	half := chunks(list(2, false, entry("s2", "DRAINING")))
+	for _, text := range []string{whole, whole + half[len("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"):len(half)-20]} {
+		for _, silent := range []bool{true, false} {
+			heard, _ := watching(t, text, silent)
+			if !slices.Equal(heard, []string{"list:1", "failed"}) {
+				t.Errorf("%.90q: heard %v", text, heard)
+			}
+		}
 	}
 }
--- a/learned_test.go
+++ b/learned_test.go
@@ -35,6 +35,7 @@
 		t.Errorf("from nonsense: rate %v, limit %v, util %v, %+v", fresh.rate, fresh.limit, fresh.util, fresh.byID[1])
 	}
 }
+
 // Two processes of one dispatcher send a cold worker no more than one may.
 func TestPartsShareColdBudget(t *testing.T) {
 	sent := func(processes int) (n int) {
--- a/size_test.go
+++ b/size_test.go
@@ -88,32 +88,36 @@
 
 // Six in ten workers are replaced by cold ones, before dispatchers that each see
 // two requests a second. Together these use what the cold ones can do by then, and
-// stay under what pushes one over in each span of an overload.
+// stay under what pushes one over in each span of an overload; so they do where a
+// quarter of them is alive, which then have all the traffic.
 func TestColdFleetIsUsed(t *testing.T) {
-	s := settings(Class{Effect: Safe})
-	s.Balancers, s.StartCapacity, s.OverloadFactor = 80, 0.13, 4
-	const workers, replaced = 20, 12
-	c := newCrowd(t, s, s.Balancers, workers, 50*ms)
-	c.spend(8*time.Second, 500*ms) // 160 a second: 8 a worker, its half
-	began := c.now
-	c.replace(replaced)
-	c.spend(s.WarmUp, 500*ms)
-	const carried = 8.0 // by a warm worker before
-	for w := WorkerID(101); w <= 100+replaced; w++ {
-		used := 0.0
-		for at := began; at < began+s.WarmUp; at += s.OverloadFor {
-			// Warmth at the span's start, and over the span.
-			grown := (1 - s.StartCapacity) * float64(at-began) / float64(s.WarmUp)
-			first := s.StartCapacity + grown
-			got := float64(c.sent(w, at, at+s.OverloadFor))
-			if most := s.OverloadFactor * first * 2 * carried * s.OverloadFor.Seconds(); got > most {
-				t.Errorf("worker %d: %v jobs from %v on, over %.0f", w, got, at-began, most)
+	for _, alive := range []int{80, 20} {
+		s := settings(Class{Effect: Safe})
+		s.Balancers, s.StartCapacity, s.OverloadFactor = 80, 0.13, 4
+		const workers, replaced = 20, 12
+		every := time.Duration(alive) * 500 * ms / 80
+		c := newCrowd(t, s, alive, workers, 50*ms)
+		c.spend(8*time.Second, every) // 160 a second: 8 a worker, its half
+		began := c.now
+		c.replace(replaced)
+		c.spend(s.WarmUp, every)
+		const carried = 8.0 // by a warm worker before
+		for w := WorkerID(101); w <= 100+replaced; w++ {
+			used := 0.0
+			for at := began; at < began+s.WarmUp; at += s.OverloadFor {
+				// Warmth at the span's start, and over the span.
+				grown := (1 - s.StartCapacity) * float64(at-began) / float64(s.WarmUp)
+				first := s.StartCapacity + grown
+				got := float64(c.sent(w, at, at+s.OverloadFor))
+				if most := s.OverloadFactor * first * 2 * carried * s.OverloadFor.Seconds(); got > most {
+					t.Errorf("%d alive: worker %d: %v jobs from %v on, over %.0f", alive, w, got, at-began, most)
+				}
+				used += got
+			}
+			could := (1 + s.StartCapacity) / 2 * carried * s.WarmUp.Seconds()
+			if used < could/2 {
+				t.Errorf("%d alive: worker %d: %v jobs while it warmed, under half of the %.0f that it could take", alive, w, used, could)
 			}
-			used += got
-		}
-		could := (1 + s.StartCapacity) / 2 * carried * s.WarmUp.Seconds()
-		if used < could/2 {
-			t.Errorf("worker %d: %v jobs while it warmed, under half of the %.0f that it could take", w, used, could)
 		}
 	}
 }
@@ -326,31 +330,38 @@
 			t.Errorf("a probe that ends as %d counts for the zone", st)
 		}
 	}
-	f.now += 250 * ms
-	for _, w := range f.probes {
-		f.b.Probed(f.now, w, ConnectFailed, 250*ms, nil)
-	}
-	for id := RequestID(1); id <= 100; id++ {
-		if f.request(id, 0); f.last().worker%2 == 1 {
-			t.Fatalf("request %d is sent into a zone that is cut off", id)
+	for round := range RequestID(2) { // it returns, and is cut off again while it is cold
+		f.now += 250 * ms
+		for range 3 {
+			f.b.Probed(f.now, f.probes[0], ConnectFailed, 250*ms, nil)
 		}
-		f.end(f.last(), OK)
-	}
-	n := len(f.probes)
-	f.wait(6 * lookEvery)
-	if got := len(f.probes) - n; got < 3 || got > 7 {
-		t.Fatalf("%d probes in 6 s of a zone that is cut off", got)
-	}
-	for range 3 {
-		f.b.Probed(f.now, f.probes[n], OK, ms, nil)
-	}
-	for id, found := RequestID(200), false; !found; id++ {
-		if id == 400 {
-			t.Fatal("the zone gets nothing though probes are answered")
+		for id := RequestID(1); id <= 100; id++ {
+			if f.request(10000*round+id, 0); f.last().worker%2 == 1 {
+				t.Fatalf("round %d: request %d is sent into a zone that is cut off", round, id)
+			}
+			f.end(f.last(), OK)
 		}
-		f.request(id, 0)
-		found = f.last().worker%2 == 1
-		f.end(f.last(), OK)
+		n := len(f.probes)
+		f.wait(6 * lookEvery)
+		if got := len(f.probes) - n; got < 3 || got > 7 {
+			t.Fatalf("round %d: %d probes in 6 s of a zone that is cut off", round, got)
+		}
+		for range 3 {
+			f.b.Probed(f.now, f.probes[n], OK, ms, nil)
+		}
+		for id, found := RequestID(200), false; !found; id++ {
+			if id == 400 {
+				t.Fatalf("round %d: the zone gets nothing though probes are answered", round)
+			}
+			f.request(10000*round+id, 0)
+			found = f.last().worker%2 == 1
+			f.end(f.last(), OK)
+		}
+		var cold []Member
+		for id := WorkerID(1); id <= 20; id += 2 {
+			cold = append(cold, Member{ID: id, Zone: 1, State: Ready, Started: f.now})
+		}
+		f.b.Members(f.now, ListDelta, cold)
 	}
 }
 
