Give a host that was put back by hand the next message that may be repeated

Ruled out: the ban (state serving at once), its cold budget (about 1 message a second there), the list (it told of the start before).

Change: membership tells when a host was put back (Member.PutBack); Balancer.returned gives it the first safe message within its cold budget, once.

--- a/api.go
+++ b/api.go
@@ -149,7 +149,8 @@
 	Kind         int
 	Cell         int
 	CapacityHint float64
-	Pools        []int // beside pool 0, which all workers are in
+	Pools        []int         // beside pool 0, which all workers are in
+	PutBack      time.Duration // when it was last put back by hand; 0: never
 }
 
 // ListKind says how a Members event is to be read.
--- a/balancer.go
+++ b/balancer.go
@@ -487,7 +487,10 @@
 // room, the one with the most room for its share is taken.
 func (b *Balancer) tryOn(r *request) bool {
 	var least *member
-	best := b.drawAmong(r, r.split.home, true)
+	best := b.returned(r)
+	if best == nil {
+		best = b.drawAmong(r, r.split.home, true)
+	}
 	if best == nil && len(r.split.near) > len(r.split.home) {
 		best = b.drawAmong(r, r.split.near, true)
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -83,6 +83,27 @@
 		w.refilled, w.tokens = b.now, b.rng.Float64()
 	}
 	b.setState(w, m.State, m.Pools, first)
+	if m.PutBack > w.putBack {
+		w.putBack = m.PutBack
+		b.owed = append(b.owed, w)
+	}
+}
+
+// returned is the place of a worker that operators have put back and that has had
+// nothing since, for a message that may be repeated elsewhere. Guards against one
+// of another zone that waits for its first message until no other has room.
+func (b *Balancer) returned(r *request) *member {
+	if len(b.owed) == 0 || r.class.Effect != Safe {
+		return nil
+	}
+	b.owed = slices.DeleteFunc(b.owed, func(w *worker) bool { return w.state == Gone })
+	for i, w := range b.owed {
+		if m := w.at(r.split); m != nil && b.fit(w) && !r.tried(w) {
+			b.owed = slices.Delete(b.owed, i, i+1)
+			return m
+		}
+	}
+	return nil
 }
 
 func newSplit(kind, pool int) *split {
--- a/internal/membership/out.go
+++ b/internal/membership/out.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		if n := h.byName[name]; n != nil {
-			n.wasOut, n.back = h.out[name], now
+			n.wasOut, n.back, n.PutBack = h.out[name], now, now
 			again = append(again, n)
 		}
 		delete(h.out, name)
--- a/learned_test.go
+++ b/learned_test.go
@@ -64,3 +64,38 @@
 		t.Errorf("two processes send %d, one alone %d", two, one)
 	}
 }
+
+// A worker that operators have put back gets the next message that may be repeated,
+// once, within its cold budget; others go their usual way.
+func TestPutBackIsUsedSoon(t *testing.T) {
+	s := settings(Class{Effect: Safe}, Class{Effect: Unsafe})
+	s.TellsStart, s.StartCapacity = true, 0.13
+	f := start(t, s, 6) // the even ones are of this dispatcher's zone
+	for _, m := range []Member{{ID: 3, Zone: 1, State: Draining}, {ID: 3, Zone: 1, State: Ready, Started: f.now, PutBack: f.now}} {
+		f.b.Members(f.now, ListOwn, []Member{m})
+	}
+	w := f.b.byID[3]
+	sent := func(id RequestID, class int) bool {
+		f.request(id, class)
+		to := f.last().worker
+		f.end(f.last(), OK)
+		return to == 3
+	}
+	w.tokens = 0
+	if sent(1, 0) {
+		t.Error("it is sent more than the cold budget has")
+	}
+	w.tokens = 1
+	if sent(2, 1) {
+		t.Error("what must not run twice finds out how it is")
+	}
+	w.tokens = 1
+	if !sent(3, 0) {
+		t.Error("put back, it is not used")
+	}
+	for id := RequestID(4); id < 10; id++ {
+		if w.tokens = 1; sent(id, 0) {
+			t.Error("it is preferred for longer than one message")
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -48,6 +48,7 @@
 	parts   float64 // processes that this dispatcher has
 	util    float64 // how busy workers said to be of late; 1 where they tell nothing
 
+	owed    []*worker // put back by hand, and not sent anything since
 	workers []*worker
 	byID    map[WorkerID]*worker
 	gone    int              // workers that are
@@ -98,6 +99,7 @@
 	kind       int
 	size       float64 // as hinted, or 1
 	state      WorkerState
+	putBack    time.Duration // by hand, the last time
 	started    time.Duration // as listed; 0 where it was long ago
 	coldSince  time.Duration // start of its warm-up as far as known
 	out        int           // own attempts out
