Add up the logs of many dispatchers by second: yardlab count

Change: yardlab count LOGDIR reads each *.log of a folder tree and prints or gives as JSON how often what the logs tell of happened, by second over the fleet.

--- a/internal/yardlab/cli_test.go
+++ b/internal/yardlab/cli_test.go
@@ -110,3 +110,31 @@
 		}
 	}
 }
+
+// The logs of a folder are added up, those in its folders too; one without logs is
+// an error in one line.
+func TestCount(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if status, _, log := call("count", folder); status != 1 || !strings.Contains(log, "no *.log file") || strings.Count(log, "\n") != 1 {
+		t.Errorf("status %d, %s", status, log)
+	}
+	write("n0.log", "yardwharf: config: key listen\n")
+	if status, _, log := call("count", folder); status != 1 || !strings.Contains(log, "no log line of a dispatcher") {
+		t.Errorf("status %d, %s", status, log)
+	}
+	os.Mkdir(filepath.Join(folder, "more"), 0o700)
+	line := `{"level":"warn","dispatcher":"n1","time":"2026-12-01T10:00:05Z","message":"discovery watch lost"}`
+	write("more/n1.log", line+"\n"+line[:30])
+	status, out, log := call("count", folder)
+	if status != 0 || !strings.Contains(out, "watch lost") || strings.Contains(out, "started") || !strings.Contains(log, "passed over 1 lines") {
+		t.Errorf("status %d, %s, %s", status, out, log)
+	}
+	if status, out, _ := call("count", "--json", folder); status != 0 || !strings.Contains(out, `"unreadable": 1`) {
+		t.Errorf("status %d, %s", status, out)
+	}
+}
