--- a/internal/southside/southside_test.go
+++ b/internal/southside/southside_test.go
@@ -246,6 +246,44 @@
 	}
 }
 
+// A host at its connection cap takes no new connection: a relay that needs one has
+// never run, and the connection that there is serves on and is used again.
+func TestConnectionCap(t *testing.T) {
+	release := make(chan bool)
+	y := newYard(t, nil, func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			<-release
+			io.WriteString(c, chunked(strings.ReplaceAll(done, "ID", r.Header.Get("X-Txn"))))
+		}
+	})
+	_, first := y.take()
+	second := &client{loop: y.loop}
+	var wait loop.Timer
+	wait.Task = loop.Func(func() { // once the first is on its way
+		y.host.Close() // it holds all the connections that it will
+		y.d.Take(dispatch.Payload{ID: []byte("m2"), Method: []byte("POST"), Target: []byte("/a/b?c"), Key: []byte("k"), Once: true},
+			yardwharf.Request{Deadline: y.loop.Now() + time.Hour}, second)
+	})
+	y.loop.Set(&wait, y.loop.Now()+50*time.Millisecond)
+	if y.run(); second.got != "refused" || first.got != "" {
+		t.Fatalf("the second is %q, the first %q", second.got, first.got)
+	}
+	close(release)
+	if y.run(); first.got != "served résult" {
+		t.Fatalf("the first is %q", first.got)
+	}
+	if y.pool.open != 1 || len(y.pool.hosts[7].idle) != 1 {
+		t.Errorf("%d connections are left, %d idle", y.pool.open, len(y.pool.hosts[7].idle))
+	}
+}
+
 // A relay whose connection comes up after the drain's grace puts no byte out.
 func TestDrainWhileConnecting(t *testing.T) {
 	read := make(chan int, 1)
