Take no process for dead that could not be looked at, and tell vain writes once

Seen at a last reading of the handover: Store.runs took any failure to open a run's file for its death, so a process at its descriptor limit would strike a living one off and remove its files (the case of an upgrade at that limit); a state that was removed was not written again by a change that changed nothing, though the answer was yes; and look() cleared the fault of a vain write each 50 ms, so that a full disk was logged each second.

Change: only a missing file is a death; a missing state is always written; faults of reading and of writing are remembered apart.

Measured: the new test fails on both counts without the code and passes with it; the README's test command is green.

--- a/internal/app/operations.go
+++ b/internal/app/operations.go
@@ -31,7 +31,8 @@
 	peers  int           // other processes of this dispatcher
 	ready  bool          // one of them takes clients
 	timer  loop.Timer
-	broken string // the fault of the store that was last told of
+	unread string // the fault in reading the store that was last told of
+	broken string // the same in writing it
 	listed int    // names that the fleet had when the state was last given its names
 	rest   time.Duration
 }
@@ -48,11 +49,11 @@
 	}
 	var err error
 	if ops.store, err = handover.New(folder, p.config.Name); err != nil {
-		p.storeFails(err)
+		p.storeFails(&ops.unread, err)
 		return
 	}
 	_, err = ops.store.Look()
-	p.storeFails(err)
+	p.storeFails(&ops.unread, err)
 	ops.phase = handover.Starting
 	if len(ops.store.Peers()) == 0 { // nobody serves: clients are taken at once
 		ops.phase = handover.Ready
@@ -71,13 +72,15 @@
 }
 
 // storeFails logs a fault of the store, once until another comes or it is over.
-func (p *program) storeFails(err error) {
+// Reading and writing are kept apart: on a full disk the one goes well and the
+// other does not, time after time.
+func (p *program) storeFails(last *string, err error) {
 	why := ""
 	if err != nil {
 		why = err.Error()
 	}
-	if why != p.operations.broken {
-		if p.operations.broken = why; err != nil {
+	if why != *last {
+		if *last = why; err != nil {
 			p.log.Error().Err(err).Msg("handover fails")
 		}
 	}
@@ -87,7 +90,7 @@
 func (p *program) look() {
 	ops := &p.operations
 	_, err := ops.store.Look()
-	p.storeFails(err)
+	p.storeFails(&ops.unread, err)
 	ops.state = *ops.store.State()
 	peers := ops.store.Peers()
 	ops.ready = false
@@ -172,7 +175,7 @@
 // write takes note of how a write ended that nobody waits for. Guards against a loop
 // that is held up by one vain wait for the lock after the other.
 func (p *program) write(err error) {
-	if p.storeFails(err); err != nil {
+	if p.storeFails(&p.operations.broken, err); err != nil {
 		p.operations.rest = p.loop.Now() + writeRest
 	}
 }
@@ -190,7 +193,7 @@
 func (p *program) finish() {
 	if p.operations.store != nil {
 		p.loop.Clear(&p.operations.timer)
-		p.storeFails(p.operations.store.Leave())
+		p.storeFails(&p.operations.broken, p.operations.store.Leave())
 	}
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -160,6 +160,28 @@
 	}
 }
 
+// A process whose lock cannot be looked at is not taken for dead, and a state that
+// was removed is written anew, though what it says is the same.
+func TestNotStruckOff(t *testing.T) {
+	folder := t.TempDir()
+	first := store(t, folder)
+	other := first.path("run-abc")
+	change(t, first, func(s *State) { s.Out["a"] = 1 })
+	if err := os.Symlink(other, other); err != nil { // opening it fails, and it is there
+		t.Fatal(err)
+	}
+	change(t, first, func(s *State) { s.Runs["abc"] = Ready })
+	if first.Peers()["abc"] != Ready {
+		t.Error("a process is taken for dead that could not be looked at")
+	}
+	os.Remove(first.path("state"))
+	change(t, first, func(s *State) { s.Out["a"] = 1 })
+	second := store(t, folder)
+	if second.Look(); second.State().Out["a"] != 1 {
+		t.Error("after the state was removed a yes is not written down")
+	}
+}
+
 // An id that one process has in hand is not taken by another, until it is released
 // or its process has ended; thousands of others do not get in its way.
 func TestClaims(t *testing.T) {
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -179,6 +179,7 @@
 func (s *Store) Look() (changed bool, err error) {
 	f, err := os.Open(s.path("state"))
 	if errors.Is(err, os.ErrNotExist) {
+		s.text = nil // so that the next change is written, also one that changes nothing
 		return false, nil
 	}
 	if err != nil {
@@ -226,14 +227,16 @@
 	return peers
 }
 
-// runs says whether a process lives: it holds its lock then.
+// runs says whether a process lives: it holds its lock then. Where that cannot be
+// looked at, as for want of descriptors, it is taken to live: guards a process that
+// serves against being struck off, with its files, by one at its limit.
 func (s *Store) runs(token string) bool {
 	if token == s.token {
 		return s.own != nil
 	}
 	f, err := os.Open(s.path("run-" + token))
 	if err != nil {
-		return false
+		return !errors.Is(err, os.ErrNotExist)
 	}
 	defer f.Close()
 	return unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == unix.EWOULDBLOCK
