Count a job's slots in its worth, and hold messages for half of their slack

Messages were held for half of the aim (Request, patience), 75 ms for hearing-book, which may wait 420 ms.

--- a/balancer.go
+++ b/balancer.go
@@ -471,7 +471,7 @@
 	r.class, r.split = &b.s.Classes[in.Class], b.splitFor(in.Class, in.Pool)
 	b.after(in.Deadline-now, in.ID, timerDeadline)
 	r.came = now
-	r.patience = min(in.Deadline, now+time.Duration(patience*float64(r.class.Aim)))
+	r.patience = min(in.Deadline, now+time.Duration(patience*float64(b.slack(in.Class))))
 	r.value = b.value(r)
 	if v := b.worth(r); b.usualValue == 0 {
 		b.usualValue = v
@@ -868,7 +868,7 @@
 	if b.s.WorthByWork || work <= 0 {
 		return r.class.Worth
 	}
-	return r.class.Worth / work
+	return r.class.Worth / (work * r.slots())
 }
 
 // observe learns from a completion how long jobs of its class take.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -724,6 +724,13 @@
 	if got := f.b.slack(0); got != 400*time.Millisecond {
 		t.Errorf("slack %v after a run of 200 ms, want 400 ms", got)
 	}
+	// It is held for half of that, and is worth less the more slots it takes.
+	f.request(2, 0)
+	f.b.Request(f.now, Request{ID: 3, Slots: 4, Deadline: f.now + 5*time.Second})
+	one, four := f.b.requests[2], f.b.requests[3]
+	if held := one.patience - f.now; held != 200*time.Millisecond || one.value != 4*four.value {
+		t.Errorf("held for %v, want 200 ms; worth %v and with four slots %v, want a quarter", held, one.value, four.value)
+	}
 }
 
 // A worker that answers most jobs with an error at once is left alone, though it
