Send nothing where no slot is free, as reports, peers and starts tell

Cause: balancer.go, tryOn, sent a job to the least loaded host where none had room, up to a limit that follows late ends; drawAmong counted own jobs only, and room began at one slot. Reports that come with probes were never asked. Change: room.go. Free slots in reports tell how many slots a kind has; where reports come with probes only, hosts are probed in turn; peers tell slots, not attempts; a job waits here, the worthiest first, until a slot is free or half of its slack is over.

--- a/balancer.go
+++ b/balancer.go
@@ -28,8 +28,6 @@
 	crossF       = 4                // what a crossing's price adds to f, in mean service times
 	kindSamples  = 30               // samples of a kind's mean delay that may be its shortest of late
 	homeParts    = 3                // even parts of the workers in a home
-	roomUp       = 0.25             // a job that starts at once with all room taken adds this to it
-	roomDown     = 0.5              // one that waits takes this
 	zoneLost     = 0.7              // a zone with this share of silent ends is taken for cut off
 	zoneNew      = 0.2              // weight of one end in that share
 	zoneProbed   = 0.4              // the same of a probe
@@ -233,8 +231,8 @@
 
 // renew forgets what was learned of a worker's process, as another runs now.
 // Guards against strikes of before its restart that keep it out while it serves.
-func (w *worker) renew() {
-	w.shunned, w.fulls, w.strikes, w.errors, w.room, w.pace = 0, 0, 0, 0, 1, 1
+func (w *worker) renew(room float64) {
+	w.shunned, w.fulls, w.strikes, w.errors, w.room, w.pace = 0, 0, 0, 0, room, 1
 }
 
 // fit says whether a worker may be drawn now. A zone in which nearly all ends were
@@ -279,7 +277,7 @@
 // hasRoom says whether a worker has less than its share of this dispatcher's
 // own work out. Guards against a blind draw that queues on busy workers.
 func (b *Balancer) hasRoom(m *member) bool {
-	return float64(m.w.out+m.w.others) < m.x*float64(b.total()+1)
+	return m.w.used() < m.x*(b.total()+1)
 }
 
 // findHome picks the workers of the own zone that this dispatcher turns to first:
@@ -299,27 +297,6 @@
 	sp.home = append(sp.home, sp.home...)[int(at*float64(n)):][:size]
 }
 
-// learnRoom follows how many own jobs a worker starts at once.
-func (w *worker) learnRoom(atOnce bool) {
-	if !atOnce {
-		w.room = max(0, w.room-roomDown)
-	} else if w.load+1 > w.room {
-		w.room += roomUp
-	}
-}
-
-// total is what this dispatcher has out and what its peers have told of.
-func (b *Balancer) total() int {
-	total := b.out
-	if b.heard != nil && b.now != b.summed {
-		b.others, b.summed = 0, b.now
-		for _, m := range b.splits[0].m {
-			b.others += m.w.others
-		}
-	}
-	return total + b.others
-}
-
 // warmth is the part of its capacity that a worker has at least, by its age.
 func (b *Balancer) warmth(w *worker) float64 {
 	if w.coldSince <= 0 || b.now-w.coldSince >= b.s.WarmUp {
@@ -422,10 +399,13 @@
 }
 
 // Probed takes the result of a probe: whether a worker's machine can be reached.
-func (b *Balancer) Probed(now time.Duration, id WorkerID, st Status, took time.Duration, _ []float32) {
+func (b *Balancer) Probed(now time.Duration, id WorkerID, st Status, took time.Duration, load []float32) {
 	b.now = now
 	defer b.arm()
 	w := b.byID[id]
+	if w != nil && st == OK {
+		b.reported(w, load)
+	}
 	switch {
 	case w == nil, st == Timeout, st == Cancelled, st == Moot: // it may be busy, or was not asked
 	case now-took < w.started: // another process was
@@ -497,7 +477,7 @@
 	if best == nil && b.s.TellsStart {
 		best = b.drawAmong(r, r.split.m, true)
 	}
-	for n := 0; best == nil && n < redraws; n++ {
+	for n := 0; best == nil && n < redraws && !b.known(); n++ {
 		m := r.split.draw(b.rng)
 		if m == nil {
 			break
@@ -509,7 +489,7 @@
 		if b.hasRoom(m) {
 			best = m
 		} else if least == nil ||
-			float64(m.w.out+m.w.others+1)*least.x < float64(least.w.out+least.w.others+1)*m.x {
+			(m.w.used()+1)*least.x < (least.w.used()+1)*m.x {
 			least = m
 		}
 	}
@@ -534,14 +514,14 @@
 func (b *Balancer) drawAmong(r *request, list []*member, home bool) (best *member) {
 	total := 0.0
 	for _, m := range list {
-		full := m.w.load+r.slots() > m.w.room || r.class.Effect != Safe && m.w.waiting > 0
+		full := !b.takes(m.w, r.slots()) || r.class.Effect != Safe && m.w.waiting > 0
 		if home && (full || !r.trusts(m.w, b.now)) {
 			continue
 		}
 		if r.mayRepeatOn(m.w, b.now) && !r.tried(m.w) && b.fit(m.w) {
 			x := m.x
 			if home {
-				x *= m.w.room - m.w.load
+				x *= max(1, b.holds(m.w)-m.w.used()) * b.suited(r.Class, m.w)
 			}
 			if total += x; b.rng.Float64()*total < x {
 				best = m
@@ -592,7 +572,8 @@
 		w.sign = b.now
 	}
 	w.waiting++
-	b.out++
+	w.lastSent = b.now
+	b.load += r.slots()
 	b.recount(r)
 	w.tokens--
 	b.do.Send(r.ID, w.id, 0)
@@ -710,6 +691,7 @@
 		if ran := (now - a.started).Seconds(); o.Status == OK && a.usual > 0 {
 			a.w.pace += (ran*b.warmth(a.w)/a.usual - a.w.pace) * paceNew
 			a.w.paced = now
+			b.classes[r.Class].suits.learn(a.w.kind, ran*b.warmth(a.w))
 		}
 	} else {
 		a.w.waiting--
@@ -717,10 +699,11 @@
 	if o.Status != Timeout && o.Status != Cancelled && o.Status != ConnectFailed && o.Status != Full {
 		a.w.sign = now
 	}
-	b.out--
+	b.load -= r.slots()
 	if util, told := b.told(o.Load, FieldUtil); told {
 		b.util = max(utilLeast, b.util+(min(1, util)-b.util)*utilNew)
 	}
+	b.reported(a.w, o.Load)
 	if a.stale = o.Stale; !o.Stale && a.sent >= a.w.started { // else it was another process
 		if eps, _ := b.told(o.Load, FieldErrors); o.Status == Error && eps >= errorsMany {
 			a.w.errors = 1 // others have met with errors there, too
@@ -797,6 +780,8 @@
 			b.release()
 		case timerTell:
 			b.tell()
+		case timerReport:
+			b.askNext()
 		case timerCopy:
 			if r := b.requests[t.id]; r != nil {
 				b.copy(r)
@@ -837,6 +822,7 @@
 	warm := b.warmth(a.w) // so that one that warms does not pass for slow
 	r.split.sample(m, min(warm*delay/unit, mostSample), warm*service/unit, completed)
 	if r.split.lacking <= 0 || b.now-r.split.stepped >= stepWait {
+		b.suit()
 		r.split.stepped = b.now
 		r.split.step(b)
 	}
@@ -944,6 +930,9 @@
 // admit says whether a request may be sent now.
 func (b *Balancer) admit(r *request) bool {
 	limit := b.limit
+	if b.known() {
+		return true
+	}
 	if r.value >= worthMore*b.usualValue { // little of this should be turned away
 		limit *= 2
 	}
@@ -987,7 +976,7 @@
 			b.next(r)
 		case room && b.admit(r) && b.tryOn(r):
 		default:
-			room = room && b.admit(r) && len(r.attempts) > 0
+			room = room && (b.known() || b.admit(r) && len(r.attempts) > 0)
 			r.held = true
 			keep = append(keep, r)
 		}
--- a/fleet.go
+++ b/fleet.go
@@ -38,6 +38,9 @@
 		b.heard = make([]time.Duration, b.s.Balancers)
 		b.after(b.jitter(tellLeast), 0, timerTell)
 	}
+	if first && b.s.asks() {
+		b.askAll()
+	}
 	if kind == ListCached && b.s.AskDiscovery {
 		at := (float64(b.s.Me%b.s.Balancers) + b.rng.Float64()) / float64(b.s.Balancers)
 		b.after(seconds(at*b.askTurn().Seconds()), 0, timerAsk)
@@ -67,7 +70,7 @@
 func (b *Balancer) member(m *Member, first bool) {
 	w, known := b.byID[m.ID]
 	if !known {
-		w = &worker{id: m.ID, room: 1, pace: 1}
+		w = &worker{id: m.ID, room: b.firstRoom(m.Kind), pace: 1}
 		b.byID[m.ID] = w
 		b.workers = append(b.workers, w)
 		b.gone++
@@ -76,7 +79,7 @@
 	b.place(w, m)
 	if m.Started != w.started {
 		if known { // its zone answers discovery again, too
-			w.renew()
+			w.renew(b.firstRoom(w.kind))
 			b.lost[w.zone] = 0
 		}
 		w.started, w.coldSince = m.Started, m.Started
--- a/peers.go
+++ b/peers.go
@@ -32,9 +32,9 @@
 	buf = binary.LittleEndian.AppendUint32(buf, print)
 	buf = binary.LittleEndian.AppendUint16(buf, uint16(from))
 	for i := from; i < min(len(list), from+countsMost); i += 2 {
-		v := byte(min(list[i].w.out, countTop))
+		v := byte(min(list[i].w.load, countTop))
 		if i+1 < len(list) {
-			v |= byte(min(list[i+1].w.out, countTop)) << 4
+			v |= byte(min(list[i+1].w.load, countTop)) << 4
 		}
 		buf = append(buf, v)
 	}
--- /dev/null
+++ b/room.go
@@ -0,0 +1,121 @@
+package yardwharf
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// This file keeps the books of room: how many slots a worker has for jobs that start at
+// once, and how many of them are taken. Reports of free slots tell how many slots a kind
+// of worker has; starts and waits tell where less of that is to be had, as where jobs of
+// dispatchers are there that tell nothing. Where reports come with probes only, workers
+// are asked in turn.
+
+const (
+	roomUp    = 0.25                   // a job that starts at once with all room taken adds this to it
+	roomDown  = 0.25                   // one that waits takes this
+	roomPart  = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
+	roomAgain = 8 * time.Second        // a worker without room that looks empty gets a job this often
+	askPart   = 0.5                    // probes for each request taken
+	askGap    = 250 * time.Millisecond // least time between two of a dispatcher's
+	askRare   = 2 * time.Second        // and most
+)
+
+// learnRoom follows how many jobs a worker starts at once.
+func (w *worker) learnRoom(atOnce bool) {
+	if !atOnce {
+		w.room = max(0, w.room-roomDown)
+	} else if w.used()+1 > w.room {
+		w.room += roomUp
+	}
+}
+
+// used is how many slots own jobs at a worker need, and those that peers told of.
+func (w *worker) used() float64 { return w.load + float64(w.others) }
+
+// total is that over all workers.
+func (b *Balancer) total() float64 {
+	if b.heard != nil && b.now != b.summed {
+		b.others, b.summed = 0, b.now
+		for _, m := range b.splits[0].m {
+			b.others += m.w.others
+		}
+	}
+	return b.load + float64(b.others)
+}
+
+// known says whether reports have told how many slots workers have. Then nothing is sent
+// where no room is: what waits does so here, the worthiest first.
+func (b *Balancer) known() bool { return len(b.slots) > 0 }
+
+// holds is how many slots a worker is held to have for what this dispatcher knows of.
+func (b *Balancer) holds(w *worker) float64 {
+	if w.kind >= 0 && w.kind < len(b.slots) && b.slots[w.kind] > 0 {
+		return min(b.slots[w.kind], w.room)
+	}
+	return w.room
+}
+
+// takes says whether a job of so many slots would start at once at a worker. Guards
+// against jobs that need more slots than were ever seen free: where nothing is known to
+// run, they may try.
+func (b *Balancer) takes(w *worker, slots float64) bool {
+	return w.used()+slots <= b.holds(w) || b.known() && w.used() == 0 && b.now-w.lastSent >= roomAgain
+}
+
+// reported takes the free slots that a worker told of. All of a kind have as many.
+func (b *Balancer) reported(w *worker, load []float32) {
+	free, told := b.told(load, FieldFreeSlots)
+	if free = math.Round(free); !told || free < 1 || free > math.MaxUint16 || w.kind < 0 || w.kind > math.MaxUint8 {
+		return
+	}
+	for len(b.slots) <= w.kind {
+		b.slots = append(b.slots, 0)
+	}
+	if free > b.slots[w.kind] {
+		b.slots[w.kind] = free
+		for _, o := range b.workers {
+			if o.kind == w.kind {
+				o.room = max(o.room, b.firstRoom(o.kind))
+			}
+		}
+	}
+}
+
+// firstRoom is the room that a worker is given before its starts have told.
+func (b *Balancer) firstRoom(kind int) float64 {
+	if kind < 0 || kind >= len(b.slots) {
+		return 1
+	}
+	if b.s.Peers {
+		return max(1, b.slots[kind])
+	}
+	return max(1, min(1, roomPart/float64(b.s.Balancers))*b.slots[kind])
+}
+
+// asks says whether workers tell of free slots, and only when probed.
+func (s *Settings) asks() bool {
+	return s.TellsStart && s.Probes && !s.ReportsInReply && slices.Contains(s.ReportFields, FieldFreeSlots)
+}
+
+// askAll probes each worker of the first list; from then on they are asked in turn.
+func (b *Balancer) askAll() {
+	for _, w := range b.workers {
+		if w.state == Ready {
+			b.do.Probe(w.id)
+		}
+	}
+	b.after(b.jitter(askGap), 0, timerReport)
+}
+
+// askNext probes the next worker in turn.
+func (b *Balancer) askNext() {
+	if list := b.splits[0].m; len(list) > 0 {
+		b.turn = (b.turn + 1) % len(list)
+		if w := list[b.turn].w; b.now >= w.shunned && !b.hung(w) {
+			b.do.Probe(w.id)
+		}
+	}
+	b.after(b.jitter(2*max(askGap, min(askRare, seconds(1/(askPart*max(b.rate, 0.1)))))), 0, timerReport)
+}
--- /dev/null
+++ b/room_test.go
@@ -0,0 +1,122 @@
+package yardwharf
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// asked is a site whose workers tell of free slots when probed and of starts.
+func asked(classes ...Class) Settings {
+	s := settings(classes...)
+	s.TellsStart, s.Probes, s.Peers, s.Kinds = true, true, true, []string{"a"}
+	s.ReportFields = []Field{FieldInflight, FieldOther, FieldFreeSlots}
+	return s
+}
+
+// Where reports come with probes only, workers are probed, and nothing goes where the
+// slots that they told of are taken, by own jobs or those that peers told of. What finds
+// none waits here, and has its answer after half of its slack.
+func TestRoomByReports(t *testing.T) {
+	s := asked(Class{Effect: Unsafe, Aim: time.Second})
+	s.Balancers = 2
+	f := start(t, s, 2)
+	if len(f.probes) != 2 {
+		t.Fatalf("%d probes at the start, want one of each worker", len(f.probes))
+	}
+	for _, load := range [][]float32{nil, {1}, {0, 0, float32(math.NaN())}, {0, 0, float32(math.Inf(1))}, {0, 0, -3}, {0, 0, 0.2}} {
+		if f.b.Probed(f.now, 1, OK, 0, load); f.b.known() {
+			t.Fatalf("a report of %v tells of slots", load)
+		}
+	}
+	f.b.Probed(f.now, 1, OK, 0, []float32{0, 0, 3.1})
+	peer := make([]byte, 0, 8)
+	f.b.workers[1].load = 2 // as the peer's list would have it
+	peer = appendCounts(peer, f.b.print, 0, f.b.splits[0].m)
+	f.b.workers[1].load = 0
+	f.b.Peer(f.now, 1, peer)
+	for id := RequestID(1); id <= 6; id++ {
+		f.request(id, 0)
+		if n := len(f.sends); n == int(id) {
+			f.b.Note(f.now, id, 0, Started, 0)
+		}
+	}
+	if at := f.byWorker(); len(f.sends) != 4 || at[1] != 3 || at[2] != 1 {
+		t.Fatalf("sent %v, want three jobs to the one of three slots and one beside the peer's two", at)
+	}
+	before := len(f.probes)
+	f.wait(400 * ms)
+	if f.answers[5] != "" || len(f.probes) == before {
+		t.Errorf("given up before its time, or workers no longer probed (%d)", len(f.probes)-before)
+	}
+	f.end(f.sends[0], OK)
+	if len(f.sends) != 5 {
+		t.Errorf("a free slot is not used")
+	}
+	if f.wait(200 * ms); f.answers[6] != "refuse" {
+		t.Errorf("without room for half of its slack: %q, want a refusal", f.answers[6])
+	}
+}
+
+// byWorker counts what was sent to each.
+func (f *fake) byWorker() map[WorkerID]int {
+	at := map[WorkerID]int{}
+	for _, s := range f.sends {
+		at[s.worker]++
+	}
+	return at
+}
+
+// Where dispatchers tell each other nothing, room begins with a part of the slots, falls
+// with jobs that wait, and one that looks empty without room is still tried now and then.
+func TestRoomUntold(t *testing.T) {
+	s := asked(Class{Effect: Unsafe, Aim: time.Second})
+	s.Peers, s.Balancers, s.Probes, s.ReportsInReply = false, 4, false, true
+	f := start(t, s, 1)
+	f.load = []float32{0, 0, 6}
+	f.request(1, 0)
+	f.b.Note(f.now, 1, 0, Started, 0)
+	f.end(f.last(), OK)
+	w := f.b.workers[0]
+	if len(f.probes) != 0 || w.room != 3 {
+		t.Fatalf("%d probes, room %v; want none, and 2 parts of 4 of 6 slots", len(f.probes), w.room)
+	}
+	w.room = 0
+	if f.request(2, 0); len(f.sends) != 1 {
+		t.Error("sent to a worker without room")
+	}
+	f.wait(roomAgain)
+	if f.request(3, 0); len(f.sends) != 2 {
+		t.Error("a worker that looks empty is never tried again")
+	}
+}
+
+// A class with little slack goes to the kind where it is in time, one with much leaves
+// that kind to it; what both gain there moves no draw.
+func TestSuits(t *testing.T) {
+	s := asked(Class{Effect: Safe, Aim: 150 * ms, Stretch: 1.75}, Class{Effect: Safe, Aim: 3 * time.Second, Stretch: 2})
+	s.Kinds = []string{"fast", "slow"}
+	f := start(t, s, 2)
+	for class := range 2 {
+		k := &f.b.classes[class].suits
+		k.learn(-1, 1)
+		k.learn(1<<20, 1)
+		for range suitFew {
+			k.learn(0, 0.4)
+			k.learn(1, 0.8)
+		}
+	}
+	f.b.suit()
+	tight, loose := f.b.classes[0].suits.weight, f.b.classes[1].suits.weight
+	if tight[0] < 1.5*tight[1] || loose[1] < 1.5*loose[0] {
+		t.Errorf("weights of a tight class %v, of a loose one %v", tight, loose)
+	}
+	f.b.s.Classes[1] = f.b.s.Classes[0]
+	f.b.suit()
+	if same := f.b.classes[1].suits.weight; math.Abs(same[0]-same[1]) > 1e-9 {
+		t.Errorf("weights %v of classes that are alike", same)
+	}
+	if w := f.b.suited(0, &worker{kind: 7}); w != 1 {
+		t.Errorf("a kind that nothing is known of weighs %v", w)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -14,7 +14,7 @@
 	rng *rand.Rand
 	now time.Duration
 
-	out        int           // own attempts out
+	load       float64       // slots that own attempts need
 	rate       float64       // own completions a second
 	counted    time.Duration // when rate was last brought up to date
 	limit      float64       // most own attempts out; +Inf until waits grow
@@ -41,6 +41,8 @@
 	looked     map[int]time.Duration // by zone: when probes went out
 	copyRate   float64               // copies allowed a request
 	copies     float64               // copies that may be sent now
+	slots      []float64             // by kind: how many a worker has, as reported
+	turn       int                   // place of the worker that was probed last
 	holding    bool                  // a timer for them is set
 
 	warmSum float64 // warmth of all ready workers, as of warmed
@@ -116,6 +118,7 @@
 	sign       time.Duration // last start or end of a job here, or first send since
 	peers      []byte        // what each peer has out here, as told
 	others     int           // that added up
+	lastSent   time.Duration // when it was last sent a job
 	room       float64       // own jobs that it is seen to start at once
 	tokens     float64       // cold: what may be sent yet
 	refilled   time.Duration // when tokens were last added
@@ -162,6 +165,7 @@
 	base    float64 // the shortest mean delay of late: no waiting in it
 	sum     float64
 	n       int
+	suits   suits
 }
 
 // seconds turns a number of seconds into a span.
--- a/timers.go
+++ b/timers.go
@@ -11,6 +11,7 @@
 	timerTell
 	timerCopy
 	timerLook
+	timerReport
 )
 
 // timer is something to do at a time; the host holds one timer for the earliest.
