Tell other dispatchers slots in use by datagrams, and read who a message belongs to

Cause: dispatch.go, Tell, threw the module's messages away, and peers, peers_all and peer_listen of the configuration were not read: each dispatcher filled slots that others had taken. The slots of a kind were the most seen free at once, which on a busy fleet is too few: a log of the estimate showed 1 to 3 of 5 for the first 10 to 30 s, and refusals meanwhile. Slots are also free and held together, seen three times; probes as their price allows, two a message at most. X-Org names the tenant. Datagrams of the module hold 240 bytes.

--- a/api.go
+++ b/api.go
@@ -63,6 +63,7 @@
 
 // Tenant is one of those who share the service.
 type Tenant struct {
+	Name  string
 	Quota float64 // requests per second, over all dispatchers, within its share
 	Share float64
 }
@@ -120,6 +121,7 @@
 	DialTimeout    time.Duration // a connection that is not up by then has failed
 	ConnIdle       time.Duration // a worker closes a connection that idles for so long
 	CrossZonePrice float64       // price of an attempt that leaves the zone, as worth of a request
+	ProbePrice     float64       // price of a probe, as worth of a request
 	WorstClass     float64       // weight of the worst-served class in the service's goal
 
 	DrainGrace     time.Duration // nothing is sent later than this after a drain is told
@@ -169,7 +171,7 @@
 type Request struct {
 	ID       RequestID
 	Class    int
-	Tenant   int
+	Tenant   int           // its place in Settings.Tenants; another number is one without a share
 	Deadline time.Duration // the clock time at which the client gives up
 	Slots    float64
 	Memory   float64
--- a/fleet.go
+++ b/fleet.go
@@ -13,7 +13,7 @@
 const (
 	askSpread = 50 * time.Millisecond  // least spread of the first discovery calls
 	askEach   = 80 * time.Millisecond  // of it for each dispatcher
-	askMost   = 8                      // tenths of the longest time between calls: most spread
+	askTenths = 8                      // tenths of the longest time between calls: most spread
 	askFirst  = 500 * time.Millisecond // wait after the first failed call; doubles
 )
 
@@ -35,7 +35,7 @@
 	first := len(b.workers) == 0
 	b.learn(kind, list, first)
 	if first && b.s.Peers && b.s.Balancers > 1 {
-		b.heard = make([]time.Duration, b.s.Balancers)
+		b.heard = make([]time.Duration, 2*b.s.Balancers)
 		b.after(b.jitter(tellLeast), 0, timerTell)
 	}
 	if first && b.s.asks() {
@@ -52,7 +52,7 @@
 // also one that has been given up: guards against calls and repeats of all
 // dispatchers that keep it overbooked for good, so that it serves none.
 func (b *Balancer) askTurn() time.Duration {
-	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), askMost*b.s.AskWithin/10))
+	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), askTenths*b.s.AskWithin/10))
 }
 
 func (b *Balancer) jitter(d time.Duration) time.Duration {
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -18,6 +18,7 @@
 	"yardwharf/internal/loop"
 	"yardwharf/internal/membership"
 	"yardwharf/internal/operator"
+	"yardwharf/internal/peers"
 	"yardwharf/internal/route"
 	"yardwharf/internal/southside"
 )
@@ -42,6 +43,7 @@
 	rng        *rand.Rand
 	missing    []string     // clusters that routes name and that are not there, as logged
 	due        loop.Timer   // for what the fleet has to do at a time
+	peers      *peers.Link  // nil: dispatchers tell each other nothing
 	jobs       *jobs.Runner // nil: there is no front for jobs that wait
 	jobsAPI    *jobs.API
 	pool       *southside.Pool
@@ -75,6 +77,12 @@
 	p.watcher.Listen(p)
 	p.pool = southside.NewPool(l, log, &c.Settings, hosts, p.buffers, p.dispatcher)
 	p.dispatcher.Connect(p.pool, p)
+	if c.Peers.Listen.IsValid() {
+		if p.peers, err = peers.Open(l, log, c.Peers, p.hear); err != nil {
+			return nil, fmt.Errorf("config: key peer_listen: %w", err)
+		}
+		p.dispatcher.SetTeller(p)
+	}
 	p.due.Task = loop.Func(p.tick)
 	p.routes, p.rng = route.New(s.classes()), rand.New(rand.NewPCG(c.Seed, routeSeed))
 	if p.front, err = front.New(l, log, front.Source{Address: c.Listen, Inherited: c.FD}, clients, p.buffers, &c.Settings, p.dispatcher); err != nil {
@@ -101,6 +109,24 @@
 	return p, nil
 }
 
+// Tell implements dispatch.Teller. A process that another has taken over from tells so,
+// as the two have their own jobs in work.
+func (p *program) Tell(message []byte) {
+	kind := peers.Counts
+	if p.succeeded {
+		kind = peers.Leaving
+	}
+	p.peers.Tell(kind, message)
+}
+
+// hear takes what another dispatcher tells.
+func (p *program) hear(from int, kind peers.Kind, message []byte) {
+	if kind == peers.Leaving {
+		from += p.config.Settings.Balancers
+	}
+	p.dispatcher.Peer(from, message)
+}
+
 // sockets is how many descriptors there are for clients and hosts, where so many
 // processes share what the dispatcher may use.
 func (p *program) sockets(processes int) int {
@@ -148,6 +174,9 @@
 		fixed = append(fixed, "jobs")
 	}
 	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", fixed).Msg("configuration read again")
+	if p.peers != nil && c.Peers.Listen == p.config.Peers.Listen {
+		p.peers.Set(c.Peers)
+	}
 	moved := p.config.Discovery != c.Discovery
 	p.config.Discovery = c.Discovery
 	before := p.operator
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 
 	"yardwharf"
 	"yardwharf/internal/inventory"
+	"yardwharf/internal/peers"
 	"yardwharf/internal/wire"
 )
 
@@ -38,6 +39,7 @@
 	FD        int            // the clients' listening socket, inherited; -1: it is opened here
 	Seed      uint64
 	Limits    Limits
+	Peers     peers.Addresses // not valid to listen at where dispatchers tell each other nothing
 	Known     inventory.List
 	Settings  yardwharf.Settings
 }
@@ -46,6 +48,10 @@
 type file struct {
 	Name, Listen, Discovery, Admin, Seed string
 
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+	PeersAll   string   `json:"peers_all"`
+
 	Limits   Limits
 	Known    json.RawMessage
 	Settings json.RawMessage
@@ -111,9 +117,39 @@
 	if c.Settings, err = wire.Settings(f.Settings); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	if c.Peers, err = f.addresses(&c.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
 	return c, c.bounds()
 }
 
+// addresses are where the dispatchers tell each other something, where settings allow it.
+func (f *file) addresses(s *yardwharf.Settings) (to peers.Addresses, err error) {
+	if f.PeerListen == "" || !s.Peers || s.Balancers < 2 {
+		return to, nil
+	}
+	if to.Listen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
+		return to, fmt.Errorf("key peer_listen: %w", err)
+	}
+	if f.PeersAll != "" {
+		if to.All, err = netip.ParseAddrPort(f.PeersAll); err != nil {
+			return to, fmt.Errorf("key peers_all: %w", err)
+		}
+	}
+	if len(f.Peers) != s.Balancers {
+		return to, fmt.Errorf("key peers names %d dispatchers, and key settings.Balancers says %d", len(f.Peers), s.Balancers)
+	}
+	to.Me = s.Me
+	for i, text := range f.Peers {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return to, fmt.Errorf("key peers[%d]: %w", i, err)
+		}
+		to.Peers = append(to.Peers, a)
+	}
+	return to, nil
+}
+
 // bounds fills in the limits that are not told and checks those that are.
 func (c *Config) bounds() error {
 	l := &c.Limits
@@ -140,7 +176,7 @@
 		differ bool
 	}{
 		{"name", c.Name != again.Name}, {"listen", c.Listen != again.Listen},
-		{"admin", c.Admin != again.Admin},
+		{"admin", c.Admin != again.Admin}, {"peer_listen", c.Peers.Listen != again.Peers.Listen},
 		{"limits", c.Limits != again.Limits}, {"settings", !reflect.DeepEqual(c.Settings, again.Settings)},
 	} {
 		if k.differ {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,6 +16,24 @@
  "Limits":{"TryLimit":3,"ConnIdle":15000,"DialTimeout":250},
  "Rules":{"DrainGrace":500,"OverloadFactor":4,"OverloadFor":1500,"StartCapacity":0.3,"WarmUp":8000}}}`
 
+// talking is what a dispatcher is told of where its peers are, fleet a configuration with it.
+const talking = `"peer_listen":"127.0.0.1:7946","peers":["127.0.0.2:1","127.0.0.3:1"],"peers_all":"127.0.0.9:7946",`
+
+var fleet = strings.NewReplacer(`"listen"`, talking+`"listen"`, `"Balancers":1`, `"Balancers":2`, `"Limits":{`, `"Limits":{"Peers":true,`).Replace(good)
+
+// Addresses of peers count where the settings let dispatchers talk, and there are some.
+func TestPeers(t *testing.T) {
+	c, err := load(t, fleet, nil)
+	if err != nil || len(c.Peers.Peers) != 2 || c.Peers.All.String() != "127.0.0.9:7946" || c.Peers.Listen.Port() != 7946 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	for _, not := range []string{`"Peers":true,`, `"peer_listen":"127.0.0.1:7946",`} {
+		if c, err = load(t, strings.Replace(fleet, not, "", 1), nil); err != nil || c.Peers.Listen.IsValid() {
+			t.Errorf("without %s: %+v, %v", not, c, err)
+		}
+	}
+}
+
 func load(t *testing.T, text string, env map[string]string) (*Config, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -59,8 +77,16 @@
 		{`"settings"`, `"setting"`, "key settings"},
 		{`"MyZone":0,`, ``, "key MyZone"},
 		{`"n3",`, `"n3","admin":"door",`, "key admin"},
+		{talking, strings.Replace(talking, "127.0.0.1:7946", "here", 1), "key peer_listen"},
+		{talking, strings.Replace(talking, "127.0.0.9:7946", "all", 1), "key peers_all"},
+		{talking, strings.Replace(talking, `"127.0.0.3:1"`, `"3"`, 1), "key peers[1]"},
+		{talking, strings.Replace(talking, `,"127.0.0.3:1"`, "", 1), "key peers names 1"},
 	} {
-		_, err := load(t, strings.Replace(good, c.from, c.to, 1), nil)
+		text := good
+		if c.from == talking {
+			text = fleet
+		}
+		_, err := load(t, strings.Replace(text, c.from, c.to, 1), nil)
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s for %.30s: error %v, want one line with %q", c.to, c.from, err, c.want)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -33,12 +33,16 @@
 	Route(class int) (pool int, drop bool)
 }
 
+// Teller sends a message to every other dispatcher; it may be lost.
+type Teller interface{ Tell(message []byte) }
+
 // Dispatcher drives one Balancer.
 type Dispatcher struct {
 	loop     *loop.Loop
 	balancer *yardwharf.Balancer
 	south    South
 	watcher  Watcher
+	teller   Teller // nil: dispatchers tell each other nothing
 	router   Router // nil: every message may go to any host
 	after    time.Duration
 	dial     time.Duration // what a silent connection counts at least
@@ -66,6 +70,12 @@
 // SetRouter sets what routes messages that are taken from now on.
 func (d *Dispatcher) SetRouter(r Router) { d.router = r }
 
+// SetTeller sets what carries messages to other dispatchers.
+func (d *Dispatcher) SetTeller(t Teller) { d.teller = t }
+
+// Peer tells of a message from another dispatcher.
+func (d *Dispatcher) Peer(from int, message []byte) { d.balancer.Peer(d.loop.Now(), from, message) }
+
 // Open is the number of messages that are not yet forgotten.
 func (d *Dispatcher) Open() int { return len(d.messages) }
 
@@ -249,8 +259,12 @@
 // Probe implements yardwharf.Actions.
 func (a actions) Probe(host yardwharf.WorkerID) { a.d.south.Probe(host) }
 
-// Tell implements yardwharf.Actions. Dispatchers share nothing here.
-func (a actions) Tell([]byte) {}
+// Tell implements yardwharf.Actions.
+func (a actions) Tell(message []byte) {
+	if a.d.teller != nil {
+		a.d.teller.Tell(message)
+	}
+}
 
 // Watch implements yardwharf.Actions.
 func (a actions) Watch() { a.d.watcher.Watch() }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -521,7 +521,7 @@
 		patience = time.Duration(s * float64(time.Second))
 	}
 	in := yardwharf.Request{Class: class, Deadline: f.loop.Now() + patience,
-		Slots: 1, Retry: string(h.Get("X-Resent")) == "1"}
+		Tenant: f.tenant(h.Get("X-Org")), Slots: 1, Retry: string(h.Get("X-Resent")) == "1"}
 	labels(h.Get("X-Labels"), &in)
 	return p, in, 0
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,6 +42,7 @@
 	log        zerolog.Logger
 	dispatcher *dispatch.Dispatcher
 	classes    []yardwharf.Class
+	tenants    []yardwharf.Tenant
 	most       int // clients' connections at once
 	maxOpen    int // messages at once
 	ready      bool
@@ -86,7 +87,7 @@
 // New returns a Front that listens, but is not ready yet.
 func New(l *loop.Loop, log zerolog.Logger, source Source, most int, bytes *budget.Budget,
 	s *yardwharf.Settings, d *dispatch.Dispatcher) (*Front, error) {
-	f := &Front{loop: l, log: log, shared: source.Inherited >= 0, dispatcher: d, classes: s.Classes, most: most, maxOpen: s.MaxOpen,
+	f := &Front{loop: l, log: log, shared: source.Inherited >= 0, dispatcher: d, classes: s.Classes, tenants: s.Tenants, most: most, maxOpen: s.MaxOpen,
 		conns: map[*conn]struct{}{}, budget: bytes, whole: wholeTime, restFor: restTime, seed: maphash.MakeSeed(), open: map[uint64]*ticket{}}
 	f.rest.Task = loop.Func(f.resume)
 	f.awayTimer.Task = loop.Func(f.sendAway)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -633,3 +633,13 @@
 		}
 	})
 }
+
+// A message belongs to the tenant that its client names, or to none.
+func TestTenant(t *testing.T) {
+	f := &Front{tenants: []yardwharf.Tenant{{Name: "north"}, {Name: "south"}}}
+	for name, want := range map[string]int{"north": 0, "south": 1, "": -1, "nor": -1, "northern": -1} {
+		if got := f.tenant([]byte(name)); got != want {
+			t.Errorf("%q is tenant %d, want %d", name, got, want)
+		}
+	}
+}
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -25,6 +25,16 @@
 	return -1
 }
 
+// tenant is the place of the tenant of that name; -1 where it is none of the site's.
+func (f *Front) tenant(name []byte) int {
+	for i := range f.tenants {
+		if string(name) == f.tenants[i].Name {
+			return i
+		}
+	}
+	return -1
+}
+
 // labels reads the further figures of a request; what cannot be read is skipped.
 func labels(text []byte, in *yardwharf.Request) {
 	for len(text) > 0 {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,9 +34,12 @@
 		ConnIdle, DialTimeout, OpenCap       number
 	}
 	OverShareWorth number
-	Prices         struct{ CrossZone number }
-	Realms         []struct{ QuotaPerS, Fraction number }
-	Report         struct {
+	Prices         struct{ CrossZone, Probe number }
+	Realms         []struct {
+		Name                string
+		QuotaPerS, Fraction number
+	}
+	Report struct {
 		Names  []string
 		Source string
 	}
@@ -81,7 +84,7 @@
 		Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, Peers: p.Limits.Peers,
 		MaxRetryAfter: ms(p.Limits.MaxRetryAfter.v), MaxOpen: int(p.Limits.OpenCap.v),
 		DialTimeout: ms(p.Limits.DialTimeout.v), ConnIdle: ms(p.Limits.ConnIdle.v),
-		CrossZonePrice: p.Prices.CrossZone.v, WorstClass: p.Goal.WorstClass.v,
+		CrossZonePrice: p.Prices.CrossZone.v, ProbePrice: p.Prices.Probe.v, WorstClass: p.Goal.WorstClass.v,
 		DrainGrace: ms(p.Rules.DrainGrace.v), AskWithin: ms(p.Rules.MustAskIn.v),
 		StartCapacity: p.Rules.StartCapacity.v, WarmUp: ms(p.Rules.WarmUp.v),
 		OverloadFactor: p.Rules.OverloadFactor.v, OverloadFor: ms(p.Rules.OverloadFor.v),
@@ -134,7 +137,7 @@
 		s.Classes = append(s.Classes, out)
 	}
 	for _, t := range p.Realms {
-		s.Tenants = append(s.Tenants, cm.Tenant{Quota: t.QuotaPerS.v, Share: t.Fraction.v})
+		s.Tenants = append(s.Tenants, cm.Tenant{Name: t.Name, Quota: t.QuotaPerS.v, Share: t.Fraction.v})
 	}
 	if p.Report.Source != "off" {
 		for _, name := range p.Report.Names {
--- a/peers.go
+++ b/peers.go
@@ -6,13 +6,17 @@
 	"time"
 )
 
-// A message between dispatchers tells how many attempts the sender has out at
+// A message between dispatchers tells how many slots the sender's jobs need at
 // each worker: a fingerprint of its worker list (4 bytes), the place of the first
 // worker told of (2 bytes), then four bits a worker in the order of ids. A
 // receiver whose list differs skips it.
 const (
+	// TellMost is how many bytes a message to peers has at most: what a datagram of 256
+	// leaves beside a host's frame.
+	TellMost = 240
+
 	countsHead = 6
-	countsMost = 2 * (256 - countsHead) // workers in a message
+	countsMost = 2 * (TellMost - countsHead) // workers in a message
 	countTop   = 15
 )
 
@@ -84,7 +88,9 @@
 	peerStale = time.Second           // a peer's counts are forgotten after this silence
 )
 
-// Peer takes a message from another dispatcher: what it has out at each worker.
+// Peer takes a message from another dispatcher: what it has out at each worker. One that
+// has two processes, as one takes over from the other, tells by the number of dispatchers
+// higher from the one that leaves.
 func (b *Balancer) Peer(now time.Duration, from int, data []byte) {
 	b.now = now
 	if from >= 0 && from < len(b.heard) && from != b.s.Me && readCounts(data, b.print, from, b.splits[0].m) {
--- a/room.go
+++ b/room.go
@@ -17,12 +17,15 @@
 	roomDown  = 0.25                   // one that waits takes this
 	roomPart  = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
 	roomAgain = 8 * time.Second        // a worker without room that looks empty gets a job this often
-	askPart   = 0.5                    // probes for each request taken
-	askGap    = 250 * time.Millisecond // least time between two of a dispatcher's
+	slotsMost = 1024                   // a worker is not believed to have more
+	slotsSure = 3                      // sightings that count
+	askCost   = 0.003                  // of a request's worth that probes may cost
+	askMost   = 2.0                    // probes for each request taken, whatever the price
+	askGap    = 100 * time.Millisecond // least time between two of a dispatcher's
 	askRare   = 2 * time.Second        // and most
 )
 
-// learnRoom follows how many jobs a worker starts at once.
+// learnRoom follows how many jobs a worker starts at once, as one has started there.
 func (w *worker) learnRoom(atOnce bool) {
 	if !atOnce {
 		w.room = max(0, w.room-roomDown)
@@ -31,6 +34,38 @@
 	}
 }
 
+// slots is how many slots a kind of worker has, as far as seen.
+type slots struct {
+	most float64
+	seen map[float64]int // how often more were seen
+}
+
+// sight takes note of so many slots seen at a worker.
+func (b *Balancer) sight(kind int, n float64) {
+	k := &b.slots[kind]
+	if n <= k.most || n > slotsMost {
+		return
+	}
+	if k.seen == nil {
+		k.seen = map[float64]int{}
+	}
+	if k.seen[n]++; k.seen[n] >= slotsSure {
+		b.raise(kind, n)
+	}
+}
+
+// raise books that a kind of worker has so many slots at least.
+func (b *Balancer) raise(kind int, n float64) {
+	if k := &b.slots[kind]; n > k.most {
+		*k = slots{most: n}
+		for _, o := range b.workers {
+			if o.kind == kind {
+				o.room = max(o.room, b.firstRoom(kind))
+			}
+		}
+	}
+}
+
 // used is how many slots own jobs at a worker need, and those that peers told of.
 func (w *worker) used() float64 { return w.load + float64(w.others) }
 
@@ -51,8 +86,8 @@
 
 // holds is how many slots a worker is held to have for what this dispatcher knows of.
 func (b *Balancer) holds(w *worker) float64 {
-	if w.kind >= 0 && w.kind < len(b.slots) && b.slots[w.kind] > 0 {
-		return min(b.slots[w.kind], w.room)
+	if w.kind >= 0 && w.kind < len(b.slots) && b.slots[w.kind].most > 0 {
+		return min(b.slots[w.kind].most, w.room)
 	}
 	return w.room
 }
@@ -67,19 +102,15 @@
 // reported takes the free slots that a worker told of. All of a kind have as many.
 func (b *Balancer) reported(w *worker, load []float32) {
 	free, told := b.told(load, FieldFreeSlots)
-	if free = math.Round(free); !told || free < 1 || free > math.MaxUint16 || w.kind < 0 || w.kind > math.MaxUint8 {
+	if free = math.Round(free); !told || free < 1 || free > slotsMost || w.kind < 0 || w.kind > math.MaxUint8 {
 		return
 	}
 	for len(b.slots) <= w.kind {
-		b.slots = append(b.slots, 0)
+		b.slots = append(b.slots, slots{})
 	}
-	if free > b.slots[w.kind] {
-		b.slots[w.kind] = free
-		for _, o := range b.workers {
-			if o.kind == w.kind {
-				o.room = max(o.room, b.firstRoom(o.kind))
-			}
-		}
+	b.raise(w.kind, free)
+	if held, told := b.told(load, FieldInflight); told {
+		b.sight(w.kind, math.Round(free+held))
 	}
 }
 
@@ -89,9 +120,9 @@
 		return 1
 	}
 	if b.s.Peers {
-		return max(1, b.slots[kind])
+		return max(1, b.slots[kind].most)
 	}
-	return max(1, min(1, roomPart/float64(b.s.Balancers))*b.slots[kind])
+	return max(1, min(1, roomPart/float64(b.s.Balancers))*b.slots[kind].most)
 }
 
 // asks says whether workers tell of free slots, and only when probed.
@@ -99,6 +130,14 @@
 	return s.TellsStart && s.Probes && !s.ReportsInReply && slices.Contains(s.ReportFields, FieldFreeSlots)
 }
 
+// askPart is how many probes there are for each request taken.
+func (b *Balancer) askPart() float64 {
+	if b.s.ProbePrice <= 0 {
+		return askMost
+	}
+	return min(askMost, askCost/b.s.ProbePrice)
+}
+
 // askAll probes each worker of the first list; from then on they are asked in turn.
 func (b *Balancer) askAll() {
 	for _, w := range b.workers {
@@ -117,5 +156,5 @@
 			b.do.Probe(w.id)
 		}
 	}
-	b.after(b.jitter(2*max(askGap, min(askRare, seconds(1/(askPart*max(b.rate, 0.1)))))), 0, timerReport)
+	b.after(b.jitter(2*max(askGap, min(askRare, seconds(1/(b.askPart()*max(b.rate, 0.1)))))), 0, timerReport)
 }
--- a/room_test.go
+++ b/room_test.go
@@ -44,6 +44,16 @@
 	if at := f.byWorker(); len(f.sends) != 4 || at[1] != 3 || at[2] != 1 {
 		t.Fatalf("sent %v, want three jobs to the one of three slots and one beside the peer's two", at)
 	}
+	for range slotsSure {
+		if f.b.holds(f.b.workers[0]) != 3 {
+			t.Fatal("more slots than three are believed in too soon")
+		}
+		f.b.Probed(f.now, 1, OK, 0, []float32{2, 0, 2})
+	}
+	if f.b.holds(f.b.workers[0]) != 4 {
+		t.Errorf("%v slots, want the four that are free or held", f.b.slots)
+	}
+	f.b.slots[0].most = 3
 	before := len(f.probes)
 	f.wait(400 * ms)
 	if f.answers[5] != "" || len(f.probes) == before {
--- a/state.go
+++ b/state.go
@@ -41,7 +41,7 @@
 	looked     map[int]time.Duration // by zone: when probes went out
 	copyRate   float64               // copies allowed a request
 	copies     float64               // copies that may be sent now
-	slots      []float64             // by kind: how many a worker has, as reported
+	slots      []slots               // by kind
 	turn       int                   // place of the worker that was probed last
 	holding    bool                  // a timer for them is set
 
