Count tenants' shares in what waits, and go by own starts in small fleets only

Cause: settings.Tenants was read by nothing: what a tenant asks beyond its share (worth a fifth) stood before others' messages. Change: tenants.go, a bucket for each tenant's quota, fed by peers' counts where they tell; room by reports counts where peers tell or each dispatcher has a slot of each host; the limit stays where nobody knows all that is sent.

--- a/balancer.go
+++ b/balancer.go
@@ -452,6 +452,7 @@
 	b.after(in.Deadline-now, in.ID, timerDeadline)
 	r.came = now
 	r.patience = min(in.Deadline, now+time.Duration(patience*float64(b.slack(in.Class))))
+	r.share = b.share(r)
 	r.value = b.value(r)
 	if v := b.worth(r); b.usualValue == 0 {
 		b.usualValue = v
@@ -841,7 +842,7 @@
 	if r.Ahead { // it has waited elsewhere: worth alone would starve it
 		return math.Inf(1)
 	}
-	return b.worth(r)
+	return b.worth(r) * r.share
 }
 
 // worth is what a request is worth a second of work.
@@ -930,7 +931,7 @@
 // admit says whether a request may be sent now.
 func (b *Balancer) admit(r *request) bool {
 	limit := b.limit
-	if b.known() {
+	if b.alone() {
 		return true
 	}
 	if r.value >= worthMore*b.usualValue { // little of this should be turned away
--- a/peers.go
+++ b/peers.go
@@ -78,6 +78,11 @@
 				w.book(peer, 0)
 			}
 			b.heard[peer] = 0
+			for i := range b.tenants {
+				if peer < len(b.tenants[i].heard) {
+					b.tenants[i].heard[peer] = false
+				}
+			}
 		}
 	}
 }
@@ -95,6 +100,9 @@
 	b.now = now
 	if from >= 0 && from < len(b.heard) && from != b.s.Me && readCounts(data, b.print, from, b.splits[0].m) {
 		b.heard[from] = now
+		if at := countsHead + (len(b.splits[0].m)-int(binary.LittleEndian.Uint16(data[4:]))+1)/2; at < len(data) {
+			b.readTaken(data[at:], from)
+		}
 	}
 }
 
@@ -104,6 +112,9 @@
 	list, bytes := b.splits[0].m, 0
 	for from := 0; from < len(list) && len(list) <= math.MaxUint16; from += countsMost {
 		b.message = appendCounts(b.message[:0], b.print, from, list)
+		if from+countsMost >= len(list) && len(b.message)+len(b.tenants) <= TellMost {
+			b.message = b.appendTaken(b.message)
+		}
 		bytes += len(b.message)
 		if b.tellEvery <= peerStale/2 {
 			b.do.Tell(b.message)
--- a/room.go
+++ b/room.go
@@ -58,6 +58,10 @@
 func (b *Balancer) raise(kind int, n float64) {
 	if k := &b.slots[kind]; n > k.most {
 		*k = slots{most: n}
+		b.slotsLeast = n
+		for _, o := range b.slots {
+			b.slotsLeast = min(b.slotsLeast, max(1, o.most))
+		}
 		for _, o := range b.workers {
 			if o.kind == kind {
 				o.room = max(o.room, b.firstRoom(kind))
@@ -80,13 +84,20 @@
 	return b.load + float64(b.others)
 }
 
-// known says whether reports have told how many slots workers have. Then nothing is sent
-// where no room is: what waits does so here, the worthiest first.
-func (b *Balancer) known() bool { return len(b.slots) > 0 }
+// known says whether it is known where jobs start at once: reports have told how many
+// slots workers have, and others tell what they use or leave this dispatcher a slot of
+// each. Then nothing is sent where no room is: what waits does so here, the worthiest
+// first. Guards a large fleet, in which each sees too few starts, from going by them.
+func (b *Balancer) known() bool {
+	return len(b.slots) > 0 && (b.s.Peers || b.slotsLeast >= float64(b.s.Balancers))
+}
+
+// alone says whether a dispatcher knows all that is sent, so that room alone limits it.
+func (b *Balancer) alone() bool { return b.known() && (b.s.Peers || b.s.Balancers == 1) }
 
 // holds is how many slots a worker is held to have for what this dispatcher knows of.
 func (b *Balancer) holds(w *worker) float64 {
-	if w.kind >= 0 && w.kind < len(b.slots) && b.slots[w.kind].most > 0 {
+	if b.known() && w.kind >= 0 && w.kind < len(b.slots) && b.slots[w.kind].most > 0 {
 		return min(b.slots[w.kind].most, w.room)
 	}
 	return w.room
--- a/room_test.go
+++ b/room_test.go
@@ -91,6 +91,10 @@
 	if len(f.probes) != 0 || w.room != 3 {
 		t.Fatalf("%d probes, room %v; want none, and 2 parts of 4 of 6 slots", len(f.probes), w.room)
 	}
+	if f.b.s.Balancers = 300; f.b.known() { // each sees too few starts of each
+		t.Error("one of 300 dispatchers goes by its own starts alone")
+	}
+	f.b.s.Balancers = 4
 	w.room = 0
 	if f.request(2, 0); len(f.sends) != 1 {
 		t.Error("sent to a worker without room")
@@ -130,3 +134,50 @@
 		t.Errorf("a kind that nothing is known of weighs %v", w)
 	}
 }
+
+// What a tenant asks beyond its share is worth less, whichever dispatcher took the rest of
+// it; a flood of one costs another nothing, and one that the site does not know has no share.
+func TestShares(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		peers  bool
+		told   int // messages of the first tenant that a peer tells of
+		within []int
+	}{
+		{"alone in its even part", false, 0, []int{5, 5}},
+		{"none told", true, 0, []int{10, 10}},
+		{"a peer has taken six", true, 6, []int{4, 10}},
+		{"a peer takes all", true, 30, []int{0, 10}},
+	} {
+		s := asked(Class{Effect: Safe})
+		s.Balancers, s.Peers, s.OverShareWorth = 2, c.peers, 0.2
+		s.Tenants = []Tenant{{Name: "a", Quota: 10}, {Name: "b", Quota: 10}}
+		f := start(t, s, 2)
+		if c.peers {
+			for _, n := range []byte{250, 250 + byte(c.told)} { // the count turns over
+				f.b.Peer(f.now, 1, append(appendCounts(nil, f.b.print, 0, f.b.splits[0].m), n, 0))
+			}
+		}
+		id := RequestID(0)
+		for tenant, want := range c.within {
+			got := 0
+			for range 12 {
+				id++
+				f.b.Request(f.now, Request{ID: id, Tenant: tenant, Slots: 1, Deadline: f.now + time.Hour})
+				if f.b.requests[id].share == 1 {
+					got++
+				}
+			}
+			if got != want {
+				t.Errorf("%s: %d messages of tenant %d within its share, want %d", c.name, got, tenant, want)
+			}
+		}
+		for _, tenant := range []int{-1, 2} {
+			id++
+			f.b.Request(f.now, Request{ID: id, Tenant: tenant, Slots: 1, Deadline: f.now + time.Hour})
+			if got := f.b.requests[id].share; got != 0.2 {
+				t.Errorf("%s: one of no tenant counts %v, want 0.2", c.name, got)
+			}
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -29,7 +29,8 @@
 	silence    time.Duration // what is too long for a worker to start nothing
 	round      time.Duration // start of the round
 	classes    []classStat
-	held       []*request      // waiting for room, by worth per second and age
+	held       []*request // waiting for room, by worth per second and age
+	tenants    []tenant
 	heard      []time.Duration // when each peer was last heard; nil without peers
 	tellEvery  time.Duration
 	message    []byte
@@ -42,6 +43,7 @@
 	copyRate   float64               // copies allowed a request
 	copies     float64               // copies that may be sent now
 	slots      []slots               // by kind
+	slotsLeast float64               // of the kind with the fewest
 	turn       int                   // place of the worker that was probed last
 	holding    bool                  // a timer for them is set
 
@@ -141,6 +143,7 @@
 	came     time.Duration
 	held     bool
 	counted  bool          // among the busy
+	share    float64       // what it counts for by its tenant's share
 	value    float64       // worth per second of work, for the order of admission
 	patience time.Duration // when it is no longer held
 }
