--- a/room.go
+++ b/room.go
@@ -13,16 +13,17 @@
 // are asked in turn.
 
 const (
-	roomUp    = 0.25                   // a job that starts at once with all room taken adds this to it
-	roomDown  = 0.25                   // one that waits takes this
-	roomPart  = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
-	roomAgain = 8 * time.Second        // a worker without room that looks empty gets a job this often
-	slotsMost = 1024                   // a worker is not believed to have more
-	slotsSure = 3                      // sightings that count
-	askCost   = 0.003                  // of a request's worth that probes may cost
-	askMost   = 2.0                    // probes for each request taken, whatever the price
-	askGap    = 100 * time.Millisecond // least time between two of a dispatcher's
-	askRare   = 2 * time.Second        // and most
+	roomUp     = 0.25                   // a job that starts at once with all room taken adds this to it
+	roomDown   = 0.25                   // one that waits takes this
+	roomPart   = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
+	roomAgain  = 8 * time.Second        // a worker without room that looks empty gets a job this often
+	slotsMost  = 1024                   // a worker is not believed to have more
+	reportsFew = 24                     // reports up to which workers are asked as fast as may be
+	slotsSure  = 3                      // sightings that count
+	askCost    = 0.003                  // of a request's worth that probes may cost
+	askMost    = 2.0                    // probes for each request taken, whatever the price
+	askGap     = 100 * time.Millisecond // least time between two of a dispatcher's
+	askRare    = 2 * time.Second        // and most
 )
 
 // learnRoom follows how many jobs a worker starts at once, as one has started there.
@@ -89,7 +90,7 @@
 // each. Then nothing is sent where no room is: what waits does so here, the worthiest
 // first. Guards a large fleet, in which each sees too few starts, from going by them.
 func (b *Balancer) known() bool {
-	return len(b.slots) > 0 && (b.s.Peers || b.slotsLeast >= float64(b.s.Balancers))
+	return b.reports > 0 && (b.s.Peers || b.slotsLeast >= float64(b.s.Balancers))
 }
 
 // alone says whether a dispatcher knows all that is sent, so that room alone limits it.
@@ -116,6 +117,7 @@
 	if free = math.Round(free); !told || free < 1 || free > slotsMost || w.kind < 0 || w.kind > math.MaxUint8 {
 		return
 	}
+	b.reports++
 	for len(b.slots) <= w.kind {
 		b.slots = append(b.slots, slots{})
 	}
@@ -167,5 +169,9 @@
 			b.do.Probe(w.id)
 		}
 	}
-	b.after(b.jitter(2*max(askGap, min(askRare, seconds(1/(b.askPart()*max(b.rate, 0.1)))))), 0, timerReport)
+	gap := askGap
+	if b.reports >= reportsFew {
+		gap = max(gap, min(askRare, seconds(1/(b.askPart()*max(b.rate, 0.1)))))
+	}
+	b.after(b.jitter(2*gap), 0, timerReport)
 }
--- a/state.go
+++ b/state.go
@@ -44,6 +44,7 @@
 	copies     float64               // copies that may be sent now
 	slots      []slots               // by kind
 	slotsLeast float64               // of the kind with the fewest
+	reports    int                   // of free slots that have come
 	turn       int                   // place of the worker that was probed last
 	holding    bool                  // a timer for them is set
 
