Leave a failing zone as a fleet: votes and decisions over datagrams, off by default

Need: each dispatcher finds out alone that a zone is lost, by its own lost jobs. Mutants caught: one voice, not weighed, ill ones accuse, words of before, generation or age not kept, stopped ones keep what they saw.

--- a/balancer.go
+++ b/balancer.go
@@ -239,7 +239,7 @@
 // silent of late gets probes, or a trickle of draws where there are none. Guards
 // against a cut link, which would otherwise have to be found worker by worker.
 func (b *Balancer) fit(w *worker) bool {
-	return w.state == Ready && b.now >= w.shunned && !b.hung(w) && b.coldFit(w) && b.paceFit(w) &&
+	return w.state == Ready && b.now >= w.shunned && b.zoneFit(w.zone) && !b.hung(w) && b.coldFit(w) && b.paceFit(w) &&
 		(b.lost[w.zone] < zoneLost || !b.s.Probes && b.rng.Float64() < zoneTrickle)
 }
 
@@ -339,6 +339,7 @@
 func (b *Balancer) shun(w *worker, st Status, sent, took time.Duration) {
 	switch st {
 	case Full:
+		b.sawZone(w.zone, false)
 		w.fulls++
 		w.shunned = max(w.shunned, b.now+b.jitter(fullPause<<min(w.fulls, fullMost)))
 	case ConnectFailed, Timeout:
@@ -350,6 +351,7 @@
 			return
 		}
 		b.lost[w.zone] += zoneNew * (1 - b.lost[w.zone])
+		b.sawZone(w.zone, true)
 		b.lookAround(w.zone)
 	case Error, Reset: // one may be the job's or the connection's own fault
 		w.doubted = b.now + doubtFor
@@ -357,6 +359,7 @@
 			b.strike(w)
 		}
 	case OK:
+		b.sawZone(w.zone, false)
 		if sent < w.struck { // what it did before tells nothing of it now
 			return
 		}
@@ -412,8 +415,10 @@
 	case st == ConnectFailed && took >= b.s.DialTimeout*4/5:
 		b.strike(w)
 		b.lost[w.zone] += zoneProbed * (1 - b.lost[w.zone])
+		b.sawZone(w.zone, true)
 	default:
 		b.lost[w.zone] -= zoneProbed * b.lost[w.zone]
+		b.sawZone(w.zone, false)
 	}
 }
 
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -50,3 +50,9 @@
 #     limits = limits(jobs = 100000, per_class = 100000, edges = 400000, fan_in = 1000, depth = 1000,
 #                     mb = 64, batch = 10000, repeats = 100),
 # )
+#
+# ---- Zones left and regained together with the other dispatchers (docs/ZONES.md)
+#
+# zones(
+#     start_percent = 10,               # of the draws, with which a return begins
+# )
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -39,6 +39,9 @@
 	p.routes.SetOpen(change.Open)
 	p.routes.Update(change.Views)
 	p.pool.Update(change.Hosts)
+	if p.zones != nil {
+		p.zones.restarted(change.Hosts)
+	}
 	p.settle()
 	if p.jobs != nil {
 		p.jobs.SetOpen(p.fleet.Usable() > 0)
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -44,6 +44,7 @@
 	missing    []string     // clusters that routes name and that are not there, as logged
 	due        loop.Timer   // for what the fleet has to do at a time
 	peers      *peers.Link  // nil: dispatchers tell each other nothing
+	zones      *fleetZones  // nil: each dispatcher finds out alone that a zone is lost
 	jobs       *jobs.Runner // nil: there is no front for jobs that wait
 	jobsAPI    *jobs.API
 	pool       *southside.Pool
@@ -88,6 +89,11 @@
 	if p.front, err = front.New(l, log, front.Source{Address: c.Listen, Inherited: c.FD}, clients, p.buffers, &c.Settings, p.dispatcher); err != nil {
 		return nil, err
 	}
+	if s.operator.Zones != nil {
+		if err := p.startZones(s.operator.Zones); err != nil {
+			return nil, err
+		}
+	}
 	if s.operator.Jobs != nil {
 		if err := p.startJobs(s.operator.Jobs); err != nil {
 			return nil, err
@@ -121,6 +127,12 @@
 
 // hear takes what another dispatcher tells.
 func (p *program) hear(from int, kind peers.Kind, message []byte) {
+	if kind == peers.Zones {
+		if p.zones != nil {
+			p.zones.fleet.Hear(p.loop.Now(), message)
+		}
+		return
+	}
 	if kind == peers.Leaving {
 		from += p.config.Settings.Balancers
 	}
@@ -173,6 +185,9 @@
 	if !reflect.DeepEqual(p.operator.Jobs, s.operator.Jobs) {
 		fixed = append(fixed, "jobs")
 	}
+	if (p.operator.Zones == nil) != (s.operator.Zones == nil) {
+		fixed = append(fixed, "zones")
+	}
 	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", fixed).Msg("configuration read again")
 	if p.peers != nil && c.Peers.Listen == p.config.Peers.Listen {
 		p.peers.Set(c.Peers)
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -82,6 +82,9 @@
 	if err := s.operator.CheckClasses(s.classes()); err != nil {
 		return sources{}, err
 	}
+	if err := s.operator.CheckPeers(c.Peers.Listen.IsValid()); err != nil {
+		return sources{}, err
+	}
 	return s, s.prepare(o)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,6 +76,17 @@
 // Peer tells of a message from another dispatcher.
 func (d *Dispatcher) Peer(from int, message []byte) { d.balancer.Peer(d.loop.Now(), from, message) }
 
+// TakeZoneSeen returns what was seen of each zone since the last call.
+func (d *Dispatcher) TakeZoneSeen(into []yardwharf.ZoneSeen) []yardwharf.ZoneSeen {
+	return d.balancer.TakeZoneSeen(into)
+}
+
+// SetZonePart says which part of the draws that would go to a zone may.
+func (d *Dispatcher) SetZonePart(zone int, part float64) { d.balancer.SetZonePart(zone, part) }
+
+// Look probes a few hosts of a zone.
+func (d *Dispatcher) Look(zone int) { d.balancer.Look(d.loop.Now(), zone) }
+
 // Open is the number of messages that are not yet forgotten.
 func (d *Dispatcher) Open() int { return len(d.messages) }
 
--- a/internal/operator/inventory.go
+++ b/internal/operator/inventory.go
@@ -38,7 +38,7 @@
 // calls are those of an operator's file.
 func (r *reader) calls() map[string]script.Func {
 	return map[string]script.Func{"inventory": r.inventory, "xds": r.xds, "node": r.node, "tls": r.tls, "route": r.route,
-		"jobs": r.jobs, "ageing": r.ageing, "limits": r.limits}
+		"jobs": r.jobs, "ageing": r.ageing, "limits": r.limits, "zones": r.zones}
 }
 
 func (r *reader) inventory(c script.Call) (starlark.Value, error) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,7 +26,8 @@
 type File struct {
 	Inventory *Inventory // nil: the platform's own discovery
 	Routes    []Route
-	Jobs      *Jobs // nil: there is no front for jobs that wait
+	Jobs      *Jobs  // nil: there is no front for jobs that wait
+	Zones     *Zones // nil: each dispatcher finds out alone that a zone is lost
 }
 
 // Load runs the file at path. An error that the file is to blame for is a *script.Error.
@@ -91,7 +92,7 @@
 
 // String says in one line what the file asks for.
 func (f *File) String() string {
-	if f.Inventory == nil && len(f.Routes) == 0 && f.Jobs == nil {
+	if f.Inventory == nil && len(f.Routes) == 0 && f.Jobs == nil && f.Zones == nil {
 		return "nothing is set, all is as the platform's configuration says"
 	}
 	var parts []string
@@ -123,5 +124,8 @@
 		}
 		parts = append(parts, fmt.Sprintf("jobs that wait at %s, %s", j.Listen, age))
 	}
+	if f.Zones != nil {
+		parts = append(parts, "zones are left and regained as a fleet")
+	}
 	return strings.Join(parts, "; ")
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -46,7 +46,7 @@
 // The committed file can be used and has everything off.
 func TestCommittedFile(t *testing.T) {
 	f, err := Load("../../deploy/operator.star")
-	if err != nil || f.Inventory != nil || f.Routes != nil || f.Jobs != nil {
+	if err != nil || f.Inventory != nil || f.Routes != nil || f.Jobs != nil || f.Zones != nil {
 		t.Errorf("%v, %v", f, err)
 	}
 }
@@ -60,13 +60,13 @@
 	var code []string
 	for line := range strings.Lines(string(text)) {
 		line = strings.TrimPrefix(strings.TrimPrefix(line, "#"), " ")
-		if strings.HasPrefix(line, " ") && !strings.Contains(line, "bin/") || strings.HasPrefix(line, "inventory(") || strings.HasPrefix(line, "jobs(") ||
+		if strings.HasPrefix(line, " ") && !strings.Contains(line, "bin/") || strings.HasPrefix(line, "inventory(") || strings.HasPrefix(line, "jobs(") || strings.HasPrefix(line, "zones(") ||
 			strings.HasPrefix(line, ")") || strings.HasPrefix(line, "route(") {
 			code = append(code, line)
 		}
 	}
 	f, err := Parse("op.star", []byte(strings.Join(code, "")), nil)
-	if err != nil || f.Inventory == nil || len(f.Routes) != 1 || f.Inventory.XDS.TLS == nil || f.Jobs == nil {
+	if err != nil || f.Inventory == nil || len(f.Routes) != 1 || f.Inventory.XDS.TLS == nil || f.Jobs == nil || f.Zones == nil {
 		t.Errorf("%v, %v\n%s", f, err, strings.Join(code, ""))
 	}
 }
--- /dev/null
+++ b/internal/operator/zones.go
@@ -0,0 +1,32 @@
+package operator
+
+import (
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"yardwharf/internal/script"
+)
+
+// Zones has zones left and regained together with the other dispatchers.
+type Zones struct {
+	Start float64 // part of the draws with which a return begins
+	Pos   syntax.Position
+}
+
+func (r *reader) zones(c script.Call) (starlark.Value, error) {
+	a := c.Args()
+	if r.file.Zones != nil {
+		a.Fault("zones", "is called twice", "one call")
+	}
+	r.file.Zones = &Zones{Start: float64(a.Number("start_percent", 10, 1, 100)) / 100, Pos: a.Pos()}
+	return starlark.None, a.Done()
+}
+
+// CheckPeers holds what needs other dispatchers against whether they can be talked to.
+func (f *File) CheckPeers(talk bool) error {
+	if f.Zones == nil || talk {
+		return nil
+	}
+	return &script.Error{Pos: f.Zones.Pos, Key: "zones", Wrong: "dispatchers cannot talk to each other here",
+		Want: "settings that allow peers, and peer_listen and peers in the configuration"}
+}
--- a/internal/peers/frame.go
+++ b/internal/peers/frame.go
@@ -30,6 +30,8 @@
 const (
 	Counts  Kind = iota // slots in use, told by a process that takes clients
 	Leaving             // the same by one that another takes over from
+	Zones               // internal/zones
+	kinds
 )
 
 // sum is the check of a frame: the low half of a CRC-32 over what is not the check.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,8 +48,8 @@
 // latest is the newest message taken from a process of a dispatcher, which has two
 // while one takes over from the other.
 type latest struct {
-	tick [2]uint32
-	at   [2]time.Duration
+	tick [kinds]uint32
+	at   [kinds]time.Duration
 }
 
 // Open begins to listen.
@@ -99,6 +99,16 @@
 	}
 }
 
+// TellOne sends a message to one peer; it may be lost.
+func (k *Link) TellOne(peer int, kind Kind, message []byte) {
+	if len(message) > Room || peer < 0 || peer >= len(k.to.Peers) || peer == k.to.Me {
+		k.pass("not to be sent")
+		return
+	}
+	k.out = appendFrame(k.out[:0], kind, uint32(k.loop.Now()/tick), message)
+	k.send(k.to.Peers[peer])
+}
+
 // send sends what is in the frame. What the socket does not take now is lost, as any
 // datagram may be.
 func (k *Link) send(to netip.AddrPort) {
@@ -132,7 +142,7 @@
 		k.pass(why)
 		return
 	}
-	if kind > Leaving {
+	if kind >= kinds {
 		k.pass("kind")
 		return
 	}
--- a/settings.go
+++ b/settings.go
@@ -52,6 +52,7 @@
 		byID: make(map[WorkerID]*worker), requests: make(map[RequestID]*request),
 		silence: math.MaxInt64, armed: math.MaxInt64,
 		limit: math.Inf(1), classes: make([]classStat, len(s.Classes)), tenants: make([]tenant, len(s.Tenants)),
+		zoneSeen: make([]ZoneSeen, len(s.Zones)), zonePart: slices.Repeat([]float64{1}, len(s.Zones)),
 		lost: map[int]float64{}, looked: map[int]time.Duration{}, copyRate: 1, parts: 1, util: 1, pools: map[int][]*split{},
 	}
 	for _, c := range s.Classes {
--- a/state.go
+++ b/state.go
@@ -40,13 +40,15 @@
 	good       float64               // most requests in work a worker while few ends were bad
 	lost       map[int]float64       // by zone: share of silent ends of late
 	looked     map[int]time.Duration // by zone: when probes went out
-	copyRate   float64               // copies allowed a request
-	copies     float64               // copies that may be sent now
-	slots      []slots               // by kind
-	slotsLeast float64               // of the kind with the fewest
-	reports    int                   // of free slots that have come
-	turn       int                   // place of the worker that was probed last
-	holding    bool                  // a timer for them is set
+	zoneSeen   []ZoneSeen
+	zonePart   []float64
+	copyRate   float64 // copies allowed a request
+	copies     float64 // copies that may be sent now
+	slots      []slots // by kind
+	slotsLeast float64 // of the kind with the fewest
+	reports    int     // of free slots that have come
+	turn       int     // place of the worker that was probed last
+	holding    bool    // a timer for them is set
 
 	warmSum float64 // warmth of all ready workers, as of warmed
 	warmed  time.Duration
