Hold the slots of a job that was called off while it ran for what is left of it

Cause: balancer.go, Outcome, freed the slots of an attempt as soon as it was called off, as when its client went away (dispatch.go, Withdraw). No setting says whether work stops, so it is taken to go on for its class's usual run; where it does stop the slots are free a little late. Ruled out: attempts that had not started (there is no sign that they go on; not kept).

--- a/balancer.go
+++ b/balancer.go
@@ -239,7 +239,8 @@
 // silent of late gets probes, or a trickle of draws where there are none. Guards
 // against a cut link, which would otherwise have to be found worker by worker.
 func (b *Balancer) fit(w *worker) bool {
-	return w.state == Ready && b.now >= w.shunned && b.zoneFit(w.zone) && !b.hung(w) && b.coldFit(w) && b.paceFit(w) &&
+	return w.state == Ready && b.now >= w.shunned && b.zoneFit(w.zone) && !b.hung(w) &&
+		b.coldFit(w) && b.paceFit(w) &&
 		(b.lost[w.zone] < zoneLost || !b.s.Probes && b.rng.Float64() < zoneTrickle)
 }
 
@@ -691,7 +692,12 @@
 	a.never = o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
 	r.out--
 	a.w.out--
-	a.w.load -= r.slots()
+	if left := b.goesOn(r, a, o.Status); left > 0 {
+		b.keepFor(left, a.w, r.slots())
+	} else {
+		a.w.load -= r.slots()
+		b.load -= r.slots()
+	}
 	if a.hasStarted {
 		a.w.run(a, -1)
 		if ran := (now - a.started).Seconds(); o.Status == OK && a.usual > 0 {
@@ -705,7 +711,6 @@
 	if o.Status != Timeout && o.Status != Cancelled && o.Status != ConnectFailed && o.Status != Full {
 		a.w.sign = now
 	}
-	b.load -= r.slots()
 	if util, told := b.told(o.Load, FieldUtil); told {
 		b.util = max(utilLeast, b.util+(min(1, util)-b.util)*utilNew)
 	}
@@ -786,6 +791,8 @@
 			b.release()
 		case timerTell:
 			b.tell()
+		case timerGhost:
+			b.letGo(t.id)
 		case timerReport:
 			b.askNext()
 		case timerCopy:
--- a/room.go
+++ b/room.go
@@ -74,6 +74,42 @@
 // used is how many slots own jobs at a worker need, and those that peers told of.
 func (w *worker) used() float64 { return w.load + float64(w.others) }
 
+// goesOn is how much longer a job is taken to hold its slots that nobody waits for any
+// more. Guards against slots that look free as soon as a client has gone away, where that
+// stops no work; where it does they are free a little later than they might be.
+func (b *Balancer) goesOn(r *request, a *attempt, st Status) time.Duration {
+	if st != Cancelled || !b.known() {
+		return 0
+	}
+	run := seconds(b.classes[r.Class].service)
+	if a.hasStarted {
+		return run - (b.now - a.started)
+	}
+	return 0
+}
+
+// ghost is a job that is taken to go on.
+type ghost struct {
+	w     *worker
+	slots float64
+}
+
+// keepFor books slots as in use for a while.
+func (b *Balancer) keepFor(d time.Duration, w *worker, slots float64) {
+	b.ghost++
+	b.ghosts[b.ghost] = ghost{w, slots}
+	b.after(d, b.ghost, timerGhost)
+}
+
+// letGo frees slots that were kept.
+func (b *Balancer) letGo(id RequestID) {
+	if g, kept := b.ghosts[id]; kept {
+		g.w.load -= g.slots
+		b.load -= g.slots
+		delete(b.ghosts, id)
+	}
+}
+
 // total is that over all workers.
 func (b *Balancer) total() float64 {
 	if b.heard != nil && b.now != b.summed {
--- a/room_test.go
+++ b/room_test.go
@@ -181,3 +181,34 @@
 		}
 	}
 }
+
+// A job that is called off while it runs holds its slots for what is left of its usual run:
+// where nothing stops it, others would wait behind it.
+func TestCalledOff(t *testing.T) {
+	s := asked(Class{Effect: Unsafe, Aim: 2 * time.Second})
+	f := start(t, s, 1)
+	f.b.Probed(f.now, 1, OK, 0, []float32{0, 0, 2})
+	f.b.classes[0].service = 0.6
+	f.b.Request(f.now, Request{ID: 1, Slots: 1e8, Deadline: f.now + time.Hour}) // nothing has so many
+	f.b.Withdrawn(f.now, 1)
+	f.request(2, 0)
+	f.b.Note(f.now, 2, 0, Started, 0)
+	f.wait(200 * ms)
+	f.b.Withdrawn(f.now, 2)
+	f.end(f.last(), Cancelled)
+	used := func(what string, want float64) {
+		t.Helper()
+		if w := f.b.workers[0]; w.load != want || f.b.load != want {
+			t.Errorf("%s: %v slots in use and %v in all, want %v", what, w.load, f.b.load, want)
+		}
+	}
+	used("called off", 1)
+	f.wait(390 * ms)
+	used("shortly before its end", 1)
+	f.wait(20 * ms)
+	used("after it", 0)
+	f.request(3, 0) // it has not started: it may be dropped
+	f.b.Withdrawn(f.now, 3)
+	f.end(f.last(), Cancelled)
+	used("called off while it waits", 0)
+}
--- a/settings.go
+++ b/settings.go
@@ -51,7 +51,7 @@
 		s: s, do: actions, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byID: make(map[WorkerID]*worker), requests: make(map[RequestID]*request),
 		silence: math.MaxInt64, armed: math.MaxInt64,
-		limit: math.Inf(1), classes: make([]classStat, len(s.Classes)), tenants: make([]tenant, len(s.Tenants)),
+		limit: math.Inf(1), classes: make([]classStat, len(s.Classes)), tenants: make([]tenant, len(s.Tenants)), ghosts: map[RequestID]ghost{},
 		zoneSeen: make([]ZoneSeen, len(s.Zones)), zonePart: slices.Repeat([]float64{1}, len(s.Zones)),
 		lost: map[int]float64{}, looked: map[int]time.Duration{}, copyRate: 1, parts: 1, util: 1, pools: map[int][]*split{},
 	}
--- a/state.go
+++ b/state.go
@@ -40,6 +40,8 @@
 	good       float64               // most requests in work a worker while few ends were bad
 	lost       map[int]float64       // by zone: share of silent ends of late
 	looked     map[int]time.Duration // by zone: when probes went out
+	ghosts     map[RequestID]ghost   // jobs that nobody waits for and that may go on
+	ghost      RequestID             // number of the last
 	zoneSeen   []ZoneSeen
 	zonePart   []float64
 	copyRate   float64 // copies allowed a request
--- a/timers.go
+++ b/timers.go
@@ -12,6 +12,7 @@
 	timerCopy
 	timerLook
 	timerReport
+	timerGhost
 )
 
 // timer is something to do at a time; the host holds one timer for the earliest.
