--- /dev/null
+++ b/internal/lab/processes/link.go
@@ -0,0 +1,273 @@
+package processes
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// state is what a link between two parties does.
+type state uint8
+
+// The states. Open connections of a dark link stay open and silent, and new ones never
+// come up; a silent one takes connections and passes nothing on; a cut one resets both.
+const (
+	open state = iota
+	dark
+	silent
+	cut
+)
+
+var states = map[string]state{"heal": open, "dark": dark, "silent": silent, "cut": cut}
+
+// link carries connections from one party to another.
+type link struct {
+	from, at, to netip.AddrPort // the party behind it sees it come from from
+	listener     *net.TCPListener
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	state   state
+	over    bool
+	conns   map[net.Conn]struct{}
+	fillers []net.Conn // that keep the queue of a dark link full
+}
+
+// listen opens a listening socket whose queue holds one connection: once it is full the
+// kernel lets others' first packets go unanswered, as a machine that is not there.
+func listen(at netip.AddrPort) (*net.TCPListener, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+		if err = unix.Bind(fd, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}); err == nil {
+			err = unix.Listen(fd, 0)
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", at, err)
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
+func newLink(from, at, to netip.AddrPort) (*link, error) {
+	l := &link{from: from, at: at, to: to, conns: map[net.Conn]struct{}{}}
+	l.changed = sync.NewCond(&l.mu)
+	var err error
+	if l.listener, err = listen(at); err != nil {
+		return nil, err
+	}
+	go l.serve()
+	return l, nil
+}
+
+// set changes what the link does.
+func (l *link) set(s state) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state == s || l.over {
+		return
+	}
+	l.state = s
+	for _, c := range l.fillers {
+		c.Close()
+	}
+	l.fillers = nil
+	switch s {
+	case dark:
+		for range 4 { // the queue is full when one does not come up
+			c, err := net.DialTimeout("tcp", l.at.String(), 20*time.Millisecond)
+			if err != nil {
+				break
+			}
+			l.fillers = append(l.fillers, c)
+		}
+	case cut:
+		for c := range l.conns {
+			reset(c)
+		}
+	}
+	l.changed.Broadcast()
+}
+
+// reset closes a connection so that the other side sees it break.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// pass waits until bytes go through; false: the link is over.
+func (l *link) pass() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for (l.state == dark || l.state == silent) && !l.over {
+		l.changed.Wait()
+	}
+	return !l.over && l.state == open
+}
+
+func (l *link) serve() {
+	for {
+		l.mu.Lock()
+		for l.state == dark && !l.over {
+			l.changed.Wait()
+		}
+		l.mu.Unlock()
+		c, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		held := l.state == dark // it fell between: this one has come up, and nothing more
+		gone := l.over || l.state == cut
+		if !gone {
+			l.conns[c] = struct{}{}
+		}
+		l.mu.Unlock()
+		if gone {
+			reset(c)
+		} else if held {
+			go func() { l.pass(); l.drop(c) }()
+		} else {
+			go l.carry(c)
+		}
+	}
+}
+
+func (l *link) drop(c net.Conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	reset(c)
+}
+
+// carry passes a connection's bytes on, both ways, as long as the link lets them.
+func (l *link) carry(c net.Conn) {
+	if !l.pass() {
+		l.drop(c)
+		return
+	}
+	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(l.from.Addr(), 0)), Timeout: time.Second}
+	back, err := d.Dial("tcp", l.to.String())
+	if err != nil {
+		l.drop(c)
+		return
+	}
+	l.mu.Lock()
+	l.conns[back] = struct{}{}
+	l.mu.Unlock()
+	var both sync.WaitGroup
+	for _, way := range [][2]net.Conn{{c, back}, {back, c}} {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			buf := make([]byte, 16<<10)
+			for {
+				n, err := way[0].Read(buf)
+				if n > 0 && l.pass() {
+					_, err = way[1].Write(buf[:n])
+				}
+				if err != nil {
+					if err == io.EOF {
+						way[1].(*net.TCPConn).CloseWrite()
+						return
+					}
+					reset(way[0])
+					reset(way[1])
+					return
+				}
+			}
+		}()
+	}
+	both.Wait()
+	l.drop(c)
+	l.drop(back)
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	l.over = true
+	for c := range l.conns {
+		reset(c)
+	}
+	for _, c := range l.fillers {
+		c.Close()
+	}
+	l.changed.Broadcast()
+	l.mu.Unlock()
+	l.listener.Close()
+}
+
+// post carries datagrams between dispatchers: from the address at which i reaches j, to j,
+// as if sent from where j reaches i.
+type post struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	lost    float64 // part of the datagrams that is lost
+	doubled float64
+	late    time.Duration // most that one is held, so that some overtake others
+	deaf    map[[2]int]bool
+	sent    int
+	bytes   int
+	conns   map[[2]int]*net.UDPConn
+	reach   []netip.AddrPort // where each listens
+}
+
+func (p *post) open(i, j int, at netip.AddrPort) error {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return fmt.Errorf("datagrams at %s: %w", at, err)
+	}
+	p.conns[[2]int{i, j}] = c
+	return nil
+}
+
+// serve passes on what i sends to j.
+func (p *post) serve(i, j int) {
+	buf := make([]byte, 2048)
+	c, back := p.conns[[2]int{i, j}], p.conns[[2]int{j, i}]
+	for {
+		n, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		data := append([]byte(nil), buf[:n]...)
+		p.mu.Lock()
+		p.sent++
+		p.bytes += n
+		times := 1
+		if p.rng.Float64() < p.doubled {
+			times = 2
+		}
+		if p.deaf[[2]int{i, j}] || p.rng.Float64() < p.lost {
+			times = 0
+		}
+		hold := time.Duration(p.rng.Float64() * float64(p.late))
+		p.mu.Unlock()
+		for range times {
+			time.AfterFunc(hold, func() { back.WriteToUDPAddrPort(data, p.reach[j]) })
+		}
+	}
+}
+
+func (p *post) close() {
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/lab/processes/script.go
@@ -0,0 +1,182 @@
+package processes
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"go.starlark.net/starlark"
+
+	"yardwharf/internal/script"
+)
+
+// Scenario is an incident for several processes, checked.
+type Scenario struct {
+	Name, About string
+	Zones       []string
+	Dispatchers int // of each zone
+	Senders     int // of each zone
+	Rate        int // messages a second
+	Length      time.Duration
+	Talk        bool   // dispatchers may tell each other something
+	Operator    string // the operator's file
+	Steps       []Step
+	Expect      []Expectation
+}
+
+// Step is a fault at a time, or the end of one.
+type Step struct {
+	At           time.Duration
+	What         string
+	Zone, Sender string
+	Nodes        []int
+	Part         float64
+}
+
+// Expectation holds one figure against a bound.
+type Expectation struct {
+	Figure string
+	Least  bool
+	Bound  float64
+}
+
+// steps are the kinds of steps, each with what it needs.
+var steps = map[string]struct{ zone, nodes, sender bool }{
+	"dark": {zone: true}, "silent": {zone: true}, "cut": {zone: true}, "heal": {zone: true}, "restart": {zone: true}, "lossy": {},
+	"deaf": {nodes: true}, "hears": {nodes: true}, "kill": {nodes: true}, "stop": {nodes: true}, "continue": {nodes: true}, "start": {nodes: true},
+	"drain": {sender: true}, "serve": {sender: true},
+}
+
+// figures are what can be expected of.
+var figures = map[string]func(*Result) float64{
+	"service":      (*Result).Service,
+	"failed":       func(r *Result) float64 { return float64(r.Failed) / float64(max(1, r.Messages)) },
+	"refused":      func(r *Result) float64 { return float64(r.Refused) / float64(max(1, r.Messages)) },
+	"broken":       func(r *Result) float64 { return float64(r.Broken) / float64(max(1, r.Messages)) },
+	"left":         func(r *Result) float64 { return float64(len(r.Left)) },
+	"left_ms":      func(r *Result) float64 { return last(r.Left) },
+	"back":         func(r *Result) float64 { return float64(len(r.Back)) },
+	"back_ms":      func(r *Result) float64 { return last(r.Back) },
+	"false_leaves": func(r *Result) float64 { return float64(r.FalseLeaves) },
+	"changes":      func(r *Result) float64 { return float64(r.Changes) },
+	"attempts":     func(r *Result) float64 { return float64(r.Hits) / float64(max(1, r.Messages)) },
+}
+
+func last(d []time.Duration) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	return float64(d[len(d)-1].Milliseconds())
+}
+
+const mostSteps = 1_000_000
+
+// Load reads a scenario; a fault in it is a *script.Error.
+func Load(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("processes: %w", err)
+	}
+	s := &Scenario{Name: strings.TrimSuffix(filepath.Base(path), ".star")}
+	err = script.Run(script.Options{Path: path, Text: text, MaxSteps: mostSteps,
+		Read:  func(name string) ([]byte, error) { return os.ReadFile(filepath.Join(filepath.Dir(path), name)) },
+		Calls: map[string]script.Func{"about": s.about, "site": s.site, "at": s.at, "expect": s.expect}})
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Zones) == 0 || len(s.Expect) == 0 {
+		return nil, fmt.Errorf("processes: %s: has no site or expects nothing", path)
+	}
+	return s, nil
+}
+
+func (s *Scenario) about(c script.Call) (starlark.Value, error) {
+	a := c.Args("text")
+	s.About = a.NeedStr("text")
+	return starlark.None, a.Done()
+}
+
+func (s *Scenario) site(c script.Call) (starlark.Value, error) {
+	a := c.Args("zones")
+	if len(s.Zones) > 0 {
+		a.Fault("site", "is called twice", "one call")
+	}
+	s.Zones = a.Strs("zones")
+	if len(s.Zones) == 0 {
+		a.Fault("zones", "names none", "one zone at least")
+	}
+	most := mostNodes / max(1, len(s.Zones))
+	s.Dispatchers, s.Senders = a.Number("dispatchers", 2, 1, most), a.Number("senders", 2, 1, most)
+	s.Rate, s.Length = a.Number("rate", 40, 1, 1000), a.Span("length", 10*time.Second, time.Second, 5*time.Minute)
+	s.Talk, s.Operator = !a.Yes("mute"), a.Str("operator", "")
+	return starlark.None, a.Done()
+}
+
+func (s *Scenario) at(c script.Call) (starlark.Value, error) {
+	a := c.Args("time", "what")
+	st := Step{At: a.Span("time", 0, 0, 5*time.Minute), What: a.NeedStr("what"), Zone: a.Str("zone", ""), Sender: a.Str("sender", ""),
+		Part: float64(a.Number("percent", 0, 0, 100)) / 100}
+	need, known := steps[st.What]
+	switch {
+	case !known:
+		a.Fault("what", fmt.Sprintf("is %q", st.What), "one of "+script.Quoted(slices.Sorted(maps.Keys(steps))))
+	case need.zone && !slices.Contains(s.Zones, st.Zone):
+		a.Fault("zone", fmt.Sprintf("is %q", st.Zone), "one of "+script.Quoted(s.Zones))
+	case need.sender && st.Sender == "":
+		a.Fault("sender", "is missing", `a name like "s-0"`)
+	}
+	for _, v := range a.List("dispatchers") {
+		n, err := starlark.AsInt32(v)
+		if err != nil || n < 0 || n >= s.Dispatchers*len(s.Zones) {
+			a.Fault("dispatchers", "holds "+script.Short(v), fmt.Sprintf("numbers from 0 to %d", s.Dispatchers*len(s.Zones)-1))
+			break
+		}
+		st.Nodes = append(st.Nodes, n)
+	}
+	if need.nodes && len(st.Nodes) == 0 {
+		a.Fault("dispatchers", "names none", "a list of numbers")
+	}
+	s.Steps = append(s.Steps, st)
+	return starlark.None, a.Done()
+}
+
+func (s *Scenario) expect(c script.Call) (starlark.Value, error) {
+	a := c.Args("figure")
+	e := Expectation{Figure: a.NeedStr("figure")}
+	if figures[e.Figure] == nil {
+		a.Fault("figure", fmt.Sprintf("is %q", e.Figure), "one of "+script.Quoted(slices.Sorted(maps.Keys(figures))))
+	}
+	least, most := a.Value("least"), a.Value("most")
+	if e.Least = least != nil; (least == nil) == (most == nil) {
+		a.Fault("expect", "has no bound, or two", "least or most")
+	} else {
+		v := most
+		if e.Least {
+			v = least
+		}
+		f, ok := starlark.AsFloat(v)
+		if !ok {
+			a.Fault("bound", "is "+script.Short(v), "a number")
+		}
+		e.Bound = f
+	}
+	s.Expect = append(s.Expect, e)
+	return starlark.None, a.Done()
+}
+
+// Faults are the rules that a run has broken and the figures that are not as expected.
+func (s *Scenario) Faults(r *Result) (faults []string) {
+	faults = append(faults, r.Rules...)
+	for _, e := range s.Expect {
+		v := figures[e.Figure](r)
+		if e.Least && v < e.Bound || !e.Least && v > e.Bound {
+			word := map[bool]string{true: "least", false: "most"}[e.Least]
+			faults = append(faults, fmt.Sprintf("%s is %.3g, expected %.3g at %s", e.Figure, v, e.Bound, word))
+		}
+	}
+	return faults
+}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -27,6 +27,7 @@
 	memberFor = 4 * time.Second        // one that was heard counts as there for so long
 	refresh   = 500 * time.Millisecond // a word is said again after this
 	voices    = 2                      // that must agree
+	anyone    = -1                     // viewers of any zone
 	lookers   = 2                      // dispatchers that look into a zone that was left
 	witnesses = 12                     // that look into one that is accused
 	lookEvery = 300 * time.Millisecond
@@ -293,11 +294,12 @@
 }
 
 // count is how many viewers of a zone say that another is dark, and fine.
+// Where viewers is negative all viewers' words count.
 func (f *Fleet) count(now time.Duration, viewers, zone int) (dark, fine int) {
-	d := f.at(viewers, zone)
+	d := f.at(f.c.Zone, zone)
 	for i := range f.words {
 		w := &f.words[i]
-		if w.at == 0 || int(w.zone) != viewers || d.gen > 0 && w.at < d.since+settle {
+		if w.at == 0 || viewers >= 0 && int(w.zone) != viewers || d.gen > 0 && w.at < d.since+settle {
 			continue
 		}
 		switch age := now - w.at; {
@@ -315,6 +317,11 @@
 func (f *Fleet) decide(now time.Duration, zone int) {
 	d := f.at(f.c.Zone, zone)
 	dark, fine := f.count(now, f.c.Zone, zone)
+	if dark+fine == 0 { // its own viewers have sent nothing there: others' word will do if none differs
+		if dark, fine = f.count(now, anyone, zone); fine > 0 {
+			dark = 0
+		}
+	}
 	switch d.phase {
 	case Gone:
 		hold := min(holdMost, holdLeast<<min(f.falls[zone], 8))
--- /dev/null
+++ b/lab/fleet/drain_inside.star
@@ -0,0 +1,7 @@
+about("A sender of the dark zone drains meanwhile: it gets nothing when the zone returns")
+site(zones = ["a", "b"], dispatchers = 2, senders = 3, rate = 50, length = "12s", operator = "zones()")
+at("3s", "dark", zone = "b")
+at("4s", "drain", sender = "s-1")
+at("7s", "heal", zone = "b")
+expect("false_leaves", most = 0)
+expect("service", least = 0.65)
--- /dev/null
+++ b/lab/fleet/half_a_zone.star
@@ -0,0 +1,6 @@
+about("One of a zone's two senders is gone without a word: the zone is not left")
+site(zones = ["a", "b"], dispatchers = 3, senders = 2, rate = 50, length = "10s", operator = "zones()")
+at("3s", "dark", zone = "b", sender = "s-1")
+at("7s", "heal", zone = "b", sender = "s-1")
+expect("left", most = 0)
+expect("service", least = 0.75)
--- /dev/null
+++ b/lab/fleet/halves.star
@@ -0,0 +1,8 @@
+about("Two zones are cut off from each other, in both ways and for datagrams: each leaves the other")
+site(zones = ["a", "b"], dispatchers = 3, senders = 3, rate = 60, length = "12s", operator = "zones()")
+at("3s", "dark", zone = "b", dispatchers = [0, 2, 4])
+at("3s", "dark", zone = "a", dispatchers = [1, 3, 5])
+at("7s", "heal", zone = "b")
+at("7s", "heal", zone = "a")
+expect("false_leaves", most = 0)
+expect("service", least = 0.85)
--- /dev/null
+++ b/lab/fleet/one_blind.star
@@ -0,0 +1,8 @@
+about("One dispatcher is cut off from all zones: it accuses none")
+site(zones = ["a", "b"], dispatchers = 3, senders = 3, rate = 60, length = "10s", operator = "zones()")
+at("3s", "dark", zone = "a", dispatchers = [0])
+at("3s", "dark", zone = "b", dispatchers = [0])
+at("6s", "heal", zone = "a", dispatchers = [0])
+at("6s", "heal", zone = "b", dispatchers = [0])
+expect("left", most = 0)
+expect("service", least = 0.75)
--- /dev/null
+++ b/lab/fleet/one_cut_off.star
@@ -0,0 +1,6 @@
+about("One dispatcher alone is cut off from a zone: nobody leaves it")
+site(zones = ["a", "b"], dispatchers = 3, senders = 3, rate = 60, length = "10s", operator = "zones()")
+at("3s", "dark", zone = "b", dispatchers = [0])
+at("8s", "heal", zone = "b", dispatchers = [0])
+expect("left", most = 0)
+expect("service", least = 0.85)
--- /dev/null
+++ b/lab/fleet/resets.star
@@ -0,0 +1,6 @@
+about("All connections to a zone are reset, and new ones too, for three seconds")
+site(zones = ["a", "b"], dispatchers = 2, senders = 3, rate = 50, length = "11s", operator = "zones()")
+at("3s", "cut", zone = "b")
+at("6s", "heal", zone = "b")
+expect("false_leaves", most = 0)
+expect("service", least = 0.7)
--- /dev/null
+++ b/lab/fleet/silent_zone.star
@@ -0,0 +1,6 @@
+about("A zone takes connections and answers nothing")
+site(zones = ["a", "b"], dispatchers = 2, senders = 3, rate = 50, length = "12s", operator = "zones()")
+at("3s", "silent", zone = "b")
+at("6s", "heal", zone = "b")
+expect("false_leaves", most = 0)
+expect("service", least = 0.55)
--- /dev/null
+++ b/lab/fleet/zone_dark_alone.star
@@ -0,0 +1,7 @@
+about("The same with dispatchers that may not talk: each finds out alone")
+site(zones = ["a", "b", "c"], dispatchers = 2, senders = 2, rate = 150, length = "16s", mute = True)
+at("3s", "dark", zone = "b")
+at("7s", "restart", zone = "b")
+at("7s", "heal", zone = "b")
+expect("left", most = 0)
+expect("service", least = 0.4)
