--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -180,6 +180,14 @@
 		len(s.ReportFields) != 3 || s.ReportFields[1] != cm.FieldFreeSlots || s.ReportFields[2] != cm.FieldOther {
 		t.Errorf("settings %+v", s)
 	}
+	// A deployment made up: tenants, peers and probes, reports that come with these only.
+	other := strings.NewReplacer(`"inline"`, `"on_probe"`, `"Balancers": 2`, `"Balancers": 2, "OverShareWorth": 0.2, "Prices": {"Probe": 0.0014, "CrossZone": 0.1},
+		"Realms": [{"Name": "a", "QuotaPerS": 9.5, "Fraction": 0.4}, {"Name": "b", "QuotaPerS": 3, "Fraction": 0.1}]`,
+		`"TryLimit"`, `"Peers": true, "Probes": true, "TryLimit"`).Replace(example)
+	if s, err = Settings([]byte(other)); err != nil || len(s.Tenants) != 2 || s.Tenants[0].Name != "a" || s.Tenants[0].Quota != 9.5 || s.OverShareWorth != 0.2 ||
+		s.ProbePrice != 0.0014 || !s.Peers || !s.Probes || s.ReportsInReply || s.ReportFields[1] != cm.FieldFreeSlots {
+		t.Errorf("settings %+v, %v", s, err)
+	}
 	for _, c := range []struct{ cut, with, want string }{
 		{example, "no JSON", "settings"},
 		{`"Balancers": 2,`, "", "Balancers"},
--- a/internal/yardlab/cli_test.go
+++ b/internal/yardlab/cli_test.go
@@ -138,3 +138,22 @@
 		t.Errorf("status %d, %s", status, out)
 	}
 }
+
+// The first command of docs/LAB.md plays the committed scenarios, and passes over what is
+// for others to load; alone, such a file is a clear no.
+func TestPageCommand(t *testing.T) {
+	paths, err := filepath.Glob("../../lab/scenarios/*.star")
+	if err != nil || len(paths) < 13 {
+		t.Fatal(paths, err)
+	}
+	var out, log strings.Builder
+	if status := Main(append([]string{"run", "--seeds", "1"}, paths[:4]...), &out, &log); status != 0 || strings.Count(out.String(), "\n") != 4 {
+		t.Errorf("status %d: %s%s", status, out.String(), log.String())
+	}
+	if status := Main([]string{"run", paths[0]}, &out, &log); status != 1 || !strings.Contains(log.String(), "expects nothing") {
+		t.Errorf("%s alone: status %d: %s", paths[0], status, log.String())
+	}
+	if status := Main([]string{"fleet", "list", "--dir", "../../lab/fleet"}, &out, &log); status != 0 || !strings.Contains(out.String(), "one_cut_off") {
+		t.Errorf("fleet list: status %d: %s%s", status, out.String(), log.String())
+	}
+}
--- a/internal/yardlab/run.go
+++ b/internal/yardlab/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -36,6 +37,9 @@
 				fmt.Fprintf(out, "%-22s %8s %8s %8s %9s %8s %8s %9s\n", "scenario", "service", "worst", "refused", "crossings", "attempts", "pressure", "wall time")
 			}
 			for _, path := range args {
+				if len(args) > 1 && strings.HasPrefix(filepath.Base(path), "_") { // for others to load
+					continue
+				}
 				s, err := scenarioAt(path, log)
 				if err != nil {
 					return err
--- /dev/null
+++ b/lab/fleet/deaf_peers.star
@@ -0,0 +1,6 @@
+about("No datagram gets through at all: room goes by own starts, and all is served")
+site(zones = ["a", "b"], dispatchers = 2, senders = 3, rate = 80, length = "10s", operator = "zones()")
+at("0s", "lossy", percent = 100)
+expect("left", most = 0)
+expect("refused", most = 0.05)
+expect("service", least = 0.85)
--- /dev/null
+++ b/lab/fleet/other_dies.star
@@ -0,0 +1,6 @@
+about("One of two dispatchers is killed and returns: the other carries all without refusing what fits")
+site(zones = ["a", "b"], dispatchers = 1, senders = 3, rate = 80, length = "14s", operator = "zones()")
+at("4s", "kill", dispatchers = [1])
+at("8s", "start", dispatchers = [1])
+expect("refused", most = 0.02)
+expect("service", least = 0.85)
