Draw less of what a slow host would make late, class by class

Cause: suits.go weighed kinds only; a host that has turned slow was thinned at twice the usual run for all classes alike (balancer.go, paceFit), where hearing-book is late at 1.3 times already. Change: a draw also weighs by what the host's pace of late makes of the class's chance.

--- a/room_test.go
+++ b/room_test.go
@@ -129,6 +129,12 @@
 	if tight[0] < 1.5*tight[1] || loose[1] < 1.5*loose[0] {
 		t.Errorf("weights of a tight class %v, of a loose one %v", tight, loose)
 	}
+	slow := &worker{kind: 0, pace: 1.8, paced: f.now}
+	well := &worker{kind: 0, pace: 1, paced: f.now}
+	f.b.now = f.now
+	if hard, easy := f.b.suited(0, slow)/f.b.suited(0, well), f.b.suited(1, slow)/f.b.suited(1, well); hard > 0.6 || easy < 0.95 {
+		t.Errorf("a host 1.8 times slower weighs %.2f for a tight class and %.2f for a loose one", hard, easy)
+	}
 	f.b.s.Classes[1] = f.b.s.Classes[0]
 	f.b.suit()
 	if same := f.b.classes[1].suits.weight; math.Abs(same[0]-same[1]) > 1e-9 {
--- a/suits.go
+++ b/suits.go
@@ -11,14 +11,16 @@
 	suitSteep = 6    // how steeply chances fall as the usual run nears what is allowed
 	suitKeen  = 8    // how strongly draws follow what a class gains at a kind
 	suitMost  = 3    // as a power of e, the most that a draw is moved
+	paceKeen  = 4    // how strongly they follow what a host that has turned slow makes of its chances
 	suitNew   = 0.02 // weight of one run, once there are many
 )
 
 // suits is how long a class's jobs run at each kind, and what draws make of it.
 type suits struct {
-	runs   []float64 // usual run, in seconds at full warmth
-	seen   []int
-	weight []float64 // of a draw; nil while nothing is known
+	runs    []float64 // usual run, in seconds at full warmth
+	seen    []int
+	allowed float64   // seconds that a job may take from its start
+	weight  []float64 // of a draw; nil while nothing is known
 }
 
 // learn takes a run of a job.
@@ -44,8 +46,8 @@
 			best = min(best, ran)
 		}
 	}
-	allowed := c.Aim.Seconds() + max(1, c.Stretch)*best
-	return 1 / (1 + math.Pow(k.runs[kind]/allowed, suitSteep)), true
+	k.allowed = c.Aim.Seconds() + max(1, c.Stretch)*best
+	return 1 / (1 + math.Pow(k.runs[kind]/k.allowed, suitSteep)), true
 }
 
 // suit weighs each kind for each class by what the class gains there beyond what all
@@ -91,10 +93,18 @@
 	}
 }
 
-// suited is the weight of a draw of a worker for a class.
+// suited is the weight of a draw of a worker for a class: by its kind, and less where it is
+// slower of late than its kind. Guards classes with little slack against a slow one sooner
+// than the rest, which loses nothing there yet.
 func (b *Balancer) suited(class int, w *worker) float64 {
-	if k := &b.classes[class].suits; w.kind >= 0 && w.kind < len(k.weight) {
-		return k.weight[w.kind]
+	k := &b.classes[class].suits
+	if w.kind < 0 || w.kind >= len(k.weight) {
+		return 1
 	}
-	return 1
+	weight := k.weight[w.kind]
+	if pace := b.pace(w); pace > 1 && k.allowed > 0 && w.kind < len(k.seen) && k.seen[w.kind] >= suitFew {
+		r := k.runs[w.kind] / k.allowed
+		weight *= math.Pow((1+math.Pow(r, suitSteep))/(1+math.Pow(r*pace, suitSteep)), paceKeen)
+	}
+	return weight
 }
