Let messages wait for room at home before they cross, by what a crossing costs

Change: room.go, mayCross: while a host at home could serve, a message waits there for a part of its patience, by the price of a crossing beside its own worth.

--- a/balancer.go
+++ b/balancer.go
@@ -459,6 +459,7 @@
 	r.came = now
 	r.patience = min(in.Deadline, now+time.Duration(patience*float64(b.slack(in.Class))))
 	r.share = b.share(r)
+	b.meanWorth += (r.class.Worth - b.meanWorth) * valueNew
 	r.value = b.value(r)
 	if v := b.worth(r); b.usualValue == 0 {
 		b.usualValue = v
@@ -481,7 +482,7 @@
 	if best == nil && len(r.split.near) > len(r.split.home) {
 		best = b.drawAmong(r, r.split.near, true)
 	}
-	if best == nil && b.s.TellsStart {
+	if best == nil && b.s.TellsStart && b.mayCross(r) {
 		best = b.drawAmong(r, r.split.m, true)
 	}
 	for n := 0; best == nil && n < redraws && !b.known(); n++ {
--- a/room.go
+++ b/room.go
@@ -21,6 +21,8 @@
 	slotsMost  = 1024                   // a worker is not believed to have more
 	reportsFew = 24                     // reports up to which workers are asked as fast as may be
 	slotsSure  = 3                      // sightings that count
+	crossKeen  = 2.0                    // how long a request waits at home before it crosses, by the crossing's price
+	crossMost  = 0.9                    // of its patience, at most
 	askCost    = 0.003                  // of a request's worth that probes may cost
 	askMost    = 2.0                    // probes for each request taken, whatever the price
 	askGap     = 100 * time.Millisecond // least time between two of a dispatcher's
@@ -114,6 +116,19 @@
 	}
 }
 
+// mayCross says whether a request may leave the zone yet: while a host at home could serve,
+// it waits there for a part of its patience, the longer the more of its worth a crossing
+// costs. Guards against crossings for what would have had room in a moment.
+func (b *Balancer) mayCross(r *request) bool {
+	if !b.known() || r.class.Worth <= 0 || b.s.CrossZonePrice <= 0 ||
+		b.lost[b.s.Zone] >= zoneLost || b.s.Zone < len(b.zonePart) && b.zonePart[b.s.Zone] <= 0 {
+		return true
+	}
+	part := min(crossMost, crossKeen*b.s.CrossZonePrice*b.meanWorth/(r.class.Worth*max(r.share, 0.01)))
+	return float64(b.now-r.came) >= part*float64(r.patience-r.came) ||
+		!slices.ContainsFunc(r.split.near, func(m *member) bool { return b.now >= m.w.shunned && !b.hung(m.w) })
+}
+
 // total is that over all workers.
 func (b *Balancer) total() float64 {
 	if b.heard != nil && b.now != b.summed {
--- a/room_test.go
+++ b/room_test.go
@@ -222,3 +222,33 @@
 	f.end(f.last(), Cancelled)
 	used("called off while it waits", 0)
 }
+
+// What is worth little beside the price of a crossing waits longer for room at home; where
+// home can serve nothing, nothing waits for it.
+func TestWaitsAtHome(t *testing.T) {
+	s := asked(Class{Effect: Safe, Aim: time.Second}, Class{Effect: Safe, Aim: time.Second})
+	s.Zones, s.Zone, s.CrossZonePrice, s.Cancel, s.ParallelTries = []string{"here", "there"}, 0, 0.1, false, false
+	f := start(t, s, 2) // worker 2 is at home
+	f.b.s.Classes[0].Worth, f.b.s.Classes[1].Worth, f.b.meanWorth = 1, 9, 5
+	f.b.Probed(f.now, 1, OK, 0, []float32{0, 0, 1})
+	f.request(1, 0)
+	f.b.Note(f.now, 1, 0, Started, 0)
+	crossed := func(id RequestID, class int) time.Duration {
+		before, from := len(f.sends), f.now
+		for f.request(id, class); len(f.sends) == before && f.now < from+time.Second; f.wait(10 * ms) {
+		}
+		if f.last().id != id || f.last().worker != 1 {
+			t.Fatalf("request %d has not crossed: %v, answer %q", id, f.last(), f.answers[id])
+		}
+		f.b.Note(f.now, id, 0, Started, 0)
+		f.end(f.last(), OK)
+		return f.now - from
+	}
+	if cheap, dear := crossed(2, 0), crossed(3, 1); cheap < 400*ms || dear > 100*ms || dear == 0 {
+		t.Errorf("one of little worth crosses after %v, one of much after %v", cheap, dear)
+	}
+	f.b.strike(f.b.byID[2])
+	if took := crossed(4, 0); took != 0 {
+		t.Errorf("with no host at home it crosses after %v", took)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	limit      float64       // most own attempts out; +Inf until waits grow
 	busy       int           // requests in work and unanswered
 	peak       int           // most of those, this round
+	meanWorth  float64       // what requests are worth, of late
 	usualValue float64       // what requests are worth a second of work, of late
 	inTime     float64       // service times and part of the aims of what was completed, this round
 	ended      int           // completed attempts, this round
