--- a/balancer.go
+++ b/balancer.go
@@ -763,7 +763,7 @@
 			a.w.sign = now
 			a.usual = b.classes[r.Class].service
 			a.w.run(a, 1)
-			b.learnRoom(a.w, now-a.sent <= max(copyLeast, time.Duration(waitFew*float64(b.slack(r.Class)))))
+			a.w.learnRoom(now-a.sent <= max(copyLeast, time.Duration(waitFew*float64(b.slack(r.Class)))))
 			b.settle(r, n, false)
 		}
 	}
--- a/room.go
+++ b/room.go
@@ -14,8 +14,7 @@
 
 const (
 	roomUp     = 0.25                   // a job that starts at once with all room taken adds this to it
-	roomDown   = 0.25                   // one that waits takes this, ...
-	roomFall   = 0.5                    // ... or this where own starts are all that is known
+	roomDown   = 0.25                   // one that waits takes this
 	roomPart   = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
 	roomAgain  = 8 * time.Second        // a worker without room that looks empty gets a job this often
 	slotsMost  = 1024                   // a worker is not believed to have more
@@ -30,12 +29,9 @@
 )
 
 // learnRoom follows how many jobs a worker starts at once, as one has started there.
-func (b *Balancer) learnRoom(w *worker, atOnce bool) {
-	if down := roomDown; !atOnce {
-		if !b.known() {
-			down = roomFall
-		}
-		w.room = max(0, w.room-down)
+func (w *worker) learnRoom(atOnce bool) {
+	if !atOnce {
+		w.room = max(0, w.room-roomDown)
 	} else if w.used()+1 > w.room {
 		w.room += roomUp
 	}
