Count on peers only where there are addresses for them, and check the zone in one place

Cause: settings that allow peers without peer_listen in the configuration made room.go, alone, let all work through as if others told what they use; mayCross indexed the own zone unchecked, which a negative MyZone would end in a panic. Change: config.go takes Peers back there; zoneFit checks.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,6 +120,8 @@
 	if c.Peers, err = f.addresses(&c.Settings); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	// Guards decisions that go by what others tell from waiting for what nobody can.
+	c.Settings.Peers = c.Peers.Listen.IsValid()
 	return c, c.bounds()
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -24,11 +24,11 @@
 // Addresses of peers count where the settings let dispatchers talk, and there are some.
 func TestPeers(t *testing.T) {
 	c, err := load(t, fleet, nil)
-	if err != nil || len(c.Peers.Peers) != 2 || c.Peers.All.String() != "127.0.0.9:7946" || c.Peers.Listen.Port() != 7946 {
+	if err != nil || !c.Settings.Peers || len(c.Peers.Peers) != 2 || c.Peers.All.String() != "127.0.0.9:7946" || c.Peers.Listen.Port() != 7946 {
 		t.Errorf("%+v, %v", c, err)
 	}
 	for _, not := range []string{`"Peers":true,`, `"peer_listen":"127.0.0.1:7946",`} {
-		if c, err = load(t, strings.Replace(fleet, not, "", 1), nil); err != nil || c.Peers.Listen.IsValid() {
+		if c, err = load(t, strings.Replace(fleet, not, "", 1), nil); err != nil || c.Peers.Listen.IsValid() || c.Settings.Peers {
 			t.Errorf("without %s: %+v, %v", not, c, err)
 		}
 	}
--- a/room.go
+++ b/room.go
@@ -117,7 +117,7 @@
 // costs. Guards against crossings for what would have had room in a moment.
 func (b *Balancer) mayCross(r *request) bool {
 	if !b.known() || r.class.Worth <= 0 || b.s.CrossZonePrice <= 0 ||
-		b.lost[b.s.Zone] >= zoneLost || b.s.Zone < len(b.zonePart) && b.zonePart[b.s.Zone] <= 0 {
+		b.lost[b.s.Zone] >= zoneLost || !b.zoneFit(b.s.Zone) {
 		return true
 	}
 	part := min(crossMost, crossKeen*b.s.CrossZonePrice*b.meanWorth/(r.class.Worth*max(r.share, 0.01)))
