--- a/internal/app/leave.go
+++ b/internal/app/leave.go
@@ -47,7 +47,7 @@
 	}
 	given := min(longest, leaveMost) + leaveExtra
 	p.dispatcher.EndBy(now + given - leaveMargin)
-	p.loop.Set(&p.timer, now+given/2)
+	p.loop.Set(&p.timer, now+given*85/100)
 }
 
 func (p *program) wait() {
@@ -61,6 +61,9 @@
 			p.saveJobs()
 			p.jobsAPI.Close()
 		}
+		if p.peers != nil {
+			p.peers.Close()
+		}
 		if p.xds != nil {
 			p.xds.link.Close()
 		}
