--- a/room.go
+++ b/room.go
@@ -114,9 +114,10 @@
 
 // mayCross says whether a request may leave the zone yet: while a host at home could serve,
 // it waits there for a part of its patience, the longer the more of its worth a crossing
-// costs. Guards against crossings for what would have had room in a moment.
+// costs. Guards against crossings for what would have had room in a moment. Where others'
+// work is not told, home being full is a guess, and waiting for it costs more than it saves.
 func (b *Balancer) mayCross(r *request) bool {
-	if !b.known() || r.class.Worth <= 0 || b.s.CrossZonePrice <= 0 ||
+	if !b.alone() || r.class.Worth <= 0 || b.s.CrossZonePrice <= 0 ||
 		b.lost[b.s.Zone] >= zoneLost || !b.zoneFit(b.s.Zone) {
 		return true
 	}
