Leave a zone by hand: told to one dispatcher, followed by the fleet, kept over restarts

Need: a zone that is to be worked on, or fails in a way that no answer tells, could only be left host by host at each dispatcher's door.

Change: one register a zone with a generation goes with the fleet's words, as a decision of viewers that cannot be, which earlier builds pass over; nobody looks there and no evidence ends it while it says away. /ops/zones, yardwharf zone leave|return|status, kept in the handover's state, which now also keeps whole lines of another build.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -3,6 +3,7 @@
 package admin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -30,10 +31,15 @@
 	acceptPause = 50 * time.Millisecond
 )
 
-// ErrUnknown says that an id was never listed.
-var ErrUnknown = errors.New("admin: no such host was ever listed")
+// ErrUnknown says that an id was never listed, ErrNot that what is named is not there, and
+// ErrConflict that things do not stand so that it can be done.
+var (
+	ErrUnknown  = errors.New("admin: no such host was ever listed")
+	ErrNot      = errors.New("admin: no such thing")
+	ErrConflict = errors.New("admin: not as things stand")
+)
 
-// Calls is what operators can ask for. An error is a no; ErrUnknown is told apart.
+// Calls is what operators can ask for. An error is a no; those above are told apart.
 type Calls interface {
 	// Serving says whether this process can serve.
 	Serving() bool
@@ -42,6 +48,9 @@
 	Up(host string) error
 	// Drain sends clients away, or takes them in again.
 	Drain(on bool) error
+	// Zone has the fleet leave a zone by hand, or return to it; Zones tells of all, as JSON.
+	Zone(name string, away bool) error
+	Zones() (string, error)
 }
 
 // Door listens for operators.
@@ -220,7 +229,7 @@
 	c.d.loop.Set(&c.timer, c.d.loop.Now()+c.d.linger)
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 
 // call does what a whole head asks for.
@@ -236,11 +245,13 @@
 	case string(h.Method) != method:
 		return 405, "the method is " + method, method
 	}
-	switch err := do(); {
+	switch text, err := do(); {
 	case err == nil:
-		return 200, "yes", ""
-	case errors.Is(err, ErrUnknown):
+		return 200, cmp.Or(text, "yes"), ""
+	case errors.Is(err, ErrUnknown), errors.Is(err, ErrNot):
 		return 404, err.Error(), ""
+	case errors.Is(err, ErrConflict):
+		return 409, err.Error(), ""
 	case errors.Is(err, errID):
 		return 400, err.Error(), ""
 	case errors.Is(err, errNotYet):
@@ -257,36 +268,39 @@
 )
 
 // route finds what a path asks for; nil where there is no such call.
-func (d *Door) route(path string) (do func() error, method string) {
+func (d *Door) route(path string) (do func() (string, error), method string) {
 	switch path {
 	case "/ops/readiness":
-		return func() error {
+		return func() (string, error) {
 			if !d.calls.Serving() {
-				return errNotYet
+				return "", errNotYet
 			}
-			return nil
+			return "", nil
 		}, "GET"
+	case "/ops/zones":
+		return d.calls.Zones, "GET"
 	case "/ops/drain/start":
-		return func() error { return d.calls.Drain(true) }, "POST"
+		return func() (string, error) { return "", d.calls.Drain(true) }, "POST"
 	case "/ops/drain/stop":
-		return func() error { return d.calls.Drain(false) }, "POST"
+		return func() (string, error) { return "", d.calls.Drain(false) }, "POST"
 	}
-	act := d.calls.Down
-	id, found := strings.CutPrefix(path, "/ops/senders/down/")
-	if !found {
-		act = d.calls.Up
-		if id, found = strings.CutPrefix(path, "/ops/senders/up/"); !found {
-			return nil, ""
+	for _, named := range []struct {
+		path string
+		act  func(string) error
+	}{{"/ops/senders/down/", d.calls.Down}, {"/ops/senders/up/", d.calls.Up},
+		{"/ops/zones/leave/", func(zone string) error { return d.calls.Zone(zone, true) }},
+		{"/ops/zones/return/", func(zone string) error { return d.calls.Zone(zone, false) }}} {
+		id, found := strings.CutPrefix(path, named.path)
+		if !found || id == "" || strings.Contains(id, "/") {
+			continue
 		}
+		return func() (string, error) {
+			name, err := url.PathUnescape(id) // once: a name may hold a percent sign itself
+			if err != nil || strings.ContainsFunc(name, func(r rune) bool { return r == '/' || r < ' ' || r == 0x7f }) {
+				return "", errID
+			}
+			return "", named.act(name)
+		}, "POST"
 	}
-	if strings.Contains(id, "/") || id == "" {
-		return nil, ""
-	}
-	return func() error {
-		name, err := url.PathUnescape(id) // once: a name may hold a percent sign itself
-		if err != nil || strings.ContainsFunc(name, func(r rune) bool { return r == '/' || r < ' ' || r == 0x7f }) {
-			return errID
-		}
-		return act(name)
-	}, "POST"
+	return nil, ""
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -36,6 +36,11 @@
 	}
 	return nil
 }
+func (d *desk) Zones() (string, error) { return `{"zones":[]}`, nil }
+func (d *desk) Zone(name string, away bool) error {
+	d.asked = append(d.asked, fmt.Sprint("zone ", name, " ", away))
+	return map[string]error{"none": ErrNot, "last": ErrConflict}[name]
+}
 func (d *desk) Up(host string) error {
 	d.asked = append(d.asked, "up "+host)
 	return nil
@@ -115,6 +120,12 @@
 		{"POST /ops/senders/up/s%2d1%2525 HTTP/1.1\r\n\r\n", 200, "up s-1%25"},
 		{"POST /ops/senders/down/never HTTP/1.1\r\n\r\n", 404, "down never"},
 		{"POST /ops/senders/down/full HTTP/1.1\r\n\r\n", 500, "down full"},
+		{"GET /ops/zones HTTP/1.1\r\n\r\n", 200, ""},
+		{"POST /ops/zones/leave/a%20b HTTP/1.1\r\n\r\n", 200, "zone a b true"},
+		{"POST /ops/zones/return/a HTTP/1.1\r\n\r\n", 200, "zone a false"},
+		{"POST /ops/zones/leave/none HTTP/1.1\r\n\r\n", 404, "zone none true"},
+		{"POST /ops/zones/leave/last HTTP/1.1\r\n\r\n", 409, "zone last true"},
+		{"GET /ops/zones/leave/a HTTP/1.1\r\n\r\n", 405, ""},
 		{"POST /ops/senders/down/a%2fb HTTP/1.1\r\n\r\n", 400, ""},
 		{"POST /ops/senders/down/a%zz HTTP/1.1\r\n\r\n", 400, ""},
 		{"POST /ops/senders/down/a/b HTTP/1.1\r\n\r\n", 404, ""},
--- a/internal/app/operations.go
+++ b/internal/app/operations.go
@@ -232,6 +232,9 @@
 	if p.fleet.SetOut(p.loop.Now(), p.operations.state.Out) {
 		p.tell(yardwharf.ListOwn)
 	}
+	if p.zones != nil {
+		p.obey(p.operations.state.Zones)
+	}
 	p.settle()
 }
 
--- a/internal/app/zones.go
+++ b/internal/app/zones.go
@@ -1,10 +1,16 @@
 package app
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"yardwharf"
+	"yardwharf/internal/admin"
+	"yardwharf/internal/handover"
 	"yardwharf/internal/loop"
 	"yardwharf/internal/membership"
 	"yardwharf/internal/operator"
@@ -47,6 +53,7 @@
 		z.told = append(z.told, zones.Seen(s))
 	}
 	t := z.fleet.Turn(now, z.told)
+	p.keepOrders()
 	for _, peer := range t.Tell {
 		p.peers.TellOne(peer, peers.Zones, t.Message)
 	}
@@ -66,6 +73,75 @@
 	p.loop.Set(&z.timer, now+zonesTurn)
 }
 
+// obey has the decisions do what was asked of zones by hand, here or in the other process.
+func (p *program) obey(asked map[string]handover.Zone) {
+	for name, o := range asked {
+		if zone := slices.Index(p.config.Settings.Zones, name); zone >= 0 {
+			p.zones.fleet.Obey(zone, zones.Order(o))
+		}
+	}
+}
+
+// keepOrders writes down what was asked of zones elsewhere, so that it outlives this process.
+func (p *program) keepOrders() {
+	kept := p.operations.state.Zones
+	news := map[string]handover.Zone{}
+	for zone, name := range p.config.Settings.Zones {
+		if o := p.zones.fleet.Order(zone); o.Over(zones.Order(kept[name])) {
+			news[name] = handover.Zone(o)
+			p.log.Warn().Str("zone", name).Bool("away", o.Away).Uint16("order", o.Gen).Msg("zone by hand")
+		}
+	}
+	if len(news) == 0 || p.loop.Now() < p.operations.rest {
+		return
+	}
+	wish := func(s *handover.State) { maps.Copy(s.Zones, news) }
+	if p.operations.store == nil {
+		wish(&p.operations.state)
+		return
+	}
+	err := p.operations.store.Change(wish)
+	if p.write(err); err == nil {
+		p.operations.state = *p.operations.store.State()
+	}
+}
+
+// Zone implements admin.Calls.
+func (c calls) Zone(name string, away bool) error {
+	if c.p.zones == nil {
+		return errNoZones
+	}
+	zone := slices.Index(c.p.config.Settings.Zones, name)
+	if zone < 0 {
+		return fmt.Errorf("%w: zone %q; there are %s", admin.ErrNot, name, strings.Join(c.p.config.Settings.Zones, ", "))
+	}
+	o, err := c.p.zones.fleet.Ask(c.p.loop.Now(), zone, away)
+	if err != nil {
+		return fmt.Errorf("%w: %w", admin.ErrConflict, err)
+	}
+	if err := c.p.change(func(s *handover.State) { s.Zones[name] = handover.Zone(o) }); err != nil {
+		return err
+	}
+	c.p.log.Warn().Str("zone", name).Bool("away", away).Uint16("order", o.Gen).Msg("zone by hand")
+	return nil
+}
+
+// Zones implements admin.Calls.
+func (c calls) Zones() (string, error) {
+	if c.p.zones == nil {
+		return "", errNoZones
+	}
+	var list []operator.ZoneStatus
+	for zone, name := range c.p.config.Settings.Zones {
+		s := c.p.zones.fleet.Status(c.p.loop.Now(), zone)
+		list = append(list, operator.ZoneStatus{Zone: name, Phase: s.Phase.String(), Part: s.Part, ByHand: s.Order.Away, Dark: s.Dark, Fine: s.Fine})
+	}
+	text, err := json.Marshal(list)
+	return string(text), err
+}
+
+var errNoZones = fmt.Errorf("%w: zones() is not in the operator's file", admin.ErrNot)
+
 // restarted tells the decisions which zones have hosts that have started anew.
 func (z *fleetZones) restarted(hosts []membership.Host) {
 	for i := range hosts {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -126,7 +126,7 @@
 		Use: "version", Short: "Say which build this is", Args: none,
 		Run: func(*cobra.Command, []string) { fmt.Fprintln(out, build()) },
 	}
-	root.AddCommand(runs, check, version, jobsCommand(out))
+	root.AddCommand(runs, check, version, jobsCommand(out), zoneCommand(out))
 	return root
 }
 
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -17,6 +17,9 @@
 // listedMost bounds the names that are kept: the oldest go.
 const listedMost = 10_000
 
+// unknownMost bounds the lines that are kept for another build.
+const unknownMost = 256
+
 const format = 1
 
 // Phase is what a process is at.
@@ -35,17 +38,27 @@
 	Out    map[string]time.Duration // hosts out by hand, and since when
 	Listed []string                 // names of hosts that were listed once, the oldest first
 	Runs   map[string]Phase         // processes, by their tokens
+	Zones  map[string]Zone          // what is asked of zones by hand
 	Lesson json.RawMessage          // what a process has learned, for the one that takes over; nil: nothing
+
+	unknown []json.RawMessage // whole lines of another build, which are kept for it
+}
+
+// Zone is what is asked of a zone: the higher generation is the later wish.
+type Zone struct {
+	Gen  uint16 `json:"gen"`
+	Away bool   `json:"away"`
 }
 
 // NewState returns a State that says nothing.
 func NewState() State {
-	return State{Out: map[string]time.Duration{}, Runs: map[string]Phase{}}
+	return State{Out: map[string]time.Duration{}, Runs: map[string]Phase{}, Zones: map[string]Zone{}}
 }
 
 // Clone is a copy that can be changed.
 func (s *State) Clone() State {
-	return State{Drain: s.Drain, Out: maps.Clone(s.Out), Listed: slices.Clone(s.Listed), Runs: maps.Clone(s.Runs), Lesson: s.Lesson}
+	return State{Drain: s.Drain, Out: maps.Clone(s.Out), Listed: slices.Clone(s.Listed), Runs: maps.Clone(s.Runs), Zones: maps.Clone(s.Zones), Lesson: s.Lesson,
+		unknown: slices.Clone(s.unknown)}
 }
 
 // Has says whether a name was listed.
@@ -82,6 +95,9 @@
 	Phase      Phase         `json:"phase,omitempty"`
 
 	Lesson json.RawMessage `json:"lesson,omitempty"`
+
+	Zone  string `json:"zone,omitempty"`
+	Asked *Zone  `json:"asked,omitempty"`
 }
 
 // text writes a State down: a line for each thing, with a checksum in front.
@@ -96,6 +112,10 @@
 	for _, token := range slices.Sorted(maps.Keys(s.Runs)) {
 		records = append(records, record{Run: token, Phase: s.Runs[token]})
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.Zones)) {
+		z := s.Zones[name]
+		records = append(records, record{Zone: name, Asked: &z})
+	}
 	if s.Lesson != nil {
 		records = append(records, record{Lesson: s.Lesson})
 	}
@@ -103,12 +123,16 @@
 		records = append(records, record{Listed: name})
 	}
 	var out []byte
+	put := func(line []byte) { out = fmt.Appendf(out, "%08x %s\n", crc32.ChecksumIEEE(line), line) }
 	for i := range records {
 		line, err := json.Marshal(&records[i])
 		if err != nil {
 			return nil, fmt.Errorf("handover: %w", err)
 		}
-		out = fmt.Appendf(out, "%08x %s\n", crc32.ChecksumIEEE(line), line)
+		put(line)
+	}
+	for _, line := range s.unknown {
+		put(line)
 	}
 	return out, nil
 }
@@ -143,6 +167,10 @@
 			names = append(names, r.Listed)
 		case r.Run != "" && !strings.ContainsAny(r.Run, "/."): // it names a file
 			s.Runs[r.Run] = r.Phase
+		case r.Zone != "" && r.Asked != nil:
+			s.Zones[r.Zone] = *r.Asked
+		case r.Run == "" && len(s.unknown) < unknownMost:
+			s.unknown = append(s.unknown, json.RawMessage(content))
 		}
 	}
 	s.List(names)
--- a/internal/lab/processes/parties.go
+++ b/internal/lab/processes/parties.go
@@ -136,6 +136,7 @@
 	if a, err := netip.ParseAddr(host); err == nil {
 		from = int(a.As4()[2]) - linksFrom
 	}
+	s.r.astray(s.zone)
 	s.mu.Lock()
 	s.hits++
 	if told, yes := s.told[from]; yes && now.Sub(told) > grace+300*time.Millisecond {
--- a/internal/lab/processes/script.go
+++ b/internal/lab/processes/script.go
@@ -48,7 +48,7 @@
 var steps = map[string]struct{ zone, nodes, sender bool }{
 	"dark": {zone: true}, "silent": {zone: true}, "cut": {zone: true}, "heal": {zone: true}, "restart": {zone: true}, "lossy": {},
 	"deaf": {nodes: true}, "hears": {nodes: true}, "kill": {nodes: true}, "stop": {nodes: true}, "continue": {nodes: true}, "start": {nodes: true},
-	"drain": {sender: true}, "serve": {sender: true},
+	"leave": {zone: true, nodes: true}, "return": {zone: true, nodes: true}, "drain": {sender: true}, "serve": {sender: true},
 }
 
 // figures are what can be expected of.
@@ -62,6 +62,7 @@
 	"back":         func(r *Result) float64 { return float64(len(r.Back)) },
 	"back_ms":      func(r *Result) float64 { return last(r.Back) },
 	"false_leaves": func(r *Result) float64 { return float64(r.FalseLeaves) },
+	"astray":       func(r *Result) float64 { return float64(r.Astray) },
 	"changes":      func(r *Result) float64 { return float64(r.Changes) },
 	"attempts":     func(r *Result) float64 { return float64(r.Hits) / float64(max(1, r.Messages)) },
 }
--- a/internal/operator/zones.go
+++ b/internal/operator/zones.go
@@ -13,6 +13,16 @@
 	Pos   syntax.Position
 }
 
+// ZoneStatus is what a dispatcher tells at its door of a zone.
+type ZoneStatus struct {
+	Zone   string  `json:"zone"`
+	Phase  string  `json:"phase"`
+	Part   float64 `json:"part"`    // of its draws
+	ByHand bool    `json:"by_hand"` // left so
+	Dark   int     `json:"dark"`    // dispatchers of the own zone that say so
+	Fine   int     `json:"fine"`
+}
+
 func (r *reader) zones(c script.Call) (starlark.Value, error) {
 	a := c.Args()
 	if r.file.Zones != nil {
--- a/internal/zones/message.go
+++ b/internal/zones/message.go
@@ -21,7 +21,7 @@
 // write says what is decided, the own viewers' first, and as many words as fit: the own
 // one, then those that say dark, then others, each from a place drawn anew.
 func (f *Fleet) write(now time.Duration) []byte {
-	buf := []byte{layout, 0}
+	buf := f.writeOrders([]byte{layout, 0})
 	put := func(viewers, zone int) {
 		d := f.decided[[2]uint8{uint8(viewers), uint8(zone)}]
 		if d == nil || d.gen == 0 || buf[1] == decisionsMost || len(buf)+decisionBytes+wordBytes > f.c.Room {
@@ -98,6 +98,10 @@
 
 // hearDecision takes a decision that has a higher generation, or the same and is more careful.
 func (f *Fleet) hearDecision(now time.Duration, viewers, zone int, d decision) {
+	if viewers == byHand && d.gen > 0 && (d.phase == Here || d.phase == Gone) {
+		f.Obey(zone, Order{d.gen, d.phase == Gone})
+		return
+	}
 	if viewers >= f.c.Zones || zone >= f.c.Zones || d.phase > Gone || d.gen == 0 {
 		return
 	}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -112,6 +112,7 @@
 	falls     []int
 	fell      []time.Duration
 	restarted []bool
+	orders    []Order // by zone, by hand
 	news      []Change
 }
 
@@ -152,7 +153,8 @@
 	}
 	return &Fleet{c: c, rng: rand.New(rand.NewPCG(c.Seed, 0x7a6f6e65)), words: make([]word, c.Dispatchers),
 		decided: map[[2]uint8]*decision{}, seen: make([]sight, c.Zones), accused: make([]time.Duration, c.Zones), looked: make([]time.Duration, c.Zones),
-		answers: make([]int, c.Zones), falls: make([]int, c.Zones), fell: make([]time.Duration, c.Zones), restarted: make([]bool, c.Zones)}, nil
+		answers: make([]int, c.Zones), falls: make([]int, c.Zones), fell: make([]time.Duration, c.Zones), restarted: make([]bool, c.Zones),
+		orders: make([]Order, c.Zones)}, nil
 }
 
 // at is the decision of the viewers of a zone on another; it is made where there is none.
@@ -316,6 +318,12 @@
 // decide moves the phase of a zone for this dispatcher's viewers.
 func (f *Fleet) decide(now time.Duration, zone int) {
 	d := f.at(f.c.Zone, zone)
+	if f.orders[zone].Away {
+		if d.phase != Gone {
+			f.move(now, zone, Gone, 0, 0)
+		}
+		return
+	}
 	dark, fine := f.count(now, f.c.Zone, zone)
 	if dark+fine == 0 { // its own viewers have sent nothing there: others' word will do if none differs
 		if dark, fine = f.count(now, anyone, zone); fine > 0 {
@@ -393,7 +401,7 @@
 func (f *Fleet) look(now time.Duration) (zones []int) {
 	for z := range f.c.Zones {
 		d := f.at(f.c.Zone, z)
-		left := d.phase == Gone && f.chosen(now, z, d.gen, lookers)
+		left := d.phase == Gone && !f.orders[z].Away && f.chosen(now, z, d.gen, lookers)
 		asked := d.phase != Gone && f.accused[z] > 0 && f.verdict(now, z) == None && f.chosen(now, z, d.gen, witnesses)
 		if now-f.looked[z] < lookEvery || !left && !asked {
 			continue
@@ -426,8 +434,8 @@
 
 // busy says whether there is something to decide: somebody says dark, or a zone is not here.
 func (f *Fleet) busy(now time.Duration) bool {
-	for _, d := range f.decided {
-		if d.phase != Here {
+	for k, d := range f.decided {
+		if d.phase != Here && !(f.orders[k[1]].Away && now-d.since > quiet) {
 			return true
 		}
 	}
