Look elsewhere when a zone falls silent, and measure whole fleets: yardlab fleet model

Need: leaving as a fleet was not held against each dispatcher alone, nor measured at 1,000. Cause: one accuses a zone only after another has answered since (well), and with so few ends it waits over a second for that answer.

Change: one that meets with silence and has no answer from elsewhere probes the other zones (unsure). The fleet in virtual time, so far in a test, is internal/lab/zoneyard; fleet model plays each seed as a fleet and alone, and as many runs with single dispatchers cut off.

--- a/internal/yardlab/fleet.go
+++ b/internal/yardlab/fleet.go
@@ -11,13 +11,15 @@
 	"github.com/spf13/cobra"
 
 	"yardwharf/internal/lab/processes"
+	"yardwharf/internal/lab/zoneyard"
 	"yardwharf/internal/script"
+	"yardwharf/internal/zones"
 )
 
 // fleetCommand plays incidents against several real processes of the dispatcher.
 func fleetCommand(out, log io.Writer) *cobra.Command {
 	c := &cobra.Command{Use: "fleet", Short: "Play incidents against several processes, with faults between them"}
-	c.AddCommand(fleetRun(out, log), fleetList(out, log))
+	c.AddCommand(fleetRun(out, log), fleetList(out, log), fleetModel(out))
 	return c
 }
 
@@ -116,3 +118,51 @@
 	c.Flags().StringVar(&dir, "dir", "lab/fleet", "the folder")
 	return c
 }
+
+// fleetModel measures the decisions on zones in virtual time.
+func fleetModel(out io.Writer) *cobra.Command {
+	o := zoneyard.Options{Zones: 3}
+	var sizes []int
+	var seeds, loss int
+	c := &cobra.Command{Use: "model", Short: "Measure how fleets of any size leave a zone and return, in virtual time",
+		Long: `For each size play so many seeds of a fleet that loses a zone for 10 s and has it back
+cold, beside the same seeds by each dispatcher alone, and as many in which single
+dispatchers are cut off. Times are those until 95% have left (as a fleet, alone), their
+ratio, and until all are home; messages sent into the dark a run, as a fleet and alone; phases entered a dispatcher; runs
+with a false leave; datagrams and bytes a second at rest and around a loss; the time of a turn.
+The status is 1 if there was a false leave, or one that did not leave or come home.`,
+		Example: "  yardlab fleet model --dispatchers 3,30,300 --loss 30 --seeds 100",
+		Args:    exactly(0, "no arguments"),
+		RunE: func(*cobra.Command, []string) error {
+			if loss < 0 || loss > 99 || seeds < 1 || o.Rate <= 0 || o.Zones < 2 || o.Zones > zones.Most {
+				return usageError{fmt.Errorf("fleet model: --loss is from 0 to 99, --seeds at least 1, --rate over 0, --zones from 2 to %d", zones.Most)}
+			}
+			o.Loss = float64(loss) / 100
+			bad := false
+			fmt.Fprintln(out, "fleet ", zoneyard.Head)
+			for _, n := range sizes {
+				if n < 2*o.Zones {
+					return usageError{fmt.Errorf("fleet model: --dispatchers: %d cannot agree in %d zones, %d at least", n, o.Zones, 2*o.Zones)}
+				}
+				o.Dispatchers = n
+				m, err := zoneyard.Take(o, seeds)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(out, "%6d %v\n", n, &m)
+				bad = bad || m.False > 0 || zoneyard.Quantile(1, m.Left) < 0 || zoneyard.Quantile(1, m.Home) < 0
+			}
+			if bad {
+				return errTold
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.IntSliceVar(&sizes, "dispatchers", []int{6, 30, 300}, "sizes of the fleet")
+	f.IntVar(&o.Zones, "zones", 3, "zones")
+	f.IntVar(&seeds, "seeds", 20, "runs of each size")
+	f.IntVar(&loss, "loss", 30, "percent of the datagrams that are lost")
+	f.Float64Var(&o.Rate, "rate", 1.5, "ends a second that a dispatcher has in each zone")
+	f.DurationVar(&o.Ramp, "warm-up", 10*time.Second, "of hosts that start anew")
+	return c
+}
--- a/internal/zones/hand.go
+++ b/internal/zones/hand.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"strings"
 	"time"
 )
 
@@ -68,6 +70,8 @@
 type Status struct {
 	Phase      Phase
 	Part       float64 // of its draws
+	Gen        uint16  // of the decision
+	Falls      int     // within a minute
 	Order      Order
 	Dark, Fine int // words of its viewers
 }
@@ -75,7 +79,8 @@
 // Status tells of a zone.
 func (f *Fleet) Status(now time.Duration, zone int) Status {
 	dark, fine := f.count(now, f.c.Zone, zone)
-	return Status{f.at(f.c.Zone, zone).phase, f.Part(now, zone), f.orders[zone], dark, fine}
+	d := f.at(f.c.Zone, zone)
+	return Status{d.phase, f.Part(now, zone), d.gen, f.falls[zone], f.orders[zone], dark, fine}
 }
 
 // writeOrders adds the orders, so that who hears of a zone that was left by hand hears why.
@@ -96,3 +101,25 @@
 	}
 	return buf
 }
+
+// String is all that others have told or could be told, in one order: two that have heard the
+// same say the same.
+func (f *Fleet) String() string {
+	var out strings.Builder
+	for i := range f.words {
+		if w := &f.words[i]; w.at > 0 && i != f.c.Me {
+			fmt.Fprintf(&out, "word %d: %d %d %x\n", i, w.stamp, w.zone, w.says)
+		}
+	}
+	for viewers := range f.c.Zones {
+		for zone := range f.c.Zones {
+			if d := f.decided[[2]uint8{uint8(viewers), uint8(zone)}]; d != nil && d.gen > 0 {
+				fmt.Fprintf(&out, "zone %d for %d: %d %v\n", zone, viewers, d.gen, d.phase)
+			}
+		}
+	}
+	for zone, o := range f.orders {
+		fmt.Fprintf(&out, "order %d: %+v\n", zone, o)
+	}
+	return out.String()
+}
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -17,8 +17,10 @@
 	// Most is how many zones there may be: two bits each in a word.
 	Most = 16
 
+	// SilentLeast is how many silent ends in a row make a zone dark for a dispatcher.
+	SilentLeast = 2
+
 	window    = time.Second            // an answer shows that a zone is fine for so long
-	darkLeast = 2                      // silent ends in a row that make a zone dark
 	weigh     = 300 * time.Millisecond // from the first word on dark: others have a say
 	settle    = 300 * time.Millisecond // words of before a phase come in for so long
 	fineFor   = time.Second            // others' words on fine count for so long, ...
@@ -244,9 +246,9 @@
 // verdict is what was seen of a zone shows.
 func (f *Fleet) verdict(now time.Duration, zone int) Verdict {
 	switch v := &f.seen[zone]; {
-	case v.silent >= darkLeast && now-v.at <= darkFor:
+	case v.silent >= SilentLeast && now-v.at <= darkFor:
 		return Dark
-	case v.heard == 0 || v.silent >= darkLeast:
+	case v.heard == 0 || v.silent >= SilentLeast:
 	case now-v.heard <= window, f.accused[zone] > 0 && v.heard >= f.accused[zone] && now-v.heard <= fineLate:
 		return Fine
 	}
@@ -403,7 +405,7 @@
 		d := f.at(f.c.Zone, z)
 		left := d.phase == Gone && !f.orders[z].Away && f.chosen(now, z, d.gen, lookers)
 		asked := d.phase != Gone && f.accused[z] > 0 && f.verdict(now, z) == None && f.chosen(now, z, d.gen, witnesses)
-		if now-f.looked[z] < lookEvery || !left && !asked {
+		if now-f.looked[z] < lookEvery || !left && !asked && !f.unsure(now, z) {
 			continue
 		}
 		f.looked[z] = now
@@ -412,6 +414,18 @@
 	return zones
 }
 
+// unsure says whether an answer of a zone would tell that another, which is silent, is to
+// blame and not this dispatcher. Guards one with few messages, which else has to wait for the
+// next before it has a say.
+func (f *Fleet) unsure(now time.Duration, zone int) bool {
+	for z := range f.c.Zones {
+		if z != zone && f.verdict(now, z) == Dark && !f.well(z) {
+			return f.verdict(now, zone) != Dark && f.at(f.c.Zone, zone).phase != Gone
+		}
+	}
+	return false
+}
+
 // chosen says whether this dispatcher is one of the lookers: those of its zone with the
 // highest hashes. All that hear the same of who is there choose the same.
 func (f *Fleet) chosen(now time.Duration, zone int, gen uint16, most int) bool {
