A rolling change in stages that ends itself when a stage does worse

Need: a new build or new settings went to all dispatchers as people put them there; nothing held new against old, and nothing took them back.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -51,6 +51,8 @@
 	// Zone has the fleet leave a zone by hand, or return to it; Zones tells of all, as JSON.
 	Zone(name string, away bool) error
 	Zones() (string, error)
+	// Figures are what the process has done up to now, as JSON.
+	Figures() (string, error)
 }
 
 // Door listens for operators.
@@ -277,6 +279,8 @@
 			}
 			return "", nil
 		}, "GET"
+	case "/ops/figures":
+		return d.calls.Figures, "GET"
 	case "/ops/zones":
 		return d.calls.Zones, "GET"
 	case "/ops/drain/start":
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -36,7 +36,8 @@
 	}
 	return nil
 }
-func (d *desk) Zones() (string, error) { return `{"zones":[]}`, nil }
+func (d *desk) Figures() (string, error) { return "{}", nil }
+func (d *desk) Zones() (string, error)   { return `{"zones":[]}`, nil }
 func (d *desk) Zone(name string, away bool) error {
 	d.asked = append(d.asked, fmt.Sprint("zone ", name, " ", away))
 	return map[string]error{"none": ErrNot, "last": ErrConflict}[name]
@@ -120,6 +121,7 @@
 		{"POST /ops/senders/up/s%2d1%2525 HTTP/1.1\r\n\r\n", 200, "up s-1%25"},
 		{"POST /ops/senders/down/never HTTP/1.1\r\n\r\n", 404, "down never"},
 		{"POST /ops/senders/down/full HTTP/1.1\r\n\r\n", 500, "down full"},
+		{"GET /ops/figures HTTP/1.1\r\n\r\n", 200, ""},
 		{"GET /ops/zones HTTP/1.1\r\n\r\n", 200, ""},
 		{"POST /ops/zones/leave/a%20b HTTP/1.1\r\n\r\n", 200, "zone a b true"},
 		{"POST /ops/zones/return/a HTTP/1.1\r\n\r\n", 200, "zone a false"},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -126,7 +126,9 @@
 		Use: "version", Short: "Say which build this is", Args: none,
 		Run: func(*cobra.Command, []string) { fmt.Fprintln(out, build()) },
 	}
-	root.AddCommand(runs, check, version, jobsCommand(out), zoneCommand(out))
+	root.AddCommand(runs, check, version, jobsCommand(out), zoneCommand(out),
+		beside("steward", "Keep the dispatcher's processes on this machine, for installations without a platform"),
+		beside("rollout", "Take a new build or new settings through the fleet in stages"))
 	return root
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -49,6 +49,7 @@
 	messages map[yardwharf.RequestID]*Message
 	last     yardwharf.RequestID
 	ran      time.Duration
+	counter  counter
 	endBy    time.Duration // messages taken now end by then; 0 while there is no end
 	alarms   []*alarm      // spare ones
 	spare    []*Message    // forgotten ones, to be used again
@@ -56,7 +57,8 @@
 
 // New returns a Dispatcher. What it relays through and learns hosts from is set by Connect.
 func New(l *loop.Loop, s yardwharf.Settings, seed uint64) (*Dispatcher, error) {
-	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}, after: s.MaxRetryAfter, dial: s.DialTimeout}
+	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}, after: s.MaxRetryAfter, dial: s.DialTimeout,
+		counter: counter{s.Classes, make([]Counts, len(s.Classes))}}
 	var err error
 	if d.balancer, err = yardwharf.New(s, seed, actions{d}); err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
@@ -111,9 +113,10 @@
 	} else {
 		m = &Message{}
 	}
-	*m = Message{Payload: p, Deadline: in.Deadline, d: d, id: in.ID, client: c,
+	*m = Message{Payload: p, Deadline: in.Deadline, d: d, id: in.ID, client: c, class: in.Class, came: d.loop.Now(),
 		relays: m.relays[:0], spare: append(m.spare, m.relays...)}
 	d.messages[m.id] = m
+	d.counter.of(m.class).Taken++
 	if d.router != nil {
 		var drop bool
 		if in.Pool, drop = d.router.Route(in.Class); drop {
@@ -131,6 +134,7 @@
 		return
 	}
 	m.settled = true
+	d.counter.of(m.class).Left++
 	d.balancer.Withdrawn(d.loop.Now(), m.id)
 	for _, r := range m.relays {
 		if !r.ended {
@@ -220,6 +224,10 @@
 		a.d.loop.Defer(loop.Func(func() { r.End(yardwharf.Moot, nil, nil) }))
 		return
 	}
+	k := a.d.counter.of(m.class)
+	if k.Relays++; a.d.balancer.Crosses(host) {
+		k.Crossed++
+	}
 	a.d.south.Start(r)
 }
 
@@ -237,6 +245,7 @@
 // Refuse implements yardwharf.Actions.
 func (a actions) Refuse(id yardwharf.RequestID, after time.Duration) {
 	if m := a.settle(id); m != nil {
+		a.d.counter.of(m.class).Refused++
 		m.client.Refused(after)
 	}
 }
@@ -244,6 +253,7 @@
 // Fail implements yardwharf.Actions.
 func (a actions) Fail(id yardwharf.RequestID) {
 	if m := a.settle(id); m != nil {
+		a.d.counter.of(m.class).Failed++
 		m.client.Failed()
 	}
 }
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -40,6 +40,8 @@
 
 	d       *Dispatcher
 	id      yardwharf.RequestID
+	class   int
+	came    time.Duration
 	client  Client
 	relays  []*Relay // by number
 	spare   []*Relay // of messages that used this one before
@@ -93,6 +95,7 @@
 		m.settled = true
 		m.Ran = m.d.loop.Now() - max(r.sent, r.started)
 		m.d.ran += m.Ran
+		m.d.counter.served(m.class, m.d.loop.Now()-m.came, m.Ran)
 		m.client.Served(result)
 	}
 	d := m.d
--- a/internal/lab/processes/processes_test.go
+++ b/internal/lab/processes/processes_test.go
@@ -23,7 +23,7 @@
 	if err == nil {
 		binary = filepath.Join(dir, "yardwharf")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", binary, "yardwharf/cmd/yardwharf").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", "-o", dir+"/", "yardwharf/cmd/yardwharf", "yardwharf/cmd/yardfleet", "yardwharf/cmd/yardlab").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
@@ -38,17 +38,17 @@
 
 // Several processes with faults between them keep the rules and do what the scripts
 // expect: a dark zone with lossy datagrams, dispatchers killed on the way back, one that
-// sees no zone, two halves that are cut off from each other. The other scripts are for
-// yardlab, which plays them all.
+// sees no zone, two halves that are cut off from each other, a zone left by hand, builds that
+// are never ready or crash. The other scripts are for yardlab, which plays them all.
 func TestScenarios(t *testing.T) {
-	for n, name := range []string{"zone_dark_lossy", "killed_in_ramp", "one_blind", "halves"} {
+	for n, name := range []string{"zone_dark_lossy", "killed_in_ramp", "one_blind", "halves", "left_by_hand", "roll_never_ready", "roll_crash"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, err := Load(filepath.Join(folder, name+".star"))
 			if err != nil {
 				t.Fatal(err)
 			}
-			r, err := Run(context.Background(), s, Options{Binary: binary, Net: byte(140 + n), Dir: t.TempDir(), Seed: 1})
+			r, err := Run(context.Background(), s, Options{Binary: binary, Net: byte(140 + n), Dir: t.TempDir(), Seed: 1, Lab: filepath.Join(filepath.Dir(binary), "yardlab")})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/lab/processes/rig.go
+++ b/internal/lab/processes/rig.go
@@ -42,6 +42,7 @@
 	Net    byte   // second part of the loopback addresses
 	Dir    string // for configurations and logs
 	Seed   uint64
+	Lab    string // yardlab, which runs bad builds
 }
 
 // Result is what came of a run.
@@ -54,6 +55,9 @@
 	Astray                                    int             // messages that have come to a zone 3 s after its loss
 	Hits                                      int             // messages that have reached senders
 	Datagrams, Bytes                          int
+	State, Held                               string   // of the rolling change, at the end
+	New                                       int      // dispatchers that run its version then
+	Upgrades                                  int      // and ways back
 	Rules                                     []string // broken ones
 }
 
@@ -82,6 +86,7 @@
 	senders []*sender
 	links   map[[2]int]*link
 	post    *post
+	change  change
 	agents  []*agent
 
 	mu      sync.Mutex
@@ -228,6 +233,9 @@
 		}
 	}
 	clients.Wait()
+	if err := r.endChange(); err != nil {
+		return r.result, fmt.Errorf("processes: %w", err)
+	}
 	return r.sum(), ctx.Err()
 }
 
@@ -325,7 +333,7 @@
 		stretch = append(stretch, 2)
 	}
 	known, _, _ := r.list(n.number)
-	text, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"name": fmt.Sprintf("n%d", n.number), "listen": r.addr(1, byte(n.number+1), 8080).String(), "discovery": r.addr(2, byte(n.number+1), 8500).String(),
 		"admin": r.door(n.number), "peer_listen": r.post.reach[n.number].String(), "peers": peers, "seed": fmt.Sprintf("%x", r.o.Seed+uint64(n.number)),
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "known": known,
@@ -336,7 +344,11 @@
 			"Prices": map[string]any{"CrossZone": 0.1, "Probe": 0.002}, "Report": map[string]any{"Names": []string{"outstanding", "recent_ms", "x0"}, "Source": "on_probe"},
 			"Rules": map[string]any{"DrainGrace": grace.Milliseconds(), "OverloadFactor": factor, "OverloadFor": factorFor.Milliseconds(), "StartCapacity": startPart,
 				"WarmUp": warmUp.Milliseconds()},
-			"Specifics": map[string]any{"ClassStretch": stretch, "TellsStart": true, "ReportX0": "free slots"}}})
+			"Specifics": map[string]any{"ClassStretch": stretch, "TellsStart": true, "ReportX0": "free slots"}}}
+	if r.s.Stewards { // which gives each process its own
+		delete(config, "admin")
+	}
+	text, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
@@ -358,6 +370,9 @@
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return err
 	}
+	if r.s.Stewards {
+		cmd = r.steward(n, folder)
+	}
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+n.config, "TMPDIR="+folder)
 	out, err := cmd.StderrPipe()
 	if err != nil {
@@ -555,6 +570,14 @@
 				return fmt.Errorf("%w: %s", err, out)
 			}
 		}
+	case "rollout":
+		return r.roll(s)
+	case "kill_controller":
+		r.killController()
+	case "hold", "go", "back":
+		if out, err := r.tell(s.What); err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
 	case "kill", "stop", "continue", "start":
 		for _, i := range s.Nodes {
 			if err := r.signal(r.nodes[i], s.What); err != nil {
@@ -629,6 +652,10 @@
 
 // close ends all that the run has started.
 func (r *rig) close() {
+	r.killController()
+	if r.s.Stewards {
+		r.endStewards()
+	}
 	for _, n := range r.nodes {
 		if n.cmd != nil && n.cmd.Process != nil {
 			n.cmd.Process.Signal(syscall.SIGCONT)
--- a/internal/lab/processes/script.go
+++ b/internal/lab/processes/script.go
@@ -11,6 +11,7 @@
 
 	"go.starlark.net/starlark"
 
+	"yardwharf/internal/lab/badbuild"
 	"yardwharf/internal/script"
 )
 
@@ -22,6 +23,7 @@
 	Senders     int // of each zone
 	Rate        int // messages a second
 	Length      time.Duration
+	Stewards    bool   // each dispatcher is kept by one
 	Talk        bool   // dispatchers may tell each other something
 	Operator    string // the operator's file
 	Steps       []Step
@@ -35,6 +37,9 @@
 	Zone, Sender string
 	Nodes        []int
 	Part         float64
+	Build        string // of a rolling change, with its stages in percent
+	Stages       []int
+	Least, Most  time.Duration
 }
 
 // Expectation holds one figure against a bound.
@@ -48,7 +53,7 @@
 var steps = map[string]struct{ zone, nodes, sender bool }{
 	"dark": {zone: true}, "silent": {zone: true}, "cut": {zone: true}, "heal": {zone: true}, "restart": {zone: true}, "lossy": {},
 	"deaf": {nodes: true}, "hears": {nodes: true}, "kill": {nodes: true}, "stop": {nodes: true}, "continue": {nodes: true}, "start": {nodes: true},
-	"leave": {zone: true, nodes: true}, "return": {zone: true, nodes: true}, "drain": {sender: true}, "serve": {sender: true},
+	"rollout": {}, "kill_controller": {}, "hold": {}, "go": {}, "back": {}, "leave": {zone: true, nodes: true}, "return": {zone: true, nodes: true}, "drain": {sender: true}, "serve": {sender: true},
 }
 
 // figures are what can be expected of.
@@ -62,11 +67,24 @@
 	"back":         func(r *Result) float64 { return float64(len(r.Back)) },
 	"back_ms":      func(r *Result) float64 { return last(r.Back) },
 	"false_leaves": func(r *Result) float64 { return float64(r.FalseLeaves) },
+	"done":         func(r *Result) float64 { return yes(r.State == "done") },
+	"stopped":      func(r *Result) float64 { return yes(r.State == "stopped") },
+	"held":         func(r *Result) float64 { return yes(r.Held != "") },
+	"new":          func(r *Result) float64 { return float64(r.New) },
+	"upgrades":     func(r *Result) float64 { return float64(r.Upgrades) },
+	"broken_each":  func(r *Result) float64 { return float64(r.Broken) / float64(max(1, r.Upgrades)) },
 	"astray":       func(r *Result) float64 { return float64(r.Astray) },
 	"changes":      func(r *Result) float64 { return float64(r.Changes) },
 	"attempts":     func(r *Result) float64 { return float64(r.Hits) / float64(max(1, r.Messages)) },
 }
 
+func yes(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 func last(d []time.Duration) float64 {
 	if len(d) == 0 {
 		return 0
@@ -114,6 +132,7 @@
 	s.Dispatchers, s.Senders = a.Number("dispatchers", 2, 1, most), a.Number("senders", 2, 1, most)
 	s.Rate, s.Length = a.Number("rate", 40, 1, 1000), a.Span("length", 10*time.Second, time.Second, 5*time.Minute)
 	s.Talk, s.Operator = !a.Yes("mute"), a.Str("operator", "")
+	s.Stewards = a.Yes("stewards")
 	return starlark.None, a.Done()
 }
 
@@ -130,6 +149,25 @@
 	case need.sender && st.Sender == "":
 		a.Fault("sender", "is missing", `a name like "s-0"`)
 	}
+	if st.What == "rollout" {
+		st.Build, st.Least, st.Most = a.Str("build", "good"), a.Span("least", 5*time.Second, time.Second, time.Minute), a.Span("most", time.Minute, time.Second, time.Hour)
+		if badbuild.Faults[st.Build] == "" {
+			a.Fault("build", fmt.Sprintf("is %q", st.Build), "one of "+script.Quoted(slices.Sorted(maps.Keys(badbuild.Faults))))
+		}
+		if !s.Stewards {
+			a.Fault("what", "is a rolling change without stewards", "site(stewards = True, ...)")
+		}
+		for _, v := range a.List("stages") {
+			n, err := starlark.AsInt32(v)
+			if err != nil {
+				a.Fault("stages", "holds "+script.Short(v), "percents")
+			}
+			st.Stages = append(st.Stages, n)
+		}
+		if len(st.Stages) == 0 {
+			st.Stages = []int{25, 100}
+		}
+	}
 	for _, v := range a.List("dispatchers") {
 		n, err := starlark.AsInt32(v)
 		if err != nil || n < 0 || n >= s.Dispatchers*len(s.Zones) {
--- a/internal/yardlab/cli.go
+++ b/internal/yardlab/cli.go
@@ -69,7 +69,7 @@
 	root.SetOut(out)
 	root.SetErr(log)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(xdsCommand(out, log), senderCommand(out), orderCommand(out), runCommand(out, log), listCommand(out, log), loadCommand(out, log), countCommand(out, log), fleetCommand(out, log))
+	root.AddCommand(xdsCommand(out, log), senderCommand(out), orderCommand(out), runCommand(out, log), listCommand(out, log), loadCommand(out, log), countCommand(out, log), fleetCommand(out, log), rolloutCommand(out), badCommand())
 	return root
 }
 
--- a/internal/yardlab/fleet.go
+++ b/internal/yardlab/fleet.go
@@ -25,6 +25,7 @@
 
 func fleetRun(out, log io.Writer) *cobra.Command {
 	var binary, other, logs string
+	program, _ := os.Executable()
 	var seed uint64
 	var network int
 	c := &cobra.Command{Use: "run SCENARIO...", Short: "Play scenarios, one after the other, and hold them against what they expect",
@@ -63,12 +64,15 @@
 				} else if err := os.MkdirAll(dir, 0o755); err != nil {
 					return err
 				}
-				r, err := processes.Run(c.Context(), s, processes.Options{Binary: binary, Other: other, Net: byte(network), Dir: dir, Seed: seed})
+				r, err := processes.Run(c.Context(), s, processes.Options{Binary: binary, Other: other, Net: byte(network), Dir: dir, Seed: seed, Lab: program})
 				if err != nil {
 					return err
 				}
 				fmt.Fprintf(out, "%-16s %8d %8.3f %7d %7d %7d %6d %8v %6d %8v %7d %9d %8.2f\n", s.Name, r.Messages, r.Service(), r.Refused, r.Failed, r.Broken,
 					len(r.Left), longest(r.Left), len(r.Back), longest(r.Back), r.Changes, r.Datagrams, float64(r.Hits)/float64(max(1, r.Messages)))
+				if r.State != "" {
+					fmt.Fprintf(out, "  change: %s %s, %d dispatchers are new, %d upgrades\n", r.State, r.Held, r.New, r.Upgrades)
+				}
 				for _, f := range s.Faults(&r) {
 					failed = true
 					fmt.Fprintf(out, "  not as expected: %s\n", f)
@@ -80,8 +84,7 @@
 			return nil
 		}}
 	f := c.Flags()
-	own, _ := os.Executable()
-	f.StringVar(&binary, "binary", filepath.Join(filepath.Dir(own), "yardwharf"), "the dispatcher")
+	f.StringVar(&binary, "binary", filepath.Join(filepath.Dir(program), "yardwharf"), "the dispatcher")
 	f.StringVar(&other, "other", "", "another build of it, for every second process")
 	f.StringVar(&logs, "logs", "", "a folder for configurations and logs (default: none are kept)")
 	f.Uint64Var(&seed, "seed", 1, "of arrivals and losses")
--- /dev/null
+++ b/lab/fleet/roll_good.star
@@ -0,0 +1,8 @@
+about("A good build goes through twelve dispatchers in four stages, with traffic")
+site(zones = ["a", "b", "c"], dispatchers = 4, senders = 3, rate = 150, length = "230s", operator = "zones()", stewards = True)
+at("3s", "rollout", build = "good", stages = [9, 34, 67, 100], least = "5s", most = "2m")
+expect("done", least = 1)
+expect("new", least = 12)
+expect("upgrades", least = 12)
+expect("broken_each", most = 2)
+expect("service", least = 0.9)
--- /dev/null
+++ b/lab/fleet/roll_never_ready.star
@@ -0,0 +1,7 @@
+about("A build that is never ready serves nobody, and the change is taken back")
+site(zones = ["a", "b"], dispatchers = 2, senders = 2, rate = 60, length = "20s", stewards = True)
+at("1s", "rollout", build = "never-ready")
+expect("stopped", least = 1)
+expect("new", most = 0)
+expect("broken", most = 0.01)
+expect("service", least = 0.95)
--- a/zones.go
+++ b/zones.go
@@ -30,6 +30,12 @@
 	b.lookAround(zone)
 }
 
+// Crosses says whether a worker is in another zone than this dispatcher.
+func (b *Balancer) Crosses(id WorkerID) bool {
+	w := b.byID[id]
+	return w != nil && w.zone != b.s.Zone
+}
+
 // zoneFit thins the draws in a zone to the part that is set.
 func (b *Balancer) zoneFit(zone int) bool {
 	if zone < 0 || zone >= len(b.zonePart) {
