Tests that four mutants of changes and orders by hand had passed

Checked by hand: more out than may be, records in any order, an act asked again later, equal orders not joined went uncaught; each is caught now, as are acts before the write, a lease ignored, own restarts counted as the build's, going on when not told, a stuck one tried for ever.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -102,6 +102,7 @@
 	}{
 		"an upgrade":       {func(m *machine) {}, "/new", false, false},
 		"asked again":      {func(m *machine) { m.ask("c", 1, rollout.Version{Build: "/other"}) }, "/new", false, false},
+		"asked later":      {func(m *machine) { m.pass(9 * time.Second); m.ask("c", 1, old) }, "/new", false, false},
 		"another change":   {func(m *machine) { m.pass(9 * time.Second); m.ask("d", 1, old) }, "/new", false, false},
 		"taken back":       {func(m *machine) { m.pass(9 * time.Second); m.ask("c", 2, rollout.Version{}) }, "/old", false, false},
 		"never ready":      {func(m *machine) { m.never["/new"] = true }, "/old", true, false},
--- a/internal/lab/zoneyard/zoneyard_test.go
+++ b/internal/lab/zoneyard/zoneyard_test.go
@@ -217,7 +217,8 @@
 	if _, err := f.Ask(y.Now, 2, true); err != zones.ErrLast {
 		t.Errorf("the last zone: %v", err)
 	}
-	if f.Obey(0, zones.Order{Gen: 8, Away: false}) || f.Obey(0, zones.Order{Gen: 9, Away: false}) || f.Obey(7, zones.Order{Gen: 1, Away: true}) || !f.Obey(0, zones.Order{Gen: 10, Away: false}) {
+	if f.Obey(0, zones.Order{Gen: 8, Away: false}) || f.Obey(0, zones.Order{Gen: 9, Away: false}) || f.Obey(7, zones.Order{Gen: 1, Away: true}) || !f.Obey(0, zones.Order{Gen: 10, Away: false}) ||
+		!f.Obey(0, zones.Order{Gen: 10, Away: true}) || f.Obey(0, zones.Order{Gen: 10, Away: false}) {
 		t.Error("an older order counts, or a newer one does not")
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -69,6 +69,7 @@
 	process []int
 	counts  []float64
 	quiet   bool // no messages
+	down    bool // one that is not upgraded does not serve
 }
 
 func newWorld(t *rapid.T) *world {
@@ -95,7 +96,7 @@
 			continue
 		}
 		k := figures.Counts{Taken: w.counts[i], InTime: w.counts[i]}
-		list[i] = Seen{Reached: true, Act: w.act[i], Doing: w.left[i] > 0, Fault: w.fault[i], Crashes: w.crashes[i], Serves: true,
+		list[i] = Seen{Reached: true, Act: w.act[i], Doing: w.left[i] > 0, Fault: w.fault[i], Crashes: w.crashes[i], Serves: !w.down || i != 8,
 			Figures: figures.Figures{Process: fmt.Sprint(w.process[i]), Classes: map[string]figures.Counts{"look": k}, Worth: map[string]float64{"look": 1}, Memory: 30}}
 	}
 	return list
@@ -204,6 +205,9 @@
 			w.turn(-1)
 		}
 		st := w.m.Status()
+		if w.m.Apply(Record{Seq: 1, Kind: Begin}) == nil || w.m.Apply(Record{Seq: w.m.seq + 2, Kind: Go}) == nil {
+			t.Fatal("a record that does not follow is taken")
+		}
 		if !w.m.Over() {
 			t.Fatalf("it has not ended: %+v", st)
 		}
@@ -254,6 +258,7 @@
 				w.crashes[0]++
 			}
 		}, Done, "", ""},
+		"one is out": {func(w *world, _ int) { w.down = true }, Rolling, "", ""},
 		"half are out of reach": {func(w *world, turn int) {
 			for i := range 5 {
 				w.away[i] = 2
