Take over limits, prices and what classes are worth at SIGHUP, and say beforehand what counts

Need: only discovery and peers counted at once; to change what a class is worth a process had to be replaced, and nothing said beforehand which.

Result: a worth and a limit change in flight, an effect does not; what makes no sense changes nothing.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -53,6 +53,8 @@
 	Zones() (string, error)
 	// Figures are what the process has done up to now, as JSON.
 	Figures() (string, error)
+	// Settings are the configuration that counts, but for the list, as JSON.
+	Settings() (string, error)
 }
 
 // Door listens for operators.
@@ -281,6 +283,8 @@
 		}, "GET"
 	case "/ops/figures":
 		return d.calls.Figures, "GET"
+	case "/ops/settings":
+		return d.calls.Settings, "GET"
 	case "/ops/zones":
 		return d.calls.Zones, "GET"
 	case "/ops/drain/start":
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -36,8 +36,9 @@
 	}
 	return nil
 }
-func (d *desk) Figures() (string, error) { return "{}", nil }
-func (d *desk) Zones() (string, error)   { return `{"zones":[]}`, nil }
+func (d *desk) Figures() (string, error)  { return "{}", nil }
+func (d *desk) Settings() (string, error) { return "{}", nil }
+func (d *desk) Zones() (string, error)    { return `{"zones":[]}`, nil }
 func (d *desk) Zone(name string, away bool) error {
 	d.asked = append(d.asked, fmt.Sprint("zone ", name, " ", away))
 	return map[string]error{"none": ErrNot, "last": ErrConflict}[name]
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -109,6 +109,8 @@
 			t.Error("a file that cannot be read changed something")
 		}
 		configure(t, path, address, second.Addr().String(), host)
+		text, _ := os.ReadFile(path)
+		os.WriteFile(path, []byte(strings.NewReplacer(`"Points": 5`, `"Points": 7`, `"sockets": 1024`, `"sockets": 512`).Replace(string(text))), 0o600)
 		syscall.Kill(os.Getpid(), syscall.SIGHUP)
 		fresh, uri := asked(second)
 		if fresh == nil {
@@ -121,7 +123,12 @@
 		if _, err := old.Read(make([]byte, 1)); err != io.EOF {
 			t.Errorf("the old watch reads %v, want its end", err)
 		}
-		p.loop.Post(loop.Func(p.loop.Stop))
+		p.loop.Post(loop.Func(func() {
+			if p.config.Settings.Classes[0].Worth != 7 || p.config.Limits.Sockets != 512 || !strings.Contains(string(p.config.Text), `"Points":7`) {
+				t.Errorf("worth and limits have not changed: %+v, %+v", p.config.Settings.Classes[0], p.config.Limits)
+			}
+			p.loop.Stop()
+		}))
 	}()
 	if err := p.loop.Run(); err != nil {
 		t.Fatal(err)
--- a/internal/app/figures.go
+++ b/internal/app/figures.go
@@ -12,6 +12,9 @@
 	"yardwharf/internal/figures"
 )
 
+// Settings implements admin.Calls.
+func (c calls) Settings() (string, error) { return string(c.p.config.Text), nil }
+
 // Figures implements admin.Calls.
 func (c calls) Figures() (string, error) {
 	s := &c.p.config.Settings
--- a/internal/app/program.go
+++ b/internal/app/program.go
@@ -181,18 +181,32 @@
 		return
 	}
 	c := s.config
-	fixed := p.config.Fixed(c)
+	live, fixed := p.config.Changes(c)
+	if most := c.Limits.Sockets - (p.config.Limits.Sockets - p.sockets(1)); most < 2 {
+		p.log.Error().Int("sockets", c.Limits.Sockets).Msg("configuration refused: key limits.sockets leaves none beside those that are kept")
+		return
+	}
 	if !reflect.DeepEqual(p.operator.Jobs, s.operator.Jobs) {
 		fixed = append(fixed, "jobs")
 	}
 	if (p.operator.Zones == nil) != (s.operator.Zones == nil) {
 		fixed = append(fixed, "zones")
 	}
-	p.log.Info().Stringer("discovery", c.Discovery).Strs("at_restart", fixed).Msg("configuration read again")
+	p.log.Info().Stringer("discovery", c.Discovery).Strs("changed", live).Strs("at_restart", fixed).Msg("configuration read again")
 	if p.peers != nil && c.Peers.Listen == p.config.Peers.Listen {
 		p.peers.Set(c.Peers)
 	}
 	moved := p.config.Discovery != c.Discovery
+	settings, err := p.dispatcher.Adjust(c.Settings)
+	if err != nil { // it was checked when it was read
+		p.log.Error().Err(err).Msg("configuration refused")
+		return
+	}
+	p.config.Settings, p.config.Limits, p.config.Text = settings, c.Limits, c.Text // front and pool look here
+	p.shareOut()
+	if p.zones != nil && s.operator.Zones != nil {
+		p.zones.fleet.SetStart(s.operator.Zones.Start)
+	}
 	p.config.Discovery = c.Discovery
 	before := p.operator
 	p.operator = s.operator
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -97,11 +98,15 @@
 		Example: `  PROXY_CONFIG=example/config.json yardwharf run --operator deploy/operator.star --log-format console`,
 	}
 	runs.Flags().StringVar(&file, "operator", "", "the operator's file (Starlark)")
+	var against string
 	check := &cobra.Command{
-		Use: "check FILE", Short: "Check an operator's file without running anything",
+		Use: "check FILE", Short: "Check an operator's file, or a configuration, without running anything",
 		Long: `Run the operator's file and say what it asks for. A fault is told as
-FILE:LINE:COL: key: what is wrong, expected what; the status is then 2.`,
-		Example: "  yardwharf check deploy/operator.star",
+FILE:LINE:COL: key: what is wrong, expected what; the status is then 2. A file that ends in
+.json is a configuration, as PROXY_CONFIG names one. With --against it is held against the
+one that counts at a running dispatcher: which keys differ that SIGHUP makes count at once,
+and which need a new process.`,
+		Example: "  yardwharf check deploy/operator.star\n  yardwharf check config.json --against 10.0.0.4:8081",
 		Args: func(c *cobra.Command, args []string) error {
 			if len(args) != 1 {
 				return fault{fmt.Errorf("check: %d files are named, expected one", len(args))}
@@ -109,6 +114,12 @@
 			return nil
 		},
 		RunE: func(c *cobra.Command, args []string) error {
+			if strings.HasSuffix(args[0], ".json") {
+				return checkConfig(out, args[0], against)
+			}
+			if against != "" {
+				return fault{errors.New("--against: is for a configuration (.json)")}
+			}
 			said, err := app.Check(args[0])
 			var own *script.Error
 			switch {
@@ -122,6 +133,7 @@
 			return nil
 		},
 	}
+	check.Flags().StringVar(&against, "against", "", "ip:port of the operators' door of a running dispatcher")
 	version := &cobra.Command{
 		Use: "version", Short: "Say which build this is", Args: none,
 		Run: func(*cobra.Command, []string) { fmt.Fprintln(out, build()) },
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	Peers     peers.Addresses // not valid to listen at where dispatchers tell each other nothing
 	Known     inventory.List
 	Settings  yardwharf.Settings
+	Text      []byte // all that was read, but for Known
 }
 
 // file is the configuration as it is written.
@@ -67,7 +68,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: PROXY_CONFIG: %w", err)
 	}
-	return parse(text, getenv)
+	return Parse(text, getenv)
+}
+
+// Parse reads and checks the text of a configuration.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	c, err := parse(text, getenv)
+	if err == nil {
+		var keys map[string]json.RawMessage
+		err = json.Unmarshal(text, &keys)
+		delete(keys, "known") // as long as the fleet, and of then
+		if err == nil {
+			c.Text, err = json.Marshal(keys)
+		}
+	}
+	return c, err
 }
 
 func parse(text []byte, getenv func(string) string) (*Config, error) {
@@ -170,20 +185,30 @@
 	return nil
 }
 
-// Fixed names the keys in which a configuration that is read again differs from
-// this one and which count from the next start only.
-func (c *Config) Fixed(again *Config) (keys []string) {
+// Changes names the keys in which a configuration that is read again differs from this one:
+// those that count at once, and those that count for a new process only.
+func (c *Config) Changes(again *Config) (live, fixed []string) {
 	for _, k := range []struct {
-		key    string
-		differ bool
+		key          string
+		differ, live bool
 	}{
-		{"name", c.Name != again.Name}, {"listen", c.Listen != again.Listen},
-		{"admin", c.Admin != again.Admin}, {"peer_listen", c.Peers.Listen != again.Peers.Listen},
-		{"limits", c.Limits != again.Limits}, {"settings", !reflect.DeepEqual(c.Settings, again.Settings)},
+		{"name", c.Name != again.Name, false}, {"listen", c.Listen != again.Listen, false},
+		{"admin", c.Admin != again.Admin, false}, {"peer_listen", c.Peers.Listen != again.Peers.Listen, false},
+		{"discovery", c.Discovery != again.Discovery, true}, {"limits", c.Limits != again.Limits, true},
+		{"peers", c.Peers.Listen == again.Peers.Listen && !reflect.DeepEqual(c.Peers, again.Peers), true},
 	} {
-		if k.differ {
-			keys = append(keys, k.key)
+		if k.differ && k.live {
+			live = append(live, k.key)
+		} else if k.differ {
+			fixed = append(fixed, k.key)
 		}
 	}
-	return keys
+	atOnce, later := c.Settings.Changes(again.Settings)
+	for _, name := range atOnce {
+		live = append(live, "settings."+name)
+	}
+	for _, name := range later {
+		fixed = append(fixed, "settings."+name)
+	}
+	return live, fixed
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,12 +1,14 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
+
+	"yardwharf"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
@@ -101,15 +103,26 @@
 	}
 }
 
-// What a configuration that is read again can change only at the next start is named.
-func TestFixed(t *testing.T) {
-	a, b := &Config{Name: "n1"}, &Config{Name: "n1"}
-	b.Discovery = netip.MustParseAddrPort("127.0.0.1:1")
-	if keys := a.Fixed(b); keys != nil {
-		t.Errorf("%v are fixed", keys)
+// What a configuration that is read again changes is named: at once, or with a new process.
+func TestChanges(t *testing.T) {
+	c := func() *Config {
+		return &Config{Name: "n1", Settings: yardwharf.Settings{Classes: []yardwharf.Class{{Name: "a", Worth: 1}, {Name: "b"}}}}
 	}
-	b.Limits.Sockets, b.Settings.Balancers = 7, 7
-	if keys := a.Fixed(b); !slices.Equal(keys, []string{"limits", "settings"}) {
-		t.Errorf("%v are fixed", keys)
+	for _, d := range []struct {
+		change      func(*Config)
+		live, fixed string
+	}{
+		{func(*Config) {}, "[]", "[]"},
+		{func(c *Config) { c.Discovery = netip.MustParseAddrPort("127.0.0.1:1") }, "[discovery]", "[]"},
+		{func(c *Config) { c.Limits.Sockets, c.Settings.CrossZonePrice = 7, 2 }, "[limits settings.CrossZonePrice]", "[]"},
+		{func(c *Config) { c.Settings.Classes[0].Worth = 7 }, "[settings.Classes]", "[]"},
+		{func(c *Config) { c.Settings.Classes[1].Effect = yardwharf.Unsafe }, "[]", "[settings.Classes]"},
+		{func(c *Config) { c.Settings.Balancers, c.Name, c.Settings.Classes[1].Aim = 7, "n2", 1 }, "[settings.Classes]", "[name settings.Balancers]"},
+	} {
+		again := c()
+		d.change(again)
+		if live, fixed := c().Changes(again); fmt.Sprint(live) != d.live || fmt.Sprint(fixed) != d.fixed {
+			t.Errorf("%v at once and %v with a new process, want %s and %s", live, fixed, d.live, d.fixed)
+		}
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,15 @@
 // SetRouter sets what routes messages that are taken from now on.
 func (d *Dispatcher) SetRouter(r Router) { d.router = r }
 
+// Adjust takes over what of other settings may change while messages are in hand, and returns
+// those that count then.
+func (d *Dispatcher) Adjust(s yardwharf.Settings) (yardwharf.Settings, error) {
+	if err := d.balancer.Adjust(s); err != nil {
+		return yardwharf.Settings{}, fmt.Errorf("dispatch: %w", err)
+	}
+	return d.balancer.Settings(), nil
+}
+
 // SetTeller sets what carries messages to other dispatchers.
 func (d *Dispatcher) SetTeller(t Teller) { d.teller = t }
 
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -159,6 +159,9 @@
 		orders: make([]Order, c.Zones)}, nil
 }
 
+// SetStart sets the part of the draws with which returns begin.
+func (f *Fleet) SetStart(part float64) { f.c.Start = part }
+
 // at is the decision of the viewers of a zone on another; it is made where there is none.
 func (f *Fleet) at(viewers, zone int) *decision {
 	key := [2]uint8{uint8(viewers), uint8(zone)}
--- a/limits_test.go
+++ b/limits_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 // The module is held to 950 lines that are not blank, of 110 characters at most.
@@ -25,3 +26,23 @@
 		t.Errorf("balancer.go has %d lines that are not blank, over 950", lines)
 	}
 }
+
+// What of the settings may change does so for messages in hand; the rest, and what makes no
+// sense, does not.
+func TestAdjust(t *testing.T) {
+	s := settings(Class{Name: "a", Aim: time.Second, Worth: 1}, Class{Name: "b", Worth: 2})
+	b, err := New(s, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &b.s.Classes[0]
+	next := settings(Class{Name: "a", Aim: 2 * time.Second, Worth: 5, Effect: Unsafe}, Class{Name: "b", Worth: 2})
+	next.CrossZonePrice, next.Classes[0].Worth = 0.7, 5
+	if err := b.Adjust(next); err != nil || held.Worth != 5 || held.Aim != 2*time.Second || held.Effect == Unsafe || b.s.CrossZonePrice != 0.7 {
+		t.Errorf("%v, %+v", err, held)
+	}
+	next.Classes[0].Worth = -1
+	if err := b.Adjust(next); err == nil || held.Worth != 5 {
+		t.Errorf("%v, %+v", err, held)
+	}
+}
