--- /dev/null
+++ b/lab/fleet/roll_one_class.star
@@ -0,0 +1,7 @@
+about("A build that has no time for half of one class is taken back for that class")
+site(zones = ["a", "b"], dispatchers = 2, senders = 3, rate = 120, length = "75s", stewards = True)
+at("2s", "rollout", build = "one-class", stages = [25, 100], least = "5s", most = "1m")
+expect("stopped", least = 1)
+expect("new", most = 0)
+expect("upgrades", most = 2)
+expect("service", least = 0.75)
--- /dev/null
+++ b/lab/fleet/roll_steward_dies.star
@@ -0,0 +1,8 @@
+about("A steward is killed while two processes run, and started again; the change goes on")
+site(zones = ["a", "b"], dispatchers = 2, senders = 2, rate = 60, length = "90s", stewards = True)
+at("1s", "rollout", build = "good", stages = [25, 100], least = "5s", most = "1m")
+at("2500ms", "kill", dispatchers = [0])
+at("3s", "start", dispatchers = [0])
+expect("stopped", most = 0)
+expect("upgrades", least = 1)
+expect("service", least = 0.85)
--- /dev/null
+++ b/lab/fleet/roll_stuck.star
@@ -0,0 +1,8 @@
+about("A build that does not heed SIGTERM is taken back by hand: its steward kills it")
+site(zones = ["a", "b"], dispatchers = 2, senders = 2, rate = 60, length = "35s", stewards = True)
+at("1s", "rollout", build = "stuck", stages = [50, 100], least = "30s", most = "1m")
+at("14s", "back")
+expect("stopped", least = 1)
+expect("new", most = 0)
+expect("upgrades", least = 4)
+expect("service", least = 0.9)
