A second site in the laboratory: probes, talk, backfill, cancels that stop nothing, tenants

Need: the model of the yard had the first site's figures written into it, so that no scenario played what the second deployment differs in.

--- a/internal/lab/order/yard.go
+++ b/internal/lab/order/yard.go
@@ -54,6 +54,7 @@
 // run is one run.
 type run struct {
 	c        Config
+	account  *yard.Account
 	rng      *rand.Rand
 	now      time.Duration
 	began    time.Duration
@@ -84,19 +85,19 @@
 // press books work that a cold host is sent.
 func (y *run) press(h *host, work time.Duration) {
 	age := y.now - y.began
-	if !y.c.Cold || age >= yard.WarmUp {
+	if !y.c.Cold || age >= y.account.WarmUp {
 		return
 	}
 	h.sent = append(h.sent, dose{y.now, work})
-	for h.sent[0].at <= y.now-yard.OverloadFor {
+	for h.sent[0].at <= y.now-y.account.OverloadFor {
 		h.sent = h.sent[1:]
 	}
 	sum := time.Duration(0)
 	for _, d := range h.sent {
 		sum += d.work
 	}
-	warmth := yard.StartCapacity + (1-yard.StartCapacity)*float64(age)/float64(yard.WarmUp)
-	bears := yard.OverloadFactor * warmth * float64(y.c.Slots) * yard.OverloadFor.Seconds()
+	warmth := y.account.StartCapacity + (1-y.account.StartCapacity)*float64(age)/float64(y.account.WarmUp)
+	bears := y.account.OverloadFactor * warmth * float64(y.c.Slots) * y.account.OverloadFor.Seconds()
 	y.result.Pressure = max(y.result.Pressure, sum.Seconds()/bears)
 }
 
@@ -129,7 +130,7 @@
 
 // Run plays one run.
 func Run(c Config) (Result, error) {
-	y := &run{c: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), now: time.Hour, clock: sim.New(time.Hour), messages: map[yardwharf.RequestID]*message{}}
+	y := &run{c: c, account: yard.Ferreira(), rng: rand.New(rand.NewPCG(c.Seed, 1)), now: time.Hour, clock: sim.New(time.Hour), messages: map[yardwharf.RequestID]*message{}}
 	s := yardwharf.Settings{Balancers: 1, MaxAttempts: 5, Cancel: true, ParallelTries: true, TellsStart: true, StartCapacity: 0.13,
 		WarmUp: 24 * time.Second, OverloadFactor: 4, OverloadFor: 2 * time.Second, MaxRetryAfter: 2 * time.Second, DrainGrace: 500 * time.Millisecond,
 		Zones: []string{"here"}, Classes: []yardwharf.Class{
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -13,6 +13,7 @@
 	"go.starlark.net/starlark"
 
 	"yardwharf/internal/lab/virtual"
+	"yardwharf/internal/lab/yard"
 	"yardwharf/internal/script"
 )
 
@@ -67,7 +68,7 @@
 		Config: virtual.Config{Rate: 50, Length: time.Minute, Retry: "none", Lag: time.Second}}
 	err = script.Run(script.Options{Path: path, Text: text, MaxSteps: mostSteps,
 		Read:  func(name string) ([]byte, error) { return os.ReadFile(filepath.Join(filepath.Dir(path), name)) },
-		Calls: map[string]script.Func{"about": s.about, "site": s.site, "traffic": s.traffic, "surge": s.surge, "failure": s.failure, "expect": s.expect, "run": s.run}})
+		Calls: map[string]script.Func{"about": s.about, "account": s.account, "site": s.site, "traffic": s.traffic, "surge": s.surge, "failure": s.failure, "expect": s.expect, "run": s.run}})
 	if err != nil {
 		return nil, err
 	}
@@ -83,6 +84,15 @@
 	return starlark.None, a.Done()
 }
 
+// account says whose deployment it is.
+func (s *Scenario) account(c script.Call) (starlark.Value, error) {
+	a := c.Args("name")
+	if known := yard.Accounts()[a.Choice("name", yard.Names()...)]; known != nil {
+		s.Config.Account = known()
+	}
+	return starlark.None, a.Done()
+}
+
 func (s *Scenario) site(c script.Call) (starlark.Value, error) {
 	a := c.Args("name")
 	s.Config.Sites = append(s.Config.Sites, virtual.Site{Name: a.NeedStr("name"), Hosts: a.Number("hosts", 5, 0, 100_000),
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"yardwharf"
@@ -40,10 +41,17 @@
 }
 
 func (w *world) settings(d *dispatcher) yardwharf.Settings {
-	s := yardwharf.Settings{Me: d.index, Balancers: len(w.disp), Zone: d.site, MaxAttempts: yard.MostAttempts, Cancel: true, ParallelTries: true,
-		TellsStart: true, AskDiscovery: true, AskWithin: 10 * time.Second, StartCapacity: yard.StartCapacity, WarmUp: yard.WarmUp,
-		OverloadFactor: yard.OverloadFactor, OverloadFor: yard.OverloadFor, DrainGrace: yard.DrainGrace, MaxRetryAfter: 2 * time.Second,
-		CrossZonePrice: 0.1, WorstClass: 0.2}
+	a := w.account
+	s := yardwharf.Settings{Me: d.index, Balancers: len(w.disp), Zone: d.site, MaxAttempts: a.MostAttempts, Cancel: true, ParallelTries: true,
+		TellsStart: true, AskDiscovery: true, AskWithin: 10 * time.Second, StartCapacity: a.StartCapacity, WarmUp: a.WarmUp,
+		OverloadFactor: a.OverloadFactor, OverloadFor: a.OverloadFor, DrainGrace: a.DrainGrace, MaxRetryAfter: 2 * time.Second,
+		CrossZonePrice: 0.1, WorstClass: 0.2, Probes: a.Probes, ProbePrice: a.ProbePrice, Peers: a.Talk, OverShareWorth: a.OverShare}
+	if a.Probes {
+		s.ReportFields, s.ReportNames = []yardwharf.Field{yardwharf.FieldInflight, yardwharf.FieldFreeSlots}, []string{"inflight", "x0"}
+	}
+	for _, t := range a.Tenants {
+		s.Tenants = append(s.Tenants, yardwharf.Tenant{Name: t.Name, Share: t.Share, Quota: t.Share * w.c.Rate})
+	}
 	for _, site := range w.c.Sites {
 		s.Zones = append(s.Zones, site.Name)
 	}
@@ -119,7 +127,7 @@
 func (d *dispatcher) crash() {
 	w := d.w
 	d.b = nil
-	d.noticed = w.clock.Now() + yard.FrontLeast + time.Duration(w.rng.Float64()*float64(yard.FrontMost-yard.FrontLeast))
+	d.noticed = w.clock.Now() + w.account.FrontLeast + time.Duration(w.rng.Float64()*float64(w.account.FrontMost-w.account.FrontLeast))
 	for id := yardwharf.RequestID(1); id <= yardwharf.RequestID(w.last); id++ { // in order, so that a seed replays
 		m := d.messages[id]
 		if m == nil {
@@ -156,7 +164,7 @@
 			r.end(yardwharf.Timeout, true)
 		}
 	})
-	d.b.Request(now, yardwharf.Request{ID: yardwharf.RequestID(m.id), Class: r.class, Deadline: m.deadline, Slots: r.slots, Retry: r.tries > 1})
+	d.b.Request(now, yardwharf.Request{ID: yardwharf.RequestID(m.id), Class: r.class, Tenant: r.owner, Deadline: m.deadline, Slots: r.slots, Retry: r.tries > 1})
 }
 
 // answer gives the final answer.
@@ -318,6 +326,45 @@
 	})
 }
 
-// Probe and Tell are not used at this site.
-func (d *dispatcher) Probe(yardwharf.WorkerID) {}
-func (d *dispatcher) Tell([]byte)              {}
+// Probe asks a host for its report, which is as old as the account's refresh has it.
+func (d *dispatcher) Probe(id yardwharf.WorkerID) {
+	w, h, life, sent := d.w, d.w.hosts[id-1], d.life, d.w.clock.Now()
+	there := w.delay(d.site, h.site)
+	told := func(after time.Duration, st yardwharf.Status, load []float32) {
+		w.clock.After(after, func() {
+			if d.life == life && d.b != nil {
+				d.b.Probed(w.clock.Now(), id, st, w.clock.Now()-sent, load)
+			}
+		})
+	}
+	w.clock.After(there, func() {
+		switch {
+		case h.dark:
+			told(250*time.Millisecond, yardwharf.ConnectFailed, nil)
+		case !h.Up() || h.state == yardwharf.Gone:
+			told(there, yardwharf.ConnectFailed, nil)
+		default:
+			if now := w.clock.Now(); h.report == nil || now-h.reported >= w.account.Refresh {
+				_, free := h.Load()
+				h.report, h.reported = []float32{float32(h.Held()), float32(free)}, now
+			}
+			told(there, yardwharf.OK, h.report)
+		}
+	})
+}
+
+// Tell sends a message to the other dispatchers; some are lost.
+func (d *dispatcher) Tell(message []byte) {
+	w, a := d.w, d.w.account
+	message = slices.Clone(message)
+	for _, to := range w.disp {
+		if to == d || w.rng.Float64() < a.TalkLost {
+			continue
+		}
+		w.clock.After(a.TalkLeast+time.Duration(w.rng.Float64()*float64(a.TalkMost-a.TalkLeast)), func() {
+			if to.b != nil {
+				to.b.Peer(w.clock.Now(), d.index, message)
+			}
+		})
+	}
+}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -47,6 +47,7 @@
 // Config is one run.
 type Config struct {
 	Seed     uint64
+	Account  *yard.Account // nil: Ferreira's
 	Sites    []Site
 	Rate     float64 // requests a second, all sites together
 	Surge    []Surge
@@ -102,6 +103,7 @@
 	clock   *sim.Clock
 	rng     *rand.Rand
 	began   time.Duration
+	account *yard.Account
 	classes []yard.Class
 	mean    []time.Duration
 	hosts   []*host
@@ -120,6 +122,8 @@
 	id          yardwharf.WorkerID
 	state       yardwharf.WorkerState
 	dark        bool
+	report      []float32 // as it was at reported
+	reported    time.Duration
 }
 
 // request is one job of a client, over its tries.
@@ -127,6 +131,7 @@
 	class int
 	site  int
 	slots float64
+	owner int           // its tenant
 	work  time.Duration // at speed 1
 	came  time.Duration
 	tries int
@@ -154,10 +159,14 @@
 
 // Run plays one run.
 func Run(c Config) (*Result, error) {
-	w := &world{c: c, clock: sim.New(time.Hour), rng: rand.New(rand.NewPCG(c.Seed, 0x79617264)), classes: yard.Classes(),
-		check: rules.New(rules.Limits{Slack: 16 * time.Millisecond, Grace: yard.DrainGrace, Attempts: yard.MostAttempts})}
+	a := c.Account
+	if a == nil {
+		a = yard.Ferreira()
+	}
+	w := &world{c: c, clock: sim.New(time.Hour), rng: rand.New(rand.NewPCG(c.Seed, 0x79617264)), account: a, classes: a.Classes,
+		check: rules.New(rules.Limits{Slack: 16 * time.Millisecond, Grace: a.DrainGrace, Attempts: a.MostAttempts})}
 	w.began = w.clock.Now()
-	w.cross = yard.CrossLeast + time.Duration(w.rng.Float64()*float64(yard.CrossMost-yard.CrossLeast))
+	w.cross = a.CrossLeast + time.Duration(w.rng.Float64()*float64(a.CrossMost-a.CrossLeast))
 	for _, k := range w.classes {
 		w.mean = append(w.mean, k.Least+time.Duration(w.rng.Float64()*float64(k.Most-k.Least)))
 		w.result.ByClass = append(w.result.ByClass, ClassResult{Name: k.Name})
@@ -174,7 +183,11 @@
 		w.clock.At(w.began+f.At, func() { w.fail(f) })
 	}
 	w.arrivals()
-	w.clock.Run(w.began + c.Length + 8*time.Second) // what is open then has its answer by then
+	longest := time.Duration(0)
+	for _, k := range w.classes {
+		longest = max(longest, k.Patience)
+	}
+	w.clock.Run(w.began + c.Length + longest + 2*time.Second) // what is open then has its answer by then
 	w.check.End(w.clock.Now())
 	w.finish()
 	return &w.result, nil
@@ -182,7 +195,7 @@
 
 // fleet draws the hosts from the account's models.
 func (w *world) fleet() {
-	kinds := yard.Kinds()
+	kinds := w.account.Kinds
 	for site, s := range w.c.Sites {
 		for range s.Hosts {
 			kind := 0
@@ -192,7 +205,7 @@
 			k := kinds[kind]
 			h := &host{index: len(w.hosts), site: site, id: yardwharf.WorkerID(len(w.hosts) + 1), state: yardwharf.Ready}
 			h.Host = yard.NewHost(w.clock, yard.HostSpec{Name: fmt.Sprintf("%s-%d", s.Name, len(w.hosts)), Site: site, Kind: kind, Cores: k.Cores,
-				Slots: k.Cores, Speed: k.SpeedLo + w.rng.Float64()*(k.Speed-k.SpeedLo), Queue: int(2 * k.Cores)})
+				Slots: k.Cores, Speed: k.SpeedLo + w.rng.Float64()*(k.Speed-k.SpeedLo), Queue: int(w.account.Queue * k.Cores), Account: w.account})
 			w.hosts = append(w.hosts, h)
 		}
 	}
@@ -201,7 +214,7 @@
 // delay is one way between two sites.
 func (w *world) delay(a, b int) time.Duration {
 	if a == b {
-		return yard.HomeDelay
+		return w.account.HomeDelay
 	}
 	return w.cross
 }
@@ -235,6 +248,12 @@
 	k := &w.classes[class]
 	r := &request{class: class, site: w.rng.IntN(len(w.c.Sites)), came: w.clock.Now(),
 		slots: k.Slots[w.rng.IntN(len(k.Slots))], work: time.Duration((0.5 + w.rng.Float64()) * float64(w.mean[class]))}
+	if len(w.account.Tenants) > 0 {
+		x := w.rng.Float64()
+		for x -= w.account.Tenants[r.owner].Share; x > 0 && r.owner < len(w.account.Tenants)-1; x -= w.account.Tenants[r.owner].Share {
+			r.owner++
+		}
+	}
 	w.result.Requests++
 	w.result.Asked += k.Worth
 	w.result.ByClass[class].Asked += k.Worth
@@ -278,7 +297,7 @@
 
 // again is what a client does after a try that brought nothing.
 func (w *world) again(r *request) {
-	if r.done || r.tries > yard.Retries || w.c.Retry == "none" || w.c.Retry == "" {
+	if r.done || r.tries > w.account.Retries || w.c.Retry == "none" || w.c.Retry == "" {
 		return
 	}
 	wait := 10 * time.Millisecond
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"yardwharf/internal/lab/yard"
 )
 
 func ferreira(seed uint64, failures ...Failure) Config {
@@ -20,7 +22,11 @@
 // One seed gives the same bytes, on one thread and on four that run beside each other.
 func TestReplay(t *testing.T) {
 	play := func(seed uint64) string {
-		r, err := Run(ferreira(seed, troubles...))
+		c := ferreira(seed, troubles...)
+		if seed%2 == 0 { // the second site: reports by probes, messages between dispatchers, other rules
+			c.Account, c.Rate = yard.Sofia(), 14
+		}
+		r, err := Run(c)
 		if err != nil {
 			t.Error(err)
 			return ""
@@ -28,6 +34,9 @@
 		if r.Open > 0 {
 			t.Errorf("seed %d: %d messages are held at the end", seed, r.Open)
 		}
+		for _, b := range r.Broken {
+			t.Errorf("seed %d: %v", seed, b)
+		}
 		text, err := json.Marshal(r)
 		if err != nil {
 			t.Error(err)
--- a/internal/lab/yard/host.go
+++ b/internal/lab/yard/host.go
@@ -1,12 +1,13 @@
 package yard
 
 import (
+	"slices"
 	"time"
 
 	"yardwharf/internal/lab/sim"
 )
 
-// HostSpec is what a host is. Figures that are left out come from the account.
+// HostSpec is what a host is.
 type HostSpec struct {
 	Name  string
 	Site  int
@@ -16,6 +17,8 @@
 	Speed float64 // of a core, of the yardstick
 	Queue int     // jobs that may wait
 	Since time.Duration
+
+	Account *Account // nil: Ferreira's
 }
 
 // End says how a task ended at its host.
@@ -67,16 +70,22 @@
 }
 
 // NewHost returns a host that has nothing to do.
-func NewHost(c *sim.Clock, s HostSpec) *Host { return &Host{Spec: s, clock: c, at: c.Now(), slow: 1} }
+func NewHost(c *sim.Clock, s HostSpec) *Host {
+	if s.Account == nil {
+		s.Account = Ferreira()
+	}
+	return &Host{Spec: s, clock: c, at: c.Now(), slow: 1}
+}
 
-// Warmth is the part of its capacity that it has, from StartCapacity evenly to all of
-// it over WarmUp (BRIEF, "The rules in figures").
+// Warmth is the part of its capacity that it has, from the account's start evenly to
+// all of it over its warm-up.
 func (h *Host) Warmth() float64 {
 	age := h.clock.Now() - h.Spec.Since
-	if h.Spec.Since <= 0 || age >= WarmUp {
+	if h.Spec.Since <= 0 || age >= h.Spec.Account.WarmUp {
 		return 1
 	}
-	return StartCapacity + (1-StartCapacity)*float64(max(age, 0))/float64(WarmUp)
+	a := h.Spec.Account
+	return a.StartCapacity + (1-a.StartCapacity)*float64(max(age, 0))/float64(a.WarmUp)
 }
 
 // Capacity is how many core seconds of work it does in a second now, if it has
@@ -158,26 +167,37 @@
 	}
 }
 
-// begin starts waiting jobs in order, as long as the first one fits.
+// begin starts waiting jobs in order, as long as the first one fits; where the account has it
+// any that fits.
 func (h *Host) begin() {
+	if h.Spec.Account.Backfill && !h.hung {
+		h.waiting = slices.DeleteFunc(h.waiting, func(t *Task) bool { return t.over || h.taken+t.Slots <= h.Spec.Slots && h.run(t) })
+		return
+	}
 	for len(h.waiting) > 0 && !h.hung {
 		t := h.waiting[0]
 		if !t.over {
 			if h.taken+t.Slots > h.Spec.Slots {
 				return
 			}
-			h.taken += t.Slots
-			t.running, t.left = true, t.Work.Seconds()
-			h.running = append(h.running, t)
-			if t.Started != nil {
-				t.Started()
-			}
+			h.run(t)
 		}
 		h.waiting[0] = nil
 		h.waiting = h.waiting[1:]
 	}
 }
 
+// run starts a job; it says true.
+func (h *Host) run(t *Task) bool {
+	h.taken += t.Slots
+	t.running, t.left = true, t.Work.Seconds()
+	h.running = append(h.running, t)
+	if t.Started != nil {
+		t.Started()
+	}
+	return true
+}
+
 // Up says whether it takes connections.
 func (h *Host) Up() bool { return !h.fallen }
 
@@ -205,10 +225,9 @@
 	h.plan()
 }
 
-// GiveUp ends a job that its dispatcher waits for no longer: work stops (BRIEF,
-// "Servers").
+// GiveUp ends a job that its dispatcher waits for no longer: work stops, where a cancel stops it.
 func (h *Host) GiveUp(t *Task) {
-	if t.over {
+	if t.over || !h.Spec.Account.CancelStops {
 		return
 	}
 	t.over = true
@@ -239,13 +258,14 @@
 	h.doses = append(h.doses, dose{now, work})
 	sum, keep := 0.0, h.doses[:0]
 	for _, d := range h.doses {
-		if d.at > now-OverloadFor {
+		if d.at > now-h.Spec.Account.OverloadFor {
 			keep = append(keep, d)
 			sum += d.work
 		}
 	}
 	h.doses = keep
-	bears := OverloadFactor * w * h.Spec.Cores * h.Spec.Speed * OverloadFor.Seconds()
+	a := h.Spec.Account
+	bears := a.OverloadFactor * w * h.Spec.Cores * h.Spec.Speed * a.OverloadFor.Seconds()
 	h.Worst = max(h.Worst, sum/bears)
 	if sum <= bears {
 		return false
@@ -289,6 +309,9 @@
 	h.plan()
 }
 
+// Held is how many jobs it has, in work and waiting.
+func (h *Host) Held() int { return len(h.running) + len(h.waiting) }
+
 // Load is what it reports: the part of its cores that is busy, and free slots.
 func (h *Host) Load() (util, free float64) {
 	return min(1, h.taken/h.Spec.Cores), max(0, h.Spec.Slots-h.taken)
--- a/internal/lab/yard/host_test.go
+++ b/internal/lab/yard/host_test.go
@@ -97,7 +97,7 @@
 	for s := range 30 {
 		c.Run(time.Hour + time.Duration(s+1)*time.Second)
 		h.advance()
-		middle := min(1, StartCapacity+(1-StartCapacity)*(float64(s)+0.5)/WarmUp.Seconds())
+		middle := min(1, h.Spec.Account.StartCapacity+(1-h.Spec.Account.StartCapacity)*(float64(s)+0.5)/h.Spec.Account.WarmUp.Seconds())
 		if got := (h.Busy - done) / 4; math.Abs(got/middle-1) > 0.03 {
 			t.Errorf("in second %d it did %.3f of its capacity, want %.3f", s+1, got, middle)
 		}
@@ -117,14 +117,14 @@
 		h := NewHost(clock, HostSpec{Cores: 4, Slots: 8, Speed: 1, Queue: 1 << 20, Since: time.Hour})
 		lost, full := 0, 0
 		const doses = 200
-		last := clock.Now() + OverloadFor*(doses-1)/doses
+		last := clock.Now() + h.Spec.Account.OverloadFor*(doses-1)/doses
 		warmth := 1.0
-		if age := last - time.Hour; age < WarmUp {
-			warmth = StartCapacity + (1-StartCapacity)*float64(age)/float64(WarmUp)
+		if age := last - time.Hour; age < h.Spec.Account.WarmUp {
+			warmth = h.Spec.Account.StartCapacity + (1-h.Spec.Account.StartCapacity)*float64(age)/float64(h.Spec.Account.WarmUp)
 		}
-		work := c.factor * warmth * 4 * OverloadFor.Seconds() / doses // in the window that ends with the last one
+		work := c.factor * warmth * 4 * h.Spec.Account.OverloadFor.Seconds() / doses // in the window that ends with the last one
 		for i := range doses {
-			clock.At(time.Hour+c.age+time.Duration(i)*OverloadFor/doses, func() {
+			clock.At(time.Hour+c.age+time.Duration(i)*h.Spec.Account.OverloadFor/doses, func() {
 				h.Take(&Task{Work: time.Duration(work * float64(time.Second)), Slots: 1, Ended: func(e End) {
 					switch e {
 					case Lost:
@@ -135,7 +135,7 @@
 				}})
 			})
 		}
-		clock.Run(time.Hour + c.age + OverloadFor)
+		clock.Run(time.Hour + c.age + h.Spec.Account.OverloadFor)
 		if h.Fallen() != c.falls || (lost > 0) != c.falls || full > 0 {
 			t.Errorf("%.1f times at age %v: fallen %t, %d lost, worst %.3f", c.factor, c.age, h.Fallen(), lost, h.Worst)
 		}
