Read the price of messages between dispatchers

Need: 128 bytes a request were told whatever they cost; a deployment with another price had the same.

--- a/adjust.go
+++ b/adjust.go
@@ -17,7 +17,8 @@
 	for i := range min(len(s.Tenants), len(to.Tenants)) {
 		s.Tenants[i].Share = to.Tenants[i].Share
 	}
-	s.OverShareWorth, s.WorstClass, s.CrossZonePrice, s.ProbePrice = to.OverShareWorth, to.WorstClass, to.CrossZonePrice, to.ProbePrice
+	s.OverShareWorth, s.WorstClass, s.CrossZonePrice, s.ProbePrice, s.PeerPrice = to.OverShareWorth, to.WorstClass, to.CrossZonePrice,
+		to.ProbePrice, to.PeerPrice
 	return s
 }
 
--- a/api.go
+++ b/api.go
@@ -122,6 +122,7 @@
 	ConnIdle       time.Duration // a worker closes a connection that idles for so long
 	CrossZonePrice float64       // price of an attempt that leaves the zone, as worth of a request
 	ProbePrice     float64       // price of a probe, as worth of a request
+	PeerPrice      float64       // price of 256 delivered bytes of messages to peers, as worth of a request
 	WorstClass     float64       // weight of the worst-served class in the service's goal
 
 	DrainGrace     time.Duration // nothing is sent later than this after a drain is told
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/lab/virtual/dispatcher.go
@@ -45,7 +45,7 @@
 	s := yardwharf.Settings{Me: d.index, Balancers: len(w.disp), Zone: d.site, MaxAttempts: a.MostAttempts, Cancel: true, ParallelTries: true,
 		TellsStart: true, AskDiscovery: true, AskWithin: 10 * time.Second, StartCapacity: a.StartCapacity, WarmUp: a.WarmUp,
 		OverloadFactor: a.OverloadFactor, OverloadFor: a.OverloadFor, DrainGrace: a.DrainGrace, MaxRetryAfter: 2 * time.Second,
-		CrossZonePrice: 0.1, WorstClass: 0.2, Probes: a.Probes, ProbePrice: a.ProbePrice, Peers: a.Talk, OverShareWorth: a.OverShare}
+		CrossZonePrice: 0.1, WorstClass: 0.2, Probes: a.Probes, ProbePrice: a.ProbePrice, PeerPrice: a.TalkPrice, Peers: a.Talk, OverShareWorth: a.OverShare}
 	if a.Probes {
 		s.ReportFields, s.ReportNames = []yardwharf.Field{yardwharf.FieldInflight, yardwharf.FieldFreeSlots}, []string{"inflight", "x0"}
 	}
--- a/internal/lab/yard/account.go
+++ b/internal/lab/yard/account.go
@@ -33,6 +33,7 @@
 	Probes              bool
 	Refresh             time.Duration // of reports
 	ProbePrice          float64       // as worth of a request
+	TalkPrice           float64       // of 256 bytes, as worth of a request
 	Talk                bool
 	TalkLeast, TalkMost time.Duration
 	TalkLost            float64 // of ours: part of the messages
@@ -120,6 +121,6 @@
 			{"hearing-move", 0.2, 310 * ms, 610 * ms, []float64{1, 1, 1, 1, 2}, 400 * ms, 2, 5 * time.Second, 8, Once, 0},
 		},
 		Tenants:   []Tenant{{"sofia-city", 0.24}, {"plovdiv", 0.23}, {"varna", 0.16}, {"burgas", 0.12}, {"ruse", 0.09}, {"stara-zagora", 0.09}, {"pleven", 0.07}},
-		OverShare: 0.2, Probes: true, Refresh: 870 * ms, ProbePrice: 0.0014, Talk: true, TalkLeast: 1100 * time.Microsecond, TalkMost: 9800 * time.Microsecond, TalkLost: 0.05,
+		OverShare: 0.2, Probes: true, Refresh: 870 * ms, ProbePrice: 0.0014, Talk: true, TalkPrice: 0.01, TalkLeast: 1100 * time.Microsecond, TalkMost: 9800 * time.Microsecond, TalkLost: 0.05,
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,7 +34,7 @@
 		ConnIdle, DialTimeout, OpenCap       number
 	}
 	OverShareWorth number
-	Prices         struct{ CrossZone, Probe number }
+	Prices         struct{ CrossZone, Probe, Peer number }
 	Realms         []struct {
 		Name                string
 		QuotaPerS, Fraction number
@@ -84,7 +84,7 @@
 		Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, Peers: p.Limits.Peers,
 		MaxRetryAfter: ms(p.Limits.MaxRetryAfter.v), MaxOpen: int(p.Limits.OpenCap.v),
 		DialTimeout: ms(p.Limits.DialTimeout.v), ConnIdle: ms(p.Limits.ConnIdle.v),
-		CrossZonePrice: p.Prices.CrossZone.v, ProbePrice: p.Prices.Probe.v, WorstClass: p.Goal.WorstClass.v,
+		CrossZonePrice: p.Prices.CrossZone.v, ProbePrice: p.Prices.Probe.v, PeerPrice: p.Prices.Peer.v, WorstClass: p.Goal.WorstClass.v,
 		DrainGrace: ms(p.Rules.DrainGrace.v), AskWithin: ms(p.Rules.MustAskIn.v),
 		StartCapacity: p.Rules.StartCapacity.v, WarmUp: ms(p.Rules.WarmUp.v),
 		OverloadFactor: p.Rules.OverloadFactor.v, OverloadFor: ms(p.Rules.OverloadFor.v),
--- a/limits_test.go
+++ b/limits_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// What messages to peers cost is in how often they are sent.
+func TestPeerPrice(t *testing.T) {
+	for price, want := range map[float64]float64{0: 512, 0.001: 512, 0.01: 128, 0.1: 12.8} {
+		b := &Balancer{s: Settings{PeerPrice: price}}
+		if got := b.peerBytes(); got < want*0.999 || got > want*1.001 {
+			t.Errorf("at a price of %v %v bytes a request, want %v", price, got, want)
+		}
+	}
+}
+
 // What of the settings may change does so for messages in hand; the rest, and what makes no
 // sense, does not.
 func TestAdjust(t *testing.T) {
--- a/peers.go
+++ b/peers.go
@@ -88,7 +88,9 @@
 }
 
 const (
-	peerBytes = 128                   // peer message bytes delivered a request: the price of fresh counts
+	peerCost  = 0.005                 // of a request's worth that messages to peers may cost
+	peerMost  = 512.0                 // bytes delivered a request, whatever the price
+	peerFull  = 256.0                 // bytes that the price is told for
 	tellLeast = 20 * time.Millisecond // messages to peers are this far apart at least
 	peerStale = time.Second           // a peer's counts are forgotten after this silence
 )
@@ -106,6 +108,14 @@
 	}
 }
 
+// peerBytes is how many bytes of messages to peers are delivered for each request taken.
+func (b *Balancer) peerBytes() float64 {
+	if b.s.PeerPrice <= 0 {
+		return peerMost
+	}
+	return min(peerMost, peerFull*peerCost/b.s.PeerPrice)
+}
+
 // tell sends the peers what is out at each worker, as often as the traffic pays
 // for, and forgets what peers told that have fallen silent.
 func (b *Balancer) tell() {
@@ -121,7 +131,7 @@
 		}
 	}
 	b.forget(b.now - peerStale)
-	pays := peerBytes * max(b.rate, 1) / float64(max(1, b.s.Balancers-1))
+	pays := b.peerBytes() * max(b.rate, 1) / float64(max(1, b.s.Balancers-1))
 	b.tellEvery = max(tellLeast, min(seconds(float64(bytes)/pays), peerStale))
 	b.after(b.jitter(2*b.tellEvery), 0, timerTell)
 }
