Group the folders of internal by layer: decide, carry, doors, run, tools

Need: 35 folders side by side told nobody which of them decide and which do I/O.

Change: moves and import paths only, but for a plan's Load, which nothing called and which did I/O where there is none.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	cm "yardwharf"
-	"yardwharf/internal/wire"
+	"yardwharf/internal/carry/wire"
 )
 
 func main() {
--- a/cmd/yardfleet/main.go
+++ b/cmd/yardfleet/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"yardwharf/internal/fleetcli"
+	"yardwharf/internal/tools/fleetcli"
 )
 
 func main() { os.Exit(fleetcli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/yardlab/main.go
+++ b/cmd/yardlab/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"yardwharf/internal/yardlab"
+	"yardwharf/internal/tools/yardlab"
 )
 
 func main() { os.Exit(yardlab.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/yardwharf/main.go
+++ b/cmd/yardwharf/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"yardwharf/internal/cli"
+	"yardwharf/internal/run/cli"
 )
 
 func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/yardxds/main.go
+++ b/cmd/yardxds/main.go
@@ -8,7 +8,7 @@
 	"os/signal"
 	"syscall"
 
-	"yardwharf/internal/xdshelper"
+	"yardwharf/internal/carry/xdshelper"
 )
 
 func main() {
--- a/internal/dispatch/dispatch.go
+++ b/internal/carry/dispatch/dispatch.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
 )
 
 // South carries relays to south side hosts. None of its methods calls back
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/carry/dispatch/dispatch_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
 )
 
 // world plays the south side, the inventory and a client, and keeps what it is told.
--- a/internal/inventory/inventory_test.go
+++ b/internal/carry/inventory/inventory_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/loop"
-	"yardwharf/internal/membership"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/decide/membership"
 )
 
 func entry(name, status string) string {
--- a/internal/inventory/list.go
+++ b/internal/carry/inventory/list.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/membership"
+	"yardwharf/internal/decide/membership"
 )
 
 // List is a list of south side hosts, or changes to one, in discovery's form.
--- a/internal/inventory/watch.go
+++ b/internal/carry/inventory/watch.go
@@ -12,9 +12,9 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/http1"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/http1"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/sock"
 )
 
 const (
--- a/internal/peers/frame.go
+++ b/internal/carry/peers/frame.go
@@ -30,7 +30,7 @@
 const (
 	Counts  Kind = iota // slots in use, told by a process that takes clients
 	Leaving             // the same by one that another takes over from
-	Zones               // internal/zones
+	Zones               // internal/decide/zones
 	kinds
 )
 
--- a/internal/peers/peers.go
+++ b/internal/carry/peers/peers.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/loop"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/sock"
 )
 
 const (
--- a/internal/peers/peers_test.go
+++ b/internal/carry/peers/peers_test.go
@@ -9,8 +9,8 @@
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
-	"yardwharf/internal/loop"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/sock"
 )
 
 // What is framed comes out as it went in, and nothing comes of a frame in which a bit
--- a/internal/southside/conn.go
+++ b/internal/carry/southside/conn.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/http1"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/lru"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/http1"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/lru"
+	"yardwharf/internal/carry/sock"
 )
 
 const (
--- a/internal/southside/pool.go
+++ b/internal/carry/southside/pool.go
@@ -13,12 +13,12 @@
 	"golang.org/x/sys/unix"
 
 	"yardwharf"
-	"yardwharf/internal/budget"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/lru"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/budget"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/lru"
+	"yardwharf/internal/carry/sock"
+	"yardwharf/internal/decide/membership"
 )
 
 const (
--- a/internal/southside/southside_test.go
+++ b/internal/carry/southside/southside_test.go
@@ -17,10 +17,10 @@
 	"golang.org/x/sys/unix"
 
 	"yardwharf"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/sock"
+	"yardwharf/internal/decide/membership"
 )
 
 // yard is a dispatcher with one south side host, which the test plays.
--- a/internal/xds/client.go
+++ b/internal/carry/xds/client.go
@@ -16,8 +16,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
 
-	"yardwharf/internal/membership"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/membership"
 )
 
 const (
--- a/internal/xds/client_test.go
+++ b/internal/carry/xds/client_test.go
@@ -20,9 +20,9 @@
 
 	"google.golang.org/grpc/credentials"
 
-	"yardwharf/internal/membership"
-	"yardwharf/internal/standin/mgmt"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/tools/standin/mgmt"
 )
 
 const patience = 30 * time.Second // that slow machines are given
--- a/internal/xds/core.go
+++ b/internal/carry/xds/core.go
@@ -15,7 +15,7 @@
 
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"yardwharf/internal/membership"
+	"yardwharf/internal/decide/membership"
 )
 
 // Request is what is to be sent: a DiscoveryRequest or a DeltaDiscoveryRequest.
--- a/internal/xds/core_test.go
+++ b/internal/carry/xds/core_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/types/known/anypb"
 	"pgregory.net/rapid"
 
-	"yardwharf/internal/membership"
-	"yardwharf/internal/standin/mgmt"
+	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/tools/standin/mgmt"
 )
 
 func pack(t interface{ Fatal(...any) }, m proto.Message) *anypb.Any {
--- a/internal/xds/decode.go
+++ b/internal/carry/xds/decode.go
@@ -14,7 +14,7 @@
 	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"yardwharf/internal/membership"
+	"yardwharf/internal/decide/membership"
 )
 
 // The resource types of the two that are asked for.
--- a/internal/xds/decode_test.go
+++ b/internal/carry/xds/decode_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"yardwharf/internal/membership"
-	"yardwharf/internal/standin/mgmt"
+	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/tools/standin/mgmt"
 )
 
 // All that an endpoint says is read.
--- a/internal/xds/tls.go
+++ b/internal/carry/xds/tls.go
@@ -9,7 +9,7 @@
 	grpccreds "google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/xdslink"
 )
 
 // transport reads the keys for one connection; nil is plain text. They are read
--- a/internal/xdshelper/helper.go
+++ b/internal/carry/xdshelper/helper.go
@@ -10,9 +10,9 @@
 	"fmt"
 	"io"
 
-	"yardwharf/internal/membership"
-	"yardwharf/internal/xds"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/xds"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/membership"
 )
 
 // Run speaks xDS as the first line of in says, until in ends. It is for a
--- a/internal/xdslink/link.go
+++ b/internal/carry/xdslink/link.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	"yardwharf/internal/membership"
+	"yardwharf/internal/decide/membership"
 )
 
 // Config is a management server that speaks xDS over an aggregated stream, as the
--- a/internal/xdslink/source.go
+++ b/internal/carry/xdslink/source.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
 )
 
 // Handler hears on the loop what the helper says.
--- a/internal/xdslink/source_test.go
+++ b/internal/carry/xdslink/source_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
 )
 
 // hearer passes on that a helper has ended.
--- a/internal/keeper/keeper.go
+++ b/internal/decide/keeper/keeper.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/rollout"
 )
 
 const (
--- a/internal/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/rollout"
 )
 
 var old, new_ = rollout.Version{Build: "/old", Config: "/c"}, rollout.Version{Build: "/new"}
--- a/internal/rollout/plan.go
+++ b/internal/decide/rollout/plan.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -16,7 +15,7 @@
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
 )
 
 // Version is what a dispatcher runs.
@@ -61,20 +60,11 @@
 
 var names = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
-// Load reads a plan; what it is to blame for is a *script.Error.
-func Load(path string) (*Plan, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("plan: %w", err)
-	}
-	return Parse(path, text)
-}
-
-// Parse reads the text of a plan.
+// Parse reads the text of a plan; what it is to blame for is a *script.Error. Plans load no files.
 func Parse(path string, text []byte) (*Plan, error) {
 	p := &Plan{Margin: 0.02, FalseAlarm: 0.05, Out: 1}
 	err := script.Run(script.Options{Path: path, Text: text, MaxSteps: mostSteps,
-		Read:  func(name string) ([]byte, error) { return os.ReadFile(filepath.Join(filepath.Dir(path), name)) },
+		Read:  func(name string) ([]byte, error) { return nil, fmt.Errorf("a plan loads no other file, %s", name) },
 		Calls: map[string]script.Func{"change": p.change, "stage": p.stage, "bounds": p.bounds, "dispatcher": p.dispatcher}})
 	if err != nil {
 		return nil, err
--- a/internal/rollout/rollout.go
+++ b/internal/decide/rollout/rollout.go
@@ -8,7 +8,7 @@
 
 	"gonum.org/v1/gonum/stat"
 
-	"yardwharf/internal/figures"
+	"yardwharf/internal/decide/figures"
 )
 
 // State is where a change stands.
--- a/internal/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
-	"yardwharf/internal/figures"
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/figures"
+	"yardwharf/internal/decide/script"
 )
 
 const text = `change("c", build = "/new")
--- a/internal/rollout/verdict.go
+++ b/internal/decide/rollout/verdict.go
@@ -10,7 +10,7 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"yardwharf/internal/figures"
+	"yardwharf/internal/decide/figures"
 )
 
 // Answer is what a comparison tells.
--- a/internal/route/route.go
+++ b/internal/decide/route/route.go
@@ -8,7 +8,7 @@
 	"sort"
 	"strings"
 
-	"yardwharf/internal/membership"
+	"yardwharf/internal/decide/membership"
 )
 
 // Rule says which clusters may serve a class.
--- a/internal/route/route_test.go
+++ b/internal/decide/route/route_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"yardwharf/internal/membership"
+	"yardwharf/internal/decide/membership"
 )
 
 func view(name string, size float64, loads ...membership.Load) membership.View {
--- a/internal/admin/admin.go
+++ b/internal/doors/admin/admin.go
@@ -14,10 +14,10 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
-	"yardwharf/internal/http1"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/lru"
-	"yardwharf/internal/sock"
+	"yardwharf/internal/carry/http1"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/lru"
+	"yardwharf/internal/carry/sock"
 )
 
 // CallersMost is how many connections the door holds at once.
--- a/internal/admin/admin_test.go
+++ b/internal/doors/admin/admin_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
 )
 
 // desk writes down what it is asked.
--- a/internal/front/front_test.go
+++ b/internal/doors/front/front_test.go
@@ -19,9 +19,9 @@
 	"pgregory.net/rapid"
 
 	"yardwharf"
-	"yardwharf/internal/budget"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/budget"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/loop"
 )
 
 // TestMain fixes the seed: the same cases each time.
--- a/internal/jobs/api.go
+++ b/internal/doors/jobs/api.go
@@ -14,8 +14,8 @@
 
 	"golang.org/x/net/netutil"
 
-	"yardwharf/internal/loop"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/decide/waiting"
 )
 
 // The bounds of the API.
--- a/internal/jobs/api_test.go
+++ b/internal/doors/jobs/api_test.go
@@ -22,9 +22,9 @@
 	"github.com/rs/zerolog"
 
 	"yardwharf"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/decide/waiting"
 )
 
 // scene is the job API with a dispatcher whose south side the test plays.
--- a/internal/jobs/runner.go
+++ b/internal/doors/jobs/runner.go
@@ -1,5 +1,5 @@
 // Package jobs is the front for jobs that wait: an HTTP API with JSON on a listener
-// of its own. What waits, and in which order it goes, internal/waiting decides; each
+// of its own. What waits, and in which order it goes, internal/decide/waiting decides; each
 // released job goes through the dispatcher as any message, under the same rules.
 //
 // Unlike the platform's front it serves with net/http, a goroutine for each
@@ -17,9 +17,9 @@
 	"github.com/rs/zerolog"
 
 	"yardwharf"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/decide/waiting"
 )
 
 const (
--- a/internal/jobs/snapshot.go
+++ b/internal/doors/jobs/snapshot.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
 )
 
 // A snapshot hands the jobs that wait to the next start of the same dispatcher. It
--- a/internal/jobs/types.go
+++ b/internal/doors/jobs/types.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
 )
 
 // Submit is one job as a client submits it.
--- a/internal/jobs/watch.go
+++ b/internal/doors/jobs/watch.go
@@ -1,7 +1,7 @@
 package jobs
 
 import (
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
 )
 
 // watchMost is how many changes a watcher may be behind. Guards the dispatcher's
--- a/internal/app/app_test.go
+++ b/internal/run/app/app_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
 )
 
 func listen(t testing.TB) net.Listener {
@@ -38,7 +38,7 @@
 // in the list as last known.
 func configure(t *testing.T, path, address, discovery string, host net.Listener) {
 	t.Helper()
-	text, err := os.ReadFile("../../example/config.json")
+	text, err := os.ReadFile("../../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/deploy_test.go
+++ b/internal/run/app/deploy_test.go
@@ -16,7 +16,7 @@
 	if _, err := exec.LookPath("gcc"); err != nil {
 		t.Skip("no C compiler here: what the deploy file builds is not checked")
 	}
-	text, err := os.ReadFile("../../deploy/balancer.toml")
+	text, err := os.ReadFile("../../../deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +33,7 @@
 	bin := filepath.Join(t.TempDir(), "bin")
 	build := strings.ReplaceAll(strings.ReplaceAll(value("build"), "-o bin/", "-o "+bin+"/"), "mkdir -p bin", "mkdir -p "+bin)
 	cmd := exec.Command("/bin/sh", "-c", strings.ReplaceAll(build, "./cmd/...", "./cmd/yardwharf"))
-	cmd.Dir = "../.."
+	cmd.Dir = "../../.."
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("%s: %v\n%s", build, err, out)
 	}
--- a/internal/app/figures.go
+++ b/internal/run/app/figures.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"yardwharf/internal/figures"
+	"yardwharf/internal/decide/figures"
 )
 
 // Settings implements admin.Calls.
--- a/internal/app/fleet.go
+++ b/internal/run/app/fleet.go
@@ -2,9 +2,9 @@
 
 import (
 	"yardwharf"
-	"yardwharf/internal/inventory"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/inventory"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/membership"
 )
 
 // known takes the hosts that the configuration knows from before.
--- a/internal/app/jobs.go
+++ b/internal/run/app/jobs.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"yardwharf/internal/jobs"
-	"yardwharf/internal/operator"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
+	"yardwharf/internal/doors/jobs"
+	"yardwharf/internal/run/operator"
 )
 
 // startJobs starts the front for jobs that wait, with those of the last snapshot.
--- a/internal/app/jobs_test.go
+++ b/internal/run/app/jobs_test.go
@@ -14,8 +14,8 @@
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 
-	"yardwharf/internal/jobs"
-	"yardwharf/internal/standin/mgmt"
+	"yardwharf/internal/doors/jobs"
+	"yardwharf/internal/tools/standin/mgmt"
 )
 
 // Messages and waiting jobs together, with drains and a dark fleet in the middle:
--- a/internal/app/leave.go
+++ b/internal/run/app/leave.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"yardwharf/internal/handover"
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/run/handover"
 )
 
 const (
--- a/internal/app/operations.go
+++ b/internal/run/app/operations.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/admin"
-	"yardwharf/internal/handover"
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/doors/admin"
+	"yardwharf/internal/run/handover"
 )
 
 const (
--- a/internal/app/operations_test.go
+++ b/internal/run/app/operations_test.go
@@ -14,8 +14,8 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
-	"yardwharf/internal/handover"
-	"yardwharf/internal/loop"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/run/handover"
 )
 
 // site is one dispatcher's world: a listening socket that the platform holds, one
--- a/internal/app/program.go
+++ b/internal/run/app/program.go
@@ -8,19 +8,19 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/admin"
-	"yardwharf/internal/budget"
-	"yardwharf/internal/config"
-	"yardwharf/internal/dispatch"
-	"yardwharf/internal/front"
-	"yardwharf/internal/inventory"
-	"yardwharf/internal/jobs"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/operator"
-	"yardwharf/internal/peers"
-	"yardwharf/internal/route"
-	"yardwharf/internal/southside"
+	"yardwharf/internal/carry/budget"
+	"yardwharf/internal/carry/dispatch"
+	"yardwharf/internal/carry/inventory"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/peers"
+	"yardwharf/internal/carry/southside"
+	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/decide/route"
+	"yardwharf/internal/doors/admin"
+	"yardwharf/internal/doors/front"
+	"yardwharf/internal/doors/jobs"
+	"yardwharf/internal/run/config"
+	"yardwharf/internal/run/operator"
 )
 
 const (
--- a/internal/app/run.go
+++ b/internal/run/app/run.go
@@ -15,9 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"yardwharf"
-	"yardwharf/internal/config"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/operator"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/run/config"
+	"yardwharf/internal/run/operator"
 )
 
 const memoryPart = 0.6 // of the machine's memory that the heap may grow to
--- a/internal/app/xds.go
+++ b/internal/run/app/xds.go
@@ -5,10 +5,10 @@
 	"slices"
 
 	"yardwharf"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/route"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/decide/route"
 )
 
 const routeSeed = 0x7264735f72657475 // tells the draws of routes apart from the module's
--- a/internal/app/xds_test.go
+++ b/internal/run/app/xds_test.go
@@ -17,11 +17,11 @@
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/inventory"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/standin/mgmt"
-	"yardwharf/internal/standin/sender"
-	"yardwharf/internal/xdshelper"
+	"yardwharf/internal/carry/inventory"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/xdshelper"
+	"yardwharf/internal/tools/standin/mgmt"
+	"yardwharf/internal/tools/standin/sender"
 )
 
 // TestMain lets the test's own program be the helper that speaks xDS.
@@ -90,7 +90,7 @@
 	}
 	dir := t.TempDir()
 	path := filepath.Join(dir, "config.json")
-	text, err := os.ReadFile("../../example/config.json")
+	text, err := os.ReadFile("../../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/zones.go
+++ b/internal/run/app/zones.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/admin"
-	"yardwharf/internal/handover"
-	"yardwharf/internal/loop"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/operator"
-	"yardwharf/internal/peers"
-	"yardwharf/internal/zones"
+	"yardwharf/internal/carry/loop"
+	"yardwharf/internal/carry/peers"
+	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/decide/zones"
+	"yardwharf/internal/doors/admin"
+	"yardwharf/internal/run/handover"
+	"yardwharf/internal/run/operator"
 )
 
 const zonesTurn = 100 * time.Millisecond
--- a/internal/cli/cli.go
+++ b/internal/run/cli/cli.go
@@ -13,8 +13,8 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/app"
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/run/app"
 )
 
 // The statuses that the program ends with.
--- a/internal/cli/config.go
+++ b/internal/run/cli/config.go
@@ -6,7 +6,7 @@
 	"os"
 	"strings"
 
-	"yardwharf/internal/config"
+	"yardwharf/internal/run/config"
 )
 
 // checkConfig checks a configuration, alone or against the one that counts at a door.
--- a/internal/cli/jobs.go
+++ b/internal/run/cli/jobs.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/jobs"
+	"yardwharf/internal/doors/jobs"
 )
 
 // serverVariable names the job API where --server does not.
--- a/internal/cli/jobs_test.go
+++ b/internal/run/cli/jobs_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"yardwharf/internal/jobs"
+	"yardwharf/internal/doors/jobs"
 )
 
 // A stand-in of the API, with three jobs: what the commands ask of it is kept.
--- a/internal/cli/zone.go
+++ b/internal/run/cli/zone.go
@@ -13,7 +13,7 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/operator"
+	"yardwharf/internal/run/operator"
 )
 
 const (
--- a/internal/config/config.go
+++ b/internal/run/config/config.go
@@ -11,9 +11,9 @@
 	"strconv"
 
 	"yardwharf"
-	"yardwharf/internal/inventory"
-	"yardwharf/internal/peers"
-	"yardwharf/internal/wire"
+	"yardwharf/internal/carry/inventory"
+	"yardwharf/internal/carry/peers"
+	"yardwharf/internal/carry/wire"
 )
 
 // Limits are the bounds of the machine.
--- a/internal/operator/inventory.go
+++ b/internal/run/operator/inventory.go
@@ -9,8 +9,8 @@
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
-	"yardwharf/internal/script"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/script"
 )
 
 // Inventory says where the list of south side hosts comes from in place of the
--- a/internal/operator/jobs.go
+++ b/internal/run/operator/jobs.go
@@ -5,8 +5,8 @@
 
 	"go.starlark.net/starlark"
 
-	"yardwharf/internal/script"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/decide/waiting"
 )
 
 const (
--- a/internal/operator/operator.go
+++ b/internal/run/operator/operator.go
@@ -14,7 +14,7 @@
 	"slices"
 	"strings"
 
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
 )
 
 // MaxSteps bounds the Starlark steps that a file and all that it loads may take
--- a/internal/operator/operator_test.go
+++ b/internal/run/operator/operator_test.go
@@ -45,7 +45,7 @@
 
 // The committed file can be used and has everything off.
 func TestCommittedFile(t *testing.T) {
-	f, err := Load("../../deploy/operator.star")
+	f, err := Load("../../../deploy/operator.star")
 	if err != nil || f.Inventory != nil || f.Routes != nil || f.Jobs != nil || f.Zones != nil {
 		t.Errorf("%v, %v", f, err)
 	}
@@ -53,7 +53,7 @@
 
 // What the committed file shows as comments can be used, too: its keys exist.
 func TestCommittedExample(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/operator.star")
+	text, err := os.ReadFile("../../../deploy/operator.star")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/zones.go
+++ b/internal/run/operator/zones.go
@@ -4,7 +4,7 @@
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
 )
 
 // Zones has zones left and regained together with the other dispatchers.
--- a/internal/controller/controller.go
+++ b/internal/tools/controller/controller.go
@@ -1,5 +1,5 @@
 // Package controller drives a rolling change: it asks the stewards what they see, has
-// internal/rollout decide, writes each decision down before it acts on it, and tells people
+// internal/decide/rollout decide, writes each decision down before it acts on it, and tells people
 // where the change stands.
 package controller
 
@@ -17,8 +17,8 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/rollout"
-	"yardwharf/internal/steward"
+	"yardwharf/internal/decide/rollout"
+	"yardwharf/internal/tools/steward"
 )
 
 const (
--- a/internal/controller/controller_test.go
+++ b/internal/tools/controller/controller_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/rollout"
-	"yardwharf/internal/steward"
+	"yardwharf/internal/decide/rollout"
+	"yardwharf/internal/tools/steward"
 )
 
 // A record is read back whole, is refused for another plan and to a second controller, and
--- a/internal/controller/record.go
+++ b/internal/tools/controller/record.go
@@ -14,7 +14,7 @@
 
 	"go.etcd.io/bbolt"
 
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/rollout"
 )
 
 const (
--- a/internal/controller/report.go
+++ b/internal/tools/controller/report.go
@@ -5,7 +5,7 @@
 	"io"
 	"math"
 
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/rollout"
 )
 
 // Report writes a record as one HTML file that needs nothing else: every decision, and for
--- a/internal/fleetcli/rollout.go
+++ b/internal/tools/fleetcli/rollout.go
@@ -16,10 +16,10 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/controller"
-	"yardwharf/internal/rollout"
-	"yardwharf/internal/script"
-	"yardwharf/internal/steward"
+	"yardwharf/internal/decide/rollout"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/tools/controller"
+	"yardwharf/internal/tools/steward"
 )
 
 const controllerTime = 5 * time.Second
--- a/internal/lab/order/order_test.go
+++ b/internal/tools/lab/order/order_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
 )
 
 // small is a fleet that CI has time for, under 1.2 times what it can do of worthier
--- a/internal/lab/order/yard.go
+++ b/internal/tools/lab/order/yard.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/lab/sim"
-	"yardwharf/internal/lab/yard"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
+	"yardwharf/internal/tools/lab/sim"
+	"yardwharf/internal/tools/lab/yard"
 )
 
 // Config is one run. The fleet is Hosts of Slots each, whose queues hold twice as
--- a/internal/lab/processes/change.go
+++ b/internal/tools/lab/processes/change.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"yardwharf/internal/lab/badbuild"
+	"yardwharf/internal/tools/lab/badbuild"
 )
 
 const endFor = 8 * time.Second // a steward ends its dispatcher in order before it ends
--- a/internal/lab/processes/processes_test.go
+++ b/internal/tools/lab/processes/processes_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-const folder = "../../../lab/fleet"
+const folder = "../../../../lab/fleet"
 
 var binary string // the dispatcher, built for these tests
 
--- a/internal/lab/processes/script.go
+++ b/internal/tools/lab/processes/script.go
@@ -11,8 +11,8 @@
 
 	"go.starlark.net/starlark"
 
-	"yardwharf/internal/lab/badbuild"
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/tools/lab/badbuild"
 )
 
 // Scenario is an incident for several processes, checked.
--- a/internal/lab/rollyard/rollyard.go
+++ b/internal/tools/lab/rollyard/rollyard.go
@@ -1,4 +1,4 @@
-// Package rollyard plays rolling changes (internal/rollout) in virtual time: a fleet with
+// Package rollyard plays rolling changes (internal/decide/rollout) in virtual time: a fleet with
 // traffic and the troubles of a yard, stewards that upgrade, and builds that are bad on purpose.
 package rollyard
 
@@ -11,8 +11,8 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"yardwharf/internal/figures"
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/figures"
+	"yardwharf/internal/decide/rollout"
 )
 
 // Build is what the new version does differently.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/tools/lab/scenario/scenario.go
@@ -12,9 +12,9 @@
 
 	"go.starlark.net/starlark"
 
-	"yardwharf/internal/lab/virtual"
-	"yardwharf/internal/lab/yard"
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/tools/lab/virtual"
+	"yardwharf/internal/tools/lab/yard"
 )
 
 // Scenario is one, checked.
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/tools/lab/scenario/scenario_test.go
@@ -9,7 +9,7 @@
 
 // The committed scenarios come out as they expect, a dozen at least.
 func TestScenarios(t *testing.T) {
-	paths, err := filepath.Glob("../../../lab/scenarios/[^_]*.star")
+	paths, err := filepath.Glob("../../../../lab/scenarios/[^_]*.star")
 	if err != nil || len(paths) < 12 {
 		t.Fatalf("%d scenarios, %v", len(paths), err)
 	}
--- a/internal/lab/virtual/dispatcher.go
+++ b/internal/tools/lab/virtual/dispatcher.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/lab/rules"
-	"yardwharf/internal/lab/yard"
+	"yardwharf/internal/tools/lab/rules"
+	"yardwharf/internal/tools/lab/yard"
 )
 
 // dispatcher is one, with its decision module; it carries out what that decides.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/tools/lab/virtual/virtual.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/lab/rules"
-	"yardwharf/internal/lab/sim"
-	"yardwharf/internal/lab/yard"
+	"yardwharf/internal/tools/lab/rules"
+	"yardwharf/internal/tools/lab/sim"
+	"yardwharf/internal/tools/lab/yard"
 )
 
 // Site is a place with hosts and dispatchers.
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/tools/lab/virtual/virtual_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"yardwharf/internal/lab/yard"
+	"yardwharf/internal/tools/lab/yard"
 )
 
 func ferreira(seed uint64, failures ...Failure) Config {
--- a/internal/lab/yard/host.go
+++ b/internal/tools/lab/yard/host.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"yardwharf/internal/lab/sim"
+	"yardwharf/internal/tools/lab/sim"
 )
 
 // HostSpec is what a host is.
--- a/internal/lab/yard/host_test.go
+++ b/internal/tools/lab/yard/host_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"yardwharf/internal/lab/sim"
+	"yardwharf/internal/tools/lab/sim"
 )
 
 // queue plays Poisson arrivals at one host and returns the mean time in the waiting
--- a/internal/lab/zoneyard/zoneyard.go
+++ b/internal/tools/lab/zoneyard/zoneyard.go
@@ -1,4 +1,4 @@
-// Package zoneyard plays fleets of dispatchers that decide on zones (internal/zones) in
+// Package zoneyard plays fleets of dispatchers that decide on zones (internal/decide/zones) in
 // virtual time: they take turns, their datagrams are late, lost and doubled, and the way from
 // each to each zone is dark or not. One seed plays the same run to the byte.
 package zoneyard
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"yardwharf/internal/zones"
+	"yardwharf/internal/decide/zones"
 )
 
 const (
--- a/internal/lab/zoneyard/zoneyard_test.go
+++ b/internal/tools/lab/zoneyard/zoneyard_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"yardwharf/internal/zones"
+	"yardwharf/internal/decide/zones"
 )
 
 const ms = time.Millisecond
--- a/internal/standin/mgmt/script.go
+++ b/internal/tools/standin/mgmt/script.go
@@ -17,7 +17,7 @@
 	"go.starlark.net/starlark"
 	"google.golang.org/grpc/credentials"
 
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
 )
 
 // Play runs a script that sets servers up and plays them, one line after the other.
--- a/internal/steward/steward.go
+++ b/internal/tools/steward/steward.go
@@ -1,6 +1,6 @@
 // Package steward keeps the processes of the dispatcher on one machine: it holds the clients'
 // listening socket, starts processes on it, and does what a controller asks. What it does is
-// decided by internal/keeper.
+// decided by internal/decide/keeper.
 package steward
 
 import (
@@ -21,9 +21,9 @@
 
 	"github.com/rs/zerolog"
 
-	"yardwharf/internal/figures"
-	"yardwharf/internal/keeper"
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/figures"
+	"yardwharf/internal/decide/keeper"
+	"yardwharf/internal/decide/rollout"
 )
 
 const (
--- a/internal/yardlab/bad.go
+++ b/internal/tools/yardlab/bad.go
@@ -8,7 +8,7 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/badbuild"
+	"yardwharf/internal/tools/lab/badbuild"
 )
 
 // badCommand is a build of the dispatcher that is bad on purpose.
--- a/internal/yardlab/bench.go
+++ b/internal/tools/yardlab/bench.go
@@ -19,7 +19,7 @@
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/standin/mgmt"
+	"yardwharf/internal/tools/standin/mgmt"
 )
 
 // bench is one measurement: a dispatcher takes a fleet over xDS, then changes of
--- a/internal/yardlab/cli.go
+++ b/internal/tools/yardlab/cli.go
@@ -14,9 +14,9 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/script"
-	"yardwharf/internal/standin/mgmt"
-	"yardwharf/internal/standin/sender"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/tools/standin/mgmt"
+	"yardwharf/internal/tools/standin/sender"
 )
 
 // errTold is a fault that has been printed already.
--- a/internal/yardlab/cli_test.go
+++ b/internal/tools/yardlab/cli_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"yardwharf/internal/standin/mgmt"
+	"yardwharf/internal/tools/standin/mgmt"
 )
 
 func call(args ...string) (status int, out, log string) {
@@ -142,7 +142,7 @@
 // The first command of docs/LAB.md plays the committed scenarios, and passes over what is
 // for others to load; alone, such a file is a clear no.
 func TestPageCommand(t *testing.T) {
-	paths, err := filepath.Glob("../../lab/scenarios/*.star")
+	paths, err := filepath.Glob("../../../lab/scenarios/*.star")
 	if err != nil || len(paths) < 13 {
 		t.Fatal(paths, err)
 	}
@@ -153,7 +153,7 @@
 	if status := Main([]string{"run", paths[0]}, &out, &log); status != 1 || !strings.Contains(log.String(), "expects nothing") {
 		t.Errorf("%s alone: status %d: %s", paths[0], status, log.String())
 	}
-	if status := Main([]string{"fleet", "list", "--dir", "../../lab/fleet"}, &out, &log); status != 0 || !strings.Contains(out.String(), "one_cut_off") {
+	if status := Main([]string{"fleet", "list", "--dir", "../../../lab/fleet"}, &out, &log); status != 0 || !strings.Contains(out.String(), "one_cut_off") {
 		t.Errorf("fleet list: status %d: %s%s", status, out.String(), log.String())
 	}
 }
--- a/internal/yardlab/count.go
+++ b/internal/tools/yardlab/count.go
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/count"
+	"yardwharf/internal/tools/lab/count"
 )
 
 // countCommand adds the logs of many dispatchers up by second.
--- a/internal/yardlab/dump.go
+++ b/internal/tools/yardlab/dump.go
@@ -14,9 +14,9 @@
 	"github.com/spf13/cobra"
 
 	"yardwharf"
-	"yardwharf/internal/membership"
-	"yardwharf/internal/xds"
-	"yardwharf/internal/xdslink"
+	"yardwharf/internal/carry/xds"
+	"yardwharf/internal/carry/xdslink"
+	"yardwharf/internal/decide/membership"
 )
 
 // dumpCommand asks a management server for all it gives and judges it as a
--- a/internal/yardlab/fleet.go
+++ b/internal/tools/yardlab/fleet.go
@@ -10,10 +10,10 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/processes"
-	"yardwharf/internal/lab/zoneyard"
-	"yardwharf/internal/script"
-	"yardwharf/internal/zones"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/decide/zones"
+	"yardwharf/internal/tools/lab/processes"
+	"yardwharf/internal/tools/lab/zoneyard"
 )
 
 // fleetCommand plays incidents against several real processes of the dispatcher.
--- a/internal/yardlab/load.go
+++ b/internal/tools/yardlab/load.go
@@ -13,7 +13,7 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/load"
+	"yardwharf/internal/tools/lab/load"
 )
 
 // loadCommand puts load on an HTTP address.
--- a/internal/yardlab/order.go
+++ b/internal/tools/yardlab/order.go
@@ -7,8 +7,8 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/order"
-	"yardwharf/internal/waiting"
+	"yardwharf/internal/decide/waiting"
+	"yardwharf/internal/tools/lab/order"
 )
 
 // orderCommand compares the ways in which age can count against worth.
--- a/internal/yardlab/rollout.go
+++ b/internal/tools/yardlab/rollout.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/rollyard"
-	"yardwharf/internal/rollout"
+	"yardwharf/internal/decide/rollout"
+	"yardwharf/internal/tools/lab/rollyard"
 )
 
 // rolloutCommand measures the decisions on rolling changes.
--- a/internal/yardlab/run.go
+++ b/internal/tools/yardlab/run.go
@@ -11,8 +11,8 @@
 
 	"github.com/spf13/cobra"
 
-	"yardwharf/internal/lab/scenario"
-	"yardwharf/internal/script"
+	"yardwharf/internal/decide/script"
+	"yardwharf/internal/tools/lab/scenario"
 )
 
 // runCommand plays scenarios in virtual time.
