--- a/internal/tools/lab/scenario/scenario.go
+++ b/internal/tools/lab/scenario/scenario.go
@@ -43,10 +43,24 @@
 		"tries":        func(r *virtual.Result) float64 { return float64(r.Tries) / float64(max(1, r.Requests)) },
 		"refused":      func(r *virtual.Result) float64 { return float64(r.Refused) / float64(max(1, r.Requests)) },
 		"failed":       func(r *virtual.Result) float64 { return float64(r.Failed) / float64(max(1, r.Requests)) },
+		"calls_peak":   peak(func(s virtual.Second) int { return s.Calls }),
+		"cold_peak":    peak(func(s virtual.Second) int { return s.NewCold }),
+		"retries_peak": peak(func(s virtual.Second) int { return s.Retries }),
 		"pressure":     func(r *virtual.Result) float64 { return r.Pressure },
 	}
 }
 
+// peak is the most of something in a second, over the fleet.
+func peak(of func(virtual.Second) int) func(*virtual.Result) float64 {
+	return func(r *virtual.Result) float64 {
+		most := 0
+		for _, s := range r.Seconds {
+			most = max(most, of(s))
+		}
+		return float64(most)
+	}
+}
+
 // Names are the names of the figures.
 func Names() (names []string) {
 	for name := range figures() {
@@ -68,7 +82,7 @@
 		Config: virtual.Config{Rate: 50, Length: time.Minute, Retry: "none", Lag: time.Second}}
 	err = script.Run(script.Options{Path: path, Text: text, MaxSteps: mostSteps,
 		Read:  func(name string) ([]byte, error) { return os.ReadFile(filepath.Join(filepath.Dir(path), name)) },
-		Calls: map[string]script.Func{"about": s.about, "account": s.account, "site": s.site, "traffic": s.traffic, "surge": s.surge, "failure": s.failure, "expect": s.expect, "run": s.run}})
+		Calls: map[string]script.Func{"about": s.about, "account": s.account, "site": s.site, "traffic": s.traffic, "surge": s.surge, "failure": s.failure, "expect": s.expect, "run": s.run, "discovery": s.discovery}})
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +114,14 @@
 	return starlark.None, a.Done()
 }
 
+// discovery says how its calls are served.
+func (s *Scenario) discovery(c script.Call) (starlark.Value, error) {
+	a := c.Args()
+	s.Config.Calls = virtual.Discovery{Serve: a.Span("serve", 80*time.Millisecond, time.Millisecond, time.Minute), Most: a.Number("queue", 20, 1, 100_000),
+		Patience: a.Span("patience", 2*time.Second, time.Millisecond, time.Minute)}
+	return starlark.None, a.Done()
+}
+
 // percent is a number that is told in percent.
 func percent(a *script.Args, key string, def, most int) float64 {
 	return float64(a.Number(key, def, 0, most)) / 100
--- a/internal/tools/lab/virtual/dispatcher.go
+++ b/internal/tools/lab/virtual/dispatcher.go
@@ -237,6 +237,14 @@
 	r := &relay{m: m, n: len(m.relays), h: h, sent: now, task: &yard.Task{Work: m.req.work, Slots: m.req.slots}}
 	m.relays = append(m.relays, r)
 	w.result.Attempts++
+	w.second().Sends++
+	if h.Warmth() < 1 {
+		w.second().ToCold++
+		if h.met[d.index] != h.Spec.Since {
+			h.met[d.index] = h.Spec.Since
+			w.second().NewCold++
+		}
+	}
 	if h.site != d.site {
 		w.result.Crossings++
 	}
@@ -312,18 +320,39 @@
 
 // Watch asks discovery; the whole list comes after its lag, or the call fails.
 func (d *dispatcher) Watch() {
-	life := d.life
-	d.w.clock.After(max(d.w.c.Lag, time.Millisecond), func() {
-		if d.life != life || d.b == nil {
-			return
-		}
-		if d.w.down {
-			d.tell(yardwharf.ListFailed, nil)
-			return
-		}
-		d.watches = true
-		d.tell(yardwharf.ListFull, d.w.members())
-	})
+	w, life, c := d.w, d.life, d.w.c.Calls
+	w.second().Calls++
+	ends := func(after time.Duration, fails bool) {
+		w.clock.After(max(after, time.Millisecond), func() {
+			if d.life != life || d.b == nil {
+				return
+			}
+			if fails || w.down {
+				w.second().Failed++
+				d.tell(yardwharf.ListFailed, nil)
+				return
+			}
+			d.watches = true
+			d.tell(yardwharf.ListFull, w.members())
+		})
+	}
+	if c.Serve <= 0 || w.down {
+		ends(w.c.Lag, false)
+		return
+	}
+	if w.waiting >= c.Most {
+		ends(0, true)
+		return
+	}
+	w.waiting++
+	w.busy = max(w.busy, w.clock.Now()) + c.Serve
+	took := w.busy - w.clock.Now()
+	w.clock.After(took, func() { w.waiting-- })
+	if took > c.Patience {
+		ends(c.Patience, true)
+		return
+	}
+	ends(took+w.c.Lag, false)
 }
 
 // Probe asks a host for its report, which is as old as the account's refresh has it.
--- a/internal/tools/lab/virtual/virtual.go
+++ b/internal/tools/lab/virtual/virtual.go
@@ -55,10 +55,28 @@
 	Retry    string // "none", "at_once" or "later": what clients do after a refusal or failure
 	Failures []Failure
 	Lag      time.Duration // of discovery
+	Calls    Discovery
 
 	mutant string // a fault in what dispatchers do, for tests of the checkers
 }
 
+// Discovery is how calls to it are served; the zero Discovery serves all at once.
+type Discovery struct {
+	Serve    time.Duration // a call takes, one after the other
+	Most     int           // calls that wait; others fail at once
+	Patience time.Duration // a dispatcher gives a call up, which is worked off all the same
+}
+
+// Second is what all dispatchers did together in one.
+type Second struct {
+	Calls   int // to discovery, begun
+	Failed  int // of those that ended
+	Sends   int // of relays
+	ToCold  int // of these to hosts that are cold
+	NewCold int // dispatchers that sent a cold host its first
+	Retries int // of clients
+}
+
 // Surge multiplies the rate for a while.
 type Surge struct {
 	At, For time.Duration
@@ -83,6 +101,7 @@
 	Pressure     float64       // on a cold host, the most, as a part of what pushes it over
 	Events       uint64
 	Open         int // messages that are still held at the end
+	Seconds      []Second
 }
 
 // ClassResult is one class's part.
@@ -112,7 +131,9 @@
 	check   *rules.Checker
 	down    bool // discovery
 	last    uint64
-	windows [][2]float64 // asked, worth
+	windows [][2]float64  // asked, worth
+	busy    time.Duration // discovery is busy until then
+	waiting int           // calls that it has
 	result  Result
 }
 
@@ -122,7 +143,8 @@
 	id          yardwharf.WorkerID
 	state       yardwharf.WorkerState
 	dark        bool
-	report      []float32 // as it was at reported
+	met         map[int]time.Duration // by dispatcher: of which start it was sent something
+	report      []float32             // as it was at reported
 	reported    time.Duration
 }
 
@@ -171,6 +193,7 @@
 		w.mean = append(w.mean, k.Least+time.Duration(w.rng.Float64()*float64(k.Most-k.Least)))
 		w.result.ByClass = append(w.result.ByClass, ClassResult{Name: k.Name})
 	}
+	w.result.Seconds = make([]Second, c.Length/time.Second+1)
 	w.windows = make([][2]float64, c.Length/windowLength+1)
 	w.fleet()
 	if err := w.dispatchers(); err != nil {
@@ -203,7 +226,7 @@
 				kind = 1
 			}
 			k := kinds[kind]
-			h := &host{index: len(w.hosts), site: site, id: yardwharf.WorkerID(len(w.hosts) + 1), state: yardwharf.Ready}
+			h := &host{index: len(w.hosts), site: site, id: yardwharf.WorkerID(len(w.hosts) + 1), state: yardwharf.Ready, met: map[int]time.Duration{}}
 			h.Host = yard.NewHost(w.clock, yard.HostSpec{Name: fmt.Sprintf("%s-%d", s.Name, len(w.hosts)), Site: site, Kind: kind, Cores: k.Cores,
 				Slots: k.Cores, Speed: k.SpeedLo + w.rng.Float64()*(k.Speed-k.SpeedLo), Queue: int(w.account.Queue * k.Cores), Account: w.account})
 			w.hosts = append(w.hosts, h)
@@ -211,6 +234,12 @@
 	}
 }
 
+// second is the count of this one.
+func (w *world) second() *Second {
+	n := int((w.clock.Now() - w.began) / time.Second)
+	return &w.result.Seconds[min(n, len(w.result.Seconds)-1)]
+}
+
 // delay is one way between two sites.
 func (w *world) delay(a, b int) time.Duration {
 	if a == b {
@@ -266,7 +295,9 @@
 // try goes through the front to a dispatcher of the site, or of another where it has
 // none. The front does not notice a dead one at once.
 func (w *world) try(r *request) {
-	r.tries++
+	if r.tries++; r.tries > 1 {
+		w.second().Retries++
+	}
 	w.result.Tries++
 	var fit []*dispatcher
 	for _, d := range w.disp {
--- a/internal/tools/yardlab/cli_test.go
+++ b/internal/tools/yardlab/cli_test.go
@@ -147,7 +147,7 @@
 		t.Fatal(paths, err)
 	}
 	var out, log strings.Builder
-	if status := Main(append([]string{"run", "--seeds", "1"}, paths[:5]...), &out, &log); status != 0 || strings.Count(out.String(), "\n") != 4 {
+	if status := Main(append([]string{"run", "--seeds", "1"}, paths[:6]...), &out, &log); status != 0 || strings.Count(out.String(), "\n") != 4 {
 		t.Errorf("status %d: %s%s", status, out.String(), log.String())
 	}
 	if status := Main([]string{"run", paths[0]}, &out, &log); status != 1 || !strings.Contains(log.String(), "expects nothing") {
