Refuse settings that cannot be used before a change touches a dispatcher

Need: a plan whose new settings or operator's file no dispatcher can use went as far as the first steward, whose upgrade then failed. Result: one line with file and key, status 2, no record made.

--- a/internal/tools/fleetcli/rollout.go
+++ b/internal/tools/fleetcli/rollout.go
@@ -18,6 +18,8 @@
 
 	"yardwharf/internal/decide/rollout"
 	"yardwharf/internal/decide/script"
+	"yardwharf/internal/run/config"
+	"yardwharf/internal/run/operator"
 	"yardwharf/internal/tools/controller"
 	"yardwharf/internal/tools/steward"
 )
@@ -119,6 +121,9 @@
 			if err != nil {
 				return err
 			}
+			if err := refused(p.To); err != nil {
+				return fault{err}
+			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			st, err := controller.Run(ctx, zerolog.New(log).With().Timestamp().Str("change", p.Change).Logger(), controller.Options{Plan: p, Text: text, Record: at,
@@ -207,6 +212,38 @@
 	return c
 }
 
+// refused is why settings can never be used, where they are on this machine, too: no
+// dispatcher is touched by them then.
+func refused(v rollout.Version) error {
+	if v.Operator != "" {
+		if _, err := os.Stat(v.Operator); err == nil {
+			if _, err := operator.Load(v.Operator); err != nil {
+				return err
+			}
+		}
+	}
+	if v.Config == "" {
+		return nil
+	}
+	text, err := os.ReadFile(v.Config)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c, err := config.Parse(text, func(name string) string { // what the steward and each machine add
+		return map[string]string{"PROXY_LISTEN": "127.0.0.1:1", "PROXY_DISCOVERY": "127.0.0.1:1"}[name]
+	})
+	if err != nil {
+		return fmt.Errorf("%s: %w", v.Config, err)
+	}
+	if c.Admin.IsValid() {
+		return fmt.Errorf("%s: key admin: is %s, expected none: stewards give each process its own", v.Config, c.Admin)
+	}
+	return nil
+}
+
 // refusal is a controller's no.
 type refusal struct{ text string }
 
