Keep out of a zone left by hand whatever a build without orders says of it

Cause: hearDecision took a return from one that knows of no order, and for a tenth of a second the draws went by it (zones.go Part, message.go hearDecision).

Change: an order to stay away outranks any phase in Part, and such a return is answered with the same generation, left.

--- a/internal/decide/zones/message.go
+++ b/internal/decide/zones/message.go
@@ -105,6 +105,9 @@
 	if viewers >= f.c.Zones || zone >= f.c.Zones || d.phase > Gone || d.gen == 0 {
 		return
 	}
+	if viewers == f.c.Zone && f.orders[zone].Away { // of one that does not know: the same step, more careful
+		d.phase = Gone
+	}
 	have := f.at(viewers, zone)
 	newer := int16(d.gen-have.gen) > 0
 	if !newer && (d.gen != have.gen || d.phase <= have.phase || have.phase == Here) {
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -178,6 +178,9 @@
 	if zone < 0 || zone >= f.c.Zones {
 		return 1
 	}
+	if f.orders[zone].Away {
+		return 0
+	}
 	switch d := f.at(f.c.Zone, zone); d.phase {
 	case Gone:
 		return 0
--- a/internal/tools/lab/zoneyard/zoneyard.go
+++ b/internal/tools/lab/zoneyard/zoneyard.go
@@ -38,6 +38,7 @@
 	Deaf  func(i int, now time.Duration) bool          // its datagrams do not get through
 	Still func(i int, now time.Duration) bool          // stopped
 	Cold  func(zone int, now time.Duration) bool       // its hosts start anew at this turn
+	Reads func(i int, data []byte) []byte              // what it can read of a datagram; nil: all
 
 	Now    time.Duration
 	Fleets []*zones.Fleet
@@ -99,6 +100,9 @@
 		n := 0
 		for ; n < len(y.Mail) && y.Mail[n].At <= y.Now; n++ {
 			if m := y.Mail[n]; !is(y.Still, m.To, y.Now) {
+				if y.Reads != nil {
+					m.Data = y.Reads(m.To, m.Data)
+				}
 				y.Fleets[m.To].Hear(m.At, m.Data)
 			}
 		}
--- a/internal/tools/lab/zoneyard/zoneyard_test.go
+++ b/internal/tools/lab/zoneyard/zoneyard_test.go
@@ -210,6 +210,32 @@
 	y.Play(8 * time.Second)
 	parts("returned by hand", 1)
 
+	// In a fleet with a build that knows of no orders the others keep to them all the same.
+	y = yard(t, 30, 12)
+	y.Reads = func(i int, data []byte) []byte {
+		if i%2 == 0 {
+			return data
+		}
+		kept, n := []byte{data[0], 0}, int(data[1])
+		for k := range n {
+			if d := data[2+7*k : 9+7*k]; d[0] != 255 {
+				kept, kept[1] = append(kept, d...), kept[1]+1
+			}
+		}
+		return append(kept, data[2+7*n:]...)
+	}
+	y.Play(2 * time.Second)
+	told(4, true)
+	y.Play(1500 * ms)
+	for range 200 {
+		y.Play(100 * ms)
+		for i := 0; i < 30; i += 2 {
+			if part := y.Fleets[i].Part(y.Now, 1); part > 0 {
+				t.Fatalf("dispatcher %d draws %v of its share in a zone that was left by hand", i, part)
+			}
+		}
+	}
+
 	f := y.Fleets[0]
 	for zone := range 2 {
 		f.Obey(zone, zones.Order{Gen: 9, Away: true})
