--- a/room_test.go
+++ b/room_test.go
@@ -248,3 +248,56 @@
 		t.Errorf("with no host at home it crosses after %v", took)
 	}
 }
+
+// What waits at a host that drains comes back as full: it has not run, so it goes elsewhere,
+// also what must never run twice. What has begun there does not.
+func TestDrainHandsBack(t *testing.T) {
+	s := asked(Class{Effect: Unsafe, Aim: time.Second})
+	s.Peers, s.Balancers = false, 1
+	f := start(t, s, 2)
+	f.b.Probed(f.now, 1, OK, 0, []float32{0, 0, 2})
+	f.b.Probed(f.now, 2, OK, 0, []float32{0, 0, 2})
+	f.request(1, 0)
+	f.request(2, 0)
+	first, second := f.sends[0], f.sends[1]
+	f.b.Note(f.now, first.id, 0, Started, 0)
+	list := members(2)
+	list[second.worker-1].State = Draining
+	f.b.Members(f.now, ListFull, list)
+	f.end(second, Full)
+	if n := len(f.sends); n != 3 || f.sends[2].id != second.id || f.sends[2].worker == second.worker || f.answers[second.id] != "" {
+		t.Fatalf("handed back: sent %+v, answers %v", f.sends, f.answers)
+	}
+	f.end(first, Reset)
+	if f.answers[first.id] != "fail" || len(f.sends) != 3 {
+		t.Errorf("begun and lost: %q, %d sends", f.answers[first.id], len(f.sends))
+	}
+}
+
+// A peer whose list differs, or that has fallen silent, counts for nothing; with half of its
+// messages lost it counts on.
+func TestPeersThatDiffer(t *testing.T) {
+	s := asked(Class{Aim: time.Second})
+	s.Balancers = 2
+	f := start(t, s, 2)
+	list := f.b.splits[0].m
+	message := func(print uint32) []byte {
+		f.b.workers[0].load = 2
+		defer func() { f.b.workers[0].load = 0 }()
+		return appendCounts(nil, print, 0, list)
+	}
+	if f.b.Peer(f.now, 1, message(f.b.print+1)); f.b.workers[0].others != 0 {
+		t.Error("a peer with another list counts")
+	}
+	for n := range 12 { // one of two arrives
+		if n%2 == 0 {
+			f.b.Peer(f.now, 1, message(f.b.print))
+		}
+		if f.wait(300 * ms); f.b.workers[0].others != 2 {
+			t.Fatalf("after %d messages, half of them lost, it counts for %d", n, f.b.workers[0].others)
+		}
+	}
+	if f.wait(2 * peerStale); f.b.workers[0].others != 0 {
+		t.Error("a peer that is gone counts on")
+	}
+}
