Start nothing that is not written down, and let no steward hold a change for ever

A steward whose state could not be written started the process of an act all the same (steward.go carry went on after a failed save); one that refused an act while in reach was waited for without end (rollout.go outcome knew only 'out of reach'); a release in the middle of an act was answered yes and not done (keeper.go Release), so that the machine belonged to the change for ever; the moved state file was not synced with its folder.

Change: a start behind a failed save fails the act; an act not taken for 30 s holds the change, or names the dispatcher on the way back; release says no and is asked again. One way to speak with stewards and controllers (controller.Call, *No). Fields that nothing read are gone; step and falls of a zone stand in /ops/zones.

--- a/internal/decide/keeper/keeper.go
+++ b/internal/decide/keeper/keeper.go
@@ -25,6 +25,8 @@
 // ErrTaken says that the machine belongs to another change.
 var ErrTaken = errors.New("this machine belongs to another change")
 
+var errUnderWay = errors.New("an act is under way")
+
 // Saved is what must outlive the steward.
 type Saved struct {
 	Good   rollout.Version `json:"good"` // the last that is known to be
@@ -248,7 +250,7 @@
 		return nil, nil
 	}
 	if s.Doing {
-		return nil, errors.New("an act is under way")
+		return nil, errUnderWay
 	}
 	s.Change, s.Last, s.Act, s.Fault, s.Fell = change, change, act, "", false
 	if to = over(to, s.Good); to == s.Now {
@@ -278,16 +280,20 @@
 }
 
 // Release ends what a change has to say here; with keep what runs now is known to be good.
-func (k *Keeper) Release(change string, keep bool) []Do {
+// While an act is under way it is an error: the machine would belong to the change for ever.
+func (k *Keeper) Release(change string, keep bool) ([]Do, error) {
 	s := &k.saved
-	if s.Change != change || s.Doing {
-		return nil
+	if s.Change != change {
+		return nil, nil
+	}
+	if s.Doing {
+		return nil, errUnderWay
 	}
 	if s.Change = ""; keep && !s.Fell {
 		s.Good = s.Now
 	}
 	k.do(Do{Kind: Save})
-	return k.take()
+	return k.take(), nil
 }
 
 // End ends all processes.
--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -143,12 +143,20 @@
 	if m.ask("c", 1, new_); !errors.Is(m.ask("d", 1, old), ErrTaken) {
 		t.Error("a second change is taken")
 	}
+	release := func(change string) error {
+		todo, err := m.k.Release(change, true)
+		m.carry(todo)
+		return err
+	}
+	if release("c") == nil || m.k.Saved().Change != "c" {
+		t.Error("it is released in the middle of an act")
+	}
 	m.pass(9 * time.Second)
-	m.carry(m.k.Release("d", true))
+	release("d")
 	if m.k.Saved().Change != "c" {
 		t.Error("another change releases it")
 	}
-	m.carry(m.k.Release("c", true))
+	release("c")
 	if s := m.saved; s.Change != "" || s.Good.Build != "/new" || s.Good.Config != "/c" {
 		t.Errorf("released: %+v", s)
 	}
--- a/internal/decide/rollout/rollout.go
+++ b/internal/decide/rollout/rollout.go
@@ -107,6 +107,10 @@
 	seq     int
 	pending Act // Seq 0: none
 	waits   string
+	asked   struct { // the act under way, and since when its steward could have taken it
+		seq int
+		at  time.Duration
+	}
 	began   time.Duration // of the stage's watch; -1: not yet since the start
 	comp    *Comparison
 	lines   []Line
@@ -333,6 +337,10 @@
 		return Record{}, false
 	}
 	s, u := &seen[a.Dispatcher], &m.units[a.Dispatcher]
+	if m.asked.seq != a.Seq || !s.Reached {
+		m.asked.seq, m.asked.at = a.Seq, now
+	}
+	ignored := s.Reached && s.Act != a.Seq && now-m.asked.at > reachFor
 	k := Returned
 	if a.New {
 		k = Upgraded
@@ -342,6 +350,10 @@
 		return m.about(k, a.Dispatcher, s.Fault), true
 	case s.Reached && s.Taken != "":
 		return m.about(k, a.Dispatcher, "belongs to change "+s.Taken), true
+	case ignored && (!a.New || m.state == Back):
+		return m.about(k, a.Dispatcher, "does not take the act"), true
+	case ignored && m.held == "":
+		return m.record(Hold, m.plan.Dispatchers[a.Dispatcher].Name+" does not take its act"), true
 	case !s.Reached && now-u.heard > reachFor && (!a.New || m.state == Back): // the rest goes on
 		return m.about(k, a.Dispatcher, "out of reach"), true
 	case !s.Reached && now-u.heard > reachFor && m.held == "":
--- a/internal/decide/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -69,6 +69,7 @@
 	process []int
 	counts  []float64
 	quiet   bool // no messages
+	refuses bool // one takes no acts
 	down    bool // one that is not upgraded does not serve
 }
 
@@ -160,7 +161,7 @@
 // do is a steward that takes an act, once.
 func (w *world) do(a Act) {
 	i := a.Dispatcher
-	if w.act[i] >= a.Seq {
+	if w.act[i] >= a.Seq || w.refuses && i == 0 {
 		return
 	}
 	if len(w.log) < a.Seq || w.log[a.Seq-1].Kind != Upgrade && w.log[a.Seq-1].Kind != Return {
@@ -258,7 +259,15 @@
 				w.crashes[0]++
 			}
 		}, Done, "", ""},
-		"one is out": {func(w *world, _ int) { w.down = true }, Rolling, "", ""},
+		"one is out":       {func(w *world, _ int) { w.down = true }, Rolling, "", ""},
+		"one takes no act": {func(w *world, _ int) { w.refuses = true }, Rolling, "does not take", ""},
+		"one takes no act, back": {func(w *world, turn int) {
+			if w.refuses = true; turn == 5 {
+				r, _ := w.m.Ask(GoBack, "by hand")
+				w.log = append(w.log, r)
+				w.kill()
+			}
+		}, Stopped, "", "by hand"},
 		"half are out of reach": {func(w *world, turn int) {
 			for i := range 5 {
 				w.away[i] = 2
--- a/internal/run/app/zones.go
+++ b/internal/run/app/zones.go
@@ -134,7 +134,7 @@
 	var list []operator.ZoneStatus
 	for zone, name := range c.p.config.Settings.Zones {
 		s := c.p.zones.fleet.Status(c.p.loop.Now(), zone)
-		list = append(list, operator.ZoneStatus{Zone: name, Phase: s.Phase.String(), Part: s.Part, ByHand: s.Order.Away, Dark: s.Dark, Fine: s.Fine})
+		list = append(list, operator.ZoneStatus{Zone: name, Phase: s.Phase.String(), Part: s.Part, ByHand: s.Order.Away, Step: s.Gen, Falls: s.Falls, Dark: s.Dark, Fine: s.Fine})
 	}
 	text, err := json.Marshal(list)
 	return string(text), err
--- a/internal/run/operator/zones.go
+++ b/internal/run/operator/zones.go
@@ -19,6 +19,8 @@
 	Phase  string  `json:"phase"`
 	Part   float64 `json:"part"`    // of its draws
 	ByHand bool    `json:"by_hand"` // left so
+	Step   uint16  `json:"step"`    // its decisions: dispatchers of a zone that differ have not heard the same
+	Falls  int     `json:"falls"`   // in the last minute
 	Dark   int     `json:"dark"`    // dispatchers of the own zone that say so
 	Fine   int     `json:"fine"`
 }
--- a/internal/tools/controller/controller.go
+++ b/internal/tools/controller/controller.go
@@ -201,7 +201,17 @@
 	return Call(ctx, &c.client, c.o.Plan.Dispatchers[i].Steward, method, path, in, out)
 }
 
-// Call makes a call and reads its answer; one that is no yes is an error with what it says.
+// No is an answer that is no yes.
+type No struct {
+	At     string
+	Status int
+	Text   string
+}
+
+// Error implements error.
+func (n *No) Error() string { return fmt.Sprintf("%s says %d: %s", n.At, n.Status, n.Text) }
+
+// Call makes a call and reads its answer; one that is no yes is a *No.
 func Call(ctx context.Context, client *http.Client, at, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
@@ -225,7 +235,7 @@
 	case err != nil:
 		return err
 	case a.StatusCode/100 != 2:
-		return fmt.Errorf("%s says %d: %s", at, a.StatusCode, bytes.TrimSpace(text))
+		return &No{at, a.StatusCode, string(bytes.TrimSpace(text))}
 	case out != nil:
 		return json.Unmarshal(text, out)
 	}
--- a/internal/tools/fleetcli/rollout.go
+++ b/internal/tools/fleetcli/rollout.go
@@ -197,7 +197,7 @@
 				}
 				var st rollout.Status
 				err = speak(c.Context(), p.Listen, "POST", "/"+verb.name, &st)
-				var no *refusal
+				var no *controller.No
 				if errors.As(err, &no) {
 					return fmt.Errorf("rollout: %w", err)
 				}
@@ -244,32 +244,9 @@
 	return nil
 }
 
-// refusal is a controller's no.
-type refusal struct{ text string }
-
-// Error implements error.
-func (r *refusal) Error() string { return r.text }
-
 // speak calls a controller.
 func speak(ctx context.Context, at, method, path string, into any) error {
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, nil)
-	if err != nil {
-		return err
-	}
-	client := http.Client{Timeout: controllerTime}
-	a, err := client.Do(q)
-	if err != nil {
-		return err
-	}
-	defer a.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(a.Body, 1<<20))
-	if err != nil {
-		return err
-	}
-	if a.StatusCode/100 != 2 {
-		return &refusal{strings.TrimSpace(string(text))}
-	}
-	return json.Unmarshal(text, into)
+	return controller.Call(ctx, &http.Client{Timeout: controllerTime}, at, method, path, nil, into)
 }
 
 // folded is a record that nobody has open.
--- a/internal/tools/lab/rollyard/rollyard.go
+++ b/internal/tools/lab/rollyard/rollyard.go
@@ -26,7 +26,6 @@
 	Crashes time.Duration
 	Fails   string // its upgrade fails
 	Burst   bool   // what it loses it loses in 5 s of each minute
-	Harms   float64
 }
 
 // Builds are those that the laboratory knows; the first is the same as the old one.
@@ -57,7 +56,6 @@
 	AtOnce   float64       // what it would have lost in an hour with all of the fleet
 	ByTime   float64       // in an hour with the same stages, each of its least time
 	Why      string
-	Offered  float64 // worth, in the time it took
 }
 
 type class struct {
@@ -226,7 +224,6 @@
 			count.Relays += n * 1.05
 			count.Delay += (inTime + min(rest, lateN)) * delay * (0.9 + 0.2*y.rng.Float64())
 			k.counts[c.name] = count
-			y.r.Offered += n * c.worth
 			if k.isNew {
 				y.r.Messages += n
 				y.r.Lost += n * c.worth * (good - p*(1-refused))
--- a/internal/tools/steward/steward.go
+++ b/internal/tools/steward/steward.go
@@ -223,21 +223,33 @@
 	if err = errors.Join(err, f.Close()); err != nil {
 		return err
 	}
-	return os.Rename(s.path()+".new", s.path())
+	if err := os.Rename(s.path()+".new", s.path()); err != nil {
+		return err
+	}
+	folder, err := os.Open(s.o.Folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
 }
 
 // carry does what the keeper decided, in order. Where the state cannot be written what runs
 // goes on, and acts are refused until it can.
 func (s *steward) carry(todo []keeper.Do) {
+	var err error
 	for _, d := range todo {
 		switch d.Kind {
 		case keeper.Save:
-			err := s.save()
+			err = s.save()
 			if err != nil && s.unsaved == nil {
 				s.log.Error().Err(err).Msg("steward cannot write its state")
 			}
 			s.unsaved = err
 		case keeper.Start:
+			if err != nil { // of an act that is not written down: a steward that dies now would not know of it
+				go s.exited(d.Process, fmt.Sprintf("not started, as the state cannot be written: %v", err))
+				continue
+			}
 			done := make(chan struct{})
 			s.starts <- func() { s.start(d); close(done) }
 			<-done
@@ -347,8 +359,13 @@
 		var r Release
 		if read(w, q, &r) {
 			s.mu.Lock()
-			s.carry(s.keeper.Release(r.Change, r.Keep))
+			todo, err := s.keeper.Release(r.Change, r.Keep)
+			s.carry(todo)
 			s.mu.Unlock()
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusConflict)
+				return
+			}
 			answer(w, s.status())
 		}
 	})
