One clock for a silent watch, and a watch on the agent where lists are pushed

Change: silence is told apart from an end. askTurn is what is left until news counts as told, less 2 s for the call: the longest time between calls where a call failed or discovery ended the watch, 6 s from the last line where a watch or call is silent, 4 s after SIGHUP. A watch is given up 2.5 s after its last line. Where lists are pushed the watcher calls the agent itself, again 0.1 s after each failure, and clients wait for its first answer (1 s at most).

--- a/fleet.go
+++ b/fleet.go
@@ -11,9 +11,9 @@
 // have asked for get splits.
 
 const (
-	askSpread = 50 * time.Millisecond  // least spread of the first discovery calls
+	askSpread = 50 * time.Millisecond  // least spread of discovery calls
 	askEach   = 80 * time.Millisecond  // of it for each dispatcher
-	askTenths = 8                      // tenths of the longest time between calls: most spread
+	askTakes  = 2 * time.Second        // that a call itself may take
 	askFirst  = 500 * time.Millisecond // wait after the first failed call; doubles
 )
 
@@ -26,11 +26,14 @@
 		b.failures++
 		turn := b.askTurn()
 		wait := min(max(askFirst, turn)<<min(b.failures-1, 10), max(turn, b.s.AskWithin/2))
+		if b.now < b.due {
+			wait = min(wait, max(turn, askFirst))
+		}
 		b.after(b.jitter(wait), 0, timerAsk)
 		return
 	}
 	if kind != ListCached && kind != ListOwn { // a list also comes unasked, where the host moves the watch
-		b.watching, b.asking, b.failures = true, false, 0
+		b.watching, b.asking, b.failures, b.due = true, false, 0, 0
 	}
 	first := len(b.workers) == 0
 	b.learn(kind, list, first)
@@ -47,12 +50,36 @@
 	}
 }
 
+// Silent says that the watch has fallen silent, so that it is none, and that what it
+// misses counts as told when so much time is over. It may be this one's alone or that of
+// all dispatchers in one moment: discovery is asked anywhere in the turn that is left.
+func (b *Balancer) Silent(now, left time.Duration) {
+	b.now = now
+	defer b.arm()
+	b.watching, b.asking, b.due = false, !b.s.AskDiscovery, now+left
+	b.after(time.Duration(b.rng.Float64()*float64(b.askTurn())), 0, timerAsk)
+}
+
+// Moved says that the host asks for the list elsewhere, and that what is to be heard
+// there counts as told when so much time is over. Calls that fail are repeated in it.
+func (b *Balancer) Moved(now, left time.Duration) {
+	b.now = now
+	b.due = now + left
+}
+
 // askTurn is the time in which each dispatcher calls discovery once, in the order
-// of their numbers, where all start at once. Discovery works off a call at a time,
-// also one that has been given up: guards against calls and repeats of all
-// dispatchers that keep it overbooked for good, so that it serves none.
+// of their numbers where all start at once. It is what is left until news counts as told,
+// heard or not, but for what a call itself may take: that is the longest time between calls
+// where a call has failed or discovery has ended the watch, and less where the host has said
+// so. Discovery works off a call at a time, also one that has been given up: guards against
+// calls and repeats of all dispatchers that keep it overbooked for good, so that it serves
+// none, and against one that takes its turn among all for longer than it may be without news.
 func (b *Balancer) askTurn() time.Duration {
-	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), askTenths*b.s.AskWithin/10))
+	left := b.s.AskWithin
+	if b.now < b.due {
+		left = b.due - b.now
+	}
+	return max(askSpread, min(askEach*time.Duration(b.s.Balancers), left-askTakes))
 }
 
 func (b *Balancer) jitter(d time.Duration) time.Duration {
--- a/internal/carry/dispatch/dispatch.go
+++ b/internal/carry/dispatch/dispatch.go
@@ -158,6 +158,12 @@
 	d.balancer.Members(d.loop.Now(), kind, list)
 }
 
+// Silent says that the watch has fallen silent; what it misses counts as told in so long.
+func (d *Dispatcher) Silent(left time.Duration) { d.balancer.Silent(d.loop.Now(), left) }
+
+// Moved says that the list is asked for elsewhere; what is heard there counts in so long.
+func (d *Dispatcher) Moved(left time.Duration) { d.balancer.Moved(d.loop.Now(), left) }
+
 // Learned is what the decisions have learned up to now.
 func (d *Dispatcher) Learned() yardwharf.Learned { return d.balancer.Learned(d.loop.Now()) }
 
--- a/internal/run/app/fleet.go
+++ b/internal/run/app/fleet.go
@@ -1,12 +1,52 @@
 package app
 
 import (
+	"time"
+
 	"yardwharf"
+	"yardwharf/internal/carry/loop"
 	"yardwharf/internal/carry/inventory"
 	"yardwharf/internal/carry/xdslink"
 	"yardwharf/internal/decide/membership"
+	"yardwharf/internal/run/handover"
+)
+
+const (
+	movedWithin = 4 * time.Second // after SIGHUP what discovery has to tell counts as told
+	agentWait   = time.Second     // an agent that has not answered by then is silent, as discovery is down
 )
 
+// hearAgent calls the agent on this machine that has the list. What it has counts as told
+// from the first moment, so that clients wait for its answer: guards against messages that
+// go to hosts of an old list which it says drain.
+func (p *program) hearAgent() {
+	p.unheard = true
+	p.first.Task = loop.Func(func() { p.heard("no answer") })
+	p.loop.Set(&p.first, p.loop.Now()+agentWait)
+	p.hold()
+	p.settle()
+	p.watcher.Watch()
+}
+
+// heard ends the wait for the agent's first answer.
+func (p *program) heard(why string) {
+	if !p.unheard {
+		return
+	}
+	if why != "" {
+		p.log.Warn().Str("reason", why).Msg("starts with the list last known")
+	}
+	p.unheard = false
+	p.loop.Clear(&p.first)
+	p.hold()
+	p.settle()
+}
+
+// hold leaves new clients to other processes, or to wait for this one.
+func (p *program) hold() {
+	p.front.Hold(p.unheard || p.operations.phase == handover.Starting || p.leaving && p.succeeded)
+}
+
 // known takes the hosts that the configuration knows from before.
 func (p *program) known(list inventory.List) {
 	hosts, gone := list.Split()
@@ -20,8 +60,12 @@
 	hosts, gone := list.Split()
 	p.fleet.List(p.loop.Now(), list.Snapshot, hosts, gone)
 	p.tell(yardwharf.ListDelta)
+	p.heard("")
 }
 
+// Silent implements inventory.Listener.
+func (p *program) Silent(left time.Duration) { p.dispatcher.Silent(left) }
+
 // Failed implements inventory.Listener.
 func (p *program) Failed() { p.dispatcher.Members(yardwharf.ListFailed, nil) }
 
--- a/internal/run/app/operations.go
+++ b/internal/run/app/operations.go
@@ -58,7 +58,7 @@
 	if len(ops.store.Peers()) == 0 { // nobody serves: clients are taken at once
 		ops.phase = handover.Ready
 	}
-	p.front.Hold(ops.phase == handover.Starting)
+	p.hold()
 	p.front.SetClaims(ops.store)
 	p.book(ops.phase)
 	ops.began = p.loop.Now()
@@ -131,7 +131,7 @@
 	p.learn(lesson)
 	p.book(handover.Ready)
 	p.log.Info().Bool("listed", p.told).Msg("takes clients")
-	p.front.Hold(false)
+	p.hold()
 }
 
 // teach writes down what the decisions have learned, for a process that starts to
@@ -185,7 +185,7 @@
 func (p *program) yield() {
 	if p.leaving {
 		p.succeeded = p.operations.ready
-		p.front.Hold(p.succeeded)
+		p.hold()
 	}
 }
 
@@ -242,7 +242,7 @@
 // process leaves to a successor, no answer leaves a connection open.
 func (p *program) settle() {
 	drain := p.operations.state.Drain
-	p.front.SetReady(!p.leaving && !drain && p.fleet.Usable() > 0)
+	p.front.SetReady(!p.leaving && !p.unheard && !drain && p.fleet.Usable() > 0)
 	p.front.SetAway(drain || p.leaving && p.succeeded)
 }
 
--- a/internal/run/app/program.go
+++ b/internal/run/app/program.go
@@ -43,6 +43,7 @@
 	rng        *rand.Rand
 	missing    []string     // clusters that routes name and that are not there, as logged
 	due        loop.Timer   // for what the fleet has to do at a time
+	first      loop.Timer   // for the agent's first answer
 	peers      *peers.Link  // nil: dispatchers tell each other nothing
 	zones      *fleetZones  // nil: each dispatcher finds out alone that a zone is lost
 	jobs       *jobs.Runner // nil: there is no front for jobs that wait
@@ -54,6 +55,7 @@
 	leaving    bool
 	succeeded  bool // another process takes clients while this one leaves
 	told       bool // discovery's list has come
+	unheard    bool // the agent that has the list has not answered yet: clients wait
 	buffers    *budget.Budget
 	operations operations
 	door       *admin.Door // nil: operators cannot call
@@ -74,7 +76,7 @@
 	clients, hosts := p.descriptors(1)
 	p.buffers = budget.New(p.bufferBytes())
 	p.fleet = membership.New(membership.Config{Zones: c.Settings.Zones, Kinds: c.Settings.Kinds})
-	p.watcher = inventory.NewWatcher(l, log, c.Discovery, c.Known)
+	p.watcher = inventory.NewWatcher(l, log, c.Discovery, c.Known, !c.Settings.AskDiscovery)
 	p.watcher.Listen(p)
 	p.pool = southside.NewPool(l, log, &c.Settings, hosts, p.buffers, p.dispatcher)
 	p.dispatcher.Connect(p.pool, p)
@@ -111,6 +113,8 @@
 	p.setRoutes()
 	if s.operator.Inventory != nil {
 		p.watchXDS()
+	} else if !c.Settings.AskDiscovery {
+		p.hearAgent()
 	}
 	return p, nil
 }
@@ -215,6 +219,7 @@
 	case !reflect.DeepEqual(before.Inventory, s.operator.Inventory):
 		p.switchSource()
 	case moved && p.xds == nil:
+		p.dispatcher.Moved(movedWithin)
 		p.watcher.Move(c.Discovery)
 	}
 }
--- a/size_test.go
+++ b/size_test.go
@@ -193,6 +193,58 @@
 	}
 }
 
+// Watches that fall silent are asked for again while what they miss does not count as told
+// yet: one alone, some, and all in one moment, and the calls of all are spread over the turn.
+func TestSilentWatches(t *testing.T) {
+	const left = 3500 * ms // 6 s less the silence after which a watch is given up
+	for _, n := range []int{1, 36, 300} {
+		s := settings(Class{Effect: Safe})
+		s.Balancers, s.AskDiscovery, s.AskWithin = 300, true, 10*time.Second
+		c := newCrowd(t, s, s.Balancers, 3, 50*ms)
+		for _, f := range c.f {
+			f.b.Members(c.now, ListFull, members(3))
+		}
+		for _, f := range c.f[:n] {
+			f.b.Silent(c.now, left)
+			f.watches = 0
+		}
+		began, calls, most := c.now, 0, 0
+		for c.now < began+left-askTakes {
+			c.now += 100 * ms
+			now := 0
+			for _, f := range c.f[:n] {
+				if f.wait(c.now - f.now); f.watches == 1 {
+					f.watches++
+					now++
+				}
+			}
+			calls, most = calls+now, max(most, now)
+		}
+		if calls != n || n >= 36 && most > n/5 {
+			t.Errorf("%d of %d silent watches asked for again within %v, %d in 0.1 s", calls, n, left-askTakes, most)
+		}
+	}
+	// A call that fails is repeated in what is left, for the watch that moved as well.
+	for _, lose := range []func(*Balancer, time.Duration){
+		func(b *Balancer, now time.Duration) { b.Silent(now, left) },
+		func(b *Balancer, now time.Duration) { b.Moved(now, left) },
+	} {
+		s := settings(Class{Effect: Safe})
+		s.Balancers, s.AskDiscovery, s.AskWithin = 300, true, 10*time.Second
+		f := start(t, s, 3)
+		f.b.Members(f.now, ListFull, members(3))
+		began := f.now
+		lose(f.b, f.now)
+		f.b.Members(f.now, ListFailed, nil)
+		for f.watches = 0; f.watches == 0 && f.now < began+left; {
+			f.wait(10 * ms)
+		}
+		if f.now > began+left-askTakes {
+			t.Errorf("a call that failed is repeated after %v, where %v are left", f.now-began, left)
+		}
+	}
+}
+
 // With no room at home the rest of the own zone comes before other zones: at 80
 // dispatchers homes are small, and each crossing has its price.
 func TestOwnZoneBeforeOthers(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -73,6 +73,7 @@
 
 	watching, asking bool
 	failures         int
+	due              time.Duration // when what the lost watch misses counts as told
 }
 
 // split holds the shares over the workers that can run one kind of job.
