--- a/internal/carry/inventory/watch.go
+++ b/internal/carry/inventory/watch.go
@@ -57,7 +57,7 @@
 	broken   bool   // the last one has failed
 	mute     bool   // and never said anything
 	pushed   bool
-	again    loop.Timer // pushed: the next call
+	again    loop.Timer    // pushed: the next call
 	silence  time.Duration // longestGap, and shorter in tests
 	answer   time.Duration // answerTime or agentTime, likewise
 }
--- a/internal/run/app/fleet.go
+++ b/internal/run/app/fleet.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"yardwharf"
-	"yardwharf/internal/carry/loop"
 	"yardwharf/internal/carry/inventory"
+	"yardwharf/internal/carry/loop"
 	"yardwharf/internal/carry/xdslink"
 	"yardwharf/internal/decide/membership"
 	"yardwharf/internal/run/handover"
