End connections by lingering, and begin no attempt for a client that has gone

Change: one place ends a client's connection (conn.leave: shut down, drop for a bounded time, close), one begins an attempt (southside.conn.write asks Relay.MayBegin: answered, out of time, client gone by poll for RDHUP); the listener stays while there is no room; what must not simply be repeated goes on no kept connection that has not rested for 25 ms; the head of an answer other than 200 ends the attempt. The program ends by itself 50 ms before the platform may kill it, whoever holds a connection. loop.Turn lets tests take one turn with the events in either order.

--- a/internal/carry/dispatch/dispatch_test.go
+++ b/internal/carry/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 	d      *Dispatcher
 	relays []*Relay
 	told   []string
+	gone   func() bool // nil: the client stays
 }
 
 func (w *world) Start(r *Relay) { w.relays = append(w.relays, r) }
@@ -28,6 +29,7 @@
 func (w *world) Served(result []byte)     { w.told = append(w.told, "served "+string(result)) }
 func (w *world) Refused(time.Duration)    { w.told = append(w.told, "refused") }
 func (w *world) Failed()                  { w.told = append(w.told, "failed") }
+func (w *world) Gone() bool               { return w.gone != nil && w.gone() }
 func (w *world) Released()                { w.told = append(w.told, "released") }
 
 func newWorld(t *testing.T, attempts int) *world {
@@ -130,3 +132,27 @@
 	w.do(t, func() { w.relays[0].End(yardwharf.Reset, nil, nil) })
 	w.want(t, "refused", "released")
 }
+
+// As an attempt's first byte is about to go out it may not begin any more where the client has
+// gone, the answer was given or its time is over, whatever has not been told of that yet.
+func TestMayBegin(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		happen func(w *world, m *Message)
+		want   bool
+	}{
+		{"nothing happened", func(w *world, m *Message) {}, true},
+		{"the client has gone", func(w *world, m *Message) { w.gone = func() bool { w.d.Withdraw(m); return true } }, false},
+		{"it was withdrawn", func(w *world, m *Message) { w.d.Withdraw(m) }, false},
+		{"the answer was given", func(w *world, m *Message) { m.settled = true }, false},
+		{"its time is over", func(w *world, m *Message) { w.relays[0].Until = w.l.Now() }, false},
+	} {
+		w := newWorld(t, 3)
+		w.do(t, func() {
+			m := w.take()
+			if c.happen(w, m); w.relays[0].MayBegin() != c.want {
+				t.Errorf("%s: may begin is not %v", c.name, c.want)
+			}
+		})
+	}
+}
--- a/internal/carry/dispatch/message.go
+++ b/internal/carry/dispatch/message.go
@@ -27,6 +27,9 @@
 	Refused(after time.Duration)
 	// Failed answers that the message failed, and promises nothing.
 	Failed()
+	// Gone says whether the client has gone; the message is withdrawn then, by itself.
+	// It is asked as an attempt begins, and alone may call Withdraw.
+	Gone() bool
 	// Released says that nothing refers to the payload any more. It comes once,
 	// after the answer or Withdraw, when the last relay has ended.
 	Released()
@@ -65,6 +68,15 @@
 	ended   bool
 }
 
+// MayBegin is asked as the first byte of an attempt is about to go out, and is the one place
+// that says whether anybody still waits for it. Guards against what happened between the
+// decision and the connection that stands, or stands in the loop behind it: the client has
+// gone, the answer was given, the time is over.
+func (r *Relay) MayBegin() bool {
+	m := r.Message
+	return !m.settled && m.d.loop.Now() < r.Until && !m.client.Gone()
+}
+
 // Repeat says whether the message has been relayed before.
 func (r *Relay) Repeat() bool { return r.n > 0 }
 
--- a/internal/carry/loop/loop.go
+++ b/internal/carry/loop/loop.go
@@ -161,19 +161,40 @@
 	l.stopped = false
 	l.flush()
 	for !l.stopped {
-		n, err := unix.EpollWait(l.epoll, l.events[:], l.pause())
-		if err != nil && err != unix.EINTR {
-			return fmt.Errorf("epoll wait: %w", err)
+		if err := l.turn(l.pause(), nil); err != nil {
+			return err
 		}
-		for i := 0; i < n && !l.stopped; i++ {
-			l.deliver(&l.events[i])
-		}
-		l.fire()
-		l.resume()
 	}
 	return nil
 }
 
+// Turn takes one turn with what is there by now, without waiting for more; arrange, unless it
+// is nil, may put the events in another order first. It is for who drives the loop by hand:
+// that two things happen within one turn, in either order, is forced so and not hoped for.
+func (l *Loop) Turn(arrange func([]unix.EpollEvent)) error {
+	l.stopped = false
+	l.flush()
+	return l.turn(0, arrange)
+}
+
+// turn waits for events for so many milliseconds at most and does what is due: what the events
+// tell, then the timers, so that a timer finds what had happened before it.
+func (l *Loop) turn(wait int, arrange func([]unix.EpollEvent)) error {
+	n, err := unix.EpollWait(l.epoll, l.events[:], wait)
+	if err != nil && err != unix.EINTR {
+		return fmt.Errorf("epoll wait: %w", err)
+	}
+	if arrange != nil && n > 0 {
+		arrange(l.events[:n])
+	}
+	for i := 0; i < n && !l.stopped; i++ {
+		l.deliver(&l.events[i])
+	}
+	l.fire()
+	l.resume()
+	return nil
+}
+
 // resume runs what has yielded; what yields again waits for the turn after.
 func (l *Loop) resume() {
 	tasks := l.yielded
--- a/internal/carry/sock/sock.go
+++ b/internal/carry/sock/sock.go
@@ -152,6 +152,14 @@
 	return err == unix.EAGAIN
 }
 
+// HungUp says whether the other side has ended its sending or the connection is broken, also
+// where bytes that came before that were not read.
+func HungUp(fd int) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Write gathers pieces into one write and returns what is left of them, with
 // ErrWait where the socket takes no more now. The pieces' slice is changed.
 func Write(fd int, pieces [][]byte) ([][]byte, error) {
--- a/internal/carry/southside/answer.go
+++ b/internal/carry/southside/answer.go
@@ -42,6 +42,16 @@
 		a.status = yardwharf.Rejected
 	}
 	c.answer = a
+	if c.relay != nil && !a.stream {
+		c.over(a.status, nil, a.load)
+	}
+}
+
+// over ends the relay while its answer goes on. The connection is used again if the rest comes
+// soon and is clean. Guards what hangs on the end against answers that never end.
+func (c *conn) over(st yardwharf.Status, result []byte, load []float32) {
+	c.p.loop.Set(&c.timer, min(c.until, c.p.loop.Now()+c.p.tail))
+	c.finish(st, result, load)
 }
 
 // content takes a piece of the answer's body.
@@ -92,13 +102,13 @@
 			c.end(yardwharf.Reset)
 			return
 		}
-		c.finish(yardwharf.OK, result, load)
+		c.over(yardwharf.OK, result, load)
 	case "failed":
-		c.finish(yardwharf.Error, nil, load)
+		c.over(yardwharf.Error, nil, load)
 	case "returned":
-		c.finish(yardwharf.Full, nil, load)
+		c.over(yardwharf.Full, nil, load)
 	case "lost":
-		c.finish(yardwharf.Reset, nil, load)
+		c.over(yardwharf.Reset, nil, load)
 	}
 }
 
--- a/internal/carry/southside/conn.go
+++ b/internal/carry/southside/conn.go
@@ -227,13 +227,14 @@
 	}
 }
 
-// write puts out what it can. Guards the drain: a relay that has waited for its
-// connection must not begin at a host that has been away, or has left this
-// address, for the grace.
+// write puts out what it can, and is the one place where an attempt begins. Guards the drain:
+// one that has waited for its connection must not begin at a host that has been away, or has
+// left this address, for the grace; nor where nobody waits for it any more.
 func (c *conn) write() {
 	now := c.p.loop.Now()
-	if !c.touched && (c.h.away && now >= c.h.until || c.address != c.h.address && now >= c.h.moved) {
-		c.end(yardwharf.ConnectFailed)
+	if !c.touched && (c.h.away && now >= c.h.until || c.address != c.h.address && now >= c.h.moved ||
+		c.relay != nil && !c.relay.MayBegin()) {
+		c.end(yardwharf.ConnectFailed) // unless a client that has gone has called it off by now
 		return
 	}
 	before := pending(c.unsent)
@@ -261,6 +262,9 @@
 // end closes the connection and ends what was on it. A request of which a byte is
 // left unwritten has never run, however it ended; any other may have.
 func (c *conn) end(st yardwharf.Status) {
+	if c.closed {
+		return
+	}
 	if len(c.unsent) > 0 {
 		st = yardwharf.ConnectFailed
 	}
@@ -363,7 +367,9 @@
 			}
 			c.body.Response(&c.head)
 			c.inBody = true
-			c.headCame()
+			if c.headCame(); c.closed {
+				return
+			}
 		}
 		data, n, err := c.body.Next(c.in[used:c.have])
 		used += n
--- a/internal/carry/southside/pool.go
+++ b/internal/carry/southside/pool.go
@@ -32,6 +32,8 @@
 	dialFade     = 0.98                  // what each new connection leaves of the slowest
 	staleNew     = 0.05                  // weight of one reuse in the part of kept connections that prove broken
 	staleMost    = 0.01                  // over this, what must not break gets a new connection
+	restLeast    = 25 * time.Millisecond // a kept connection is not used for what may not simply be repeated before
+	tailTime     = time.Second           // for the rest of an answer that has told how the attempt ended
 )
 
 // Probed is told how probes end.
@@ -49,6 +51,8 @@
 	dial   time.Duration
 	slow   time.Duration // the slowest connection of late took this to come up; 0 before the first
 	idle   time.Duration
+	rest   time.Duration // restLeast, and shorter in tests
+	tail   time.Duration // tailTime, likewise
 	grace  time.Duration
 	most   int // connections
 	budget *budget.Budget
@@ -75,7 +79,7 @@
 func NewPool(l *loop.Loop, log zerolog.Logger, s *yardwharf.Settings, most int, bytes *budget.Budget,
 	probed Probed) *Pool {
 	p := &Pool{loop: l, log: log, probed: probed, hosts: map[yardwharf.WorkerID]*host{},
-		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, grace: s.DrainGrace, most: most, budget: bytes}
+		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, rest: restLeast, tail: tailTime, grace: s.DrainGrace, most: most, budget: bytes}
 	if p.dial <= 0 {
 		p.dial = defaultDial
 	}
@@ -140,7 +144,11 @@
 // Start implements dispatch.South.
 func (p *Pool) Start(r *dispatch.Relay) {
 	h := p.hosts[r.Host]
-	c, err := p.connect(h, p.stale <= staleMost || !r.Message.Payload.Once && !r.Repeat())
+	rested := time.Duration(0)
+	if m := &r.Message.Payload; m.Once || len(m.Key) > 0 {
+		rested = p.rest
+	}
+	c, err := p.connect(h, p.stale <= staleMost || !r.Message.Payload.Once && !r.Repeat(), rested)
 	if err != nil { // nothing was written anywhere
 		p.loop.Defer(loop.Func(func() { r.End(yardwharf.ConnectFailed, nil, nil) }))
 		return
@@ -165,7 +173,7 @@
 // probe is moot and tells nothing of the host.
 func (p *Pool) Probe(id yardwharf.WorkerID) {
 	h := p.hosts[id]
-	c, err := p.connect(h, false)
+	c, err := p.connect(h, false, 0)
 	if err != nil {
 		p.loop.Defer(loop.Func(func() { p.probed.Probed(id, yardwharf.Moot, 0, nil) }))
 		return
@@ -178,13 +186,18 @@
 // connect returns the connection to a host that was used last, or a new one where
 // there is none or a kept one will not do. Guards messages that must not run twice:
 // on a kept connection that the host has dropped without a word they end as a
-// reset, and that is their end.
-func (p *Pool) connect(h *host, kept bool) (*conn, error) {
+// reset, and that is their end. One that has not rested for so long is passed over: guards
+// what may not simply be repeated against a second answer to the message before, which may
+// come some milliseconds late and say that this one has never run.
+func (p *Pool) connect(h *host, kept bool, rested time.Duration) (*conn, error) {
 	if h == nil || !h.address.IsValid() {
 		return nil, fmt.Errorf("southside: host is not in the inventory")
 	}
-	for kept && len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
+	for i := len(h.idle) - 1; kept && i >= 0; i-- { // the one parked last stands last
+		c := h.idle[i]
+		if p.loop.Now()-c.since < rested {
+			continue
+		}
 		if c.fresh() {
 			c.unpark()
 			return c, nil
--- a/internal/doors/front/conn.go
+++ b/internal/doors/front/conn.go
@@ -19,7 +19,8 @@
 	bufferSize = 4 << 10
 	maxBody    = 64 << 10
 	maxTaken   = http1.MaxHead + 2*maxBody // of one request, chunked as it may be
-	lingerTime = time.Second               // for the client to read why it was rejected
+	lingerTime = time.Second               // for the client to read the last answer and to end its side
+	lingerEnd  = 200 * time.Millisecond    // the same while the program ends
 	// wholeTime is how long a request may take from its first byte to its last, and
 	// the first one of a connection from when that was accepted.
 	wholeTime = 2500 * time.Millisecond
@@ -35,28 +36,29 @@
 	waiting stage = iota // for a request, or reading one
 	owing                // a message is taken and not answered
 	writing              // an answer is not all written
-	leaving              // the last answer is out; what still comes is thrown away
+	leaving              // the own sending has ended; what still comes is thrown away
 )
 
 // conn is a client's connection. It carries one message at a time.
 type conn struct {
-	f        *Front
-	fd       int
-	closed   bool
-	spot     lru.Spot[conn]
-	stage    stage
-	wants    uint32
-	last     bool       // the connection ends after this answer
-	rejected bool       // the request was not read to its end
-	yielded  bool       // the dispatcher has been let finish with the message
-	timer    loop.Timer // for a client that stalls
-	born     time.Duration
-	proven   bool // a message has been taken from it
-	bad      bool // the request was answered as the client's error
-	resting  bool // nothing is read now
-	rest     loop.Timer
-	thrown   int // bytes thrown away while leaving
-	lent     int // bytes taken from the budget
+	f       *Front
+	fd      int
+	closed  bool
+	spot    lru.Spot[conn]
+	stage   stage
+	wants   uint32
+	last    bool       // the connection ends after this answer
+	gone    bool       // the client has ended its side; what it sent before may not be read yet
+	yielded bool       // the dispatcher has been let finish with the message
+	timer   loop.Timer // for a client that stalls
+	born    time.Duration
+	proven  bool // a message has been taken from it
+	bad     bool // the request was answered as the client's error
+	resting bool // nothing is read now
+	rest    loop.Timer
+	left    time.Duration // when it began to leave
+	thrown  int           // bytes thrown away since
+	lent    int           // bytes taken from the budget
 
 	in   []byte // what has come: the current request, then what is behind it
 	have int
@@ -94,15 +96,20 @@
 	}
 	if c.resting {
 		c.resting = false
-		c.want(loop.In)
+		c.want(listened)
 	}
 	if !c.closed && c.have > 0 {
 		c.parse()
 	}
 }
 
+// listened is what is wanted of a connection that is read. That the client has ended its side
+// is told beside what can be read before that end.
+const listened = loop.In | loop.Hangup
+
 // Ready implements loop.Handler.
 func (c *conn) Ready(events uint32) {
+	c.gone = c.gone || events&^(loop.In|loop.Out) != 0
 	if events&loop.Out != 0 && c.stage == writing {
 		c.flush()
 	}
@@ -110,8 +117,10 @@
 	case c.closed || events&^loop.Out == 0:
 	case c.resting: // only a hang-up is told now
 		c.close()
+	case c.stage == leaving:
+		c.drop()
 	default:
-		c.read(events)
+		c.read()
 	}
 }
 
@@ -170,19 +179,11 @@
 
 // read takes in what has come. While an answer is owed it reads on, to learn that
 // the client has gone, as far as there is room.
-func (c *conn) read(events uint32) {
+func (c *conn) read() {
 	for range readsTurn { // the loop tells again of what is left
-		if c.stage == leaving {
-			// Guards against an endless body: past a bound it is left unread.
-			if c.thrown += c.have; c.thrown > maxTaken {
-				c.hangUpOnly(events)
-				return
-			}
-			c.have = 0
-		}
 		if c.have == len(c.in) {
 			if c.stage == owing || c.stage == writing || len(c.in) >= maxTaken {
-				c.hangUpOnly(events)
+				c.hangUpOnly()
 				return
 			}
 			if !c.grow() {
@@ -214,11 +215,32 @@
 	}
 }
 
+// drop throws away what still comes after the own sending has ended: it is no request any
+// more, as its answer could not be written. Guards the last answer, which a close over bytes
+// that were not read would reset. Past a bound the rest is left unread: guards against an
+// endless body.
+func (c *conn) drop() {
+	for range readsTurn {
+		n, err := sock.Read(c.fd, c.f.waste[:])
+		if errors.Is(err, sock.ErrWait) {
+			return
+		}
+		if err != nil || n == 0 {
+			c.close()
+			return
+		}
+		if c.thrown += n; c.thrown > maxTaken {
+			c.hangUpOnly()
+			return
+		}
+	}
+}
+
 // hangUpOnly reads no more for now; of a hang-up, which may have come, it wants to
 // be told still.
-func (c *conn) hangUpOnly(events uint32) {
+func (c *conn) hangUpOnly() {
 	switch {
-	case events&^loop.In != 0: // hung up, or in error
+	case c.gone:
 		c.close()
 	case len(c.unsent) > 0:
 		c.want(loop.Hangup | loop.Out)
@@ -304,6 +326,10 @@
 		c.answer(503, nil, 0)
 		return
 	}
+	if c.gone { // before anything of it was begun
+		c.close()
+		return
+	}
 	if !c.f.register(c.ticket, p.ID) {
 		c.answer(400, nil, 0)
 		return
@@ -326,6 +352,15 @@
 // Failed implements dispatch.Client.
 func (t *ticket) Failed() { t.c.answer(502, nil, 0) }
 
+// Gone implements dispatch.Client. The end of the client's side may wait in the loop behind
+// what begins an attempt, so the socket is asked.
+func (t *ticket) Gone() bool {
+	if c := t.c; !c.closed && c.ticket == t && sock.HungUp(c.fd) {
+		c.close()
+	}
+	return t.c.closed
+}
+
 // Released implements dispatch.Client.
 func (t *ticket) Released() {
 	t.lent = false
@@ -334,7 +369,7 @@
 
 // reject answers what cannot be read, and closes.
 func (c *conn) reject(status int) {
-	c.last, c.rejected, c.size = true, true, c.have
+	c.last, c.size = true, c.have
 	c.answer(status, nil, 0)
 }
 
@@ -373,7 +408,7 @@
 		}
 		c.lent += len(left)
 		c.unsent = [][]byte{left}
-		c.want(loop.In | loop.Out)
+		c.want(listened | loop.Out)
 		c.stallAfter(stallTime)
 		return
 	default:
@@ -412,27 +447,29 @@
 	if c.proven {
 		c.f.loop.Clear(&c.timer)
 	}
-	switch {
-	case c.rejected:
+	if c.last {
 		c.leave()
-	case c.last:
-		c.close()
-	default:
+	} else {
 		c.advance()
 	}
 }
 
-// leave ends the sending and waits for the client to end its own. Guards the
-// answer to a rejected request: closing over bytes that were not read resets the
-// connection, and the client may never see why.
+// leave ends the sending and waits for a bounded time for the client to end its own: the way
+// in which each connection ends that the client has not left. Guards the last answer: closing
+// over bytes that were not read, which may come in the very moment, resets the connection and
+// takes with it what is on its way.
 func (c *conn) leave() {
-	c.stage = leaving
+	c.stage, c.resting = leaving, false
+	c.f.loop.Clear(&c.rest)
 	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
 		c.close()
 		return
 	}
-	c.stallAfter(lingerTime)
-	c.want(loop.In)
+	c.f.idle.Remove(&c.spot) // or of the silent ones
+	c.f.leaving.Add(&c.spot, c)
+	c.left = c.f.loop.Now()
+	c.stallAfter(c.f.linger)
+	c.want(listened)
 }
 
 // advance begins the next request with what is there of it.
@@ -470,7 +507,7 @@
 		c.f.loop.Yield((*more)(c))
 		fallthrough
 	default:
-		c.want(loop.In)
+		c.want(listened)
 	}
 }
 
--- a/internal/doors/front/front.go
+++ b/internal/doors/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"hash/maphash"
 	"net/netip"
@@ -24,6 +25,8 @@
 	acceptPause = 50 * time.Millisecond // after a lack of descriptors
 	acceptTurn  = 64                    // connections accepted in one turn of the loop
 
+	leftLeast = 100 * time.Millisecond // a last answer has been read by then, most likely
+
 	awayTime   = 1200 * time.Millisecond // over which idle connections are closed when clients are sent away
 	awayStep   = 20 * time.Millisecond
 	awaySilent = 500 * time.Millisecond // a new connection then has so long to send
@@ -59,6 +62,9 @@
 	conns      map[*conn]struct{}
 	idle       lru.List[conn] // those that messages have come from, between two
 	silent     lru.List[conn] // those that none has come from yet
+	leaving    lru.List[conn] // those whose own sending has ended
+	linger     time.Duration  // how long these may stay
+	waste      [4 << 10]byte  // for what these send
 	budget     *budget.Budget
 	whole      time.Duration // wholeTime
 	restFor    time.Duration // restTime
@@ -88,7 +94,7 @@
 func New(l *loop.Loop, log zerolog.Logger, source Source, most int, bytes *budget.Budget,
 	s *yardwharf.Settings, d *dispatch.Dispatcher) (*Front, error) {
 	f := &Front{loop: l, log: log, shared: source.Inherited >= 0, dispatcher: d, classes: s.Classes, tenants: s.Tenants, most: most, maxOpen: s.MaxOpen,
-		conns: map[*conn]struct{}{}, budget: bytes, whole: wholeTime, restFor: restTime, seed: maphash.MakeSeed(), open: map[uint64]*ticket{}}
+		conns: map[*conn]struct{}{}, budget: bytes, whole: wholeTime, restFor: restTime, linger: lingerTime, seed: maphash.MakeSeed(), open: map[uint64]*ticket{}}
 	f.rest.Task = loop.Func(f.resume)
 	f.awayTimer.Task = loop.Func(f.sendAway)
 	var err error
@@ -186,13 +192,13 @@
 	f.loop.Set(&f.awayTimer, now+awayStep)
 }
 
-// dismiss closes an idle connection, unless a request has come on it.
+// dismiss ends an idle connection, unless a request has come on it.
 func (f *Front) dismiss(c *conn) {
 	if c.idle() && !c.resting {
-		c.read(loop.In)
+		c.read()
 	}
-	if c.idle() {
-		c.close()
+	if c.idle() && !c.closed {
+		c.leave()
 	}
 }
 
@@ -207,13 +213,16 @@
 	}
 	for n := 0; f.fd >= 0 && !f.resting && !f.held && (n < acceptTurn || f.closing); n++ {
 		full := len(f.conns) >= f.most
-		if full && f.silent.Oldest() == nil && f.idle.Oldest() == nil {
+		if full && f.silent.Oldest() == nil && f.idle.Oldest() == nil && f.leaving.Oldest() == nil {
 			// The rest wait, so that relays keep their descriptors.
 			f.pause("all client connections are in use")
 			return
 		}
 		fd, err := sock.Accept(f.fd)
 		if err == unix.EAGAIN {
+			if f.closing {
+				f.stopListening()
+			}
 			return
 		}
 		if err != nil {
@@ -228,8 +237,8 @@
 			f.log.Info().Msg("accepting again")
 		}
 		c := &conn{f: f, fd: fd, born: f.loop.Now()}
-		c.ticket = &ticket{c: c}
-		if err := f.loop.Add(fd, loop.In, c); err != nil {
+		c.ticket, c.wants = &ticket{c: c}, listened
+		if err := f.loop.Add(fd, listened, c); err != nil {
 			unix.Close(fd)
 			f.pause(err.Error())
 			return
@@ -240,21 +249,23 @@
 	}
 }
 
-// evict closes a connection that does not need to be open now: the one that has
-// gone for longest without a message, else the one that has idled for longest.
+// evict closes a connection that does not need to be open now: one that has been leaving for
+// long enough for its answer to be read, the one that has gone for longest without a message,
+// the one that has idled for longest, or any that leaves.
 // Guards usual clients against silent and half-sent connections by the hundreds;
 // what has come on one is read before it goes.
 // It says whether there was any.
 func (f *Front) evict() bool {
 	for before := len(f.conns); len(f.conns) >= before; {
-		c := f.silent.Oldest()
-		if c == nil {
-			if c = f.idle.Oldest(); c == nil { // all that could go have brought a message
-				return false
-			}
+		c := f.leaving.Oldest()
+		if c == nil || f.loop.Now()-c.left < leftLeast {
+			c = cmp.Or(f.silent.Oldest(), f.idle.Oldest(), c)
+		}
+		if c == nil { // all that could go have brought a message
+			return false
 		}
 		if c.stage == waiting && !c.resting {
-			c.read(loop.In)
+			c.read()
 		}
 		if c.spot.In() {
 			c.close()
@@ -323,34 +334,43 @@
 	f.listen()
 }
 
-// Close stops listening and closes each connection once nothing is owed on it.
+// Close stops listening and ends each connection once nothing is owed on it.
 // Guards requests that the machine has taken and the program has not seen yet:
 // connections that wait are accepted, unless they are left to other processes, and
-// what has come on idle ones is read.
+// what has come on idle ones is read. While there is no room to accept those, the
+// listener stays: closing it would reset them.
 func (f *Front) Close() {
-	f.closing = true
+	f.closing, f.linger = true, lingerEnd
 	f.loop.Clear(&f.rest)
 	f.loop.Clear(&f.awayTimer)
 	if f.fd >= 0 {
-		f.resting = false
-		f.Ready(loop.In)
-		f.loop.Clear(&f.rest)
-		if f.shared {
-			f.loop.Release(f.fd)
+		if f.resting = false; f.held {
+			f.stopListening()
 		} else {
-			f.loop.CloseFD(f.fd)
+			f.Ready(loop.In)
 		}
-		f.fd = -1
 	}
 	for c := range f.conns { // each on its own, so in any order
-		if c.idle() {
-			c.read(loop.In)
-		}
-		if c.idle() {
-			c.close()
+		if c.stage == leaving {
+			c.stallAfter(f.linger)
+		} else {
+			f.dismiss(c)
 		}
 	}
 }
 
+func (f *Front) stopListening() {
+	f.loop.Clear(&f.rest)
+	if f.shared {
+		f.loop.Release(f.fd)
+	} else {
+		f.loop.CloseFD(f.fd)
+	}
+	f.fd = -1
+}
+
+// Closed says whether nothing is left to be done after Close.
+func (f *Front) Closed() bool { return f.fd < 0 && len(f.conns) == 0 }
+
 // Clients is the number of open connections.
 func (f *Front) Clients() int { return len(f.conns) }
--- a/internal/doors/jobs/runner.go
+++ b/internal/doors/jobs/runner.go
@@ -182,6 +182,9 @@
 	o.outcome, o.after = waiting.TurnedAway, after
 }
 
+// Gone implements dispatch.Client: who handed a job in need not wait for it.
+func (o *run) Gone() bool { return false }
+
 // Failed implements dispatch.Client.
 func (o *run) Failed() { o.outcome = waiting.Lost }
 
--- a/internal/run/app/leave.go
+++ b/internal/run/app/leave.go
@@ -15,6 +15,7 @@
 	leaveMost   = 3 * time.Second
 	leaveExtra  = 700 * time.Millisecond
 	leaveMargin = 300 * time.Millisecond // kept of that for the last answers to get out
+	leaveLast   = 50 * time.Millisecond  // and for the program to end by itself, whoever still holds a connection
 )
 
 // leave ends the program as the platform asks: it serves on for half of the time
@@ -47,11 +48,14 @@
 	}
 	given := min(longest, leaveMost) + leaveExtra
 	p.dispatcher.EndBy(now + given - leaveMargin)
+	p.leaveBy = now + given - leaveLast
 	p.loop.Set(&p.timer, now+given*85/100)
 }
 
+// wait ends the program once all is answered and each client has read its answer, or when the
+// time is over: clients may leave their side of a connection open for as long as they like.
 func (p *program) wait() {
-	if p.front.Clients() == 0 && p.dispatcher.Open() == 0 {
+	if p.front.Closed() && p.dispatcher.Open() == 0 || p.loop.Now() >= p.leaveBy {
 		p.watcher.Close()
 		if p.door != nil {
 			p.door.Close()
--- a/internal/run/app/program.go
+++ b/internal/run/app/program.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -53,9 +54,10 @@
 	front      *front.Front
 	timer      loop.Timer
 	leaving    bool
-	succeeded  bool // another process takes clients while this one leaves
-	told       bool // discovery's list has come
-	unheard    bool // the agent that has the list has not answered yet: clients wait
+	leaveBy    time.Duration // the program has ended by then
+	succeeded  bool          // another process takes clients while this one leaves
+	told       bool          // discovery's list has come
+	unheard    bool          // the agent that has the list has not answered yet: clients wait
 	buffers    *budget.Budget
 	operations operations
 	door       *admin.Door // nil: operators cannot call
