End over no message in hand when the time to leave is over

The new bound on lingering (leaveBy in leave.go) ended the program over messages that were taken before the signal and whose deadlines outlast the time given; only those taken later are cut to it. To be killed over those is not held against a dispatcher, to end over them by itself is.

Change: past the bound the program ends only with no message in hand, no listener, and no connection whose own side has not ended (Front.Answered). Test: TestEndsOverNothingOwed, which fails three ways with the condition before.

--- a/internal/carry/loop/loop.go
+++ b/internal/carry/loop/loop.go
@@ -156,6 +156,9 @@
 // Stop makes Run return after the current callback.
 func (l *Loop) Stop() { l.stopped = true }
 
+// Stopped says whether Stop was called since the last Run or Turn began.
+func (l *Loop) Stopped() bool { return l.stopped }
+
 // Run serves until Stop is called or waiting fails. It may be called again.
 func (l *Loop) Run() error {
 	l.stopped = false
--- a/internal/doors/front/front.go
+++ b/internal/doors/front/front.go
@@ -369,6 +369,17 @@
 	f.fd = -1
 }
 
+// Answered says whether, after Close, nothing is owed or under way any more: there is no listener,
+// and the own side of each connection that is left has ended.
+func (f *Front) Answered() bool {
+	for c := range f.conns {
+		if c.stage != leaving {
+			return false
+		}
+	}
+	return f.fd < 0
+}
+
 // Closed says whether nothing is left to be done after Close.
 func (f *Front) Closed() bool { return f.fd < 0 && len(f.conns) == 0 }
 
--- a/internal/run/app/app_test.go
+++ b/internal/run/app/app_test.go
@@ -12,9 +12,12 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"yardwharf"
+	"yardwharf/internal/carry/dispatch"
 	"yardwharf/internal/carry/loop"
 )
 
@@ -135,6 +138,63 @@
 	}
 }
 
+// holder is a client that waits for its answer.
+type holder struct{ answered bool }
+
+func (h *holder) Served([]byte)         { h.answered = true }
+func (h *holder) Refused(time.Duration) { h.answered = true }
+func (h *holder) Failed()               { h.answered = true }
+func (h *holder) Gone() bool            { return false }
+func (h *holder) Released()             {}
+
+// When the time to leave is over, the program ends by itself over connections whose clients just
+// do not end their side, but over no message in hand, no request half read and no listener.
+func TestEndsOverNothingOwed(t *testing.T) {
+	host, address, path := listen(t), free(t), t.TempDir()+"/config.json"
+	configure(t, path, address, free(t), host)
+	p := start(t, path)
+	ends := func() bool {
+		p.leaveBy = p.loop.Now()
+		p.wait()
+		return p.loop.Stopped()
+	}
+	turns := func(until func() bool) {
+		for end := time.Now().Add(5 * time.Second); !until(); {
+			if err := p.loop.Turn(nil); err != nil || time.Now().After(end) {
+				t.Fatalf("not so after 5 s: %v", err)
+			}
+		}
+	}
+	p.leaving = true
+	if ends() {
+		t.Error("ended while it listens")
+	}
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	io.WriteString(client, "GET /ready HTTP/1.1\r\n")
+	turns(func() bool { return p.front.Clients() == 1 })
+	p.front.Close()
+	if ends() {
+		t.Error("ended over a request half read")
+	}
+	io.WriteString(client, "\r\n")
+	turns(p.front.Answered) // the client does not end its side
+	waits := &holder{}
+	m := p.dispatcher.Take(dispatch.Payload{ID: []byte("m"), Method: []byte("POST"), Target: []byte("/a")},
+		yardwharf.Request{Deadline: p.loop.Now() + time.Hour}, waits)
+	if ends() || waits.answered {
+		t.Error("ended over a message in hand")
+	}
+	p.dispatcher.Withdraw(m)
+	turns(func() bool { return p.dispatcher.Open() == 0 })
+	if p.front.Closed() || !ends() {
+		t.Error("does not end, though all is answered")
+	}
+}
+
 // The example's configuration starts a program that knows a host from its last
 // list only, with discovery down. Told to leave while it owes an answer, it stops
 // listening, gives the answer, closes the connection and ends.
--- a/internal/run/app/leave.go
+++ b/internal/run/app/leave.go
@@ -52,10 +52,12 @@
 	p.loop.Set(&p.timer, now+given*85/100)
 }
 
-// wait ends the program once all is answered and each client has read its answer, or when the
-// time is over: clients may leave their side of a connection open for as long as they like.
+// wait ends the program once all is answered and each client has read its answer or has had the
+// time to. Guards against clients that leave their side of a connection open for as long as they
+// like. While a message is in hand the program stays, whatever the time: to end over one is to
+// lose it, to be killed over one that is older than the signal is not.
 func (p *program) wait() {
-	if p.front.Closed() && p.dispatcher.Open() == 0 || p.loop.Now() >= p.leaveBy {
+	if p.dispatcher.Open() == 0 && (p.front.Closed() || p.loop.Now() >= p.leaveBy && p.front.Answered()) {
 		p.watcher.Close()
 		if p.door != nil {
 			p.door.Close()
