Send second copies only where room is, and no heavy job alone to a cold host

Cause: second copies.

Change (copyTo, copySure in room.go; tryOn): a copy goes to a host that has told of a free slot within 3 s and was sent nothing since; where room is only guessed after 0.3 of the slack; to none that is cold or full.

Mutants of the mends are caught by TestCopyOnlyWhereRoomIs and TestNoHeavyRequestToAColdWorker.

--- a/balancer.go
+++ b/balancer.go
@@ -318,8 +318,7 @@
 	if c >= 1 {
 		return true
 	}
-	part := coldPart * b.s.OverloadFactor * c * b.carried(w) / b.util
-	part = max(part, coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers)) / b.parts
+	part := max(b.coldPart(w, c), coldLeast/b.s.OverloadFor.Seconds()/float64(b.s.Balancers)) / b.parts
 	depth := max(1, part*b.s.OverloadFor.Seconds())
 	w.tokens = min(depth, w.tokens+part*(b.now-w.refilled).Seconds())
 	w.refilled = b.now
@@ -486,12 +485,12 @@
 	if best == nil && b.s.TellsStart && b.mayCross(r) {
 		best = b.drawAmong(r, r.split.m, true)
 	}
-	for n := 0; best == nil && n < redraws && !b.known(); n++ {
+	for n := 0; best == nil && n < redraws && !b.known() && r.out == 0; n++ {
 		m := r.split.draw(b.rng)
 		if m == nil {
 			break
 		}
-		if !b.fit(m.w) || r.tried(m.w) || !r.mayRepeatOn(m.w, b.now) ||
+		if !b.bears(r, m.w) || !b.fit(m.w) || r.tried(m.w) || !r.mayRepeatOn(m.w, b.now) ||
 			n < redraws/2 && !r.trusts(m.w, b.now) {
 			continue
 		}
@@ -502,9 +501,7 @@
 			least = m
 		}
 	}
-	if best == nil {
-		best = least
-	}
+	best = cmp.Or(best, least)
 	if best == nil && r.class.Effect == Keyed && r.class.Group != AllWorkers && !r.neverRan() {
 		best = b.drawAmong(r, r.split.m, false)
 	}
@@ -524,10 +521,10 @@
 	total := 0.0
 	for _, m := range list {
 		full := !b.takes(m.w, r.slots()) || r.class.Effect != Safe && m.w.waiting > 0
-		if home && (full || !r.trusts(m.w, b.now)) {
+		if home && (full || !r.trusts(m.w, b.now) || r.out > 0 && !b.copyTo(r, m.w)) {
 			continue
 		}
-		if r.mayRepeatOn(m.w, b.now) && !r.tried(m.w) && b.fit(m.w) {
+		if r.mayRepeatOn(m.w, b.now) && !r.tried(m.w) && b.bears(r, m.w) && b.fit(m.w) {
 			x := m.x
 			if home {
 				x *= max(1, b.holds(m.w)-m.w.used()) * b.suited(r.Class, m.w)
@@ -592,8 +589,8 @@
 	return true
 }
 
-// copy sends a second copy of a request of which no attempt has started in time.
-// Guards against waiting behind a busy or hung worker that looked idle from here.
+// copy sends a second copy of a request of which no attempt has started in time, to where room
+// is. Guards against waiting behind a busy or hung worker that looked idle from here.
 func (b *Balancer) copy(r *request) {
 	b.sawWaiting(r)
 	if !b.s.ParallelTries || r.class.Effect != Safe || r.answered || r.out == 0 ||
@@ -603,6 +600,8 @@
 	}
 	if b.copies >= 1 && b.admit(r) && b.tryOn(r) {
 		b.copies--
+	} else if wait := b.copySure(r) - b.now; wait > 0 {
+		b.after(wait, r.ID, timerCopy)
 	}
 }
 
--- a/jam.go
+++ b/jam.go
@@ -120,6 +120,32 @@
 	return gain > 0 && b.rng.Float64() < awayKeen*gain
 }
 
+// coldPart is the part of what a worker of some warmth bears, in requests a second, that this
+// dispatcher sends it.
+func (b *Balancer) coldPart(w *worker, warmth float64) float64 {
+	return coldPart * b.s.OverloadFactor * warmth * b.carried(w) / b.util
+}
+
+// bears says whether a worker bears a request by itself: one that is cold falls under a single one
+// whose work, by its class and slots, is more than all dispatchers may send it in an overload's time.
+func (b *Balancer) bears(r *request, w *worker) bool {
+	warmth := b.warmth(w)
+	if r.slots() <= 1 || warmth >= 1 || b.work <= 0 {
+		return true
+	}
+	most := b.coldPart(w, warmth) * b.s.OverloadFor.Seconds() * float64(b.s.Balancers)
+	return b.classes[r.Class].service*r.slots() <= max(1, most)*b.work
+}
+
+// learnWork follows what work a request is on the mean, from the first whose class is known.
+func (b *Balancer) learnWork(r *request) {
+	if work := b.classes[r.Class].service * r.slots(); b.work == 0 {
+		b.work = work
+	} else if work > 0 {
+		b.work += (work - b.work) * valueNew
+	}
+}
+
 // sheds says whether a request is turned away at once, as jobs start late everywhere and
 // messages too late; the more so the less it is worth for its work.
 // Guards against queues of seconds in which all that is taken is late.
@@ -127,6 +153,7 @@
 	if c := &b.classes[r.Class]; c.service > 0 {
 		b.usualWork += (c.service*r.slots() - b.usualWork) * valueNew
 	}
+	b.learnWork(r)
 	if !b.quiet() || b.usualWork <= 0 || r.value <= 0 {
 		return false
 	}
--- a/jam_test.go
+++ b/jam_test.go
@@ -114,3 +114,26 @@
 		t.Errorf("a host at home is taken to carry %.3f a second, one elsewhere %.3f, of %.2f in all at 40", near, far, f.b.rate)
 	}
 }
+
+// A cold worker gets no request that is more by itself than all dispatchers may send it in an
+// overload's time; usual ones, and the same when it is warm, it gets.
+func TestNoHeavyRequestToAColdWorker(t *testing.T) {
+	for _, c := range []struct {
+		slots float64
+		age   time.Duration // since the worker's start
+		sent  bool
+	}{{1, ms, true}, {6, ms, false}, {6, 8 * time.Second, true}} {
+		s := settings(Class{Effect: Safe})
+		s.TellsStart = true
+		f := start(t, s, 1)
+		f.b.classes[0].service, f.b.work = 0.5, 0.5
+		f.b.rate, f.b.counted, f.b.sides[1].rate = 4, f.now, 4 // for a warm worker: the cold one bears 3 in a second and a half
+		w := f.b.workers[0]
+		w.room, w.coldSince, w.tokens = 10, f.now, 5
+		f.now += c.age
+		f.b.Request(f.now, Request{ID: 1, Deadline: f.now + 5*time.Second, Slots: c.slots})
+		if sent := len(f.sends) == 1; sent != c.sent {
+			t.Errorf("%.0f slots, %v after the start: sent %v", c.slots, c.age, sent)
+		}
+	}
+}
--- a/room.go
+++ b/room.go
@@ -16,6 +16,8 @@
 	roomUp     = 0.25                   // a job that starts at once with all room taken adds this to it
 	roomDown   = 0.25                   // one that waits takes this
 	roomPart   = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
+	freeFresh  = 3 * time.Second        // how long a report of free slots counts: workers refresh theirs each 0.3 to 1.6 s
+	copyGuess  = 0.3                    // part of the slack after which a copy goes where room is guessed
 	roomAgain  = 8 * time.Second        // a worker without room that looks empty gets a job this often
 	slotsMost  = 1024                   // a worker is not believed to have more
 	reportsFew = 24                     // reports up to which workers are asked as fast as may be
@@ -166,6 +168,9 @@
 // reported takes the free slots that a worker told of. All of a kind have as many.
 func (b *Balancer) reported(w *worker, load []float32) {
 	free, told := b.told(load, FieldFreeSlots)
+	if told {
+		w.freeTold, w.free = b.now, math.Round(free)
+	}
 	if free = math.Round(free); !told || free < 1 || free > slotsMost || w.kind < 0 || w.kind > math.MaxUint8 {
 		return
 	}
@@ -179,6 +184,28 @@
 	}
 }
 
+// copySure is when a second copy of a request may go to where room is only guessed; at once
+// where workers never tell of it.
+func (b *Balancer) copySure(r *request) time.Duration {
+	last := r.attempts[len(r.attempts)-1].sent
+	if !slices.Contains(b.s.ReportFields, FieldFreeSlots) {
+		return last
+	}
+	return last + max(2*copyLeast, time.Duration(copyGuess*float64(b.slack(r.Class))))
+}
+
+// copyTo says whether a second copy may go to a worker yet: at once where it has told of a free
+// slot and was sent nothing since, later also where it only seems to have room, to none that is
+// cold. Guards, where a cancel stops no work, against copies that wait as well: each is run in
+// full for nobody.
+func (b *Balancer) copyTo(r *request, w *worker) bool {
+	if b.warmth(w) < 1 { // it has free slots and little to serve them with
+		return false
+	}
+	told := w.freeTold > 0 && b.now-w.freeTold < freeFresh && w.free >= 1 && w.lastSent <= w.freeTold
+	return told || b.now >= b.copySure(r)
+}
+
 // firstRoom is the room that a worker is given before its starts have told.
 func (b *Balancer) firstRoom(kind int) float64 {
 	if kind < 0 || kind >= len(b.slots) {
--- a/room_test.go
+++ b/room_test.go
@@ -301,3 +301,57 @@
 		t.Error("a peer that is gone counts on")
 	}
 }
+
+// A second copy goes where there is room: early only to a worker that has told of a free slot
+// since it was last sent something, later where room is guessed, never where there is none. Where
+// a cancel stops no work, each copy that waits as well is run in full for nobody.
+func TestCopyOnlyWhereRoomIs(t *testing.T) {
+	slack := 200 * ms // of the class, while nothing has run
+	late := time.Duration(copyGuess * float64(slack))
+	for _, c := range []struct {
+		name string
+		room float64       // at the worker that the first attempt did not go to
+		free float32       // slots that it tells to be free; negative: it tells nothing
+		age  time.Duration // of that report when the message comes
+		sent bool          // it was sent something since
+		cold bool
+		want time.Duration // when the copy goes; 0: never
+	}{
+		{"told free", 1, 1, time.Second, false, false, copyLeast},
+		{"told free, and sent something since", 1, 1, time.Second, true, false, late},
+		{"told free long ago", 1, 1, freeFresh, false, false, late},
+		{"told none free", 1, 0, time.Second, false, false, late},
+		{"tells nothing", 1, -1, 0, false, false, late},
+		{"no room", 0, -1, 0, false, false, 0},
+		{"told free, no room", 0, 1, time.Second, false, false, 0},
+		{"told free, cold", 1, 1, time.Second, false, true, 0},
+	} {
+		s := settings(Class{Effect: Safe})
+		s.TellsStart, s.Balancers = true, 40
+		s.ReportFields = []Field{FieldFreeSlots}
+		f := start(t, s, 2)
+		for _, w := range f.b.workers {
+			if c.free >= 0 {
+				f.b.reported(w, []float32{c.free})
+			}
+			w.room = 1
+		}
+		f.now += c.age
+		f.request(1, 0)
+		other := f.b.byID[3-f.last().worker]
+		if other.room = c.room; c.sent {
+			other.lastSent = f.now
+		}
+		if c.cold {
+			other.coldSince, other.tokens = f.now, 10
+		}
+		f.wait(slack)
+		switch {
+		case c.want == 0 && len(f.sends) == 1:
+		case c.want == 0 || len(f.sends) != 2:
+			t.Errorf("%s: sends %v, want a copy after %v", c.name, f.sends, c.want)
+		case f.sends[1].worker != other.id || f.sends[1].at-f.sends[0].at != c.want:
+			t.Errorf("%s: copied after %v, want %v", c.name, f.sends[1].at-f.sends[0].at, c.want)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -56,6 +56,7 @@
 	sides     [2]side // at home, and elsewhere
 	tooLate   part    // messages that did not start while they could be in time
 	usualWork float64 // of a request, of late, in slots for a second
+	work      float64 // the same, from the first on at its own size
 	warmed    time.Duration
 	parts     float64 // processes that this dispatcher has
 	util      float64 // how busy workers said to be of late; 1 where they tell nothing
@@ -131,6 +132,8 @@
 	peers      []byte        // what each peer has out here, as told
 	others     int           // that added up
 	lastSent   time.Duration // when it was last sent a job
+	freeTold   time.Duration // when it last told how many slots are free; 0: never
+	free       float64       // and how many
 	room       float64       // own jobs that it is seen to start at once
 	tokens     float64       // cold: what may be sent yet
 	refilled   time.Duration // when tokens were last added
