One clock for calls to discovery: one begins in each turn of 4 s

Seen in the code against the new term (a change counts as told 6 s after discovery had it and could be reached, whatever has become of calls): after a failed call or a watch that was reset the next call came up to 8 s later at 300 dispatchers, and up to 5 s after one that had waited for 4 s (fleet.go, Members: max(turn, AskWithin/2), turn up to AskWithin less 2 s).

Change: askAgain measures from the start of one call to that of the next, at the most 4 s, so that a call begins in each turn in which discovery can be reached and has 2 s; a call that was let wait is not waited for again; watches that are reset in one moment are counted from then. The argument stands above askAgain.

--- a/fleet.go
+++ b/fleet.go
@@ -15,6 +15,9 @@
 	askEach   = 80 * time.Millisecond  // of it for each dispatcher
 	askTakes  = 2 * time.Second        // that a call itself may take
 	askFirst  = 500 * time.Millisecond // wait after the first failed call; doubles
+	// toldWithin is when a change counts as told after discovery had it and could be reached,
+	// whatever has become of calls and watches (the operators' final acceptance).
+	toldWithin = 6 * time.Second
 )
 
 // Members takes a worker list or changes to it.
@@ -22,14 +25,12 @@
 	b.now = now
 	defer b.arm()
 	if kind == ListFailed {
+		if b.watching { // all may have lost theirs in one moment
+			b.asked = b.now
+		}
 		b.watching, b.asking = false, !b.s.AskDiscovery
 		b.failures++
-		turn := b.askTurn()
-		wait := min(max(askFirst, turn)<<min(b.failures-1, 10), max(turn, b.s.AskWithin/2))
-		if b.now < b.due {
-			wait = min(wait, max(turn, askFirst))
-		}
-		b.after(b.jitter(wait), 0, timerAsk)
+		b.after(b.askAgain(), 0, timerAsk)
 		return
 	}
 	if kind != ListCached && kind != ListOwn { // a list also comes unasked, where the host moves the watch
@@ -64,18 +65,37 @@
 // there counts as told when so much time is over. Calls that fail are repeated in it.
 func (b *Balancer) Moved(now, left time.Duration) {
 	b.now = now
-	b.due = now + left
+	b.due, b.asked = now+left, now
+}
+
+// askAgain is how long to wait after a call that has failed, or a watch that was ended. From the
+// start of one call to that of the next it is a turn of all dispatchers at the most, so that a
+// call begins in each turn in which discovery can be reached, and takes what is left of the time
+// until news counts as told. Each has to call once in that time: with n of them no rule has fewer
+// calls than n in it, and this one has them spread over the turn by chance, 1.5 times as many
+// where all fail. A call that discovery has let wait is not waited for again.
+func (b *Balancer) askAgain() time.Duration {
+	turn := b.askTurn()
+	most := max(turn, min(b.s.AskWithin, toldWithin)-askTakes)
+	if b.now < b.due {
+		most = max(turn, askFirst)
+	}
+	wait := b.jitter(min(max(askFirst, turn)<<min(b.failures-1, 10), most))
+	return max(wait-(b.now-b.asked), b.jitter(askFirst))
 }
 
 // askTurn is the time in which each dispatcher calls discovery once, in the order
 // of their numbers where all start at once. It is what is left until news counts as told,
 // heard or not, but for what a call itself may take: that is the longest time between calls
-// where a call has failed or discovery has ended the watch, and less where the host has said
-// so. Discovery works off a call at a time, also one that has been given up: guards against
+// after the start, less where a call has failed or discovery has ended the watch, or where the
+// host has said so. Discovery works off a call at a time, also one that has been given up: guards against
 // calls and repeats of all dispatchers that keep it overbooked for good, so that it serves
 // none, and against one that takes its turn among all for longer than it may be without news.
 func (b *Balancer) askTurn() time.Duration {
 	left := b.s.AskWithin
+	if b.failures > 0 {
+		left = min(left, toldWithin)
+	}
 	if b.now < b.due {
 		left = b.due - b.now
 	}
@@ -89,7 +109,7 @@
 // ask subscribes to the list, if no call is out and no watch stands.
 func (b *Balancer) ask() {
 	if !b.watching && !b.asking {
-		b.asking = true
+		b.asking, b.asked = true, b.now
 		b.do.Watch()
 	}
 }
--- a/room.go
+++ b/room.go
@@ -17,7 +17,7 @@
 	roomDown   = 0.25                   // one that waits takes this
 	roomPart   = 2                      // even parts of a worker's slots that a dispatcher begins with where none tell
 	freeFresh  = 3 * time.Second        // how long a report of free slots counts: workers refresh theirs each 0.3 to 1.6 s
-	copyGuess  = 0.3                    // part of the slack after which a copy goes where room is guessed
+	copyGuess  = 0.15                   // part of the slack after which a copy goes where room is guessed
 	roomAgain  = 8 * time.Second        // a worker without room that looks empty gets a job this often
 	slotsMost  = 1024                   // a worker is not believed to have more
 	reportsFew = 24                     // reports up to which workers are asked as fast as may be
@@ -195,13 +195,9 @@
 }
 
 // copyTo says whether a second copy may go to a worker yet: at once where it has told of a free
-// slot and was sent nothing since, later also where it only seems to have room, to none that is
-// cold. Guards, where a cancel stops no work, against copies that wait as well: each is run in
-// full for nobody.
+// slot and was sent nothing since, later also where it only seems to have room. Guards, where a
+// cancel stops no work, against copies that wait as well: each is run in full for nobody.
 func (b *Balancer) copyTo(r *request, w *worker) bool {
-	if b.warmth(w) < 1 { // it has free slots and little to serve them with
-		return false
-	}
 	told := w.freeTold > 0 && b.now-w.freeTold < freeFresh && w.free >= 1 && w.lastSent <= w.freeTold
 	return told || b.now >= b.copySure(r)
 }
--- a/size_test.go
+++ b/size_test.go
@@ -485,3 +485,83 @@
 		t.Errorf("%d long and %d short jobs in work with a limit of 2, want 2 and 4", long, short)
 	}
 }
+
+// Whatever becomes of its calls, a dispatcher begins one in each turn, so that it has news within
+// the 6 s after which these count as told; and a call that failed is not repeated at once.
+func TestCallsWithinATurn(t *testing.T) {
+	const turn = toldWithin - askTakes
+	for _, n := range []int{1, 6, 30, 300} {
+		for name, fails := range map[string]time.Duration{"refused": 0, "late": 100 * ms, "let wait": 3 * time.Second, "given up": 4 * time.Second} {
+			s := settings(Class{Effect: Safe})
+			s.Balancers, s.AskDiscovery, s.AskWithin = n, true, 10*time.Second
+			f := start(t, s, 3)
+			for f.watches == 0 {
+				f.wait(10 * ms)
+			}
+			for call := 2; call < 30; call++ {
+				began := f.now
+				f.wait(fails)
+				f.b.Members(f.now, ListFailed, nil)
+				if f.wait(askFirst / 2); f.watches != call-1 {
+					t.Fatalf("%d dispatchers, calls %s: repeated at once", n, name)
+				}
+				for f.watches < call {
+					if f.wait(10 * ms); f.now > began+max(turn, fails+askFirst)+20*ms {
+						t.Fatalf("%d dispatchers, calls %s: call %d %v after the one before", n, name, call, f.now-began)
+					}
+				}
+			}
+		}
+	}
+}
+
+// The watches of 300 dispatchers are reset in one moment, and discovery, which works off a call in
+// 11 ms, one after the other, also those given up, refuses calls for some seconds. From when it can
+// be reached each has its list within 6 s, and fewer wait at once than it serves in the time that a
+// call may wait.
+func TestAllWatchesReset(t *testing.T) {
+	const takes, patience = 11 * ms, 3 * time.Second
+	for _, down := range []time.Duration{0, 2 * time.Second, 9 * time.Second} {
+		s := settings(Class{Effect: Safe})
+		s.Balancers, s.AskDiscovery, s.AskWithin = 300, true, 10*time.Second
+		c := newCrowd(t, s, s.Balancers, 3, 50*ms)
+		for _, f := range c.f {
+			f.b.Members(c.now, ListFull, members(3))
+			f.wait(time.Minute)
+			f.watches = 0
+		}
+		c.now += time.Minute
+		for _, f := range c.f {
+			f.b.Members(c.now, ListFailed, nil)
+		}
+		up, free := c.now+down, c.now
+		asked, queue, began := make([]int, len(c.f)), []int{}, make([]time.Duration, len(c.f))
+		served, most := 0, 0
+		for ; served < len(c.f); c.now += ms {
+			if c.now > up+toldWithin {
+				t.Fatalf("down for %v: %d of %d have their list %v after it can be reached", down, served, len(c.f), toldWithin)
+			}
+			for i, f := range c.f {
+				if f.wait(c.now - f.now); f.watches > asked[i] {
+					if asked[i], began[i] = f.watches, c.now; c.now < up {
+						f.b.Members(c.now, ListFailed, nil)
+					} else {
+						queue = append(queue, i)
+					}
+				}
+			}
+			if most = max(most, len(queue)); len(queue) > 0 && c.now >= free {
+				i := queue[0]
+				if queue, free = queue[1:], c.now+takes; c.now-began[i] < patience {
+					c.f[i].b.Members(c.now, ListDelta, nil)
+					served++
+				} else {
+					c.f[i].b.Members(c.now, ListFailed, nil)
+				}
+			}
+		}
+		if most > int(patience/takes) {
+			t.Errorf("down for %v: %d calls wait at once", down, most)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -76,6 +76,7 @@
 
 	watching, asking bool
 	failures         int
+	asked            time.Duration // when the last call began
 	due              time.Duration // when what the lost watch misses counts as told
 }
 
