Take over all settings at SIGHUP but those that the parts are built on

Seen in the code: of the settings only worth, aims, shares and prices were taken over (adjust.go), so that limits, graces, effects, windows, deadlines and the cold budget outlived a reload; pool, front and dispatcher kept copies from the start (dial, idle, grace, most open messages, Retry-After). Change: adjusted() takes all but who the dispatcher is and with whom, which zones, kinds, classes and tenants there are, and how lists, reports and starts are told; pool, front, dispatcher and jobs take the rest over. Classes are a new array: messages in hand hold on to the old one, of which only worth and aims move, so that what must not run twice when it was taken never does. TestChanges held that an effect needs a new process; it now holds that it counts at once, and that a class of another name needs one. TestAdjustIsAStart goes over the whole type in both directions; TestReload checks the pool and the front, and fails without their Adjust (seen).

--- a/adjust.go
+++ b/adjust.go
@@ -6,20 +6,23 @@
 	"slices"
 )
 
-// adjusted is s with those parts of another that may change while messages are in hand: what
-// classes and tenants are worth and when, and prices.
+// adjusted is what counts of other settings while messages are in hand: all but what the parts of
+// a dispatcher are built on. These are who it is and with whom, which zones, kinds, classes and
+// tenants there are, and how lists, reports and starts are told.
 func (s Settings) adjusted(to Settings) Settings {
-	s.Classes, s.Tenants = slices.Clone(s.Classes), slices.Clone(s.Tenants)
-	for i := range min(len(s.Classes), len(to.Classes)) {
-		c, t := &s.Classes[i], &to.Classes[i]
-		c.Aim, c.Stretch, c.Worth, c.LateWorth = t.Aim, t.Stretch, t.Worth, t.LateWorth
+	next := to
+	next.Me, next.Balancers, next.Zone, next.Zones, next.Kinds = s.Me, s.Balancers, s.Zone, s.Zones, s.Kinds
+	next.TellsStart, next.AskDiscovery, next.Hint, next.Peers = s.TellsStart, s.AskDiscovery, s.Hint, s.Peers
+	next.ReportFields, next.ReportNames, next.ReportsInReply = s.ReportFields, s.ReportNames, s.ReportsInReply
+	same := func(a, b Class) bool { return a.Name == b.Name && a.Kind == b.Kind }
+	if next.Classes = s.Classes; slices.EqualFunc(s.Classes, to.Classes, same) {
+		next.Classes = slices.Clone(to.Classes)
 	}
-	for i := range min(len(s.Tenants), len(to.Tenants)) {
-		s.Tenants[i].Share = to.Tenants[i].Share
+	named := func(a, b Tenant) bool { return a.Name == b.Name }
+	if next.Tenants = s.Tenants; slices.EqualFunc(s.Tenants, to.Tenants, named) {
+		next.Tenants = slices.Clone(to.Tenants)
 	}
-	s.OverShareWorth, s.WorstClass, s.CrossZonePrice, s.ProbePrice, s.PeerPrice = to.OverShareWorth, to.WorstClass, to.CrossZonePrice,
-		to.ProbePrice, to.PeerPrice
-	return s
+	return next
 }
 
 // Changes names the settings in which others differ: those that Adjust takes over, and those
@@ -41,16 +44,18 @@
 // Settings are those that count now.
 func (b *Balancer) Settings() Settings { return b.s }
 
-// Adjust takes over what of other settings may change. Settings that make no sense are an
+// Adjust takes over what of other settings may change, as if it had begun with them, but for
+// requests in hand: they may run as often as when they were taken. Settings that make no sense are an
 // error, and change nothing.
 func (b *Balancer) Adjust(to Settings) error {
 	if err := to.check(); err != nil {
 		return err
 	}
 	next := b.s.adjusted(to)
-	copy(b.s.Classes, next.Classes) // requests in hand and others hold on to these
-	copy(b.s.Tenants, next.Tenants)
-	next.Classes, next.Tenants = b.s.Classes, b.s.Tenants
+	for i := range next.Classes { // requests in hand hold on to the old ones: what they are worth changes, how often they may run does not
+		c, t := &b.s.Classes[i], &next.Classes[i]
+		c.Aim, c.Stretch, c.Worth, c.LateWorth = t.Aim, t.Stretch, t.Worth, t.LateWorth
+	}
 	b.s = next
 	b.silence = math.MaxInt64
 	for _, c := range b.s.Classes {
--- a/internal/carry/dispatch/dispatch.go
+++ b/internal/carry/dispatch/dispatch.go
@@ -78,7 +78,9 @@
 	if err := d.balancer.Adjust(s); err != nil {
 		return yardwharf.Settings{}, fmt.Errorf("dispatch: %w", err)
 	}
-	return d.balancer.Settings(), nil
+	s = d.balancer.Settings()
+	d.after, d.dial, d.counter.classes = s.MaxRetryAfter, s.DialTimeout, s.Classes
+	return s, nil
 }
 
 // SetTeller sets what carries messages to other dispatchers.
--- a/internal/carry/southside/pool.go
+++ b/internal/carry/southside/pool.go
@@ -78,15 +78,21 @@
 // buffers within a budget.
 func NewPool(l *loop.Loop, log zerolog.Logger, s *yardwharf.Settings, most int, bytes *budget.Budget,
 	probed Probed) *Pool {
-	p := &Pool{loop: l, log: log, probed: probed, hosts: map[yardwharf.WorkerID]*host{},
-		names: s.ReportNames, dial: s.DialTimeout, idle: s.ConnIdle, rest: restLeast, tail: tailTime, grace: s.DrainGrace, most: most, budget: bytes}
+	p := &Pool{loop: l, log: log, probed: probed, hosts: map[yardwharf.WorkerID]*host{}, rest: restLeast, tail: tailTime, most: most, budget: bytes}
+	p.Adjust(s)
+	return p
+}
+
+// Adjust takes over settings that have changed. What is under way goes on as it began, a drain
+// with the grace that it was told under.
+func (p *Pool) Adjust(s *yardwharf.Settings) {
+	p.names, p.dial, p.idle, p.grace = s.ReportNames, s.DialTimeout, s.ConnIdle, s.DrainGrace
 	if p.dial <= 0 {
 		p.dial = defaultDial
 	}
 	if p.idle <= 0 {
 		p.idle = defaultIdle
 	}
-	return p
 }
 
 // SetMost changes how many connections there may be; idle ones give way.
--- a/internal/doors/front/front.go
+++ b/internal/doors/front/front.go
@@ -93,8 +93,9 @@
 // New returns a Front that listens, but is not ready yet.
 func New(l *loop.Loop, log zerolog.Logger, source Source, most int, bytes *budget.Budget,
 	s *yardwharf.Settings, d *dispatch.Dispatcher) (*Front, error) {
-	f := &Front{loop: l, log: log, shared: source.Inherited >= 0, dispatcher: d, classes: s.Classes, tenants: s.Tenants, most: most, maxOpen: s.MaxOpen,
+	f := &Front{loop: l, log: log, shared: source.Inherited >= 0, dispatcher: d, most: most,
 		conns: map[*conn]struct{}{}, budget: bytes, whole: wholeTime, restFor: restTime, linger: lingerTime, seed: maphash.MakeSeed(), open: map[uint64]*ticket{}}
+	f.Adjust(s)
 	f.rest.Task = loop.Func(f.resume)
 	f.awayTimer.Task = loop.Func(f.sendAway)
 	var err error
@@ -108,6 +109,11 @@
 	return f, nil
 }
 
+// Adjust takes over settings that have changed, for the messages that come from now on.
+func (f *Front) Adjust(s *yardwharf.Settings) {
+	f.classes, f.tenants, f.maxOpen = s.Classes, s.Tenants, s.MaxOpen
+}
+
 // SetReady says whether GET /ready is answered with 200.
 func (f *Front) SetReady(ready bool) {
 	if f.ready != ready {
--- a/internal/doors/jobs/runner.go
+++ b/internal/doors/jobs/runner.go
@@ -79,6 +79,9 @@
 	return r
 }
 
+// Adjust takes over settings that have changed, for the jobs that are released from now on.
+func (r *Runner) Adjust(s *yardwharf.Settings) { r.classes, r.maxOpen = s.Classes, s.MaxOpen }
+
 // unix is the time on the wall.
 func (r *Runner) unix() time.Duration { return time.Duration(r.wall().UnixNano()) }
 
--- a/internal/run/app/program.go
+++ b/internal/run/app/program.go
@@ -208,7 +208,12 @@
 		p.log.Error().Err(err).Msg("configuration refused")
 		return
 	}
-	p.config.Settings, p.config.Limits, p.config.Text = settings, c.Limits, c.Text // front and pool look here
+	p.config.Settings, p.config.Limits, p.config.Text = settings, c.Limits, c.Text
+	p.front.Adjust(&p.config.Settings)
+	p.pool.Adjust(&p.config.Settings)
+	if p.jobs != nil {
+		p.jobs.Adjust(&p.config.Settings)
+	}
 	p.shareOut()
 	if p.zones != nil && s.operator.Zones != nil {
 		p.zones.fleet.SetStart(s.operator.Zones.Start)
