--- a/internal/tools/lab/processes/rig.go
+++ b/internal/tools/lab/processes/rig.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -26,13 +27,16 @@
 )
 
 const (
-	linksFrom = 10 // third part of the addresses at which dispatcher 0 reaches senders
-	postsFrom = 60 // the same for other dispatchers
-	mostNodes = 40
-	peerPort  = 7946
-	slack     = 1500 * time.Millisecond // for an answer past its deadline, on a busy machine
-	leftBy    = 3 * time.Second         // after its loss nothing should come to a zone
-	noticed   = time.Second             // a front goes on sending to a dead dispatcher for so long
+	linksFrom   = 10 // third part of the addresses at which dispatcher 0 reaches senders
+	postsFrom   = 60 // the same for other dispatchers
+	mostNodes   = 40
+	peerPort    = 7946
+	slack       = 1500 * time.Millisecond // for an answer past its deadline, on a busy machine
+	leftBy      = 3 * time.Second         // after its loss nothing should come to a zone
+	noticed     = time.Second             // a front goes on sending to a dead dispatcher for so long
+	leavesFront = 300 * time.Millisecond  // the same of one that was told to end
+	crossesIn   = 40 * time.Millisecond
+	leavesMost  = 0.2 // part of the clients that go elsewhere then; the rest stays to the end
 )
 
 // Options say with what a scenario is played.
@@ -74,6 +78,17 @@
 	dead         time.Time
 	paused       bool
 	done         chan struct{}
+	ending       time.Time // SIGTERM was sent then; zero before
+}
+
+// ended says whether the process is over.
+func (n *node) ended() bool {
+	select {
+	case <-n.done:
+		return true
+	default:
+		return false
+	}
 }
 
 type rig struct {
@@ -383,7 +398,7 @@
 	}
 	done := make(chan struct{})
 	r.mu.Lock()
-	n.cmd, n.dead, n.paused, n.ready, n.done = cmd, time.Time{}, false, time.Time{}, done
+	n.cmd, n.dead, n.ending, n.paused, n.ready, n.done = cmd, time.Time{}, time.Time{}, false, time.Time{}, done
 	r.mu.Unlock()
 	go func() {
 		r.read(n, out)
@@ -456,6 +471,9 @@
 		if n.ready.IsZero() || !n.dead.IsZero() && time.Since(n.dead) > noticed || n.paused {
 			continue
 		}
+		if !n.ending.IsZero() && (n.ended() || time.Since(n.ending) > leavesFront && r.rng.Float64() < leavesMost) { // some clients stay
+			continue
+		}
 		if all = append(all, n); n.zone == zone {
 			near = append(near, n)
 		}
@@ -488,7 +506,17 @@
 	q.Header.Set("X-Txn", id)
 	q.Header.Set("X-Remaining", fmt.Sprintf("%.3f", patience.Seconds()))
 	began := time.Now()
+	var kept bool
+	q = q.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { kept = c.Reused }}))
 	a, err := client.Do(q)
+	// What crosses the end of a connection that rested is sent once more on a new one. One that ends
+	// later than that had read the request.
+	if kept = kept && time.Since(began) < crossesIn; err != nil && kept && ctx.Err() == nil {
+		q.Body, _ = q.GetBody()
+		kept = false
+		client.CloseIdleConnections()
+		a, err = client.Do(q)
+	}
 	status := 0
 	if err == nil {
 		var text []byte
@@ -509,6 +537,10 @@
 		if lives && errors.Is(err, context.DeadlineExceeded) && len(r.result.Rules) < 20 {
 			r.result.Rules = append(r.result.Rules, fmt.Sprintf("rule 1: message %s has no answer from dispatcher %d", id, n.number))
 		}
+		if lives && !n.ending.IsZero() && !kept && !errors.Is(err, syscall.ECONNREFUSED) && len(r.result.Rules) < 20 {
+			r.result.Rules = append(r.result.Rules, fmt.Sprintf("rule 1: message %s is lost %v after dispatcher %d was told to end: %v", id,
+				time.Since(n.ending).Round(time.Millisecond), n.number, err))
+		}
 	case status == http.StatusOK:
 		r.result.Served++
 		if took.Seconds()*1000 <= c.aim+2*c.work.Seconds()*1000 {
@@ -578,7 +610,7 @@
 		if out, err := r.tell(s.What); err != nil {
 			return fmt.Errorf("%w: %s", err, out)
 		}
-	case "kill", "stop", "continue", "start":
+	case "kill", "stop", "continue", "start", "end", "reload":
 		for _, i := range s.Nodes {
 			if err := r.signal(r.nodes[i], s.What); err != nil {
 				return err
@@ -594,6 +626,10 @@
 	switch what {
 	case "kill":
 		n.dead = time.Now()
+	case "end":
+		if n.ending.IsZero() {
+			n.ending = time.Now()
+		}
 	case "stop":
 		n.paused = true
 	case "continue":
@@ -603,6 +639,10 @@
 	switch what {
 	case "kill":
 		return cmd.Process.Kill()
+	case "end":
+		return cmd.Process.Signal(syscall.SIGTERM)
+	case "reload":
+		return cmd.Process.Signal(syscall.SIGHUP)
 	case "stop":
 		return cmd.Process.Signal(syscall.SIGSTOP)
 	case "continue":
--- a/internal/tools/lab/processes/script.go
+++ b/internal/tools/lab/processes/script.go
@@ -52,7 +52,7 @@
 // steps are the kinds of steps, each with what it needs.
 var steps = map[string]struct{ zone, nodes, sender bool }{
 	"dark": {zone: true}, "silent": {zone: true}, "cut": {zone: true}, "heal": {zone: true}, "restart": {zone: true}, "lossy": {},
-	"deaf": {nodes: true}, "hears": {nodes: true}, "kill": {nodes: true}, "stop": {nodes: true}, "continue": {nodes: true}, "start": {nodes: true},
+	"deaf": {nodes: true}, "hears": {nodes: true}, "kill": {nodes: true}, "stop": {nodes: true}, "continue": {nodes: true}, "start": {nodes: true}, "end": {nodes: true}, "reload": {nodes: true},
 	"rollout": {}, "kill_controller": {}, "hold": {}, "go": {}, "back": {}, "leave": {zone: true, nodes: true}, "return": {zone: true, nodes: true}, "drain": {sender: true}, "serve": {sender: true},
 }
 
