Pass over changes of the list that are older than what is held

Seen in the code: a change with an index below the one held was taken (inventory.Watcher.take), so that an answer out of order could take back a drain. Now only a whole list may have a lower index, as after a discovery that counts anew. Two rows in TestWatch; the first fails without the mend.

--- a/internal/carry/inventory/inventory_test.go
+++ b/internal/carry/inventory/inventory_test.go
@@ -158,6 +158,8 @@
 	}{
 		{chunks(list(1, true, entry("s1", "SERVING")), "", list(2, false, entry("s2", "SERVING"))), []string{"list:1", "changes:1", "failed"}},
 		{chunks(list(1, true, entry("s1", "SERVING")), "garbage"), []string{"list:1", "failed"}},
+		{chunks(list(43, false, entry("s1", "DRAINING")), list(42, false, entry("s1", "SERVING")), list(44, false)), []string{"changes:1", "changes:0", "failed"}},
+		{chunks(list(43, false, entry("s1", "DRAINING")), list(7, true, entry("s1", "SERVING")), list(8, false)), []string{"changes:1", "list:1", "changes:0", "failed"}},
 		{chunks(indented(list(1, true, entry("s}\\\"{", "SERVING"))), "", indented(list(2, false, entry("s2", "SERVING")))), []string{"list:1", "changes:1", "failed"}},
 		{chunks(indented(list(1, true, entry("s1", "SERVING"))), "}"), []string{"list:1", "failed"}},
 		{chunks(list(1, true, entry("s1", "MAYBE"))), []string{"failed"}},
--- a/internal/carry/inventory/watch.go
+++ b/internal/carry/inventory/watch.go
@@ -107,8 +107,12 @@
 	}
 }
 
-// take tells the listener of a list.
+// take tells the listener of a list. Changes that are older than what is held are passed over:
+// guards against a list that takes back a drain.
 func (w *Watcher) take(l List) {
+	if !l.Snapshot && l.Index < w.index {
+		return
+	}
 	w.index = l.Index
 	w.listener.Listed(l)
 }
