--- a/internal/tools/lab/processes/parties.go
+++ b/internal/tools/lab/processes/parties.go
@@ -80,7 +80,11 @@
 func (s *sender) stop() {
 	s.mu.Lock()
 	server, stopped := s.server, s.stopped
+	s.server = nil
 	s.mu.Unlock()
+	if server == nil { // a run that ends on an error between its stop and its start
+		return
+	}
 	close(stopped)
 	server.Close()
 }
