Mend two races in tests, of the door and of an upgrade

Seen with -race: TestCalls read what its desk had noted from another goroutine than the loop's, TestSuccessorWaits and TestUpgradeWithoutDiscovery set a flag that the stand-in discovery reads. The program had no part in them. A mutex and an atomic; what is checked is unchanged.

--- a/internal/doors/admin/admin_test.go
+++ b/internal/doors/admin/admin_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,15 +20,33 @@
 )
 
 // desk writes down what it is asked.
-type desk struct{ asked []string }
+type desk struct {
+	mu    sync.Mutex
+	asked []string
+}
+
+func (d *desk) note(what string) {
+	d.mu.Lock()
+	d.asked = append(d.asked, what)
+	d.mu.Unlock()
+}
+
+// taken is what was asked since the last call.
+func (d *desk) taken() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	what := strings.Join(d.asked, ",")
+	d.asked = nil
+	return what
+}
 
 func (d *desk) Serving() bool { return true }
 func (d *desk) Drain(on bool) error {
-	d.asked = append(d.asked, fmt.Sprint("drain ", on))
+	d.note(fmt.Sprint("drain ", on))
 	return nil
 }
 func (d *desk) Down(host string) error {
-	d.asked = append(d.asked, "down "+host)
+	d.note("down " + host)
 	switch host {
 	case "never":
 		return ErrUnknown
@@ -40,11 +59,11 @@
 func (d *desk) Settings() (string, error) { return "{}", nil }
 func (d *desk) Zones() (string, error)    { return `{"zones":[]}`, nil }
 func (d *desk) Zone(name string, away bool) error {
-	d.asked = append(d.asked, fmt.Sprint("zone ", name, " ", away))
+	d.note(fmt.Sprint("zone ", name, " ", away))
 	return map[string]error{"none": ErrNot, "last": ErrConflict}[name]
 }
 func (d *desk) Up(host string) error {
-	d.asked = append(d.asked, "up "+host)
+	d.note("up " + host)
 	return nil
 }
 
@@ -142,12 +161,12 @@
 		{"garbage\r\n\r\n", 400, ""},
 		{"POST /ops/drain/start HTTP/1.1\r\n\r\nPOST /ops/drain/stop HTTP/1.1\r\n\r\n", 200, "drain true"}, // one call to a connection
 	} {
-		d.asked = nil
+		d.taken()
 		conn := dial()
 		io.WriteString(conn, c.text)
 		status, header := ask(t, conn)
-		if status != c.want || strings.Join(d.asked, ",") != c.asked {
-			t.Errorf("%.50q: %d, asked %q; want %d, %q", c.text, status, d.asked, c.want, c.asked)
+		if asked := d.taken(); status != c.want || asked != c.asked {
+			t.Errorf("%.50q: %d, asked %q; want %d, %q", c.text, status, asked, c.want, c.asked)
 		}
 		if allow := header.Get("Allow"); (status == 405) != (allow != "") {
 			t.Errorf("%.50q: %d with Allow %q", c.text, status, allow)
--- a/internal/run/app/operations_test.go
+++ b/internal/run/app/operations_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,8 +27,8 @@
 	host      net.Listener
 	discovery net.Listener
 	folder    string
-	quiet     bool      // discovery accepts calls and answers none
-	slow      chan bool // the host answers once it is closed; nil: at once
+	quiet     atomic.Bool // discovery accepts calls and answers none
+	slow      chan bool   // the host answers once it is closed; nil: at once
 }
 
 func newSite(t *testing.T) *site {
@@ -62,7 +63,7 @@
 			if err != nil {
 				return
 			}
-			if !s.quiet {
+			if !s.quiet.Load() {
 				line := fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":%q,"zone":"here","type":"toy","status":"SERVING"},`+
 					`{"name":"s2","address":"127.0.0.1:1","zone":"here","type":"toy","status":"DRAINING"}]}`+"\n", s.host.Addr())
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
@@ -283,7 +284,7 @@
 	s := newSite(t)
 	first := s.start()
 	s.eventually("the first process is ready", first.ready)
-	s.quiet = true
+	s.quiet.Store(true)
 	second := s.start()
 	if second.ready() {
 		t.Error("without a list it says that it can serve")
@@ -356,7 +357,7 @@
 	s := newSite(t)
 	first := s.start()
 	s.eventually("the first process is ready", first.ready)
-	s.quiet = true
+	s.quiet.Store(true)
 	second := s.start()
 	over := func(hosts bool) {
 		second.on(func() bool {
