Hold who gives way among lingering connections, and say what a reading found

Comments of leave.go (serves on for most of its time, not half) and of the rig's constants are put right. No program code changed.

--- a/internal/doors/front/crossing_test.go
+++ b/internal/doors/front/crossing_test.go
@@ -305,6 +305,24 @@
 	}
 }
 
+// One that lingers gives way first once its answer has had time to be read, and last before.
+func TestWhoGivesWay(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		goes bool
+	}{{0, false}, {leftLeast, true}} {
+		s := newStepped(t, 10)
+		client, lingers := s.client()
+		io.WriteString(client, "garbage\r\n\r\n")
+		s.turn("lingers", func() bool { return lingers.stage == leaving })
+		_, silent := s.client()
+		lingers.left = s.l.Now() - c.age
+		if !s.f.evict() || lingers.closed != c.goes || silent.closed == c.goes {
+			t.Errorf("%v after it began to linger: it went: %v, the silent one: %v", c.age, lingers.closed, silent.closed)
+		}
+	}
+}
+
 // client2 connects in place of another that gives way.
 func (s *stepped) client2(old *conn) (*net.TCPConn, *conn) {
 	s.t.Helper()
--- a/internal/run/app/leave.go
+++ b/internal/run/app/leave.go
@@ -18,7 +18,7 @@
 	leaveLast   = 50 * time.Millisecond  // and for the program to end by itself, whoever still holds a connection
 )
 
-// leave ends the program as the platform asks: it serves on for half of the time
+// leave ends the program as the platform asks: it serves on for most of the time
 // that it is given, then takes nothing new and stops when all that was taken is
 // answered. What it takes from now on is cut to end within that time. Guards the
 // clients of dispatchers that leave one after the other: while the others are not
--- a/internal/tools/lab/processes/rig.go
+++ b/internal/tools/lab/processes/rig.go
@@ -34,9 +34,9 @@
 	slack       = 1500 * time.Millisecond // for an answer past its deadline, on a busy machine
 	leftBy      = 3 * time.Second         // after its loss nothing should come to a zone
 	noticed     = time.Second             // a front goes on sending to a dead dispatcher for so long
-	leavesFront = 300 * time.Millisecond  // the same of one that was told to end
-	crossesIn   = 40 * time.Millisecond
-	leavesMost  = 0.2 // part of the clients that go elsewhere then; the rest stays to the end
+	leavesFront = 300 * time.Millisecond  // the same to one that was told to end
+	leavesMost  = 0.2                     // part of the clients that go elsewhere then; the rest stays to the end
+	crossesIn   = 40 * time.Millisecond   // a request on a kept connection that ends so soon was not read
 )
 
 // Options say with what a scenario is played.
