--- /dev/null
+++ b/internal/service/protocol/protocol.go
@@ -0,0 +1,229 @@
+// Package protocol defines the messages that the roles of the service exchange.
+// They travel gob-encoded over package transport. Ages and durations are used
+// instead of times of day, because the clocks of two machines may differ.
+package protocol
+
+import (
+	"net"
+	"strconv"
+	"time"
+)
+
+// Version is the version of the internal protocol. Peers of another version
+// are refused when they connect.
+const Version = 1
+
+// Offsets of the internal listeners from the first internal port.
+const (
+	DispatcherPort = iota
+	AgentFeedPort  // loopback only
+	AgentPort
+	StorePort
+	ControlPort
+)
+
+// InternalAddress returns the address of an internal listener on a host.
+func InternalAddress(ip string, firstPort, offset int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(firstPort+offset))
+}
+
+// Identity names a process. An incarnation is larger than those of all earlier
+// processes of the same node and role.
+type Identity struct {
+	Node        string
+	Role        string
+	Zone        string
+	Address     string // internal address of its own listener; empty where it has none
+	Incarnation uint64
+}
+
+// State is the state of a message.
+type State uint8
+
+// The states of a message.
+const (
+	Unknown State = iota
+	Queued
+	Completed
+	DeadLetter
+	Discarded // never acknowledged to its client: it must not run
+)
+
+// String returns the name that clients see.
+func (s State) String() string {
+	switch s {
+	case Queued:
+		return "queued"
+	case Completed:
+		return "completed"
+	case DeadLetter:
+		return "dead_letter"
+	case Discarded:
+		return "discarded"
+	default:
+		return "unknown"
+	}
+}
+
+// Ended reports whether no further run may begin.
+func (s State) Ended() bool { return s == Completed || s == DeadLetter || s == Discarded }
+
+// Head is all that is known of a message but its body.
+type Head struct {
+	ID          string
+	Queue       string
+	Epoch       uint64 // of the owner that accepted it
+	Sequence    uint64 // order of acceptance within queue and epoch
+	Method      string
+	Host        string
+	Target      string // path and query as they arrived
+	ContentType string
+	OrderingKey string
+	CallbackURL string        // empty: no call-back is owed
+	Delay       time.Duration // from acceptance
+	Retention   time.Duration // from acceptance
+	Age         time.Duration // since acceptance, at the moment of encoding
+	Failures    int           // answers with status 500 so far
+	BodySize    int
+	State       State
+	Stamp       string // seal of the successful run
+	CallbackDue bool   // ended, and its call-back has not been taken
+}
+
+// Message is a head with its body.
+type Message struct {
+	Head Head
+	Body []byte
+}
+
+// Append asks a store to keep a copy of a message.
+type Append struct{ Message Message }
+
+// AppendStatus tells how an Append ended.
+type AppendStatus uint8
+
+// The results of an Append.
+const (
+	Stored AppendStatus = 1 + iota
+	Fenced              // the queue has a newer epoch
+	Full                // no room; nothing was written
+)
+
+// AppendReply is sent after the copy has been synced.
+type AppendReply struct{ Status AppendStatus }
+
+// End records that a message has ended, or that its call-back has been taken.
+type End struct {
+	ID          string
+	Queue       string
+	State       State
+	Stamp       string
+	CallbackDue bool
+}
+
+// Failures records how many attempts of a message have failed.
+type Failures struct {
+	ID    string
+	Count int
+}
+
+// EndBatch carries records that need no answer each; one answer acknowledges all.
+type EndBatch struct {
+	Ends     []End
+	Failures []Failures
+}
+
+// EndBatchReply is sent after the batch has been synced.
+type EndBatchReply struct{}
+
+// Acquire asks for leases on queues.
+type Acquire struct {
+	Queues []string
+	Epoch  uint64
+	Held   bool // the caller still holds these leases under this epoch
+}
+
+// Grant answers Acquire for one queue.
+type Grant struct {
+	Queue    string
+	Granted  bool
+	Promised uint64 // highest epoch that the store knows
+	Heads    []Head // messages that are open or owe a call-back, and those ended of late
+}
+
+// AcquireReply answers Acquire.
+type AcquireReply struct {
+	StoreID    string // changes when the store's disk was replaced
+	Recovering bool   // its disk was empty a short time ago
+	Grants     []Grant
+}
+
+// Renew renews the caller's session, and with it all its leases.
+type Renew struct {
+	Ready        bool   // it takes queues
+	KnownVersion uint64 // of the session table that it has from this store
+}
+
+// Session is a dispatcher that is in touch with a store.
+type Session struct {
+	Identity Identity
+	Ready    bool
+}
+
+// QueueState tells who owns a queue.
+type QueueState struct {
+	Queue  string
+	Epoch  uint64
+	Holder string // node; empty where the queue has no owner
+	Open   int    // messages that have not ended
+}
+
+// RenewReply answers Renew. Sessions and queues are left out where the caller
+// has this version already.
+type RenewReply struct {
+	StoreID    string
+	Recovering bool
+	Version    uint64
+	Changed    bool
+	Sessions   []Session
+	Queues     []QueueState
+}
+
+// Release gives leases back.
+type Release struct{ Queues []string }
+
+// ReleaseReply answers Release.
+type ReleaseReply struct{}
+
+// Query asks for a message by its id.
+type Query struct {
+	ID       string
+	WithBody bool
+}
+
+// QueryReply answers Query. The state is Unknown where the store has no record.
+type QueryReply struct {
+	Head Head
+	Body []byte
+	Held bool // the store has the record
+}
+
+// Accept asks the owner of a queue to accept a message.
+type Accept struct{ Message Message }
+
+// AcceptStatus tells how an Accept ended.
+type AcceptStatus uint8
+
+// The results of an Accept.
+const (
+	Accepted  AcceptStatus = 1 + iota
+	NotOwner               // nothing was written; Holder may name the owner
+	Refused                // nothing was written, and nothing will be
+	Undecided              // copies may exist
+)
+
+// AcceptReply answers Accept.
+type AcceptReply struct {
+	Status AcceptStatus
+	Holder string
+}
--- /dev/null
+++ b/internal/service/protocol/register.go
@@ -0,0 +1,13 @@
+package protocol
+
+import "encoding/gob"
+
+func init() {
+	for _, message := range []any{
+		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{},
+		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{},
+		Accept{}, AcceptReply{},
+	} {
+		gob.Register(message)
+	}
+}
--- /dev/null
+++ b/internal/service/settings/settings.go
@@ -0,0 +1,204 @@
+// Package settings reads and checks the settings file of a process.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"yardwharf/internal/service/protocol"
+)
+
+// PathVariable names the environment variable with the path of the file.
+const PathVariable = "YARDWHARF_SETTINGS"
+
+// Class is the class of errors that this package makes.
+var Class = errs.Class("settings")
+
+// Settings are what a process is told about its machine and its surroundings.
+// Unknown fields of the file are ignored.
+type Settings struct {
+	Node            string            `json:"node"`
+	Role            string            `json:"role"`
+	MachineClass    string            `json:"machineClass"`
+	Serves          []string          `json:"serves"`
+	IP              string            `json:"ip"`
+	Zone            string            `json:"zone"`
+	Region          string            `json:"region"`
+	Zones           map[string]string `json:"zones"`
+	Listen          Listen            `json:"listen"`
+	InternalPorts   []int             `json:"internalPorts"`
+	Seeds           []string          `json:"seeds"`
+	Bootstrap       bool              `json:"bootstrap"`
+	CountsForQuorum bool              `json:"countsForQuorum"`
+	Limits          Limits            `json:"limits"`
+	DataDir         string            `json:"dataDir"`
+	HeartbeatMs     int               `json:"heartbeatMs"`
+	FaultTolerance  FaultTolerance    `json:"faultTolerance"`
+	Bounds          Bounds            `json:"bounds"`
+	CloudAPI        CloudAPI          `json:"cloudApi"`
+}
+
+// Listen holds the addresses that a role serves on.
+type Listen struct {
+	Front     string `json:"front"`
+	Readiness string `json:"readiness"`
+	Control   string `json:"control"`
+}
+
+// Limits are the limits of the machine.
+type Limits struct {
+	CPUShare float64 `json:"cpuShare"`
+	Cores    int     `json:"cores"`
+	MemoryMb int     `json:"memoryMb"`
+	MaxFds   int     `json:"maxFds"`
+	LinkMbps float64 `json:"linkMbps"`
+	DiskMb   int     `json:"diskMb"`
+}
+
+// FaultTolerance says what may be lost at once.
+type FaultTolerance struct {
+	Machines int `json:"machines"`
+	Zones    int `json:"zones"`
+	Regions  int `json:"regions"`
+}
+
+// Bounds are the times that the deployment promises.
+type Bounds struct {
+	SeedLagS         float64 `json:"seedLagS"`
+	AddrReuseS       float64 `json:"addrReuseS"`
+	ContactMs        float64 `json:"contactMs"`
+	AckMs            float64 `json:"ackMs"`
+	CatchUpS         float64 `json:"catchUpS"`
+	DrainMs          float64 `json:"drainMs"`
+	GraceS           float64 `json:"graceS"`
+	LossSlackMs      float64 `json:"lossSlackMs"`
+	ConfigApplyMs    float64 `json:"configApplyMs"`
+	RollbackSlackMs  float64 `json:"rollbackSlackMs"`
+	MaxSkewMs        float64 `json:"maxSkewMs"`
+	RecoveryS        float64 `json:"recoveryS"`
+	FinishS          float64 `json:"finishS"`
+	StatusS          float64 `json:"statusS"`
+	CallbackS        float64 `json:"callbackS"`
+	VisibilityMs     float64 `json:"visibilityMs"`
+	EarlyMs          float64 `json:"earlyMs"`
+	CeilingWindowS   float64 `json:"ceilingWindowS"`
+	CeilingOvershoot float64 `json:"ceilingOvershoot"`
+}
+
+// CloudAPI is the platform's list of servers.
+type CloudAPI struct {
+	Address  string  `json:"address"`
+	RatePerS float64 `json:"ratePerS"`
+	MaxLagMs float64 `json:"maxLagMs"`
+}
+
+// Seconds turns a number of seconds from the file into a duration.
+func Seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// Milliseconds turns a number of milliseconds from the file into a duration.
+func Milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
+
+// Path returns the path that the environment names.
+func Path() (string, error) {
+	path := os.Getenv(PathVariable)
+	if path == "" {
+		return "", Class.New("the environment variable %s is not set", PathVariable)
+	}
+	return path, nil
+}
+
+// Load reads and checks a file. The error has one line for each fault, which
+// names the file, the key and the cause.
+func Load(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	return Parse(path, content)
+}
+
+// Parse checks the content of a file.
+func Parse(path string, content []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := json.Unmarshal(content, s); err != nil {
+		return nil, Class.New("%s: %v", path, err)
+	}
+	faults := s.faults()
+	if len(faults) == 0 {
+		return s, nil
+	}
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = fmt.Sprintf("%s: %s", path, fault)
+	}
+	return nil, Class.New("%s", strings.Join(lines, "\n"))
+}
+
+// faults lists what makes the settings unusable, as "key: cause".
+func (s *Settings) faults() []string {
+	var faults []string
+	require := func(ok bool, key, cause string) {
+		if !ok {
+			faults = append(faults, key+": "+cause)
+		}
+	}
+	require(s.Node != "", "node", "is empty")
+	require(s.Zone != "", "zone", "is empty")
+	require(net.ParseIP(s.IP) != nil, "ip", fmt.Sprintf("%q is no IP address", s.IP))
+	require(len(s.InternalPorts) == 2 && s.InternalPorts[0] > 0 && s.InternalPorts[1] <= 65535 &&
+		s.InternalPorts[1]-s.InternalPorts[0] >= protocol.ControlPort,
+		"internalPorts", fmt.Sprintf("wants a first and a last port, %d apart at least", protocol.ControlPort))
+	require(len(s.Seeds) > 0, "seeds", "is empty")
+	for _, seed := range s.Seeds {
+		_, _, err := net.SplitHostPort(seed)
+		require(err == nil, "seeds", fmt.Sprintf("%q is no address with a port", seed))
+	}
+	require(s.FaultTolerance.Machines >= 0, "faultTolerance.machines", "is below 0")
+	for key, address := range map[string]string{
+		"listen.front": s.Listen.Front, "listen.readiness": s.Listen.Readiness,
+		"listen.control": s.Listen.Control, "cloudApi.address": s.CloudAPI.Address,
+	} {
+		_, _, err := net.SplitHostPort(address)
+		require(address == "" || err == nil, key, fmt.Sprintf("%q is no address with a port", address))
+	}
+	return faults
+}
+
+// Internal returns the internal address of a listener of this machine.
+func (s *Settings) Internal(offset int) string {
+	return protocol.InternalAddress(s.IP, s.InternalPorts[0], offset)
+}
+
+// AgentFeed returns the loopback address at which the agent feeds the dispatcher.
+func (s *Settings) AgentFeed() string {
+	return protocol.InternalAddress("127.0.0.1", s.InternalPorts[0], protocol.AgentFeedPort)
+}
+
+// ControlMembers returns the internal addresses of the control members that
+// the seeds name.
+func (s *Settings) ControlMembers() []string {
+	members := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil {
+			members = append(members, protocol.InternalAddress(host, s.InternalPorts[0], protocol.ControlPort))
+		}
+	}
+	return members
+}
+
+// Identity returns the identity of a process of this machine.
+func (s *Settings) Identity(role string, offset int, now time.Time) protocol.Identity {
+	return protocol.Identity{
+		Node: s.Node, Role: role, Zone: s.Zone, Address: s.Internal(offset),
+		Incarnation: uint64(now.UnixMicro()),
+	}
+}
