--- /dev/null
+++ b/internal/service/lease/grantor.go
@@ -0,0 +1,292 @@
+// Package lease decides who may act for a queue. Grantor is the part of a
+// store, which gives leases out; Holder is the part of a dispatcher, which
+// knows until when its leases are valid. Neither reads a clock: all times are
+// arguments, taken from the steady clock of the process that calls.
+package lease
+
+import (
+	"time"
+
+	"yardwharf/internal/service/protocol"
+)
+
+const (
+	// LeaseDuration is how long a session lasts without a renewal.
+	LeaseDuration = 1500 * time.Millisecond
+	// ClosedSessionGrace is how long the leases of a session last after its
+	// last connection has closed.
+	ClosedSessionGrace = 300 * time.Millisecond
+	// Margin is taken off a lease by its holder.
+	Margin = 200 * time.Millisecond
+	// RenewInterval is how often a holder renews its sessions.
+	RenewInterval = 400 * time.Millisecond
+)
+
+// SessionID names one life of a dispatcher.
+type SessionID struct {
+	Node        string
+	Incarnation uint64
+}
+
+// SessionOf returns the name of a process's session.
+func SessionOf(identity protocol.Identity) SessionID {
+	return SessionID{Node: identity.Node, Incarnation: identity.Incarnation}
+}
+
+// Promise is the highest epoch of a queue and who brought it.
+type Promise struct {
+	Epoch uint64
+	By    SessionID
+}
+
+// Decision is the answer to an attempt to get a lease or to write.
+type Decision struct {
+	Allowed bool
+	Promise Promise
+	Raised  bool // the promise is new and must be kept before the answer is sent
+}
+
+// session is a dispatcher in touch.
+type session struct {
+	identity    protocol.Identity
+	ready       bool
+	connections int
+	expiresAt   time.Time
+	queues      map[string]*queue
+}
+
+// queue is what is known of one queue.
+type queue struct {
+	promise Promise
+	holder  *session // nil where nobody has the lease
+	epoch   uint64   // of the lease
+}
+
+// Grantor gives out the leases of one store. It is not safe for concurrent use.
+type Grantor struct {
+	grantsFrom time.Time // before it only leases that are still held are granted
+	sessions   map[SessionID]*session
+	queues     map[string]*queue
+	version    uint64
+	nextExpiry time.Time // no session expires before it
+}
+
+// NewGrantor returns the grantor of a store that started now, with the
+// promises that it kept. The first version must differ from those of earlier
+// starts.
+func NewGrantor(now time.Time, version uint64, promises map[string]Promise) *Grantor {
+	g := &Grantor{
+		grantsFrom: now.Add(LeaseDuration),
+		sessions:   map[SessionID]*session{},
+		queues:     make(map[string]*queue, len(promises)),
+		version:    version,
+	}
+	for name, promise := range promises {
+		g.queues[name] = &queue{promise: promise}
+	}
+	return g
+}
+
+// Version grows with each change of the sessions and holders.
+func (g *Grantor) Version() uint64 { return g.version }
+
+// Touch makes a new version, for a change that the grantor does not see.
+func (g *Grantor) Touch() { g.version++ }
+
+// Connected notes a new connection of a session.
+func (g *Grantor) Connected(now time.Time, identity protocol.Identity) {
+	g.Expire(now)
+	if s := g.sessions[SessionOf(identity)]; s != nil {
+		s.connections++
+		g.extend(s, now.Add(LeaseDuration))
+	}
+}
+
+// Closed notes the end of a connection. The session ends soon after its last.
+func (g *Grantor) Closed(now time.Time, identity protocol.Identity) {
+	g.Expire(now)
+	s := g.sessions[SessionOf(identity)]
+	if s == nil {
+		return
+	}
+	if s.connections > 0 {
+		s.connections--
+	}
+	if s.connections > 0 {
+		return
+	}
+	if end := now.Add(ClosedSessionGrace); end.Before(s.expiresAt) {
+		s.expiresAt = end
+		g.noteExpiry(end)
+	}
+}
+
+// Renew renews a session, or opens one; connections is how many connections
+// of that process are open.
+func (g *Grantor) Renew(now time.Time, identity protocol.Identity, ready bool, connections int) {
+	g.Expire(now)
+	s := g.open(now, identity, connections)
+	if s.ready != ready {
+		s.ready = ready
+		g.version++
+	}
+}
+
+// open returns the renewed session of a process.
+func (g *Grantor) open(now time.Time, identity protocol.Identity, connections int) *session {
+	id := SessionOf(identity)
+	s := g.sessions[id]
+	if s == nil {
+		s = &session{identity: identity, queues: map[string]*queue{}}
+		g.sessions[id] = s
+		g.version++
+	}
+	s.connections = connections
+	if connections > 0 {
+		g.extend(s, now.Add(LeaseDuration))
+	} else if s.expiresAt.IsZero() {
+		g.extend(s, now.Add(ClosedSessionGrace))
+	}
+	return s
+}
+
+func (g *Grantor) extend(s *session, end time.Time) {
+	s.expiresAt = end
+	g.noteExpiry(end)
+}
+
+func (g *Grantor) noteExpiry(end time.Time) {
+	if g.nextExpiry.IsZero() || end.Before(g.nextExpiry) {
+		g.nextExpiry = end
+	}
+}
+
+// Expire ends the sessions whose time is over and frees their leases.
+func (g *Grantor) Expire(now time.Time) {
+	if g.nextExpiry.IsZero() || now.Before(g.nextExpiry) {
+		return
+	}
+	g.nextExpiry = time.Time{}
+	for id, s := range g.sessions {
+		if now.Before(s.expiresAt) {
+			g.noteExpiry(s.expiresAt)
+			continue
+		}
+		for _, q := range s.queues {
+			q.holder = nil
+		}
+		delete(g.sessions, id)
+		g.version++
+	}
+}
+
+// Acquire asks for the lease on a queue under an epoch. The caller says
+// whether it still holds the lease under this epoch.
+func (g *Grantor) Acquire(now time.Time, identity protocol.Identity, connections int, name string, epoch uint64, held bool) Decision {
+	g.Expire(now)
+	q := g.queue(name)
+	if !g.mayAcquire(now, SessionOf(identity), q, epoch, held) {
+		return Decision{Promise: q.promise}
+	}
+	s := g.open(now, identity, connections)
+	raised := q.raise(epoch, SessionOf(identity))
+	if q.holder != s || q.epoch != epoch {
+		g.version++
+	}
+	q.holder, q.epoch = s, epoch
+	s.queues[name] = q
+	return Decision{Allowed: true, Promise: q.promise, Raised: raised}
+}
+
+func (g *Grantor) mayAcquire(now time.Time, id SessionID, q *queue, epoch uint64, held bool) bool {
+	own := q.holder != nil && SessionOf(q.holder.identity) == id
+	switch {
+	case q.holder != nil && !own:
+		return false
+	case epoch < q.promise.Epoch:
+		return false
+	case epoch == q.promise.Epoch:
+		// The same lease again: its answer was lost, or this store has
+		// restarted or lost touch meanwhile.
+		return own && q.epoch == epoch || held && q.promise.By == id
+	case held, own:
+		return true
+	default:
+		return !now.Before(g.grantsFrom)
+	}
+}
+
+// Write asks whether an owner may write to a queue under an epoch.
+func (g *Grantor) Write(identity protocol.Identity, name string, epoch uint64) Decision {
+	q := g.queue(name)
+	id := SessionOf(identity)
+	if epoch < q.promise.Epoch {
+		return Decision{Allowed: q.promise.By == id, Promise: q.promise}
+	}
+	raised := q.raise(epoch, id)
+	return Decision{Allowed: true, Promise: q.promise, Raised: raised}
+}
+
+// Release gives a lease back.
+func (g *Grantor) Release(now time.Time, identity protocol.Identity, name string) {
+	g.Expire(now)
+	q := g.queues[name]
+	if q == nil || q.holder == nil || SessionOf(q.holder.identity) != SessionOf(identity) {
+		return
+	}
+	delete(q.holder.queues, name)
+	q.holder = nil
+	g.version++
+}
+
+func (g *Grantor) queue(name string) *queue {
+	q := g.queues[name]
+	if q == nil {
+		q = &queue{}
+		g.queues[name] = q
+	}
+	return q
+}
+
+// raise takes a higher epoch and reports whether the promise is new.
+func (q *queue) raise(epoch uint64, by SessionID) bool {
+	if epoch <= q.promise.Epoch {
+		return false
+	}
+	q.promise = Promise{Epoch: epoch, By: by}
+	return true
+}
+
+// Lease returns the holder's node and the epoch of a queue's lease; without a
+// lease the node is empty and the epoch is the promised one.
+func (g *Grantor) Lease(name string) (holder string, epoch uint64) {
+	q := g.queues[name]
+	switch {
+	case q == nil:
+		return "", 0
+	case q.holder == nil:
+		return "", q.promise.Epoch
+	default:
+		return q.holder.identity.Node, q.epoch
+	}
+}
+
+// EachLease calls a function for each queue that has a holder.
+func (g *Grantor) EachLease(call func(name, holder string, epoch uint64)) {
+	for _, s := range g.sessions {
+		for name, q := range s.queues {
+			call(name, s.identity.Node, q.epoch)
+		}
+	}
+}
+
+// Sessions returns the open sessions of one role.
+func (g *Grantor) Sessions(role string) []protocol.Session {
+	sessions := make([]protocol.Session, 0, len(g.sessions))
+	for _, s := range g.sessions {
+		if s.identity.Role == role {
+			sessions = append(sessions, protocol.Session{Identity: s.identity, Ready: s.ready})
+		}
+	}
+	return sessions
+}
