--- a/internal/service/lease/holder.go
+++ b/internal/service/lease/holder.go
@@ -3,25 +3,23 @@
 import (
 	"slices"
 	"time"
-
-	"yardwharf/internal/service/protocol"
 )
 
 // grant is one store's word that this process has a queue's lease.
 type grant struct {
 	epoch  uint64
-	sentAt time.Time // when the request for it was sent
+	sentAt time.Duration // when the request for it was sent
 }
 
 // storeSession is the holder's view of its session with one store.
 type storeSession struct {
-	openedAt  time.Time // a request sent since then has found the session open
-	renewedAt time.Time // when the newest renewal that was answered was sent
+	openedAt  time.Duration // a request sent since then has found the session open
+	renewedAt time.Duration // when the newest renewal that was answered was sent
 	grants    map[string]grant
 }
 
-// Holder knows until when the leases of one dispatcher are valid. It is not
-// safe for concurrent use.
+// Holder knows until when the leases of one dispatcher are valid. Its times are
+// readings of the dispatcher's steady clock. It is not safe for concurrent use.
 type Holder struct {
 	stores map[string]*storeSession
 }
@@ -33,27 +31,21 @@
 // at these times. When the session may have run out at the store between this
 // renewal and the one before, its grants count no longer: the caller asks for
 // them again with Held.
-func (h *Holder) Renewed(store string, sentAt, answeredAt time.Time) {
+func (h *Holder) Renewed(store string, sentAt, answeredAt time.Duration) {
 	s := h.stores[store]
-	if s == nil {
-		s = &storeSession{grants: map[string]grant{}}
-		h.stores[store] = s
-	}
-	if s.renewedAt.IsZero() || !answeredAt.Before(s.renewedAt.Add(LeaseDuration)) {
-		s.openedAt = sentAt
-		clear(s.grants)
-	}
-	if sentAt.After(s.renewedAt) {
-		s.renewedAt = sentAt
+	if s == nil || answeredAt >= s.renewedAt+LeaseDuration {
+		h.stores[store] = &storeSession{openedAt: sentAt, renewedAt: sentAt, grants: map[string]grant{}}
+		return
 	}
+	s.renewedAt = max(s.renewedAt, sentAt)
 }
 
 // Granted notes that a store has granted a queue; sentAt is when the request
 // was sent. It reports false when the grant cannot count, because the session
 // was not open since the request; the caller then asks again with Held.
-func (h *Holder) Granted(store, queue string, epoch uint64, sentAt time.Time) bool {
+func (h *Holder) Granted(store, queue string, epoch uint64, sentAt time.Duration) bool {
 	s := h.stores[store]
-	if s == nil || sentAt.Before(s.openedAt) {
+	if s == nil || sentAt < s.openedAt {
 		return false
 	}
 	if known, ok := s.grants[queue]; ok && known.epoch > epoch {
@@ -63,24 +55,11 @@
 	return true
 }
 
-// Listed compares the grants of a store with the holders that it lists in the
-// answer to a renewal sent at sentAt. Grants that were asked for later are not
-// judged by it.
-func (h *Holder) Listed(store, node string, sentAt time.Time, queues []protocol.QueueState) {
-	s := h.stores[store]
-	if s == nil {
-		return
-	}
-	listed := make(map[string]uint64, len(s.grants))
-	for _, state := range queues {
-		if state.Holder == node {
-			listed[state.Queue] = state.Epoch
-		}
-	}
-	for queue, g := range s.grants {
-		if epoch, ok := listed[queue]; (!ok || epoch != g.epoch) && g.sentAt.Before(sentAt) {
-			delete(s.grants, queue)
-		}
+// Revoked notes that a store no longer lists this process as the holder of a
+// queue.
+func (h *Holder) Revoked(store, queue string) {
+	if s := h.stores[store]; s != nil {
+		delete(s.grants, queue)
 	}
 }
 
@@ -117,15 +96,15 @@
 }
 
 // ValidUntil returns until when the lease on a queue is valid, if all known
-// stores but the tolerated number must have granted it under one epoch. It is
-// the zero time where too few have, or where the time is over.
-func (h *Holder) ValidUntil(queue string, now time.Time, storeCount, tolerated int) time.Time {
+// stores but the tolerated number must have granted it under one epoch. It
+// reports false where too few have, or where the time is over.
+func (h *Holder) ValidUntil(queue string, now time.Duration, storeCount, tolerated int) (time.Duration, bool) {
 	needed := storeCount - tolerated
 	epoch := h.Epoch(queue)
 	if needed <= 0 || epoch == 0 {
-		return time.Time{}
+		return 0, false
 	}
-	var buffer [16]time.Time
+	var buffer [16]time.Duration
 	renewals := buffer[:0]
 	for _, s := range h.stores {
 		if s.grants[queue].epoch == epoch {
@@ -133,12 +112,9 @@
 		}
 	}
 	if len(renewals) < needed {
-		return time.Time{}
-	}
-	slices.SortFunc(renewals, func(a, b time.Time) int { return b.Compare(a) })
-	end := renewals[needed-1].Add(LeaseDuration - Margin)
-	if !now.Before(end) {
-		return time.Time{}
+		return 0, false
 	}
-	return end
+	slices.Sort(renewals)
+	end := renewals[len(renewals)-needed] + LeaseDuration - Margin
+	return end, now < end
 }
