Distribute topics, watch heartbeats and read the platform's list: first code

Cause: control members, agents and dispatchers need one way to share configuration, senders and membership. Change: hub and puller for versioned topics, monitors on a ring, the reader of the platform's list, and coordination.Attach, which composes them for a control member.

--- /dev/null
+++ b/internal/service/coordination/coordination.go
@@ -0,0 +1,222 @@
+// Package coordination composes what a control member does beside the
+// register: it distributes topics, monitors heartbeats, and reads the
+// platform's list when that is its turn.
+package coordination
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/discovery"
+	"yardwharf/internal/service/distribution"
+	"yardwharf/internal/service/membership"
+	"yardwharf/internal/service/placement"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/view"
+)
+
+const (
+	peerWait     = 400 * time.Millisecond // long poll between control members: their heartbeat
+	peerSilence  = 600 * time.Millisecond // beyond the wait
+	peerAlive    = 1200 * time.Millisecond
+	mergeEvery   = 250 * time.Millisecond // at most
+	readerKey    = "senders"              // orders the members for the reader's role
+	storeRole    = "store"
+	ticksInBeats = 4 // looks for missed heartbeats in each period
+)
+
+// Coordination is the running part of one control member.
+type Coordination struct {
+	identity  protocol.Identity
+	publisher string
+	hub       *distribution.Hub
+	members   func() []string
+	peers     *distribution.Puller
+	log       logr.Logger
+
+	mutex    sync.Mutex
+	monitor  *membership.Monitor
+	election election
+	merged   []view.NodeState
+}
+
+// Attach registers the handlers for Pull and Heartbeat on a server that does
+// not serve yet, and runs everything else until the context ends. The
+// identity's address must be the one under which members lists this process.
+// The caller publishes the configuration topic on the hub.
+func Attach(
+	ctx context.Context, s *settings.Settings, identity protocol.Identity, server *transport.Server,
+	hub *distribution.Hub, members func() []string, log logr.Logger,
+) *Coordination {
+	c := newCoordination(s, identity, hub, members, log)
+	hub.Register(server)
+	hub.OnPull(c.observePeer)
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, beat membership.Heartbeat) (membership.HeartbeatReply, error) {
+		return c.beat(time.Now(), beat), nil
+	})
+	go c.peers.Run(ctx)
+	go c.watch(ctx, membership.Period(s)/ticksInBeats)
+	go c.follow(ctx)
+	if s.CloudAPI.Address != "" {
+		go discovery.RunReader(ctx, s, hub, c.publisher, c.reads, log)
+	}
+	return c
+}
+
+func newCoordination(
+	s *settings.Settings, identity protocol.Identity, hub *distribution.Hub, members func() []string, log logr.Logger,
+) *Coordination {
+	c := &Coordination{
+		identity: identity, publisher: identity.Node + "@" + strconv.FormatUint(identity.Incarnation, 10),
+		hub: hub, members: members, log: log,
+		monitor:  membership.NewMonitor(identity.Node, membership.Period(s)),
+		election: election{self: identity.Address, started: time.Now()},
+	}
+	c.peers = distribution.NewPuller(hub, distribution.PullerOptions{
+		Identity: identity, Sources: c.otherMembers, Wait: peerWait, Silence: peerSilence,
+	}, log)
+	return c
+}
+
+// Members returns the merged state of all processes that send heartbeats.
+func (c *Coordination) Members() []view.NodeState {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.merged
+}
+
+// Stores returns the state of all stores that have announced themselves.
+func (c *Coordination) Stores() []view.NodeState {
+	var stores []view.NodeState
+	for _, state := range c.Members() {
+		if state.Identity.Role == storeRole {
+			stores = append(stores, state)
+		}
+	}
+	return stores
+}
+
+// Reads reports whether this member reads the platform's list at present.
+func (c *Coordination) Reads() bool { return c.hub.Owned(view.TopicSenders, c.publisher) }
+
+// Alive reports whether another control member has answered of late.
+func (c *Coordination) Alive(member string) bool {
+	return time.Since(c.peers.Contact(member)) < peerAlive
+}
+
+func (c *Coordination) otherMembers() []string {
+	var others []string
+	for _, member := range c.members() {
+		if member != c.identity.Address {
+			others = append(others, member)
+		}
+	}
+	return others
+}
+
+// reads decides whether this member should read the platform's list now.
+func (c *Coordination) reads() bool {
+	_, held := c.hub.Latest(view.TopicSenders)
+	confirmedAt, _ := c.hub.Confirmed(view.TopicSenders)
+	list := listState{held: held, mine: c.Reads(), confirmedAt: confirmedAt}
+	return c.election.reads(time.Now(), placement.Order(readerKey, c.members()), c.Alive, list)
+}
+
+// beat answers a heartbeat.
+func (c *Coordination) beat(now time.Time, beat membership.Heartbeat) membership.HeartbeatReply {
+	c.mutex.Lock()
+	reply, changed := c.monitor.Beat(now, beat)
+	c.mutex.Unlock()
+	if changed {
+		c.publishView()
+	}
+	if members := c.members(); beat.MembersDigest != membership.Digest(members) {
+		reply.Members = members
+	}
+	return reply
+}
+
+// observePeer takes a pull of another control member as its heartbeat.
+func (c *Coordination) observePeer(peer protocol.Identity) {
+	if peer.Role != membership.ControlRole || peer.Node == c.identity.Node {
+		return
+	}
+	c.mutex.Lock()
+	_, changed := c.monitor.Beat(time.Now(), membership.Heartbeat{Identity: peer})
+	c.mutex.Unlock()
+	if changed {
+		c.publishView()
+	}
+}
+
+// watch looks for missed heartbeats.
+func (c *Coordination) watch(ctx context.Context, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.mutex.Lock()
+			changed := c.monitor.Tick(now)
+			c.mutex.Unlock()
+			if changed {
+				c.publishView()
+			}
+		}
+	}
+}
+
+func (c *Coordination) publishView() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.hub.Advance(view.MembersTopic(c.identity.Node), c.publisher, c.monitor.View())
+}
+
+// follow keeps the merged view up to date.
+func (c *Coordination) follow(ctx context.Context) {
+	changes, cancel := c.hub.Subscribe(view.TopicMembers)
+	defer cancel()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		}
+		c.merge()
+		pause.Reset(mergeEvery)
+		select {
+		case <-ctx.Done():
+			return
+		case <-pause.C:
+		}
+	}
+}
+
+func (c *Coordination) merge() {
+	var all, others []view.Members
+	for _, update := range c.hub.All(view.TopicMembers) {
+		observation, ok := update.Payload.(view.Members)
+		if !ok {
+			continue
+		}
+		all = append(all, observation)
+		if observation.Monitor != c.identity.Node {
+			others = append(others, observation)
+		}
+	}
+	merged, contradictions := membership.Merge(all), membership.Merge(others)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.merged = merged
+	c.monitor.SetOthers(contradictions)
+}
--- /dev/null
+++ b/internal/service/membership/merge.go
@@ -0,0 +1,93 @@
+package membership
+
+import (
+	"github.com/benbjohnson/immutable"
+
+	"yardwharf/internal/service/journal"
+	"yardwharf/internal/service/view"
+)
+
+// ControlRole is the role of the processes that are monitors.
+const ControlRole = "control"
+
+// Supersedes reports whether one statement on a process outweighs another: the
+// newer incarnation does, then the word of the process that it leaves, then
+// the newer refutation, then the better state.
+func Supersedes(a, b view.NodeState) bool {
+	switch {
+	case a.Identity.Incarnation != b.Identity.Incarnation:
+		return a.Identity.Incarnation > b.Identity.Incarnation
+	case a.Left != b.Left:
+		return a.Left
+	case a.Refutation != b.Refutation:
+		return a.Refutation > b.Refutation
+	case a.Alive != b.Alive:
+		return a.Alive
+	default:
+		return !a.Suspect && b.Suspect
+	}
+}
+
+type states = immutable.SortedMap[string, view.NodeState]
+
+// foldStates keeps the statement that outweighs the others on each process.
+func foldStates(known *states, next view.NodeState) *states {
+	key := Key(next.Identity)
+	if held, ok := known.Get(key); ok && !Supersedes(next, held) {
+		return known
+	}
+	return known.Set(key, next)
+}
+
+// Merge folds what all monitors say into one state for each process, in the
+// order of their keys. What a monitor has said that is dead itself counts only
+// where no other one watches the process, for its last word is outdated.
+func Merge(observations []view.Members) []view.NodeState {
+	dead := deadMonitors(observations)
+	merged, outdated := newFold(), newFold()
+	for _, observation := range observations {
+		if dead[observation.Monitor] {
+			outdated.Apply(observation.Nodes...)
+		} else {
+			merged.Apply(observation.Nodes...)
+		}
+	}
+	for _, state := range list(outdated.State()) {
+		if _, watched := merged.State().Get(Key(state.Identity)); !watched {
+			merged.Apply(state)
+		}
+	}
+	return list(merged.State())
+}
+
+// deadMonitors returns the monitors that are dead by the word of the others.
+func deadMonitors(observations []view.Members) map[string]bool {
+	fold := newFold()
+	for _, observation := range observations {
+		for _, state := range observation.Nodes {
+			if state.Identity.Role == ControlRole && state.Identity.Node != observation.Monitor {
+				fold.Apply(state)
+			}
+		}
+	}
+	dead := map[string]bool{}
+	for _, state := range list(fold.State()) {
+		if !state.Alive {
+			dead[state.Identity.Node] = true
+		}
+	}
+	return dead
+}
+
+func newFold() *journal.View[*states, view.NodeState] {
+	return journal.NewView(immutable.NewSortedMap[string, view.NodeState](nil), foldStates)
+}
+
+func list(folded *states) []view.NodeState {
+	all := make([]view.NodeState, 0, folded.Len())
+	for iterator := folded.Iterator(); !iterator.Done(); {
+		_, state, _ := iterator.Next()
+		all = append(all, state)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/service/view/view.go
@@ -0,0 +1,83 @@
+// Package view defines the payloads that control members, agents and
+// dispatchers hand to one another: the configuration, the list of senders and
+// the membership of the service.
+package view
+
+import (
+	"encoding/gob"
+	"time"
+
+	"yardwharf/internal/service/protocol"
+)
+
+// The topics under which the payloads are distributed.
+const (
+	TopicConfiguration = "configuration"
+	TopicSenders       = "senders"
+	membersPrefix      = "members/"
+)
+
+// TopicMembers is the prefix of the topics of all monitors.
+const TopicMembers = membersPrefix
+
+// MembersTopic returns the topic of one monitor.
+func MembersTopic(monitor string) string { return membersPrefix + monitor }
+
+// Node names a store or a control member.
+type Node struct {
+	Name    string
+	Zone    string
+	Address string // internal address
+	StoreID string // of stores: changes when the disk was replaced
+}
+
+// Configuration is the value of the configuration register.
+type Configuration struct {
+	Sequence uint64 // grows with each change of the register
+	Revision int64  // of the operator
+	Raw      []byte // as the operator sent it
+	Stores   []Node
+	Members  []Node
+}
+
+// Sender is one entry of the platform's list.
+type Sender struct {
+	ID         string
+	Service    string
+	Address    string
+	Zone       string
+	Revision   string
+	Slots      int
+	Draining   bool
+	WarmupLeft time.Duration
+}
+
+// Senders is the platform's list. Epoch and Counter are its version.
+type Senders struct {
+	Epoch   uint64
+	Counter uint64
+	List    []Sender
+}
+
+// NodeState is what a monitor knows of a node.
+type NodeState struct {
+	Identity   protocol.Identity
+	Refutation uint64 // grows when the node contradicts a suspicion
+	Class      string
+	StoreID    string
+	Alive      bool // neither declared dead nor gone
+	Suspect    bool // it has missed heartbeats
+	Left       bool // it has said that it ends
+}
+
+// Members holds the nodes that one monitor watches.
+type Members struct {
+	Monitor string
+	Nodes   []NodeState
+}
+
+func init() {
+	for _, payload := range []any{Configuration{}, Senders{}, SendersDifference{}, Members{}} {
+		gob.Register(payload)
+	}
+}
