Add the configuration, its register and the control role

Cause: the service keeps its configuration itself, in a compare-and-swap register on the control members. Change: types and checks of the configuration; acceptor and proposer as pure state machines; slot files, rounds over the transport and the operator's API.

--- /dev/null
+++ b/internal/service/configuration/parse.go
@@ -0,0 +1,190 @@
+package configuration
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/zeebo/errs"
+)
+
+// Class is the class of errors that this package makes. An error has one line
+// for each fault, which names the place and the cause.
+var Class = errs.Class("configuration")
+
+const (
+	schemaName  = "configuration.schema.json"
+	faultsShown = 20
+)
+
+//go:embed configuration.schema.json
+var schemaText []byte
+
+// schema compiles the embedded schema once.
+var schema = sync.OnceValues(func() (*jsonschema.Schema, error) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(schemaName, document); err != nil {
+		return nil, Class.Wrap(err)
+	}
+	compiled, err := compiler.Compile(schemaName)
+	return compiled, Class.Wrap(err)
+})
+
+// document is the JSON form of a configuration.
+type document struct {
+	Revision int64      `json:"revision"`
+	Routes   []*Route   `json:"routes"`
+	Services []*Service `json:"services"`
+	Limits   Limits     `json:"limits"`
+}
+
+// Parse reads and checks a whole configuration. It keeps raw, which the caller
+// must not change afterwards. Fields that are not known are ignored.
+func Parse(raw []byte) (*Configuration, error) {
+	if err := checkSchema(raw); err != nil {
+		return nil, err
+	}
+	var parsed document
+	if err := json.Unmarshal(raw, &parsed); err != nil {
+		return nil, syntaxError(raw, err)
+	}
+	if faults := parsed.faults(); len(faults) > 0 {
+		return nil, faultError(faults)
+	}
+	return parsed.build(raw), nil
+}
+
+func checkSchema(raw []byte) error {
+	compiled, err := schema()
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	var content any
+	if err := decoder.Decode(&content); err != nil {
+		return syntaxError(raw, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Class.New("%s: more follows the configuration", position(raw, decoder.InputOffset()))
+	}
+	err = compiled.Validate(content)
+	var invalid *jsonschema.ValidationError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &invalid):
+		return faultError(schemaFaults(invalid.BasicOutput()))
+	default:
+		return Class.Wrap(err)
+	}
+}
+
+// schemaFaults lists the faults that the schema finds, as "pointer: cause".
+func schemaFaults(output *jsonschema.OutputUnit) []string {
+	var faults []string
+	for _, unit := range output.Errors {
+		if unit.Error == nil {
+			continue
+		}
+		pointer := unit.InstanceLocation
+		if pointer == "" {
+			pointer = "/"
+		}
+		faults = append(faults, pointer+": "+unit.Error.String())
+	}
+	return faults
+}
+
+// faults lists what the schema cannot check, as "pointer: cause".
+func (d *document) faults() []string {
+	var faults []string
+	services := map[string]int{}
+	for index, service := range d.Services {
+		if first, taken := services[service.Name]; taken {
+			faults = append(faults, fmt.Sprintf("/services/%d/name: %q is the name of /services/%d", index, service.Name, first))
+			continue
+		}
+		services[service.Name] = index
+	}
+	names, places := map[string]int{}, map[[2]string]int{}
+	for index, route := range d.Routes {
+		if first, taken := names[route.Name]; taken {
+			faults = append(faults, fmt.Sprintf("/routes/%d/name: %q is the name of /routes/%d", index, route.Name, first))
+		} else {
+			names[route.Name] = index
+		}
+		place := [2]string{hostKey(route.Hostname), route.PathPrefix}
+		if first, taken := places[place]; taken {
+			faults = append(faults, fmt.Sprintf("/routes/%d: shares host %q and prefix %q with /routes/%d", index, place[0], place[1], first))
+		} else {
+			places[place] = index
+		}
+		if _, known := services[route.Service]; !known {
+			faults = append(faults, fmt.Sprintf("/routes/%d/service: there is no service %q", index, route.Service))
+		}
+	}
+	return faults
+}
+
+func (d *document) build(raw []byte) *Configuration {
+	c := &Configuration{
+		revision: d.Revision, limits: d.Limits, routes: d.Routes, raw: raw,
+		services: make(map[string]*Service, len(d.Services)), hosts: map[string]*prefixTable{},
+	}
+	for _, service := range d.Services {
+		c.services[service.Name] = service
+	}
+	for _, route := range d.Routes {
+		host := hostKey(route.Hostname)
+		table := c.hosts[host]
+		if table == nil {
+			table = &prefixTable{routes: map[string]*Route{}}
+			c.hosts[host] = table
+		}
+		table.add(route)
+	}
+	return c
+}
+
+// faultError makes one error of many faults, a line each.
+func faultError(faults []string) error {
+	if more := len(faults) - faultsShown; more > 0 {
+		faults = append(faults[:faultsShown:faultsShown], fmt.Sprintf("and %d more", more))
+	}
+	return Class.New("%s", strings.Join(faults, "\n"))
+}
+
+// syntaxError names the line and column at which the JSON cannot be read.
+func syntaxError(raw []byte, err error) error {
+	var syntax *json.SyntaxError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return Class.New("%s: cut short", position(raw, int64(len(raw))))
+	case errors.As(err, &syntax):
+		return Class.New("%s: %v", position(raw, syntax.Offset), err)
+	case errors.As(err, &wrongType):
+		return Class.New("%s: %v", position(raw, wrongType.Offset), err)
+	default:
+		return Class.Wrap(err)
+	}
+}
+
+// position turns an offset into a line and a column, both counted from 1.
+func position(raw []byte, offset int64) string {
+	before := raw[:min(max(offset, 0), int64(len(raw)))]
+	line := 1 + bytes.Count(before, []byte("\n"))
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("line %d, column %d", line, column)
+}
--- /dev/null
+++ b/internal/service/control/api.go
@@ -0,0 +1,229 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/configuration"
+	"yardwharf/internal/service/register"
+)
+
+// Bounds of the operator's calls.
+const (
+	bodyMost          = 4 << 20
+	headerBytesMost   = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 15 * time.Second
+	idleTimeout       = 60 * time.Second
+	retryAfterSeconds = "1"
+	baseHeader        = "X-Base-Version"
+)
+
+// RetireState is the state of a machine that is being emptied.
+type RetireState string
+
+// The states of a machine that is being emptied.
+const (
+	RetireRunning   RetireState = "running"
+	RetireCompleted RetireState = "completed"
+)
+
+// RetireStatus says how an order to empty a machine was received.
+type RetireStatus uint8
+
+// How an order to empty a machine was received.
+const (
+	RetireTaken       RetireStatus = 1 + iota
+	RetireUnknown                  // there is no such machine
+	RetireTooFew                   // too few machines would be left
+	RetireUnavailable              // it is not known whether the order was taken
+)
+
+// Retirement empties storage machines.
+type Retirement interface {
+	// Begin asks for a machine to be emptied.
+	Begin(ctx context.Context, node string, deadline time.Duration) RetireStatus
+	// Read returns how far it is, and whether the machine was ever asked for.
+	Read(ctx context.Context, node string) (RetireState, bool)
+}
+
+// api serves the operator.
+type api struct {
+	replica    *replica
+	retirement Retirement
+	log        logr.Logger
+}
+
+// newAPIServer returns the HTTP server of the operator's API.
+func newAPIServer(replica *replica, retirement Retirement, log logr.Logger) *http.Server {
+	a := &api{replica: replica, retirement: retirement, log: log}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /Config.Replace", a.replaceConfiguration)
+	mux.HandleFunc("GET /Config.Read", a.readConfiguration)
+	mux.HandleFunc("POST /Retire.Begin/{node}", a.beginRetirement)
+	mux.HandleFunc("GET /Retire.Read/{node}", a.readRetirement)
+	return &http.Server{
+		Handler: mux, MaxHeaderBytes: headerBytesMost,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// problem is the body of an answer that is no success.
+type problem struct {
+	Error string `json:"error"`
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		status, content = http.StatusInternalServerError, []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(content, '\n'))
+}
+
+// unavailable answers a call whose outcome is not known or that no majority
+// could be found for.
+func unavailable(w http.ResponseWriter, cause string) {
+	w.Header().Set("Retry-After", retryAfterSeconds)
+	answer(w, http.StatusServiceUnavailable, problem{cause})
+}
+
+// readBody reads a bounded body; it has answered where it reports false.
+func readBody(w http.ResponseWriter, request *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, bodyMost))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		answer(w, http.StatusRequestEntityTooLarge, problem{"body is over " + strconv.Itoa(bodyMost) + " bytes"})
+	default:
+		answer(w, http.StatusRequestTimeout, problem{"body did not arrive whole: " + err.Error()})
+	}
+	return nil, false
+}
+
+type revisionAnswer struct {
+	Revision int64 `json:"revision"`
+}
+
+// replaceConfiguration handles POST /Config.Replace.
+func (a *api) replaceConfiguration(w http.ResponseWriter, request *http.Request) {
+	body, whole := readBody(w, request)
+	if !whole {
+		return
+	}
+	base, err := strconv.ParseInt(request.Header.Get(baseHeader), 10, 64)
+	if err != nil || base < 0 {
+		answer(w, http.StatusBadRequest, problem{baseHeader + " wants a number of 0 or more"})
+		return
+	}
+	parsed, err := configuration.Parse(body)
+	if err != nil {
+		a.log.Info("configuration refused", "cause", err.Error())
+		answer(w, http.StatusBadRequest, problem{err.Error()})
+		return
+	}
+	// The order is carried through even where its caller has gone.
+	result := a.replica.order(context.WithoutCancel(request.Context()), register.Replace(base, parsed.Revision(), body))
+	a.log.Info("configuration ordered", "revision", parsed.Revision(), "base", base, "outcome", result.Outcome.String())
+	switch result.Outcome {
+	case register.Taken:
+		answer(w, http.StatusOK, revisionAnswer{parsed.Revision()})
+	case register.Stale:
+		answer(w, http.StatusPreconditionFailed, revisionAnswer{result.Decided.Value.Revision})
+	case register.Invalid:
+		answer(w, http.StatusBadRequest, problem{"/revision: is not above the current revision " +
+			strconv.FormatInt(result.Decided.Value.Revision, 10)})
+	default:
+		unavailable(w, "no majority has decided")
+	}
+}
+
+// readConfiguration handles GET /Config.Read.
+func (a *api) readConfiguration(w http.ResponseWriter, request *http.Request) {
+	ctx, cancel := context.WithTimeout(request.Context(), orderTimeout)
+	defer cancel()
+	value, decided := a.replica.newest(ctx)
+	switch {
+	case !decided:
+		unavailable(w, "no majority answers")
+	case value.Revision == 0:
+		answer(w, http.StatusNotFound, problem{"there is no configuration yet"})
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(value.Configuration)
+	}
+}
+
+// retireOrder is the body of POST /Retire.Begin/NODE.
+type retireOrder struct {
+	DeadlineS float64 `json:"deadlineS"`
+}
+
+// beginRetirement handles POST /Retire.Begin/NODE.
+func (a *api) beginRetirement(w http.ResponseWriter, request *http.Request) {
+	body, whole := readBody(w, request)
+	if !whole {
+		return
+	}
+	var order retireOrder
+	if err := json.Unmarshal(body, &order); err != nil {
+		answer(w, http.StatusBadRequest, problem{"body: " + err.Error()})
+		return
+	}
+	deadline := time.Duration(order.DeadlineS * float64(time.Second))
+	switch a.retirement.Begin(request.Context(), request.PathValue("node"), deadline) {
+	case RetireTaken:
+		answer(w, http.StatusOK, stateAnswer{RetireRunning})
+	case RetireUnknown:
+		answer(w, http.StatusNotFound, problem{"there is no such storage machine"})
+	case RetireTooFew:
+		answer(w, http.StatusConflict, problem{"too few machines would be left"})
+	default:
+		unavailable(w, "no majority has decided")
+	}
+}
+
+type stateAnswer struct {
+	State RetireState `json:"state"`
+}
+
+// readRetirement handles GET /Retire.Read/NODE.
+func (a *api) readRetirement(w http.ResponseWriter, request *http.Request) {
+	state, known := a.retirement.Read(request.Context(), request.PathValue("node"))
+	if !known {
+		answer(w, http.StatusNotFound, problem{"the machine is not being emptied"})
+		return
+	}
+	answer(w, http.StatusOK, stateAnswer{state})
+}
+
+// noRetirement refuses to empty machines.
+type noRetirement struct{ replica *replica }
+
+// Begin refuses: no machine can be spared.
+func (n noRetirement) Begin(_ context.Context, node string, _ time.Duration) RetireStatus {
+	known := n.replica.known()
+	if known.Value == nil {
+		return RetireUnavailable
+	}
+	for _, store := range known.Value.Stores {
+		if store.Node == node {
+			return RetireTooFew
+		}
+	}
+	return RetireUnknown
+}
+
+// Read knows no machine.
+func (n noRetirement) Read(context.Context, string) (RetireState, bool) { return "", false }
--- /dev/null
+++ b/internal/service/control/peers.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"sync"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/transport"
+)
+
+// peers holds one client for each control process that was called.
+type peers struct {
+	identity protocol.Identity
+	mutex    sync.Mutex
+	clients  map[string]*transport.Client
+}
+
+func newPeers(identity protocol.Identity) *peers {
+	return &peers{identity: identity, clients: map[string]*transport.Client{}}
+}
+
+func (p *peers) client(address string) *transport.Client {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	client := p.clients[address]
+	if client == nil {
+		client = transport.NewClient(p.identity, address)
+		p.clients[address] = client
+	}
+	return client
+}
+
+// Close ends all connections.
+func (p *peers) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, client := range p.clients {
+		client.Close()
+	}
+}
--- /dev/null
+++ b/internal/service/control/storage.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"yardwharf/internal/service/register"
+)
+
+// The files of the register's state. Saves alternate between two slots, so
+// that the newest whole save survives a loss of power during the next one.
+const (
+	slotCount  = 2
+	slotFormat = 1
+	// Magic, format, generation, length and checksum.
+	slotHeaderSize = 4 + 4 + 8 + 8 + 4
+)
+
+var (
+	slotMagic = [4]byte{'Y', 'W', 'R', 'G'}
+	slotTable = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// errOtherFormat is returned where a file was not written in this format.
+var errOtherFormat = errors.New("not a register file of format 1")
+
+// slotStorage keeps an acceptor's state in two slot files.
+type slotStorage struct {
+	folder     string
+	slots      [slotCount]*os.File
+	generation uint64
+}
+
+// openStorage opens the slots of a folder, which it makes where there is none.
+// It reports whether a state was found.
+func openStorage(folder string) (*slotStorage, register.State, bool, error) {
+	storage := &slotStorage{folder: folder}
+	if err := makeFolder(folder); err != nil {
+		return nil, register.State{}, false, err
+	}
+	var newest register.State
+	found := false
+	for slot := range slotCount {
+		state, generation, err := readSlot(storage.path(slot))
+		switch {
+		case errors.Is(err, errOtherFormat):
+			return nil, register.State{}, false, fmt.Errorf("%s: %w", storage.path(slot), err)
+		case err != nil || found && generation <= storage.generation:
+			continue
+		}
+		newest, storage.generation, found = state, generation, true
+	}
+	if err := storage.openSlots(); err != nil {
+		return nil, register.State{}, false, err
+	}
+	return storage, newest, found, nil
+}
+
+// makeFolder makes a folder that outlasts a loss of power.
+func makeFolder(folder string) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(folder))
+}
+
+func syncFolder(folder string) error {
+	handle, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	defer handle.Close()
+	return handle.Sync()
+}
+
+func (s *slotStorage) path(slot int) string {
+	return filepath.Join(s.folder, fmt.Sprintf("register.%d", slot))
+}
+
+// openSlots opens both files and makes their names durable, so that a save
+// needs no more than the sync of its own file.
+func (s *slotStorage) openSlots() error {
+	for slot := range slotCount {
+		file, err := os.OpenFile(s.path(slot), os.O_RDWR|os.O_CREATE, 0o644)
+		if err != nil {
+			s.Close()
+			return err
+		}
+		s.slots[slot] = file
+		if err := file.Sync(); err != nil {
+			s.Close()
+			return err
+		}
+	}
+	return syncFolder(s.folder)
+}
+
+// Close closes the files.
+func (s *slotStorage) Close() {
+	for _, file := range s.slots {
+		if file != nil {
+			_ = file.Close()
+		}
+	}
+}
+
+// Save writes the state into the slot that does not hold the newest save.
+func (s *slotStorage) Save(state register.State) error {
+	generation := s.generation + 1
+	content, err := encodeSlot(state, generation)
+	if err != nil {
+		return err
+	}
+	file := s.slots[generation%slotCount]
+	if _, err := file.WriteAt(content, 0); err != nil {
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	s.generation = generation
+	return nil
+}
+
+func encodeSlot(state register.State, generation uint64) ([]byte, error) {
+	var out bytes.Buffer
+	out.Write(make([]byte, slotHeaderSize))
+	if err := gob.NewEncoder(&out).Encode(state); err != nil {
+		return nil, err
+	}
+	content := out.Bytes()
+	copy(content, slotMagic[:])
+	binary.BigEndian.PutUint32(content[4:], slotFormat)
+	binary.BigEndian.PutUint64(content[8:], generation)
+	binary.BigEndian.PutUint64(content[16:], uint64(len(content)-slotHeaderSize))
+	binary.BigEndian.PutUint32(content[24:], slotChecksum(content))
+	return content, nil
+}
+
+// slotChecksum covers all but itself.
+func slotChecksum(content []byte) uint32 {
+	sum := crc32.Update(0, slotTable, content[:slotHeaderSize-4])
+	return crc32.Update(sum, slotTable, content[slotHeaderSize:])
+}
+
+// readSlot reads one slot. A slot that was being written when the power was
+// lost is an error like a missing one; a file of another format is not.
+func readSlot(path string) (register.State, uint64, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		if errors.Is(err, fs.ErrNotExist) {
+			return register.State{}, 0, err
+		}
+		return register.State{}, 0, fmt.Errorf("%s: %w", path, err)
+	}
+	return decodeSlot(content)
+}
+
+func decodeSlot(content []byte) (register.State, uint64, error) {
+	var state register.State
+	if otherMagic(content) {
+		return state, 0, errOtherFormat
+	}
+	if len(content) < slotHeaderSize || !bytes.Equal(content[:4], slotMagic[:]) {
+		return state, 0, errors.New("no header")
+	}
+	length := binary.BigEndian.Uint64(content[16:])
+	if length > uint64(len(content)-slotHeaderSize) {
+		return state, 0, errors.New("cut short")
+	}
+	content = content[:slotHeaderSize+int(length)]
+	if slotChecksum(content) != binary.BigEndian.Uint32(content[24:]) {
+		return state, 0, errors.New("checksum differs")
+	}
+	if binary.BigEndian.Uint32(content[4:]) != slotFormat {
+		return state, 0, errOtherFormat
+	}
+	if err := gob.NewDecoder(bytes.NewReader(content[slotHeaderSize:])).Decode(&state); err != nil {
+		return state, 0, fmt.Errorf("%w: %v", errOtherFormat, err)
+	}
+	return state, binary.BigEndian.Uint64(content[8:]), nil
+}
+
+// otherMagic reports whether the first bytes cannot come from a write of ours
+// that a loss of power cut: such bytes are ours or zero.
+func otherMagic(content []byte) bool {
+	for i, b := range content[:min(len(content), len(slotMagic))] {
+		if b != 0 && b != slotMagic[i] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/service/register/message.go
@@ -0,0 +1,74 @@
+package register
+
+import "encoding/gob"
+
+// Prepare asks a member to promise that it accepts nothing under a lower ballot.
+type Prepare struct {
+	Ballot Ballot
+	Known  Ballot // the caller has the value accepted under this ballot
+}
+
+// Status tells how a member answered.
+type Status uint8
+
+// The answers of a member.
+const (
+	Granted   Status = 1 + iota
+	Outbid           // it has promised a higher ballot
+	NotMember        // it does not vote: its disk is not one that the value lists
+)
+
+// Promise answers Prepare.
+type Promise struct {
+	Ballot   Ballot // of the Prepare
+	Status   Status
+	Disk     string
+	Promised Ballot
+	Accepted Ballot
+	Value    *Value // accepted under Accepted; nil where the caller has it
+}
+
+// Accept asks a member to accept a value.
+type Accept struct {
+	Ballot Ballot
+	Value  *Value
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	Ballot   Ballot // of the Accept
+	Status   Status
+	Disk     string
+	Promised Ballot
+}
+
+// Read asks a member for its accepted value without a promise.
+type Read struct {
+	Known Ballot // the caller has the value accepted under this ballot
+	Empty bool   // the caller has no value at all
+}
+
+// ReadReply answers Read. A member without a value leaves it out.
+type ReadReply struct {
+	Node     string
+	Zone     string
+	Disk     string
+	Voter    bool // its disk is one that its value lists
+	Promised Ballot
+	Accepted Ballot
+	Value    *Value // nil where the caller has it
+}
+
+// Learn tells a member that the value proposed under a ballot is decided.
+type Learn struct{ Ballot Ballot }
+
+// LearnReply answers Learn.
+type LearnReply struct{ Missing bool } // the member does not have that value
+
+func init() {
+	for _, message := range []any{
+		Prepare{}, Promise{}, Accept{}, Accepted{}, Read{}, ReadReply{}, Learn{}, LearnReply{},
+	} {
+		gob.Register(message)
+	}
+}
