Add the agent and the dispatcher's feed

Cause: dispatchers need configuration, senders and members also while the control members are silent.

--- /dev/null
+++ b/internal/service/agent/agent.go
@@ -0,0 +1,189 @@
+// Package agent is the link of a machine's dispatcher to the control plane. It
+// pulls configuration, senders and members from a few control members, hands
+// them to the dispatcher over loopback, and sends heartbeats. When the control
+// members are silent, it reads the platform's list itself, sparsely.
+package agent
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
+
+	"yardwharf/internal/service/distribution"
+	"yardwharf/internal/service/membership"
+	"yardwharf/internal/service/placement"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/view"
+)
+
+// Role is the name of this role in identities.
+const Role = "agent"
+
+// Class is the class of errors that this package makes.
+var Class = errs.Class("agent")
+
+const (
+	controlWait = 800 * time.Millisecond // long poll of the first source; bounds the age of confirmations
+	spareWait   = 4 * time.Second        // of the others
+)
+
+// topics are those that agents and dispatchers want.
+var topics = []string{view.TopicConfiguration, view.TopicSenders, view.TopicMembers}
+
+// Agent is the running role.
+type Agent struct {
+	identity  protocol.Identity
+	publisher string
+	log       logr.Logger
+	settings  atomic.Pointer[settings.Settings]
+	upstream  *distribution.Hub // what the control members say
+	feed      *distribution.Hub // what the dispatcher is told
+
+	mutex   sync.Mutex
+	overlay overlay
+}
+
+// New returns an agent; Run starts it.
+func New(s *settings.Settings, log logr.Logger) *Agent {
+	now := time.Now()
+	identity := s.Identity(Role, protocol.AgentPort, now)
+	a := &Agent{
+		identity: identity, publisher: identity.Node + "@" + strconv.FormatUint(identity.Incarnation, 10),
+		log: log, upstream: distribution.NewHub(log), feed: distribution.NewHub(log),
+		overlay: overlay{started: now},
+	}
+	a.settings.Store(s)
+	return a
+}
+
+// Run runs the role until the context ends. It takes new settings over when
+// the file changes or the process gets a SIGHUP.
+func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	a := New(s, log)
+	go watchSettings(ctx, a.Reload, log)
+	return a.Run(ctx)
+}
+
+// Reload takes new settings over.
+func (a *Agent) Reload(s *settings.Settings) { a.settings.Store(s) }
+
+// Run runs the agent until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	s := a.settings.Load()
+	listener, err := net.Listen("tcp4", s.AgentFeed())
+	if err != nil {
+		return Class.Wrap(err)
+	}
+	server := transport.NewServer(a.identity, a.log)
+	a.feed.Register(server)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	defer server.Close()
+
+	puller := distribution.NewPuller(a.upstream, distribution.PullerOptions{
+		Identity: a.identity, Sources: a.sources, Connections: s.FaultTolerance.Machines + 1,
+		Topics: topics, Wait: controlWait, SpareWait: spareWait,
+	}, a.log)
+	go puller.Run(ctx)
+	heartbeats := membership.StartHeartbeats(ctx, s, a.identity, membership.Details{Class: s.MachineClass}, a.log)
+	go a.relay(ctx, heartbeats)
+	if s.CloudAPI.Address != "" {
+		go a.readWhenStale(ctx)
+	}
+	select {
+	case <-ctx.Done():
+		<-heartbeats.Done()
+		return nil
+	case err := <-served:
+		return Class.Wrap(err)
+	}
+}
+
+// sources returns the addresses of the control members: those of the
+// configuration, own zone first, then seeds that it does not name.
+func (a *Agent) sources() []string {
+	s := a.settings.Load()
+	var near, far []string
+	known := map[string]bool{}
+	if update, ok := a.upstream.Latest(view.TopicConfiguration); ok {
+		for _, member := range update.Payload.(view.Configuration).Members {
+			known[member.Address] = true
+			if member.Zone == s.Zone {
+				near = append(near, member.Address)
+			} else {
+				far = append(far, member.Address)
+			}
+		}
+	}
+	var seeds []string
+	for _, seed := range s.ControlMembers() {
+		if !known[seed] {
+			seeds = append(seeds, seed)
+		}
+	}
+	order := func(addresses []string) []string { return placement.Order(a.identity.Node, addresses) }
+	return append(append(order(near), order(far)...), order(seeds)...)
+}
+
+// relay copies what the control members say to the dispatcher's feed.
+func (a *Agent) relay(ctx context.Context, heartbeats *membership.Heartbeats) {
+	changes, cancel := a.upstream.Subscribe(topics...)
+	defer cancel()
+	for {
+		for _, update := range a.upstream.All("") {
+			if update.Topic != view.TopicSenders {
+				a.feed.Publish(update.Topic, update.Version, update.Payload)
+			}
+		}
+		heartbeats.SetMembers(a.sources())
+		a.publishSenders(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		}
+	}
+}
+
+// publishSenders hands the best list to the dispatcher where it differs from
+// what was handed over last.
+func (a *Agent) publishSenders(now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.refreshControl(now)
+	best, ok := a.overlay.current(now)
+	if !ok {
+		return
+	}
+	held, published := a.feed.Latest(view.TopicSenders)
+	next := best.senders.After(now.Sub(best.madeAt))
+	if published {
+		last := held.Payload.(view.Senders)
+		if view.DifferenceOf(last.List, next.List, held.Age).Empty() {
+			return
+		}
+	}
+	a.feed.Advance(view.TopicSenders, a.publisher, view.Senders{List: next.List})
+}
+
+// refreshControl tells the overlay of the control members' list.
+func (a *Agent) refreshControl(now time.Time) {
+	update, ok := a.upstream.Latest(view.TopicSenders)
+	if !ok {
+		return
+	}
+	madeAt := now.Add(-update.Age)
+	currentAt, confirmed := a.upstream.Confirmed(view.TopicSenders)
+	if !confirmed {
+		currentAt = madeAt
+	}
+	a.overlay.takeControl(reading{senders: update.Payload.(view.Senders), madeAt: madeAt, currentAt: currentAt})
+}
--- a/internal/service/discovery/schedule.go
+++ b/internal/service/discovery/schedule.go
@@ -12,30 +12,33 @@
 	readerShare  = 0.5 // of the platform's rate that the reader may use
 	throttleMost = 4 * time.Second
 	failureMost  = time.Second
+	sparseMost   = 5 * time.Second // between reads of an agent that fail
 )
 
 // Schedule decides when to read next. It is pure.
 type Schedule struct {
-	every      time.Duration
-	callsPerS  float64 // pages a second at most; 0: no limit
-	throttled  int
-	failed     int
-	pagesKnown int
+	every     time.Duration
+	callsPerS float64 // pages a second at most; 0: no limit
+	failMost  time.Duration
+	throttled int
+	failed    int
 }
 
 // NewSchedule returns a schedule of reads that come every so often, with no
 // more than callsPerS pages a second.
 func NewSchedule(every time.Duration, callsPerS float64) *Schedule {
-	return &Schedule{every: every, callsPerS: callsPerS, pagesKnown: 1}
+	return &Schedule{every: every, callsPerS: callsPerS, failMost: failureMost}
 }
 
-// SetRate changes the limit of pages a second.
-func (s *Schedule) SetRate(callsPerS float64) { s.callsPerS = callsPerS }
+// NewSparseSchedule returns the schedule of an agent, which bounds its rate
+// itself and waits longer after failures.
+func NewSparseSchedule(every time.Duration) *Schedule {
+	return &Schedule{every: every, failMost: sparseMost}
+}
 
 // After returns the time from the begin of a read, which made so many calls
 // and ended with err, to the begin of the next. Random is in [0, 1).
 func (s *Schedule) After(calls int, err error, random float64) time.Duration {
-	s.pagesKnown = max(1, calls)
 	pause := s.every
 	switch {
 	case err == nil:
@@ -46,10 +49,10 @@
 		pause += time.Duration(random * float64(pause) / 2)
 	default:
 		s.failed++
-		pause = doubled(s.every/2, s.failed, max(failureMost, s.every))
+		pause = doubled(s.every/2, s.failed, max(s.failMost, s.every))
 	}
 	if s.callsPerS > 0 {
-		pause = max(pause, time.Duration(float64(s.pagesKnown)/s.callsPerS*float64(time.Second)))
+		pause = max(pause, time.Duration(float64(calls)/s.callsPerS*float64(time.Second)))
 	}
 	return pause
 }
