Wire the control role to the topics, the monitors and the platform's list

Cause: the control members also distribute the configuration and keep the members and the known stores. Change: composition with package coordination; upkeep of members and stores; rounds go on for slower members after their end. Result: compiles and passes go vet; not yet tested.

--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -15,12 +14,11 @@
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 
+	"yardwharf/internal/service/coordination"
 	"yardwharf/internal/service/distribution"
 	"yardwharf/internal/service/protocol"
-	"yardwharf/internal/service/register"
 	"yardwharf/internal/service/settings"
 	"yardwharf/internal/service/transport"
-	"yardwharf/internal/service/view"
 )
 
 // Class is the class of errors that this package makes.
@@ -46,84 +44,61 @@
 	}
 	defer storage.Close()
 	identity := s.Identity(roleName, protocol.ControlPort, time.Now())
-	replica, err := newReplica(identity, s.ControlMembers(), s.Bootstrap, storage, state, found, log)
+	peers := newPeers(identity)
+	defer peers.Close()
+	replica, err := newReplica(identity, s.ControlMembers(), s.Bootstrap, storage, state, found, peers, log)
 	if err != nil {
 		return Class.Wrap(err)
 	}
-	defer replica.peers.Close()
-	hub := distribution.NewHub(log)
-	replica.publishTo(hub)
-	return Class.Wrap(serve(ctx, s, identity, replica, hub, log))
+	return Class.Wrap(serve(ctx, s, replica, log))
 }
 
 // serve runs the internal server, the operator's API and the upkeep.
-func serve(ctx context.Context, s *settings.Settings, identity protocol.Identity,
-	replica *replica, hub *distribution.Hub, log logr.Logger) error {
-	server := transport.NewServer(identity, log)
-	replica.register(server)
-	replica.registerJoin(server)
-	hub.Register(server)
+func serve(ctx context.Context, s *settings.Settings, replica *replica, log logr.Logger) error {
 	internal, err := net.Listen("tcp4", s.Internal(protocol.ControlPort))
 	if err != nil {
 		return err
 	}
-	defer server.Close()
+	defer internal.Close()
 	operator, err := net.Listen("tcp4", s.Listen.Control)
 	if err != nil {
 		return err
 	}
-	api := newAPIServer(replica, noRetirement{replica}, log)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	server := transport.NewServer(replica.identity, log)
+	defer server.Close()
+	replica.register(server)
+	replica.registerJoin(server)
+	hub := distribution.NewHub(log)
+	replica.publishTo(hub)
+	coordination := coordination.Attach(running, s, replica.identity, server, hub, replica.memberAddresses, log)
+	upkeep := &upkeep{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
+	api := newAPIServer(replica, noRetirement{replica}, log)
+
 	var group sync.WaitGroup
 	failures := make(chan error, 2)
 	group.Go(func() { failures <- server.Serve(internal) })
 	group.Go(func() { failures <- api.Serve(operator) })
-	group.Go(func() { replica.keepUp(running) })
-	log.Info("serving", "operator", s.Listen.Control, "internal", identity.Address)
+	group.Go(func() { upkeep.run(running) })
+	group.Go(func() { replica.watch(running, hub) })
+	log.Info("serving", "operator", s.Listen.Control, "internal", replica.identity.Address)
 	select {
 	case <-ctx.Done():
 		err = nil
 	case err = <-failures:
 	}
-	closing, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	_ = api.Shutdown(closing)
-	_ = api.Close()
+	finishOrders(api)
 	stop()
 	server.Close()
 	group.Wait()
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return err
 }
 
-// configurationEpoch is the epoch of all versions of the configuration's topic:
-// the register's sequence alone orders them.
-const configurationEpoch = 1
-
-// publishTo publishes every newer decided value.
-func (r *replica) publishTo(hub *distribution.Hub) {
-	publish := func(value *register.Value) {
-		version := distribution.Version{Epoch: configurationEpoch, Counter: value.Sequence}
-		hub.Publish(view.TopicConfiguration, version, configurationView(value))
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.onChange = publish
-	if r.decided.Value != nil {
-		publish(r.decided.Value)
-	}
-}
-
-// configurationView is the payload that agents and other processes pull.
-func configurationView(value *register.Value) view.Configuration {
-	result := view.Configuration{Sequence: value.Sequence, Revision: value.Revision, Raw: value.Configuration}
-	for _, store := range value.Stores {
-		result.Stores = append(result.Stores, view.Node{Name: store.Node, Zone: store.Zone, Address: store.Address})
-	}
-	for _, member := range value.Members {
-		result.Members = append(result.Members, view.Node{Name: member.Node, Zone: member.Zone, Address: member.Address})
-	}
-	return result
+// finishOrders ends the operator's API once the calls in hand are answered.
+func finishOrders(api *http.Server) {
+	closing, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	_ = api.Shutdown(closing)
+	_ = api.Close()
 }
--- /dev/null
+++ b/internal/service/control/join.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"encoding/gob"
+	"slices"
+	"time"
+
+	"yardwharf/internal/service/register"
+	"yardwharf/internal/service/transport"
+)
+
+const (
+	membersMost = 9
+	joinTimeout = 2 * time.Second
+)
+
+// joinRequest asks a member to make the caller one.
+type joinRequest struct{ Member register.Member }
+
+// joinReply answers joinRequest.
+type joinReply struct{ Joined bool }
+
+func init() {
+	gob.Register(joinRequest{})
+	gob.Register(joinReply{})
+}
+
+// registerJoin makes a server answer those who want to become members.
+func (r *replica) registerJoin(server *transport.Server) {
+	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request joinRequest) (joinReply, error) {
+		return joinReply{Joined: r.admit(ctx, request.Member)}, nil
+	})
+}
+
+// admit makes a process a member.
+func (r *replica) admit(parent context.Context, member register.Member) bool {
+	ctx, cancel := context.WithTimeout(parent, joinTimeout)
+	defer cancel()
+	replaced := ""
+	if known := r.known(); known.Value != nil {
+		if silent := r.silent(known.Value, replaceAfter); len(silent) > 0 {
+			replaced = silent[0]
+		}
+	}
+	outcome := r.propose(ctx, register.Join(member, replaced, membersMost)).Outcome
+	if outcome != register.Taken && outcome != register.Settled {
+		return false
+	}
+	r.log.Info("member admitted", "node", member.Node, "address", member.Address, "disk", member.Disk)
+	r.propose(ctx, register.Seal)
+	return true
+}
+
+// join asks the members, one after the other, to admit this process.
+func (r *replica) join(ctx context.Context, value *register.Value) {
+	self := r.member()
+	for _, member := range value.Members {
+		if member.Address == self.Address {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, joinTimeout)
+		answer, err := r.peers.call(limited, member.Address, joinRequest{self})
+		cancel()
+		if reply, whole := answer.(joinReply); err == nil && whole && reply.Joined {
+			return
+		}
+	}
+}
+
+// isMember reports whether this process, with its present disk, is a member.
+func (r *replica) isMember() bool {
+	known, self := r.known(), r.member()
+	return known.Value != nil && slices.ContainsFunc(known.Value.Members, func(m register.Member) bool {
+		return m.Address == self.Address && m.Disk == self.Disk
+	})
+}
+
+// memberAddresses returns the addresses of the members, or those of the seeds
+// while the members are not known.
+func (r *replica) memberAddresses() []string {
+	known := r.known()
+	if known.Value == nil {
+		return r.seeds
+	}
+	addresses := make([]string, 0, len(known.Value.Members))
+	for _, member := range known.Value.Members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+// namesNow returns what members have told of themselves, by address.
+func (r *replica) namesNow() map[string]register.Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	names := make(map[string]register.Member, len(r.names))
+	for address, member := range r.names {
+		names[address] = member
+	}
+	return names
+}
--- a/internal/service/control/peers.go
+++ b/internal/service/control/peers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"sync"
 
 	"yardwharf/internal/service/protocol"
@@ -29,6 +30,11 @@
 	return client
 }
 
+// call sends a request and waits for its answer.
+func (p *peers) call(ctx context.Context, address string, request any) (any, error) {
+	return transport.Call[any](ctx, p.client(address), request)
+}
+
 // Close ends all connections.
 func (p *peers) Close() {
 	p.mutex.Lock()
--- a/internal/service/control/replica.go
+++ b/internal/service/control/replica.go
@@ -27,13 +27,18 @@
 	backoffMost    = 200 * time.Millisecond
 )
 
+// caller calls other control processes by their addresses.
+type caller interface {
+	call(ctx context.Context, address string, request any) (any, error)
+}
+
 // replica runs the register's state machines of this process: it is the
 // acceptor that others call, and it proposes changes.
 type replica struct {
 	identity protocol.Identity
 	seeds    []string
 	log      logr.Logger
-	peers    *peers
+	peers    caller
 	onChange func(*register.Value) // called with each newer decided value
 	behind   chan struct{}         // receives when a decided value is known to be missing
 
@@ -55,9 +60,9 @@
 // empty disk makes it a member at the very first start, where the seeds name
 // it, and else a process that is to join.
 func newReplica(identity protocol.Identity, seeds []string, bootstrap bool, storage register.Storage,
-	state register.State, found bool, log logr.Logger) (*replica, error) {
+	state register.State, found bool, peers caller, log logr.Logger) (*replica, error) {
 	r := &replica{
-		identity: identity, seeds: seeds, log: log, peers: newPeers(identity),
+		identity: identity, seeds: seeds, log: log, peers: peers,
 		onChange: func(*register.Value) {}, behind: make(chan struct{}, 1),
 		turn: make(chan struct{}, 1), proposer: register.NewProposer(identity.Address, randomNumber()),
 		names: map[string]register.Member{}, heard: map[string]time.Time{}, started: time.Now(),
@@ -203,17 +208,49 @@
 	err     error
 }
 
-// send sends one message of a round and hands its answer over.
-func (r *replica) send(ctx context.Context, envelope register.Envelope, answers chan<- delivery) {
-	message, err := r.call(ctx, envelope)
+// round is one exchange with several members.
+type round struct {
+	replica *replica
+	limit   time.Duration // for each message
+	answers chan delivery
+	done    chan struct{} // closed when answers are no longer read
+}
+
+func (r *replica) newRound(limit time.Duration) *round {
+	return &round{replica: r, limit: limit, answers: make(chan delivery), done: make(chan struct{})}
+}
+
+func (r *round) close() { close(r.done) }
+
+// send sends one message and hands its answer over. It goes on when the round
+// has ended, so that the slower members get their messages as well.
+func (r *round) send(envelope register.Envelope) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.limit)
+	defer cancel()
+	message, err := r.replica.call(ctx, envelope)
 	if err == nil {
-		r.mutex.Lock()
-		r.heard[envelope.To] = time.Now()
-		r.mutex.Unlock()
+		r.replica.heardFrom(envelope.To, message)
 	}
 	select {
-	case answers <- delivery{envelope.To, message, err}:
-	case <-ctx.Done():
+	case r.answers <- delivery{envelope.To, message, err}:
+	case <-r.done:
+	}
+}
+
+// sendAll sends messages side by side.
+func (r *round) sendAll(out []register.Envelope) {
+	for _, envelope := range out {
+		go r.send(envelope)
+	}
+}
+
+// heardFrom remembers that a member has answered, and what it told of itself.
+func (r *replica) heardFrom(address string, message any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.heard[address] = time.Now()
+	if reply, told := message.(register.ReadReply); told {
+		r.names[address] = register.Member{Node: reply.Node, Zone: reply.Zone, Address: address, Disk: reply.Disk}
 	}
 }
 
@@ -221,17 +258,7 @@
 	if envelope.To == r.identity.Address {
 		return r.callSelf(envelope.Message)
 	}
-	client := r.peers.client(envelope.To)
-	switch request := envelope.Message.(type) {
-	case register.Prepare:
-		return transport.Call[register.Promise](ctx, client, request)
-	case register.Accept:
-		return transport.Call[register.Accepted](ctx, client, request)
-	case register.Read:
-		return transport.Call[register.ReadReply](ctx, client, request)
-	default:
-		return transport.Call[register.LearnReply](ctx, client, request)
-	}
+	return r.peers.call(ctx, envelope.To, envelope.Message)
 }
 
 func (r *replica) callSelf(message any) (any, error) {
@@ -269,6 +296,13 @@
 	return register.Result{}
 }
 
+// order proposes a change within the time of one order.
+func (r *replica) order(parent context.Context, change register.Change) register.Result {
+	ctx, cancel := context.WithTimeout(parent, orderTimeout)
+	defer cancel()
+	return r.propose(ctx, change)
+}
+
 // pause waits a random time that grows with the attempts.
 func (r *replica) pause(ctx context.Context, attempt int) {
 	most := min(backoffBase<<min(attempt, 8), backoffMost)
@@ -291,15 +325,16 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, attemptTimeout)
 	defer cancel()
-	answers := make(chan delivery)
+	round := r.newRound(attemptTimeout)
+	defer round.close()
 	proposal, out := r.proposer.Begin(base, decided, change)
 	for {
-		r.sendAll(ctx, out, answers)
+		round.sendAll(out)
 		if result, ended := proposal.Result(); ended {
 			return result
 		}
 		select {
-		case answer := <-answers:
+		case answer := <-round.answers:
 			if answer.err != nil {
 				out = proposal.Fail(answer.from)
 			} else {
@@ -311,45 +346,24 @@
 	}
 }
 
-// sendAll sends the messages of a round. Announcements of a decided value go on
-// after the round's end.
-func (r *replica) sendAll(ctx context.Context, out []register.Envelope, answers chan<- delivery) {
-	for _, envelope := range out {
-		if _, announcement := envelope.Message.(register.Learn); announcement {
-			go r.announce(envelope)
-		} else {
-			go r.send(ctx, envelope, answers)
-		}
-	}
-}
-
-func (r *replica) announce(envelope register.Envelope) {
-	ctx, cancel := context.WithTimeout(context.Background(), learnTimeout)
-	defer cancel()
-	_, _ = r.call(ctx, envelope)
-}
-
 // survey reads from all voters without a write. It returns early once the
 // newest decided value is known, and reports whether it is.
 func (r *replica) survey(parent context.Context) (register.Versioned, bool) {
 	ctx, cancel := context.WithTimeout(parent, surveyTimeout)
 	defer cancel()
+	round := r.newRound(surveyTimeout)
+	defer round.close()
 	base, _ := r.base()
 	survey := register.NewSurvey(base)
-	answers := make(chan delivery)
 	asked := map[string]bool{}
-	waiting := r.ask(ctx, survey.Best(), asked, answers)
+	waiting := r.ask(round, survey.Best(), asked)
 	for waiting > 0 {
 		select {
-		case answer := <-answers:
+		case answer := <-round.answers:
 			waiting--
-			if answer.err != nil {
-				continue
-			}
-			reply := answer.message.(register.ReadReply)
-			r.named(answer.from, reply)
-			if survey.Deliver(answer.from, reply) {
-				waiting += r.ask(ctx, survey.Best(), asked, answers)
+			reply, whole := answer.message.(register.ReadReply)
+			if answer.err == nil && whole && survey.Deliver(answer.from, reply) {
+				waiting += r.ask(round, survey.Best(), asked)
 			}
 		case <-ctx.Done():
 			waiting = 0
@@ -365,28 +379,21 @@
 
 // ask sends Read to the voters of a value, or to the seeds where there is none
 // yet, and returns to how many that it had not been sent to before.
-func (r *replica) ask(ctx context.Context, best register.Versioned, asked map[string]bool, answers chan<- delivery) int {
+func (r *replica) ask(round *round, best register.Versioned, asked map[string]bool) int {
 	addresses := r.seeds
 	if best.Value != nil {
 		addresses = best.Value.Voters()
 	}
-	sent := 0
+	var out []register.Envelope
 	for _, address := range addresses {
 		if !asked[address] {
 			asked[address] = true
-			sent++
 			read := register.Read{Known: best.Ballot, Empty: best.Value == nil}
-			go r.send(ctx, register.Envelope{To: address, Message: read}, answers)
+			out = append(out, register.Envelope{To: address, Message: read})
 		}
 	}
-	return sent
-}
-
-// named remembers what a member told of itself.
-func (r *replica) named(address string, reply register.ReadReply) {
-	r.mutex.Lock()
-	r.names[address] = register.Member{Node: reply.Node, Zone: reply.Zone, Address: address, Disk: reply.Disk}
-	r.mutex.Unlock()
+	round.sendAll(out)
+	return len(out)
 }
 
 // found remembers a value that may not be decided, to start from while no
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -2,150 +2,92 @@
 
 import (
 	"context"
-	"encoding/gob"
+	"maps"
 	mathrand "math/rand/v2"
 	"slices"
 	"time"
 
 	"yardwharf/internal/service/register"
-	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/view"
 )
 
-// Times and sizes of the upkeep of the register's members.
+// Times of the upkeep.
 const (
-	membersMost    = 9
 	upkeepEvery    = time.Second
 	joinEvery      = 300 * time.Millisecond
 	behindPause    = 20 * time.Millisecond
 	replaceAfter   = 3 * time.Second  // a silent member gives its place to one that joins
 	removeAfter    = 20 * time.Second // a silent member is removed from an even number
-	joinTimeout    = 2 * time.Second
-	unsettledTicks = 2 // rounds of upkeep after which an undecided value is finished
+	unsettledTicks = 2                // rounds of upkeep after which an undecided value is finished
 )
 
-// joinRequest asks a member to make the caller one.
-type joinRequest struct{ Member register.Member }
-
-// joinReply answers joinRequest.
-type joinReply struct{ Joined bool }
-
-func init() {
-	gob.Register(joinRequest{})
-	gob.Register(joinReply{})
+// upkeep learns decided values that were missed, and keeps the members and the
+// known stores in order.
+type upkeep struct {
+	replica   *replica
+	stores    func() []view.NodeState
+	tolerated int // machines that may be lost at once
+	unsettled int
+	gone      map[string]time.Time // known stores that do not live, since when
 }
 
-// registerJoin makes a server answer those who want to become members.
-func (r *replica) registerJoin(server *transport.Server) {
-	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request joinRequest) (joinReply, error) {
-		return joinReply{Joined: r.admit(ctx, request.Member)}, nil
-	})
+// run works until the context ends.
+func (u *upkeep) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		u.tick(ctx)
+		u.rest(ctx)
+	}
 }
 
-// admit makes a process a member.
-func (r *replica) admit(parent context.Context, member register.Member) bool {
-	ctx, cancel := context.WithTimeout(parent, joinTimeout)
-	defer cancel()
-	replaced := ""
-	if known := r.known(); known.Value != nil {
-		if silent := r.silent(known.Value, replaceAfter); len(silent) > 0 {
-			replaced = silent[0]
+// tick is one round of upkeep.
+func (u *upkeep) tick(ctx context.Context) {
+	decided, known := u.replica.survey(ctx)
+	if !known {
+		u.unsettled++
+		if u.unsettled >= unsettledTicks {
+			u.unsettled = 0
+			u.replica.order(ctx, register.Settle)
 		}
+		return
 	}
-	outcome := r.propose(ctx, register.Join(member, replaced, membersMost)).Outcome
-	if outcome != register.Taken && outcome != register.Settled {
-		return false
+	u.unsettled = 0
+	if !u.replica.isMember() {
+		u.replica.join(ctx, decided.Value)
+		return
 	}
-	r.log.Info("member admitted", "node", member.Node, "address", member.Address, "disk", member.Disk)
-	r.propose(ctx, register.Seal)
-	return true
-}
-
-// keepUp learns decided values that were missed, and keeps the members in
-// order, until the context ends.
-func (r *replica) keepUp(ctx context.Context) {
-	unsettled := 0
-	for ctx.Err() == nil {
-		if _, decided := r.survey(ctx); decided {
-			unsettled = 0
-			r.tend(ctx)
-		} else if unsettled++; unsettled >= unsettledTicks {
-			unsettled = 0
-			r.order(ctx, register.Settle)
-		}
-		r.rest(ctx)
+	if !u.first(decided.Value) {
+		return
+	}
+	for _, change := range u.due(decided.Value, time.Now()) {
+		u.replica.order(ctx, change)
 	}
 }
 
-// rest waits for the next round of upkeep, or until a value is missing.
-func (r *replica) rest(ctx context.Context) {
+// rest waits for the next round, or until a value is known to be missing.
+func (u *upkeep) rest(ctx context.Context) {
 	pause := upkeepEvery
-	if !r.isMember() {
+	if !u.replica.isMember() {
 		pause = joinEvery
 	}
 	timer := time.NewTimer(pause*3/4 + mathrand.N(pause/2))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-r.behind:
-		time.Sleep(behindPause)
+		return
 	case <-ctx.Done():
+		return
+	case <-u.replica.behind:
 	}
+	timer.Reset(behindPause)
+	<-timer.C
 }
 
-func (r *replica) isMember() bool {
-	known, self := r.known(), r.member()
-	return known.Value != nil && slices.ContainsFunc(known.Value.Members, func(m register.Member) bool {
-		return m.Address == self.Address && m.Disk == self.Disk
-	})
-}
-
-// order proposes a change within the time of one order.
-func (r *replica) order(parent context.Context, change register.Change) register.Result {
-	ctx, cancel := context.WithTimeout(parent, orderTimeout)
-	defer cancel()
-	return r.propose(ctx, change)
-}
-
-// tend does what the members need. The first live member acts for all.
-func (r *replica) tend(ctx context.Context) {
-	value := r.known().Value
-	switch {
-	case !r.isMember():
-		r.join(ctx, value)
-	case !r.first(value):
-	case len(value.Previous) > 0:
-		r.order(ctx, register.Seal)
-	case r.unnamed(value):
-		r.order(ctx, register.Name(r.namesNow()))
-	default:
-		if silent := r.silent(value, removeAfter); len(silent) > 0 && len(value.Members)%2 == 0 {
-			r.log.Info("member removed", "address", silent[0])
-			r.order(ctx, register.Remove(silent[0]))
-		}
-	}
-}
-
-// join asks the members, one after the other, to admit this process.
-func (r *replica) join(ctx context.Context, value *register.Value) {
-	self := r.member()
-	for _, member := range value.Members {
-		if member.Address == self.Address {
-			continue
-		}
-		limited, cancel := context.WithTimeout(ctx, joinTimeout)
-		reply, err := transport.Call[joinReply](limited, r.peers.client(member.Address), joinRequest{self})
-		cancel()
-		if err == nil && reply.Joined {
-			return
-		}
-	}
-}
-
-// first reports whether all members before this one are silent.
-func (r *replica) first(value *register.Value) bool {
-	silent := r.silent(value, replaceAfter)
+// first reports whether all members before this one are silent: one member acts
+// for all, and the register itself bears two that do.
+func (u *upkeep) first(value *register.Value) bool {
+	silent := u.replica.silent(value, replaceAfter)
 	for _, member := range value.Members {
-		if member.Address == r.identity.Address {
+		if member.Address == u.replica.identity.Address {
 			return true
 		}
 		if !slices.Contains(silent, member.Address) {
@@ -155,20 +97,79 @@
 	return false
 }
 
-func (r *replica) namesNow() map[string]register.Member {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	names := make(map[string]register.Member, len(r.names))
-	for address, member := range r.names {
-		names[address] = member
-	}
-	return names
+// due lists the changes that a value needs.
+func (u *upkeep) due(value *register.Value, now time.Time) []register.Change {
+	var changes []register.Change
+	if len(value.Previous) > 0 {
+		changes = append(changes, register.Seal)
+	}
+	if names := u.replica.namesNow(); anyUnnamed(value, names) {
+		changes = append(changes, register.Name(names))
+	}
+	if silent := u.replica.silent(value, removeAfter); len(silent) > 0 && register.MayRemove(value) {
+		u.replica.log.Info("member is removed", "address", silent[0])
+		changes = append(changes, register.Remove(silent[0]))
+	}
+	live := liveStores(u.stores())
+	if stores := slices.Collect(maps.Values(live)); anyUnknown(value, stores) {
+		changes = append(changes, register.SetStores(stores))
+	}
+	if node, replaced := u.replacedStore(value, live, now); replaced {
+		u.replica.log.Info("store is removed", "node", node)
+		changes = append(changes, register.RemoveStore(node))
+	}
+	return changes
 }
 
-// unnamed reports whether a member lacks its name and this process knows it.
-func (r *replica) unnamed(value *register.Value) bool {
-	names := r.namesNow()
+// anyUnnamed reports whether a member lacks a name that is known.
+func anyUnnamed(value *register.Value, names map[string]register.Member) bool {
 	return slices.ContainsFunc(value.Members, func(m register.Member) bool {
 		return m.Node == "" && names[m.Address].Node != ""
 	})
 }
+
+// anyUnknown reports whether the value lacks a store or has an outdated entry.
+func anyUnknown(value *register.Value, stores []register.StoreMember) bool {
+	return slices.ContainsFunc(stores, func(s register.StoreMember) bool { return !slices.Contains(value.Stores, s) })
+}
+
+// liveStores returns the stores that live, by node.
+func liveStores(states []view.NodeState) map[string]register.StoreMember {
+	live := map[string]register.StoreMember{}
+	for _, state := range states {
+		if state.Alive && !state.Left {
+			live[state.Identity.Node] = register.StoreMember{
+				Node: state.Identity.Node, Zone: state.Identity.Zone,
+				Address: state.Identity.Address, StoreID: state.StoreID,
+			}
+		}
+	}
+	return live
+}
+
+// replacedStore returns a known store that has been gone for so long that its
+// messages have been copied again, while enough others live.
+func (u *upkeep) replacedStore(value *register.Value, live map[string]register.StoreMember, now time.Time) (string, bool) {
+	known, gone := 0, map[string]time.Time{}
+	for _, store := range value.Stores {
+		if _, lives := live[store.Node]; lives {
+			known++
+			continue
+		}
+		since, noted := u.gone[store.Node]
+		if !noted {
+			since = now
+		}
+		gone[store.Node] = since
+	}
+	u.gone = gone
+	if known < 2*u.tolerated+1 {
+		return "", false
+	}
+	for node, since := range gone {
+		if now.Sub(since) > removeAfter {
+			return node, true
+		}
+	}
+	return "", false
+}
--- a/internal/service/register/change.go
+++ b/internal/service/register/change.go
@@ -78,12 +78,15 @@
 	}
 }
 
-// Remove takes a member out of an even number of members. An even number bears
-// no more losses than the odd number below it, so nothing is given up.
+// MayRemove reports whether a member may be taken out: an even number of
+// members bears no more losses than the odd number below it.
+func MayRemove(value *Value) bool { return len(value.Members) >= 4 && len(value.Members)%2 == 0 }
+
+// Remove takes a member out of an even number of members.
 func Remove(address string) Change {
 	return func(current *Value) (*Value, Outcome) {
 		matches := func(m Member) bool { return m.Address == address }
-		if len(current.Members)%2 != 0 || len(current.Members) < 4 || !slices.ContainsFunc(current.Members, matches) {
+		if !MayRemove(current) || !slices.ContainsFunc(current.Members, matches) {
 			return nil, Settled
 		}
 		next := *current
@@ -119,15 +122,22 @@
 	return &next, Taken
 }
 
-// SetStore adds a store, or replaces what is known of it.
-func SetStore(store StoreMember) Change {
+// SetStores adds stores, and replaces what is known of those that it has.
+func SetStores(stores []StoreMember) Change {
 	return func(current *Value) (*Value, Outcome) {
-		if slices.Contains(current.Stores, store) {
+		next := *current
+		next.Stores = slices.Clone(current.Stores)
+		for _, store := range stores {
+			index := slices.IndexFunc(next.Stores, func(s StoreMember) bool { return s.Node == store.Node })
+			if index < 0 {
+				next.Stores = append(next.Stores, store)
+			} else {
+				next.Stores[index] = store
+			}
+		}
+		if slices.Equal(next.Stores, current.Stores) {
 			return nil, Settled
 		}
-		next := *current
-		next.Stores = slices.DeleteFunc(slices.Clone(current.Stores), func(s StoreMember) bool { return s.Node == store.Node })
-		next.Stores = append(next.Stores, store)
 		return &next, Taken
 	}
 }
--- a/internal/service/register/value.go
+++ b/internal/service/register/value.go
@@ -59,6 +59,7 @@
 	Node    string
 	Zone    string
 	Address string
+	StoreID string // changes when its disk was replaced
 }
 
 // Value is the content of the register. It is never changed once proposed.
