Add the store: a ring of segment files, its index, and the role on the wire

The first whole path: messages, ends, failures, promises and leases are served and kept over a restart.

--- /dev/null
+++ b/internal/service/segment/writer.go
@@ -0,0 +1,107 @@
+package segment
+
+// write commits one group after the other until the log is closed or fails.
+func (l *Log) write() {
+	defer l.workers.Done()
+	defer close(l.stopped)
+	for range l.wakeWriter {
+		for l.writeGroup() {
+		}
+		l.mutex.Lock()
+		end := l.failure != nil || l.closed && len(l.pending) == 0
+		l.mutex.Unlock()
+		if end {
+			signal(l.wakeClean)
+			return
+		}
+	}
+}
+
+// writeGroup commits what is pending; it reports false when nothing was, or
+// when the log has failed.
+func (l *Log) writeGroup() bool {
+	l.mutex.Lock()
+	group, commit := l.pending, l.commit
+	if commit == nil || l.failure != nil {
+		l.mutex.Unlock()
+		return false
+	}
+	l.pending, l.commit, l.durable = nil, nil, commit
+	l.waiting = 0
+	l.mutex.Unlock()
+
+	err := l.writeRuns(group)
+
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.durable = nil
+	commit.err = err
+	close(commit.done)
+	for _, r := range group {
+		if cap(r.bytes) <= keptBuffer && len(l.spare) < 2 {
+			l.spare = append(l.spare, r.bytes)
+		}
+	}
+	if err != nil {
+		l.fail(err)
+		return false
+	}
+	return l.commit != nil
+}
+
+// fail ends the log: nothing that was appended since is acknowledged.
+func (l *Log) fail(err error) {
+	l.failure = err
+	if l.commit != nil {
+		l.commit.err = err
+		close(l.commit.done)
+		l.commit, l.pending = nil, nil
+	}
+	l.logger.Info("log failed", "cause", err.Error())
+}
+
+// writeRuns writes and syncs the runs of a group in their order, so that a
+// file is never begun before the one in front of it is complete.
+func (l *Log) writeRuns(group []run) error {
+	for _, r := range group {
+		if r.segment.file == nil {
+			file, err := l.create(r.segment.name)
+			if err != nil {
+				return err
+			}
+			l.mutex.Lock()
+			r.segment.file = file
+			l.mutex.Unlock()
+		}
+		if _, err := r.segment.file.WriteAt(r.bytes, int64(r.offset)); err != nil {
+			return Class.Wrap(err)
+		}
+		if err := r.segment.file.Sync(); err != nil {
+			return Class.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// create makes a file of full length whose name and length are durable.
+func (l *Log) create(name string) (File, error) {
+	file, err := l.files.Open(name, true)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.prepare(file); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return file, nil
+}
+
+func (l *Log) prepare(file File) error {
+	if err := file.Truncate(int64(l.segmentSize)); err != nil {
+		return Class.Wrap(err)
+	}
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	return l.files.Sync()
+}
--- /dev/null
+++ b/internal/service/store/record.go
@@ -0,0 +1,212 @@
+package store
+
+import (
+	"encoding/binary"
+	"time"
+
+	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/protocol"
+)
+
+// The kinds of records.
+const (
+	formatRecord byte = 1 + iota
+	clockRecord
+	promiseRecord
+	messageRecord
+	endRecord
+	failuresRecord
+)
+
+// endState is the content of an end record: all that is kept of a message
+// that needs no body any more.
+type endState struct {
+	id, queue   string
+	state       protocol.State
+	stamp       string
+	callbackURL string
+	callbackDue bool
+	epoch       uint64
+	sequence    uint64
+	bodySize    int
+	bornAt      time.Duration
+	endedAt     time.Duration
+}
+
+func appendString(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+func appendDuration(b []byte, d time.Duration) []byte { return binary.AppendVarint(b, int64(d)) }
+
+func appendBool(b []byte, value bool) []byte {
+	if value {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+// decoder reads the fields of a record; after an error it reads zeros.
+type decoder struct {
+	rest   []byte
+	broken bool
+}
+
+func (d *decoder) uint() uint64 {
+	value, n := binary.Uvarint(d.rest)
+	return value & d.take(n)
+}
+
+func (d *decoder) duration() time.Duration {
+	value, n := binary.Varint(d.rest)
+	return time.Duration(value & int64(d.take(n)))
+}
+
+// take moves on by n bytes and returns a mask that is zero on an error.
+func (d *decoder) take(n int) uint64 {
+	if n <= 0 {
+		d.broken, d.rest = true, nil
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return ^uint64(0)
+}
+
+func (d *decoder) bytes() []byte {
+	size := d.uint()
+	if size > uint64(len(d.rest)) {
+		d.broken, d.rest = true, nil
+		return nil
+	}
+	value := d.rest[:size]
+	d.rest = d.rest[size:]
+	return value
+}
+
+func (d *decoder) string() string { return string(d.bytes()) }
+
+func (d *decoder) bool() bool { return d.uint() == 1 }
+
+func (d *decoder) err(kind string) error {
+	if d.broken {
+		return Class.New("%s record is short", kind)
+	}
+	return nil
+}
+
+func encodeFormat(b []byte, bootstrap bool) []byte { return appendBool(b, bootstrap) }
+
+func encodeClock(b []byte, r reading) []byte {
+	b = appendDuration(b, r.storeTime)
+	b = appendDuration(b, r.steady)
+	return appendDuration(b, r.wall)
+}
+
+func decodeClock(payload []byte) (reading, error) {
+	d := decoder{rest: payload}
+	r := reading{storeTime: d.duration(), steady: d.duration(), wall: d.duration()}
+	return r, d.err("clock")
+}
+
+func encodePromise(b []byte, queue string, promise lease.Promise) []byte {
+	b = appendString(b, queue)
+	b = binary.AppendUvarint(b, promise.Epoch)
+	b = appendString(b, promise.By.Node)
+	return binary.AppendUvarint(b, promise.By.Incarnation)
+}
+
+func decodePromise(payload []byte) (queue string, promise lease.Promise, err error) {
+	d := decoder{rest: payload}
+	queue = d.string()
+	promise.Epoch = d.uint()
+	promise.By.Node = d.string()
+	promise.By.Incarnation = d.uint()
+	return queue, promise, d.err("promise")
+}
+
+// encodeMessage writes the head, with the moment of acceptance in place of the
+// age, and the body.
+func encodeMessage(b []byte, m *protocol.Message, bornAt time.Duration) []byte {
+	h := &m.Head
+	b = appendString(b, h.ID)
+	b = appendString(b, h.Queue)
+	b = appendDuration(b, bornAt)
+	b = binary.AppendUvarint(b, h.Epoch)
+	b = binary.AppendUvarint(b, h.Sequence)
+	b = appendString(b, h.Method)
+	b = appendString(b, h.Host)
+	b = appendString(b, h.Target)
+	b = appendString(b, h.ContentType)
+	b = appendString(b, h.OrderingKey)
+	b = appendString(b, h.CallbackURL)
+	b = appendDuration(b, h.Delay)
+	b = appendDuration(b, h.Retention)
+	b = binary.AppendUvarint(b, uint64(max(h.Failures, 0)))
+	b = binary.AppendUvarint(b, uint64(len(m.Body)))
+	return append(b, m.Body...)
+}
+
+// decodeMessage reads a message; its body shares the payload's memory.
+func decodeMessage(payload []byte) (head protocol.Head, bornAt time.Duration, body []byte, err error) {
+	d := decoder{rest: payload}
+	head.ID = d.string()
+	head.Queue = d.string()
+	bornAt = d.duration()
+	head.Epoch = d.uint()
+	head.Sequence = d.uint()
+	head.Method = d.string()
+	head.Host = d.string()
+	head.Target = d.string()
+	head.ContentType = d.string()
+	head.OrderingKey = d.string()
+	head.CallbackURL = d.string()
+	head.Delay = d.duration()
+	head.Retention = d.duration()
+	head.Failures = int(d.uint())
+	body = d.bytes()
+	head.BodySize = len(body)
+	head.State = protocol.Queued
+	return head, bornAt, body, d.err("message")
+}
+
+func encodeEnd(b []byte, e *endState) []byte {
+	b = appendString(b, e.id)
+	b = appendString(b, e.queue)
+	b = append(b, byte(e.state))
+	b = appendString(b, e.stamp)
+	b = appendString(b, e.callbackURL)
+	b = appendBool(b, e.callbackDue)
+	b = binary.AppendUvarint(b, e.epoch)
+	b = binary.AppendUvarint(b, e.sequence)
+	b = binary.AppendUvarint(b, uint64(e.bodySize))
+	b = appendDuration(b, e.bornAt)
+	return appendDuration(b, e.endedAt)
+}
+
+func decodeEnd(payload []byte) (endState, error) {
+	d := decoder{rest: payload}
+	e := endState{
+		id: d.string(), queue: d.string(), state: protocol.State(d.uint()), stamp: d.string(),
+		callbackURL: d.string(), callbackDue: d.bool(), epoch: d.uint(), sequence: d.uint(),
+		bodySize: int(d.uint()), bornAt: d.duration(), endedAt: d.duration(),
+	}
+	return e, d.err("end")
+}
+
+func encodeFailures(b []byte, id string, count int) []byte {
+	b = appendString(b, id)
+	return binary.AppendUvarint(b, uint64(count))
+}
+
+func decodeFailures(payload []byte) (id string, count int, err error) {
+	d := decoder{rest: payload}
+	id, count = d.string(), int(d.uint())
+	return id, count, d.err("failures")
+}
+
+// recordID returns the id with which message, end and failures records begin;
+// it shares the payload's memory.
+func recordID(payload []byte) []byte {
+	d := decoder{rest: payload}
+	return d.bytes()
+}
--- /dev/null
+++ b/internal/service/store/recovery.go
@@ -0,0 +1,206 @@
+package store
+
+import (
+	"time"
+
+	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/segment"
+)
+
+// replayState is what recovery gathers beside the index.
+type replayState struct {
+	promises  map[string]lease.Promise
+	reading   reading
+	latest    time.Duration // newest store time in any record
+	bootstrap bool
+}
+
+// Replay takes in one record at recovery.
+func (s *store) Replay(kind byte, payload []byte, position segment.Position) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch kind {
+	case formatRecord:
+		d := decoder{rest: payload}
+		s.replayed.bootstrap = d.bool()
+		s.replace(&s.format, position)
+		return d.err("format")
+	case clockRecord:
+		return s.replayClock(payload, position)
+	case promiseRecord:
+		return s.replayPromise(payload, position)
+	case messageRecord:
+		return s.replayMessage(payload, position)
+	case endRecord:
+		return s.replayEnd(payload, position)
+	case failuresRecord:
+		return s.replayFailures(payload, position)
+	default:
+		return Class.New("record of kind %d", kind)
+	}
+}
+
+func (s *store) replayClock(payload []byte, position segment.Position) error {
+	r, err := decodeClock(payload)
+	if err != nil {
+		return err
+	}
+	s.replayed.reading = r
+	s.replayed.latest = max(s.replayed.latest, r.storeTime)
+	s.replace(&s.lastClock, position)
+	return nil
+}
+
+func (s *store) replayPromise(payload []byte, position segment.Position) error {
+	name, promise, err := decodePromise(payload)
+	if err != nil {
+		return err
+	}
+	if promise.Epoch < s.replayed.promises[name].Epoch {
+		s.log.Drop(position)
+		return nil
+	}
+	s.replayed.promises[name] = promise
+	s.replace(&s.index.queue(name).promise, position)
+	return nil
+}
+
+func (s *store) replayMessage(payload []byte, position segment.Position) error {
+	head, bornAt, _, err := decodeMessage(payload)
+	if err != nil {
+		return err
+	}
+	s.replayed.latest = max(s.replayed.latest, bornAt)
+	e := s.index.entries[head.ID]
+	if e == nil {
+		e = s.index.addOpen(&head, bornAt)
+	} else if !e.wantsBody() {
+		s.log.Drop(position)
+		return nil
+	}
+	s.replace(&e.message, position)
+	return nil
+}
+
+func (s *store) replayEnd(payload []byte, position segment.Position) error {
+	end, err := decodeEnd(payload)
+	if err != nil {
+		return err
+	}
+	if !end.state.Ended() {
+		return Class.New("end record of state %d", end.state)
+	}
+	s.replayed.latest = max(s.replayed.latest, end.endedAt)
+	e := s.index.entries[end.id]
+	if e == nil {
+		e = s.index.addEnded(&end)
+	} else {
+		s.index.applyEnd(e, &end)
+	}
+	s.replace(&e.end, position)
+	s.dropNeedless(e)
+	return nil
+}
+
+func (s *store) replayFailures(payload []byte, position segment.Position) error {
+	id, count, err := decodeFailures(payload)
+	if err != nil {
+		return err
+	}
+	e := s.index.entries[id]
+	if e == nil || e.state.Ended() || count < e.failures {
+		s.log.Drop(position)
+		return nil
+	}
+	e.failures = count
+	s.replace(&e.failuresRecord, position)
+	return nil
+}
+
+// finishRecovery sets the clock, the promises and the sessions.
+func (s *store) finishRecovery() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	formatted := s.format.Generation == 0
+	if formatted {
+		if err := s.formatDisk(); err != nil {
+			return err
+		}
+	} else {
+		s.bootstrap = s.replayed.bootstrap
+		s.clock.resume(s.replayed.reading, s.replayed.latest)
+	}
+	s.grantor = lease.NewGrantor(time.Now(), s.options.version, s.replayed.promises)
+	s.replayed = nil
+	return s.keepClock()
+}
+
+// formatDisk writes the first records of an empty disk.
+func (s *store) formatDisk() error {
+	s.bootstrap = s.options.bootstrap
+	position, _, err := s.write(formatRecord, true, func(b []byte) []byte { return encodeFormat(b, s.bootstrap) })
+	s.replace(&s.format, position)
+	return err
+}
+
+// Reclaim moves a record that is still live to the end of the log.
+func (s *store) Reclaim(kind byte, payload []byte, position segment.Position) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	place, e := s.placeOf(kind, payload)
+	if place == nil || *place != position {
+		return nil
+	}
+	moved, _, err := s.log.Append(kind, payload, true)
+	if err != nil {
+		return err
+	}
+	s.replace(place, moved)
+	if kind == messageRecord {
+		return s.rewriteFollowers(e)
+	}
+	return nil
+}
+
+// rewriteFollowers writes the records that must lie behind their message's.
+func (s *store) rewriteFollowers(e *entry) error {
+	if e.failuresRecord.Generation != 0 {
+		if err := s.writeFailures(e); err != nil {
+			return err
+		}
+	}
+	if e.state.Ended() {
+		_, err := s.writeEnd(e)
+		return err
+	}
+	return nil
+}
+
+// placeOf returns where the position of a record is kept, and its entry.
+func (s *store) placeOf(kind byte, payload []byte) (*segment.Position, *entry) {
+	switch kind {
+	case formatRecord:
+		return &s.format, nil
+	case clockRecord:
+		return &s.lastClock, nil
+	case promiseRecord:
+		if q := s.index.queues[string(recordID(payload))]; q != nil {
+			return &q.promise, nil
+		}
+		return nil, nil
+	}
+	e := s.index.entries[string(recordID(payload))]
+	if e == nil {
+		return nil, nil
+	}
+	switch kind {
+	case messageRecord:
+		return &e.message, e
+	case endRecord:
+		return &e.end, e
+	case failuresRecord:
+		return &e.failuresRecord, e
+	default:
+		return nil, nil
+	}
+}
--- /dev/null
+++ b/internal/service/store/run.go
@@ -0,0 +1,176 @@
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/segment"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/transport"
+)
+
+// Role is the name of the role; DispatcherRole that of its callers which hold
+// leases.
+const (
+	Role           = "store"
+	DispatcherRole = "dispatcher"
+)
+
+const (
+	folderName       = "messages"
+	diskShare        = 0.8 // of the disk that segments may fill
+	segmentMost      = 8 << 20
+	segmentLeast     = 1 << 20
+	segmentsWanted   = 16
+	defaultDiskMb    = 1024
+	memoryShare      = 0.4 // of the memory that the index may fill, by estimate
+	defaultMemoryMb  = 256
+	tickInterval     = time.Second
+	ticksBetweenFull = 10
+	storeIDBytes     = 8
+	closeWait        = time.Second
+)
+
+// Run serves the role until the context ends or the disk fails.
+func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	identity := s.Identity(Role, protocol.StorePort, time.Now())
+	log = log.WithName(Role)
+	opened, err := openStore(storeOptions(s, identity, log))
+	if err != nil {
+		return err
+	}
+	if err := opened.log.Barrier().Wait(); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", s.Internal(protocol.StorePort))
+	if err != nil {
+		_ = opened.close()
+		return Class.Wrap(err)
+	}
+	log.Info("store ready", "id", opened.log.StoreID(), "formatted", opened.log.Formatted(), "messages", len(opened.index.entries))
+	server := newServer(opened, identity, settings.Seconds(s.Bounds.CatchUpS), log)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	err = opened.watch(ctx, served)
+	return opened.shutDown(listener, server, err)
+}
+
+// watch runs the tick until the context ends or something fails.
+func (s *store) watch(ctx context.Context, served <-chan error) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for count := 1; ; count++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-served:
+			return err
+		case <-s.log.Stopped():
+			return s.log.Failed()
+		case <-ticker.C:
+			s.tick(count%ticksBetweenFull == 0)
+		}
+	}
+}
+
+// shutDown commits what is in hand and closes. New connections are refused
+// first; replies to what was committed still go out.
+func (s *store) shutDown(listener net.Listener, server *transport.Server, cause error) error {
+	_ = listener.Close()
+	closed := make(chan error, 1)
+	go func() { closed <- s.close() }()
+	select {
+	case err := <-closed:
+		if cause == nil {
+			cause = err
+		}
+	case <-time.After(closeWait):
+	}
+	time.Sleep(replyTime)
+	server.Close()
+	return cause
+}
+
+// replyTime lets replies leave before the connections are closed.
+const replyTime = 50 * time.Millisecond
+
+func storeOptions(s *settings.Settings, identity protocol.Identity, log logr.Logger) options {
+	size, count := ringSize(s.Limits.DiskMb)
+	memoryMb := s.Limits.MemoryMb
+	if memoryMb <= 0 {
+		memoryMb = defaultMemoryMb
+	}
+	return options{
+		files:       segment.Folder{Path: filepath.Join(s.DataDir, folderName)},
+		storeID:     newStoreID(),
+		segmentSize: size,
+		maxSegments: count,
+		memoryMost:  int(memoryShare * float64(memoryMb) * (1 << 20)),
+		statusTime:  settings.Seconds(s.Bounds.StatusS),
+		bootstrap:   s.Bootstrap,
+		role:        DispatcherRole,
+		version:     identity.Incarnation,
+		log:         log,
+	}
+}
+
+// ringSize returns the size and the greatest number of the segments.
+func ringSize(diskMb int) (size, count int) {
+	if diskMb <= 0 {
+		diskMb = defaultDiskMb
+	}
+	room := int(diskShare * float64(diskMb) * (1 << 20))
+	size = min(max(room/segmentsWanted, segmentLeast), segmentMost)
+	return size, room / size
+}
+
+func newStoreID() string {
+	id := make([]byte, storeIDBytes)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+// newServer returns the server with the handlers of the role.
+func newServer(s *store, identity protocol.Identity, catchUp time.Duration, log logr.Logger) *transport.Server {
+	server := transport.NewServer(identity, log)
+	server.OnConnect(func(peer *transport.Peer) { s.connected(peer.Identity) })
+	server.OnClose(func(peer *transport.Peer) { s.disconnected(peer.Identity) })
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Append) (protocol.AppendReply, error) {
+		status, commit, err := s.append(peer.Identity, &request.Message)
+		return protocol.AppendReply{Status: status}, settle(commit, err)
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.EndBatch) (protocol.EndBatchReply, error) {
+		commit, err := s.endBatch(&request)
+		return protocol.EndBatchReply{}, settle(commit, err)
+	})
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Acquire) (protocol.AcquireReply, error) {
+		reply, commit, err := s.acquire(peer.Identity, request, catchUp)
+		return reply, settle(commit, err)
+	})
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Renew) (protocol.RenewReply, error) {
+		return s.renew(peer.Identity, request, catchUp), nil
+	})
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Release) (protocol.ReleaseReply, error) {
+		s.release(peer.Identity, request.Queues)
+		return protocol.ReleaseReply{}, nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Query) (protocol.QueryReply, error) {
+		return s.query(request)
+	})
+	return server
+}
+
+// settle waits for a commit before the reply is sent.
+func settle(commit *segment.Commit, err error) error {
+	if err != nil || commit == nil {
+		return err
+	}
+	return commit.Wait()
+}
--- /dev/null
+++ b/internal/service/store/sessions.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"time"
+
+	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/segment"
+)
+
+// connected notes a new connection of a process.
+func (s *store) connected(identity protocol.Identity) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.connections[lease.SessionOf(identity)]++
+	s.grantor.Connected(time.Now(), identity)
+}
+
+// disconnected notes the end of a connection.
+func (s *store) disconnected(identity protocol.Identity) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id := lease.SessionOf(identity)
+	if s.connections[id]--; s.connections[id] <= 0 {
+		delete(s.connections, id)
+	}
+	s.grantor.Closed(time.Now(), identity)
+}
+
+// renew renews a session and returns the table where the caller lacks it.
+func (s *store) renew(identity protocol.Identity, request protocol.Renew, catchUp time.Duration) protocol.RenewReply {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.grantor.Renew(time.Now(), identity, request.Ready, s.connections[lease.SessionOf(identity)])
+	reply := protocol.RenewReply{
+		StoreID: s.log.StoreID(), Recovering: s.recovering(catchUp), Version: s.grantor.Version(),
+	}
+	if reply.Version != request.KnownVersion {
+		reply.Changed = true
+		reply.Sessions = s.grantor.Sessions(s.options.role)
+		reply.Queues = s.queueStates()
+	}
+	return reply
+}
+
+// queueStates lists the queues that have open messages or a holder.
+func (s *store) queueStates() []protocol.QueueState {
+	var states []protocol.QueueState
+	for name, q := range s.index.queues {
+		holder, epoch := s.grantor.Lease(name)
+		if holder != "" || q.open.count > 0 {
+			states = append(states, protocol.QueueState{Queue: name, Epoch: epoch, Holder: holder, Open: q.open.count})
+		}
+	}
+	return states
+}
+
+// acquire asks for leases. The reply holds once the commit has ended.
+func (s *store) acquire(identity protocol.Identity, request protocol.Acquire, catchUp time.Duration) (protocol.AcquireReply, *segment.Commit, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	reply := protocol.AcquireReply{StoreID: s.log.StoreID(), Recovering: s.recovering(catchUp)}
+	now, size := time.Now(), 0
+	for _, name := range request.Queues {
+		if err := checkName("queue", name); err != nil {
+			return reply, nil, err
+		}
+		if err := s.checkQueues(name); err != nil {
+			return reply, nil, err
+		}
+		q := s.index.queue(name)
+		if estimate := q.open.count * headEstimate; size > 0 && size+estimate > replyMost {
+			_, promised := s.grantor.Lease(name)
+			reply.Grants = append(reply.Grants, protocol.Grant{Queue: name, Promised: promised})
+			continue
+		}
+		grant, err := s.acquireOne(now, identity, request, name)
+		if err != nil {
+			return reply, nil, err
+		}
+		if grant.Granted {
+			room := max(replyMost-size-q.open.count*headEstimate, 0) / headEstimate
+			grant.Heads = s.heads(q, min(endedHeadsMost, room/2))
+			size += len(grant.Heads) * headEstimate
+		}
+		reply.Grants = append(reply.Grants, grant)
+	}
+	return reply, s.log.Barrier(), nil
+}
+
+func (s *store) acquireOne(now time.Time, identity protocol.Identity, request protocol.Acquire, name string) (protocol.Grant, error) {
+	connections := s.connections[lease.SessionOf(identity)]
+	decision := s.grantor.Acquire(now, identity, connections, name, request.Epoch, request.Held)
+	if decision.Raised {
+		if _, err := s.keepPromise(name, decision.Promise); err != nil {
+			return protocol.Grant{}, err
+		}
+	}
+	return protocol.Grant{Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch}, nil
+}
+
+// release gives leases back.
+func (s *store) release(identity protocol.Identity, names []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, name := range names {
+		s.grantor.Release(time.Now(), identity, name)
+	}
+}
--- /dev/null
+++ b/internal/service/store/store.go
@@ -0,0 +1,486 @@
+// Package store is the role that keeps copies of messages on disk and grants
+// leases on queues. docs/STORE.md describes it.
+package store
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
+
+	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/segment"
+)
+
+// Class is the class of errors that this package makes.
+var Class = errs.Class("store")
+
+const (
+	identityMost   = 256 // bytes of an id or a queue's name
+	fieldMost      = 16 << 10
+	queuesMost     = 1 << 16
+	clockEvery     = time.Second
+	endedHeadsMost = 2000    // ended heads in a grant, beside those that owe a call-back
+	replyMost      = 6 << 20 // estimated bytes of the heads in one reply
+	headEstimate   = 300     // bytes of a head in a reply
+	tombstoneShare = 2       // times the memory bound, for ends of unknown messages
+	readTries      = 3
+	bufferKept     = 512 << 10
+)
+
+// options are the parameters of a store.
+type options struct {
+	files       segment.Files
+	storeID     string
+	segmentSize int
+	maxSegments int
+	memoryMost  int // bytes, estimated, of the index
+	statusTime  time.Duration
+	bootstrap   bool
+	role        string // of the processes that are listed as sessions
+	version     uint64 // of the session table, at first
+	log         logr.Logger
+}
+
+// store keeps messages, ends and promises. All methods may be called by many
+// goroutines.
+type store struct {
+	options options
+	log     *segment.Log
+	buffers sync.Pool
+
+	mutex       sync.Mutex
+	clock       *clock
+	index       *index
+	grantor     *lease.Grantor
+	connections map[lease.SessionID]int
+	bootstrap   bool // the disk was formatted when the whole system began
+	format      segment.Position
+	lastClock   segment.Position
+	clockAt     time.Duration // store time of the last clock record
+
+	replayed *replayState // during recovery
+}
+
+// openStore recovers the store from its files.
+func openStore(o options) (*store, error) {
+	s := &store{
+		options: o, clock: newClock(), index: newIndex(),
+		connections: map[lease.SessionID]int{},
+		replayed:    &replayState{promises: map[string]lease.Promise{}},
+	}
+	s.buffers.New = func() any { return new([]byte) }
+	log, err := segment.New(segment.Options{
+		Files: o.files, StoreID: o.storeID, SegmentSize: o.segmentSize,
+		MaxSegments: o.maxSegments, Log: o.log,
+	}, s)
+	if err != nil {
+		return nil, err
+	}
+	s.log = log
+	if err := log.Start(); err != nil {
+		return nil, err
+	}
+	if err := s.finishRecovery(); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	return s, nil
+}
+
+func (s *store) close() error { return s.log.Close() }
+
+// recovering reports whether the disk was empty a short time ago.
+func (s *store) recovering(catchUp time.Duration) bool {
+	return !s.bootstrap && s.clock.now() < catchUp
+}
+
+// write appends a record made by encode. The mutex is held.
+func (s *store) write(kind byte, vital bool, encode func([]byte) []byte) (segment.Position, *segment.Commit, error) {
+	buffer := s.buffers.Get().(*[]byte)
+	*buffer = encode((*buffer)[:0])
+	position, commit, err := s.log.Append(kind, *buffer, vital)
+	if cap(*buffer) <= bufferKept {
+		s.buffers.Put(buffer)
+	}
+	return position, commit, err
+}
+
+// append keeps a copy of a message. The reply holds once the commit has ended.
+func (s *store) append(identity protocol.Identity, m *protocol.Message) (protocol.AppendStatus, *segment.Commit, error) {
+	if err := checkMessage(m); err != nil {
+		return 0, nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.checkQueues(m.Head.Queue); err != nil {
+		return 0, nil, err
+	}
+	decision := s.grantor.Write(identity, m.Head.Queue, m.Head.Epoch)
+	if !decision.Allowed {
+		return protocol.Fenced, nil, nil
+	}
+	if decision.Raised {
+		if _, err := s.keepPromise(m.Head.Queue, decision.Promise); err != nil {
+			return 0, nil, err
+		}
+	}
+	e := s.index.entries[m.Head.ID]
+	switch {
+	case e == nil:
+		return s.appendNew(m)
+	case e.message.Generation == 0 && e.wantsBody():
+		return s.appendBody(e, m)
+	case e.callbackDue && e.callbackURL == "" && m.Head.CallbackURL != "":
+		e.callbackURL = m.Head.CallbackURL
+		commit, err := s.writeEnd(e)
+		return protocol.Stored, commit, err
+	default:
+		return protocol.Stored, s.log.Barrier(), nil
+	}
+}
+
+func checkMessage(m *protocol.Message) error {
+	h := &m.Head
+	if err := checkName("id", h.ID); err != nil {
+		return err
+	}
+	if err := checkName("queue", h.Queue); err != nil {
+		return err
+	}
+	for _, field := range [...]string{h.Method, h.Host, h.Target, h.ContentType, h.OrderingKey, h.CallbackURL} {
+		if len(field) > fieldMost {
+			return Class.New("message %s: a field has %d bytes", h.ID, len(field))
+		}
+	}
+	return nil
+}
+
+func checkName(field, name string) error {
+	if name == "" || len(name) > identityMost {
+		return Class.New("%s of %d bytes", field, len(name))
+	}
+	return nil
+}
+
+// checkQueues refuses new queues beyond a bound.
+func (s *store) checkQueues(name string) error {
+	if len(s.index.queues) >= queuesMost && s.index.queues[name] == nil {
+		return Class.New("queue %q is one too many", name)
+	}
+	return nil
+}
+
+// appendNew keeps a message that the store does not know.
+func (s *store) appendNew(m *protocol.Message) (protocol.AppendStatus, *segment.Commit, error) {
+	if s.index.memory > s.options.memoryMost {
+		return protocol.Full, nil, nil
+	}
+	position, commit, status, err := s.writeMessage(m)
+	if status != protocol.Stored {
+		return status, nil, err
+	}
+	m.Head.BodySize = len(m.Body)
+	e := s.index.addOpen(&m.Head, s.bornAt(m))
+	e.head.State, e.head.Stamp, e.head.CallbackDue = protocol.Queued, "", false
+	e.message = position
+	if e.queue.open.count == 1 {
+		s.openedQueue(e.queue.name)
+	}
+	return protocol.Stored, commit, nil
+}
+
+// openedQueue makes a queue known that has messages but no owner.
+func (s *store) openedQueue(name string) {
+	if holder, _ := s.grantor.Lease(name); holder == "" {
+		s.grantor.Touch()
+	}
+}
+
+// appendBody keeps the body of a message that is known by its end. The end is
+// written again behind it, so that the end is never reclaimed first.
+func (s *store) appendBody(e *entry, m *protocol.Message) (protocol.AppendStatus, *segment.Commit, error) {
+	position, _, status, err := s.writeMessage(m)
+	if status != protocol.Stored {
+		return status, nil, err
+	}
+	e.message = position
+	e.bornAt, e.bodySize = s.bornAt(m), len(m.Body)
+	e.epoch, e.sequence = m.Head.Epoch, m.Head.Sequence
+	if e.callbackDue {
+		e.callbackURL = m.Head.CallbackURL
+	}
+	commit, err := s.writeEnd(e)
+	return protocol.Stored, commit, err
+}
+
+func (s *store) bornAt(m *protocol.Message) time.Duration { return s.clock.now() - m.Head.Age }
+
+func (s *store) writeMessage(m *protocol.Message) (segment.Position, *segment.Commit, protocol.AppendStatus, error) {
+	if err := s.keepClock(); err != nil {
+		return segment.Position{}, nil, 0, err
+	}
+	bornAt := s.bornAt(m)
+	position, commit, err := s.write(messageRecord, false, func(b []byte) []byte { return encodeMessage(b, m, bornAt) })
+	switch {
+	case errors.Is(err, segment.ErrFull):
+		return position, nil, protocol.Full, nil
+	case err != nil:
+		return position, nil, 0, err
+	default:
+		return position, commit, protocol.Stored, nil
+	}
+}
+
+// keepClock writes a reading of the clocks when the last one is old.
+func (s *store) keepClock() error {
+	now := s.clock.now()
+	if s.lastClock.Generation != 0 && now-s.clockAt < clockEvery {
+		return nil
+	}
+	position, _, err := s.write(clockRecord, true, func(b []byte) []byte { return encodeClock(b, s.clock.read()) })
+	if err != nil {
+		return err
+	}
+	s.replace(&s.lastClock, position)
+	s.clockAt = now
+	return nil
+}
+
+// replace sets the position of a record and drops the one that it replaces.
+func (s *store) replace(place *segment.Position, position segment.Position) {
+	s.log.Drop(*place)
+	*place = position
+}
+
+// keepPromise writes the promise of a queue.
+func (s *store) keepPromise(queue string, promise lease.Promise) (*segment.Commit, error) {
+	position, commit, err := s.write(promiseRecord, true, func(b []byte) []byte {
+		return encodePromise(b, queue, promise)
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.replace(&s.index.queue(queue).promise, position)
+	return commit, nil
+}
+
+// endBatch records ends and failures. The reply holds once the commit has ended.
+func (s *store) endBatch(batch *protocol.EndBatch) (*segment.Commit, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for i := range batch.Ends {
+		if err := checkEnd(&batch.Ends[i]); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.keepClock(); err != nil {
+		return nil, err
+	}
+	for i := range batch.Ends {
+		if err := s.end(&batch.Ends[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, failures := range batch.Failures {
+		if err := s.countFailures(failures); err != nil {
+			return nil, err
+		}
+	}
+	return s.log.Barrier(), nil
+}
+
+// end records that a message has ended.
+func (s *store) end(end *protocol.End) error {
+	e := s.index.entries[end.ID]
+	state := &endState{
+		id: end.ID, queue: end.Queue, state: end.State, stamp: end.Stamp,
+		callbackDue: end.CallbackDue, bornAt: s.clock.now(), endedAt: s.clock.now(),
+	}
+	switch {
+	case e == nil && s.index.memory > tombstoneShare*s.options.memoryMost:
+		return Class.New("no memory for the end of unknown message %s", end.ID)
+	case e == nil:
+		e = s.index.addEnded(state)
+	case !supersedes(end, e):
+		return nil
+	default:
+		s.index.applyEnd(e, state)
+	}
+	_, err := s.writeEnd(e)
+	return err
+}
+
+func checkEnd(end *protocol.End) error {
+	if err := checkName("id", end.ID); err != nil {
+		return err
+	}
+	if len(end.Queue) > identityMost {
+		return Class.New("end of message %s: queue of %d bytes", end.ID, len(end.Queue))
+	}
+	if !end.State.Ended() || len(end.Stamp) > fieldMost {
+		return Class.New("end of message %s: state %d, stamp of %d bytes", end.ID, end.State, len(end.Stamp))
+	}
+	return nil
+}
+
+// endRank orders the ended states: whatever the order in which ends arrive, all
+// stores come to the same one.
+func endRank(state protocol.State) int {
+	switch state {
+	case protocol.Completed:
+		return 3
+	case protocol.DeadLetter:
+		return 2
+	case protocol.Discarded:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// supersedes reports whether an end says more than what is known: a higher
+// state, or that the call-back has been taken.
+func supersedes(end *protocol.End, e *entry) bool {
+	if rank, known := endRank(end.State), endRank(e.state); rank != known {
+		return rank > known
+	}
+	return e.callbackDue && !end.CallbackDue
+}
+
+// writeEnd writes an entry's end and drops what it makes needless.
+func (s *store) writeEnd(e *entry) (*segment.Commit, error) {
+	position, commit, err := s.write(endRecord, true, func(b []byte) []byte { return encodeEnd(b, e.endOf()) })
+	if err != nil {
+		return nil, err
+	}
+	s.replace(&e.end, position)
+	s.dropNeedless(e)
+	return commit, nil
+}
+
+// dropNeedless drops the records of an ended entry that nobody asks for.
+func (s *store) dropNeedless(e *entry) {
+	s.replace(&e.failuresRecord, segment.Position{})
+	if !e.wantsBody() {
+		s.replace(&e.message, segment.Position{})
+	}
+}
+
+// countFailures records the failed attempts of an open message.
+func (s *store) countFailures(failures protocol.Failures) error {
+	e := s.index.entries[failures.ID]
+	if e == nil || e.state.Ended() || failures.Count <= e.failures {
+		return nil
+	}
+	e.failures = failures.Count
+	return s.writeFailures(e)
+}
+
+func (s *store) writeFailures(e *entry) error {
+	position, _, err := s.write(failuresRecord, true, func(b []byte) []byte { return encodeFailures(b, e.id, e.failures) })
+	if err != nil {
+		return err
+	}
+	s.replace(&e.failuresRecord, position)
+	return nil
+}
+
+// query returns what is known of a message.
+func (s *store) query(q protocol.Query) (protocol.QueryReply, error) {
+	for try := 0; ; try++ {
+		reply, position := s.lookUp(q.ID)
+		if !q.WithBody || position.Generation == 0 {
+			return reply, nil
+		}
+		payload, err := s.log.Read(position)
+		if err != nil {
+			if try+1 < readTries && s.log.Failed() == nil {
+				continue // the record was moved meanwhile
+			}
+			return protocol.QueryReply{}, err
+		}
+		return withBody(reply, payload)
+	}
+}
+
+func (s *store) lookUp(id string) (protocol.QueryReply, segment.Position) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	e := s.index.entries[id]
+	if e == nil {
+		return protocol.QueryReply{}, segment.Position{}
+	}
+	return protocol.QueryReply{Head: e.headAt(s.clock.now()), Held: true}, e.message
+}
+
+// withBody adds the body, and the fields of the head that are on disk only.
+func withBody(reply protocol.QueryReply, payload []byte) (protocol.QueryReply, error) {
+	head, _, body, err := decodeMessage(payload)
+	if err != nil {
+		return protocol.QueryReply{}, err
+	}
+	known := reply.Head
+	head.Queue, head.Age, head.Failures = known.Queue, known.Age, known.Failures
+	head.State, head.Stamp, head.CallbackDue = known.State, known.Stamp, known.CallbackDue
+	return protocol.QueryReply{Head: head, Body: body, Held: true}, nil
+}
+
+// tick drops what nobody may ask for any more.
+func (s *store) tick(all bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.now()
+	for _, q := range s.index.queues {
+		for e := q.ended.first; e != nil && now-e.endedAt > s.options.statusTime; e = q.ended.first {
+			s.forget(e)
+		}
+		if all {
+			s.forgetOver(q, now)
+		}
+	}
+}
+
+// forgetOver drops the open messages whose time is over.
+func (s *store) forgetOver(q *queueIndex, now time.Duration) {
+	for e := q.open.first; e != nil; {
+		next := e.next
+		if e.over(now, s.options.statusTime) {
+			s.forget(e)
+		}
+		e = next
+	}
+}
+
+func (s *store) forget(e *entry) {
+	s.log.Drop(e.message)
+	s.log.Drop(e.end)
+	s.log.Drop(e.failuresRecord)
+	s.index.remove(e)
+}
+
+// heads returns the heads that a new owner of a queue needs: open messages,
+// those that owe a call-back, and a bounded number of the newest other ended ones.
+func (s *store) heads(q *queueIndex, endedMost int) []protocol.Head {
+	now := s.clock.now()
+	heads := make([]protocol.Head, 0, q.open.count+min(q.ended.count, endedMost))
+	for e := q.open.first; e != nil; e = e.next {
+		heads = append(heads, e.headAt(now))
+	}
+	open, others := len(heads), 0
+	for e := q.ended.last; e != nil; e = e.previous {
+		switch {
+		case e.callbackDue:
+		case others < endedMost:
+			others++
+		default:
+			continue
+		}
+		heads = append(heads, e.headAt(now))
+	}
+	slices.Reverse(heads[open:])
+	return heads
+}
