Drive the decision module for a service, and split its policy by concern

Change: package balance drives one Balancer for each service. Settings.Split and Settings.Window give the module steps by a sender's shortest delay, newcomers at q_min, and windows by reported load; without them nothing changes.

--- a/api.go
+++ b/api.go
@@ -89,6 +89,8 @@
 	FieldUtil
 	FieldFreeSlots
 	FieldErrors
+	FieldWaiting // requests that wait at the worker
+	FieldSlots   // requests that it works on at once
 )
 
 // Settings are what a Balancer is told when it starts.
@@ -125,6 +127,9 @@
 	PeerPrice      float64       // price of 256 delivered bytes of messages to peers, as worth of a request
 	WorstClass     float64       // weight of the worst-served class in the service's goal
 
+	Split  SplitSettings
+	Window WindowSettings
+
 	DrainGrace     time.Duration // nothing is sent later than this after a drain is told
 	AskWithin      time.Duration // with AskDiscovery: longest time between calls
 	StartCapacity  float64       // share of its capacity that a started worker has at once
@@ -133,6 +138,30 @@
 	OverloadFor    time.Duration // ... for this long falls over
 }
 
+// SplitSettings say how the split is moved. Zero values stand for the defaults.
+type SplitSettings struct {
+	Step             float64       // a, in mean shares
+	Floor            float64       // q_min, in mean shares
+	FirstSamples     int           // L(0)
+	MoreSamples      int           // L(n) - L(n-1)
+	MostSamples      int           // L grows no further
+	StepWait         time.Duration // a step is taken after this even if samples lack
+	NewcomersAtFloor bool          // newcomers enter at q_min (else with the mean share)
+	ShortestService  bool          // 1/mu is a worker's shortest send-to-finish time of the step
+}
+
+// WindowSettings bound what is out at each worker by the load that it reports in
+// each outcome: FieldInflight, FieldWaiting and FieldSlots. With them nothing is
+// refused for want of room before the request's patience ends.
+type WindowSettings struct {
+	Enabled     bool
+	First       float64       // window of a worker whose slots are not known
+	Most        float64       // a window is no larger; 0 is no bound
+	StrikePause time.Duration // first pause of a worker that fails; doubles
+	StrikeMost  time.Duration // longest pause
+	ProbeEvery  time.Duration // where all workers pause, one of them is tried this often
+}
+
 // WorkerState is what the worker list says of a worker.
 type WorkerState uint8
 
--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,8 @@
 package yardwharf
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +13,7 @@
 // have asked for get splits.
 
 const (
+	homeParts = 3                      // even parts of the workers in a home
 	askSpread = 50 * time.Millisecond  // least spread of discovery calls
 	askEach   = 80 * time.Millisecond  // of it for each dispatcher
 	askTakes  = 2 * time.Second        // that a call itself may take
@@ -117,7 +120,7 @@
 func (b *Balancer) member(m *Member, first bool) {
 	w, known := b.byID[m.ID]
 	if !known {
-		w = &worker{id: m.ID, room: b.firstRoom(m.Kind), pace: 1}
+		w = &worker{id: m.ID, room: b.firstWindow(m), pace: 1}
 		b.byID[m.ID] = w
 		b.workers = append(b.workers, w)
 		b.gone++
@@ -156,8 +159,10 @@
 	return nil
 }
 
-func newSplit(kind, pool int) *split {
-	return &split{kind: kind, pool: pool, need: firstSamples, base: map[int]float64{}}
+func newSplit(kind, pool int, s *SplitSettings) *split {
+	return &split{kind: kind, pool: pool, need: cmp.Or(s.FirstSamples, firstSamples), base: map[int]float64{},
+		stepSize: cmp.Or(s.Step, stepSize), floor: cmp.Or(s.Floor, floor), stepWait: cmp.Or(s.StepWait, stepWait),
+		moreNeed: cmp.Or(s.MoreSamples, moreSamples), mostNeed: cmp.Or(s.MostSamples, mostSamples), atFloor: s.NewcomersAtFloor}
 }
 
 // learn takes a list, or changes to one; these cost what they change.
@@ -284,7 +289,7 @@
 			return sp
 		}
 	}
-	sp := newSplit(kind, pool)
+	sp := newSplit(kind, pool, &b.s.Split)
 	for _, w := range b.workers {
 		if w.state == Ready && w.belongs(sp) {
 			sp.join(w, true)
@@ -314,3 +319,28 @@
 		return true
 	})
 }
+
+// renew forgets what was learned of a worker's process, as another runs now.
+// Guards against strikes of before its restart that keep it out while it serves.
+func (w *worker) renew(room float64) {
+	w.shunned, w.fulls, w.strikes, w.errors, w.room, w.pace = 0, 0, 0, 0, room, 1
+}
+
+// findHome picks the workers of the own zone that this dispatcher turns to first:
+// its even part, spread over the zone without dispatchers agreeing on anything.
+// Guards against many dispatchers that all send to all and each see too little.
+func (sp *split) findHome(s *Settings) {
+	sp.home, sp.far = sp.home[:0], sp.far[:0]
+	for _, m := range sp.m {
+		if s.TellsStart && m.w.zone == s.Zone { // room is learned from starts
+			sp.home = append(sp.home, m)
+		} else {
+			sp.far = append(sp.far, m)
+		}
+	}
+	sp.near = append(sp.near[:0], sp.home...)
+	n := len(sp.home)
+	_, at := math.Modf(float64(s.Me) * math.Phi)
+	size := min(n, (homeParts*len(sp.m)+s.Balancers-1)/s.Balancers)
+	sp.home = append(sp.home, sp.home...)[int(at*float64(n)):][:size]
+}
--- /dev/null
+++ b/internal/service/balance/driver_test.go
@@ -0,0 +1,243 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestIdleSenderGetsTheMessageAtOnce(t *testing.T) {
+	r := newRig(t, 1, 3, 4, Options{})
+	r.submit(r.dispatchers[0])
+	r.c.Assert(r.dispatchers[0].sent, qt.HasLen, 1)
+}
+
+func TestOrdinaryDay(t *testing.T) {
+	r := newRig(t, 8, 9, 12, Options{})
+	for _, s := range r.senders {
+		s.work = 250 * ms
+	}
+	r.traffic(20*time.Second, 5*ms) // 200 a second, 50 of 108 slots
+	r.play(25 * time.Second)
+	late, all := r.late(0, r.now, 800*ms)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d", all))
+	r.c.Assert(r.givenBack, qt.HasLen, 0)
+	for id, n := range r.sentTo {
+		r.c.Assert(n > all/9/2 && n < all/9*2, qt.IsTrue, qt.Commentf("%s got %d of %d", id, n, all))
+	}
+}
+
+// What may have run goes back to the caller; what has not run goes on.
+func TestEndsGoBackToTheCaller(t *testing.T) {
+	for status, keeps := range map[Status]bool{
+		Lost: false, Succeeded: false, Failed: false, Refused: false, TimedOut: false,
+		Full: true, ConnectFailed: true, NotRun: true,
+	} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			r := newRig(t, 1, 3, 4, Options{})
+			d := r.dispatchers[0]
+			d.manual = true
+			r.submit(d)
+			r.c.Assert(d.sent, qt.HasLen, 1)
+			r.c.Assert(d.driver.Ended(r.now, d.sent[0].ID, Outcome{Status: status}), qt.Equals, keeps)
+			r.play(10 * time.Second)
+			if !keeps {
+				r.c.Assert(d.sent, qt.HasLen, 1)
+				r.c.Assert(r.givenBack, qt.HasLen, 0)
+				return
+			}
+			r.c.Assert(d.sent, qt.HasLen, 2)
+			r.c.Assert(d.sent[1].Instance, qt.Not(qt.Equals), d.sent[0].Instance)
+		})
+	}
+}
+
+// A delivery under way is never doubled, however long it takes.
+func TestNoSecondCopies(t *testing.T) {
+	r := newRig(t, 1, 3, 4, Options{})
+	d := r.dispatchers[0]
+	d.manual = true
+	message := r.submit(d)
+	d.driver.Submit(r.now, message, r.now+time.Minute)
+	r.play(30 * time.Second)
+	r.c.Assert(d.sent, qt.HasLen, 1)
+	r.c.Assert(d.driver.Ended(r.now, d.sent[0].ID, Outcome{Status: Full}), qt.IsFalse) // past its deadline here
+	r.c.Assert(d.driver.Ended(r.now, d.sent[0].ID, Outcome{Status: Full}), qt.IsFalse) // ended before
+	r.c.Assert(d.driver.Waiting(), qt.Equals, 0)
+}
+
+func TestWithdraw(t *testing.T) {
+	r := newRig(t, 1, 1, 1, Options{})
+	d := r.dispatchers[0]
+	d.manual = true
+	under, waits := r.submit(d), r.submit(d)
+	r.c.Assert(d.sent, qt.HasLen, 1)
+	r.c.Assert(d.driver.Withdraw(r.now, waits), qt.IsTrue)
+	r.c.Assert(d.driver.Withdraw(r.now, under), qt.IsFalse)
+	r.c.Assert(d.driver.Ended(r.now, d.sent[0].ID, Outcome{Status: Full}), qt.IsFalse)
+	r.play(10 * time.Second)
+	r.c.Assert(d.sent, qt.HasLen, 1)
+	r.c.Assert(r.givenBack, qt.HasLen, 0)
+	r.c.Assert(d.driver.Waiting(), qt.Equals, 0)
+}
+
+// Nothing goes to a sender that drains or has left, not even what waits or is repeated.
+func TestDrainedAndGoneGetNothing(t *testing.T) {
+	r := newRig(t, 1, 3, 4, Options{})
+	d := r.dispatchers[0]
+	d.manual = true
+	for range 12 {
+		r.submit(d)
+	}
+	r.list[0].Draining = true
+	r.list = r.list[:2]
+	r.tell()
+	before := len(d.sent)
+	for _, attempt := range d.sent[:before] {
+		d.driver.Ended(r.now, attempt.ID, Outcome{Status: Full})
+	}
+	r.play(5 * time.Second)
+	for range 50 {
+		r.submit(d)
+	}
+	r.c.Assert(len(d.sent) > before, qt.IsTrue)
+	for _, attempt := range d.sent[before:] {
+		r.c.Assert(attempt.Instance, qt.Equals, "s001")
+	}
+}
+
+// Under overload messages wait and are given back with growing waits; none is lost.
+func TestOverload(t *testing.T) {
+	r := newRig(t, 4, 2, 4, Options{HoldMost: 20})
+	r.traffic(5*time.Second, 4*ms) // 250 a second where 80 can be done
+	r.play(40 * time.Second)
+	late, all := r.late(0, r.now, time.Hour)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d never ran", all))
+	r.c.Assert(len(r.givenBack) > 0, qt.IsTrue)
+	for id, s := range r.senders {
+		r.c.Assert(s.most <= 3*s.slots, qt.IsTrue, qt.Commentf("%s had %d at %d slots", id, s.most, s.slots))
+	}
+	for message, n := range r.runs {
+		r.c.Assert(n, qt.Equals, 1, qt.Commentf("%s", message))
+	}
+}
+
+// While all senders are down, few probes go out; when they are back, cold, what waits
+// is found within some 100 ms and they are not overrun.
+func TestReturnOfADeadService(t *testing.T) {
+	for _, kind := range []string{"refuses", "silent"} {
+		t.Run(kind, func(t *testing.T) {
+			r := newRig(t, 8, 3, 4, Options{Timeout: 600 * ms})
+			for _, s := range r.senders {
+				s.work = 30 * ms
+			}
+			r.traffic(20*time.Second, 10*ms)
+			r.play(5 * time.Second)
+			set := func(down bool) {
+				for _, s := range r.senders {
+					s.down = down && kind == "refuses"
+					s.silent = down && kind == "silent"
+				}
+			}
+			set(true)
+			r.play(3 * time.Second)
+			before := 0
+			for _, d := range r.dispatchers {
+				before += len(d.sent)
+			}
+			r.play(4 * time.Second)
+			probes := -before
+			for _, d := range r.dispatchers {
+				probes += len(d.sent)
+			}
+			r.c.Assert(probes < 8*3*4*5, qt.IsTrue, qt.Commentf("%d in 4 s", probes))
+			set(false)
+			back := r.now
+			for _, s := range r.senders {
+				s.coldUntil, s.most = back+3*time.Second, 0
+			}
+			first := back + time.Hour
+			r.play(5 * time.Second)
+			for message, at := range r.began {
+				if at >= back && r.arrived[message] < back {
+					first = min(first, at)
+				}
+			}
+			r.c.Assert(first-back < 400*ms, qt.IsTrue, qt.Commentf("first run after %v", first-back))
+			for id, s := range r.senders {
+				r.c.Assert(s.most <= 4*s.slots, qt.IsTrue, qt.Commentf("%s had %d", id, s.most))
+			}
+			r.play(15 * time.Second)
+			late, all := r.late(0, r.now, time.Hour)
+			r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d never ran", all))
+			late, all = r.late(back+5*time.Second, r.now, 800*ms)
+			r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d after the return", all))
+		})
+	}
+}
+
+// One dead sender among others costs little.
+func TestOneDeadSender(t *testing.T) {
+	r := newRig(t, 4, 6, 8, Options{})
+	r.senders["s000"].down = true
+	r.traffic(10*time.Second, 10*ms)
+	r.play(12 * time.Second)
+	late, all := r.late(0, r.now, 800*ms)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d", all))
+	r.c.Assert(r.sentTo["s000"] < all/20, qt.IsTrue, qt.Commentf("%d of %d", r.sentTo["s000"], all))
+}
+
+// One slow sender does not hold up what others could run.
+func TestOneSlowSender(t *testing.T) {
+	r := newRig(t, 4, 6, 8, Options{Timeout: 10 * time.Second})
+	r.senders["s000"].slow = 10
+	r.traffic(20*time.Second, 10*ms) // 10 of 48 slots
+	r.play(30 * time.Second)
+	late, all := r.late(0, r.now, 800*ms)
+	r.c.Assert(late <= all/500, qt.IsTrue, qt.Commentf("%d of %d", late, all))
+	even := 1.0 / 6
+	for _, d := range r.dispatchers {
+		r.c.Assert(d.driver.Shares()["s000"] < 0.9*even, qt.IsTrue)
+	}
+}
+
+// An endpoint whose slots nobody told works from the first message, and what is out
+// there follows the slots that it reports.
+func TestUnknownSlots(t *testing.T) {
+	r := newRig(t, 1, 1, 22, Options{MaxConnections: 35})
+	r.list[0].Slots, r.list[0].ID = 0, ""
+	r.senders[""] = r.senders["s000"]
+	s := r.senders[""]
+	s.work = 90 * ms
+	r.tell()
+	r.traffic(4*time.Second, 27*ms)
+	r.play(5 * time.Second)
+	late, all := r.late(0, r.now, 200*ms)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d", all))
+	s.slow = 13 // 37 a second of 1.2 s each are 43 at once
+	s.most = 0
+	r.traffic(5*time.Second, 27*ms)
+	r.play(5 * time.Second)
+	r.c.Assert(s.most >= 20 && s.most <= 22, qt.IsTrue, qt.Commentf("%d at once", s.most))
+	s.slow = 1
+	r.play(10 * time.Second)
+	late, all = r.late(0, r.now, time.Hour)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d never ran", all))
+}
+
+// Without senders messages wait, go as soon as one is there, and waits grow.
+func TestNoSenders(t *testing.T) {
+	r := newRig(t, 1, 0, 0, Options{})
+	d := r.dispatchers[0]
+	r.submit(d)
+	r.play(30 * time.Second)
+	n := len(r.givenBack)
+	r.c.Assert(n >= 8 && n < 20, qt.IsTrue, qt.Commentf("%d given back", n))
+	r.c.Assert(r.givenBack[0] < r.givenBack[n-1], qt.IsTrue)
+	r.add("s", 1)
+	r.tell()
+	r.play(2 * time.Second)
+	r.c.Assert(d.sent, qt.HasLen, 1)
+}
--- /dev/null
+++ b/internal/service/ratelimit/ratelimit_test.go
@@ -0,0 +1,116 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const (
+	window    = 5 * time.Second // ceilingWindowS
+	overshoot = 1.1             // ceilingOvershoot
+	slack     = 5
+)
+
+func TestBeginsEmpty(t *testing.T) {
+	c := qt.New(t)
+	b := New(time.Second, 10)
+	wait, ok := b.Take(time.Second)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(wait > 100*time.Millisecond && wait < 105*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait))
+	_, ok = b.Take(time.Second + wait)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// A lone message to an idle service does not wait.
+func TestIdleServiceTakesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := New(0, 37)
+	for n := range int(burst) {
+		_, ok := b.Take(time.Minute)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("%d", n))
+	}
+	_, ok := b.Take(time.Minute)
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestNoRate(t *testing.T) {
+	c := qt.New(t)
+	b := New(0, 0)
+	wait, ok := b.Take(time.Hour)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(wait > 0, qt.IsTrue)
+	b.SetRate(time.Hour, 10)
+	_, ok = b.Take(time.Hour + time.Second)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// A moment that lies before the last one gives nothing.
+func TestTimeRunsBack(t *testing.T) {
+	c := qt.New(t)
+	b := New(time.Minute, 10)
+	_, ok := b.Take(time.Second)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = b.Take(time.Minute + 50*time.Millisecond)
+	c.Assert(ok, qt.IsFalse)
+}
+
+// Under steady demand nearly all of the rate is used.
+func TestRateIsUsed(t *testing.T) {
+	c := qt.New(t)
+	b, taken := New(0, 37), 0
+	for now := time.Duration(0); now < time.Minute; {
+		wait, ok := b.Take(now)
+		if ok {
+			taken++
+			continue
+		}
+		now += wait
+	}
+	c.Assert(taken > 36*60 && taken <= 37*60+int(burst), qt.IsTrue, qt.Commentf("%d", taken))
+}
+
+// Whatever is asked for when, no window has more arrivals than the ceiling allows,
+// a change of owners in it included.
+func TestCeiling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(1, 200).Draw(t, "rate")
+		b := New(0, rate)
+		var arrivals []time.Duration
+		now, owned := time.Duration(0), time.Duration(0)
+		for now < 30*time.Second {
+			switch rapid.IntRange(0, 20).Draw(t, "what") {
+			case 0: // idle for long
+				now += time.Duration(rapid.IntRange(0, 4000).Draw(t, "idle")) * time.Millisecond
+			case 1: // another owner, at most once a window
+				if now-owned > window {
+					owned = now
+					b = New(now, rate)
+				}
+			case 2:
+				b.SetRate(now, rate)
+			default: // a crowd that asks as often as it may
+				end := now + time.Duration(rapid.IntRange(1, 2000).Draw(t, "busy"))*time.Millisecond
+				for now < end {
+					wait, ok := b.Take(now)
+					if ok {
+						arrivals = append(arrivals, now)
+					} else {
+						now += wait
+					}
+				}
+			}
+		}
+		first := 0
+		for last, at := range arrivals {
+			for at-arrivals[first] > window {
+				first++
+			}
+			if n, most := last-first+1, rate*window.Seconds()*overshoot+slack; float64(n) > most {
+				t.Fatalf("%d arrivals in a window, over %v", n, most)
+			}
+		}
+	})
+}
--- a/jam.go
+++ b/jam.go
@@ -13,14 +13,16 @@
 // and what the home carries for its warmth says what its cold hosts bear.
 
 const (
-	startNew  = 0.15 // weight of one start in how often they are late
-	startSpan = 10.0 // seconds in which that fades where nothing is sent
-	awayKeen  = 2.0  // part of the draws that leaves home, by how much more often it is late
-	jamFrom   = 0.25 // part of late starts at home as elsewhere from which messages are turned away
-	jamKeen   = 1.6  // how many, by how much it is over that
-	jamSure   = 0.2  // part of messages that start too late from which all of that counts
-	jamMost   = 0.85 // never more: those that are taken tell when the jam is over
-	jamValue  = 0.4  // power of a message's worth a second of work, against the usual one
+	waitFew   = 0.1                    // of the slack: a job that waits no longer counts as started at once
+	warmEvery = 100 * time.Millisecond // how old the sum of all warmth may be
+	startNew  = 0.15                   // weight of one start in how often they are late
+	startSpan = 10.0                   // seconds in which that fades where nothing is sent
+	awayKeen  = 2.0                    // part of the draws that leaves home, by how much more often it is late
+	jamFrom   = 0.25                   // part of late starts at home as elsewhere from which messages are turned away
+	jamKeen   = 1.6                    // how many, by how much it is over that
+	jamSure   = 0.2                    // part of messages that start too late from which all of that counts
+	jamMost   = 0.85                   // never more: those that are taken tell when the jam is over
+	jamValue  = 0.4                    // power of a message's worth a second of work, against the usual one
 )
 
 // part is how often something was so of late; it fades to never.
--- a/settings.go
+++ b/settings.go
@@ -60,7 +60,7 @@
 		i := slices.IndexFunc(b.splits, func(sp *split) bool { return sp.kind == c.Kind })
 		if i < 0 {
 			i = len(b.splits)
-			b.splits = append(b.splits, newSplit(c.Kind, 0))
+			b.splits = append(b.splits, newSplit(c.Kind, 0, &s.Split))
 		}
 		b.splitOf = append(b.splitOf, b.splits[i])
 	}
--- a/state.go
+++ b/state.go
@@ -95,6 +95,11 @@
 	far        []*member       // and the others
 	base       map[int]float64 // by kind: shortest mean delay of late, for want of start notices
 	stepped    time.Duration   // time of the last step
+
+	stepSize, floor    float64 // see SplitSettings, as those that follow
+	moreNeed, mostNeed int
+	stepWait           time.Duration
+	atFloor            bool
 }
 
 // member is a worker's place in a split, with its samples of the current step.
@@ -105,6 +110,7 @@
 	n, done int     // samples; those of them that completed
 	delay   float64 // send-to-finish times added up, in seconds
 	service float64 // start-to-finish times added up
+	least   float64 // shortest send-to-finish time of those completed
 	f       float64
 }
 
@@ -136,6 +142,7 @@
 	freeTold   time.Duration // when it last told how many slots are free; 0: never
 	free       float64       // and how many
 	room       float64       // own jobs that it is seen to start at once
+	slots      float64       // as it reported; 0: not known
 	tokens     float64       // cold: what may be sent yet
 	refilled   time.Duration // when tokens were last added
 	shunned    time.Duration // not drawn before this
--- a/timers.go
+++ b/timers.go
@@ -1,6 +1,11 @@
 package yardwharf
 
-import "time"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
 
 type timerKind uint8
 
@@ -53,3 +58,44 @@
 		i = c
 	}
 }
+
+// Timer takes the end of a timer.
+func (b *Balancer) Timer(now time.Duration) {
+	b.now = now
+	if now >= b.armed-time.Millisecond { // early by rounding is no reason to lose the timer
+		b.armed = math.MaxInt64
+	}
+	defer b.arm()
+	for len(b.timers) > 0 && b.timers[0].at <= now {
+		t := b.timers.pop()
+		switch t.kind {
+		case timerAsk:
+			b.ask()
+		case timerLook:
+			for _, zone := range slices.Sorted(maps.Keys(b.looked)) { // the settings may not name all
+				if b.lost[zone] >= zoneLost {
+					b.lookAround(zone)
+				}
+			}
+		case timerHeld:
+			b.holding = false
+			b.release()
+		case timerTell:
+			b.tell()
+		case timerGhost:
+			b.letGo(t.id)
+		case timerReport:
+			b.askNext()
+		case timerCopy:
+			if r := b.requests[t.id]; r != nil {
+				b.copy(r)
+			}
+		case timerLate:
+			b.sawFirst(b.requests[t.id], true)
+		case timerDeadline:
+			if r := b.requests[t.id]; r != nil && !r.answered && !r.stream {
+				b.answer(r)
+			}
+		}
+	}
+}
