Carry membership by differences and say when a confirmation is due

Cause: a monitor's whole topic went out at each change, and the bound for a stale list did not know the reader's pace. Change: members travel as differences and at most each 100 ms; confirmations name when the next is due; Feed leaves out topics that nobody wants.

--- a/internal/service/agent/agent.go
+++ b/internal/service/agent/agent.go
@@ -113,14 +113,13 @@
 	s := a.settings.Load()
 	var near, far []string
 	known := map[string]bool{}
-	if update, ok := a.upstream.Latest(view.TopicConfiguration); ok {
-		for _, member := range update.Payload.(view.Configuration).Members {
-			known[member.Address] = true
-			if member.Zone == s.Zone {
-				near = append(near, member.Address)
-			} else {
-				far = append(far, member.Address)
-			}
+	configuration, _, _ := distribution.Payload[view.Configuration](a.upstream, view.TopicConfiguration)
+	for _, member := range configuration.Members {
+		known[member.Address] = true
+		if member.Zone == s.Zone {
+			near = append(near, member.Address)
+		} else {
+			far = append(far, member.Address)
 		}
 	}
 	var seeds []string
@@ -163,27 +162,26 @@
 	if !ok {
 		return
 	}
-	held, published := a.feed.Latest(view.TopicSenders)
+	last, held, published := distribution.Payload[view.Senders](a.feed, view.TopicSenders)
 	next := best.senders.After(now.Sub(best.madeAt))
-	if published {
-		last := held.Payload.(view.Senders)
-		if view.DifferenceOf(last.List, next.List, held.Age).Empty() {
-			return
-		}
+	if published && view.DifferenceOf(last.List, next.List, held.Age).Empty() {
+		return
 	}
 	a.feed.Advance(view.TopicSenders, a.publisher, view.Senders{List: next.List})
 }
 
 // refreshControl tells the overlay of the control members' list.
 func (a *Agent) refreshControl(now time.Time) {
-	update, ok := a.upstream.Latest(view.TopicSenders)
+	senders, update, ok := distribution.Payload[view.Senders](a.upstream, view.TopicSenders)
 	if !ok {
 		return
 	}
 	madeAt := now.Add(-update.Age)
-	currentAt, confirmed := a.upstream.Confirmed(view.TopicSenders)
-	if !confirmed {
-		currentAt = madeAt
+	confirmed, ok := a.upstream.Confirmed(view.TopicSenders)
+	if !ok {
+		confirmed = distribution.Confirmed{At: madeAt}
 	}
-	a.overlay.takeControl(reading{senders: update.Payload.(view.Senders), madeAt: madeAt, currentAt: currentAt})
+	a.overlay.takeControl(reading{
+		senders: senders, madeAt: madeAt, currentAt: confirmed.At, dueAt: confirmed.At.Add(confirmed.Every),
+	})
 }
--- a/internal/service/agent/fallback.go
+++ b/internal/service/agent/fallback.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yardwharf/internal/service/discovery"
+	"yardwharf/internal/service/distribution"
 	"yardwharf/internal/service/view"
 )
 
@@ -47,8 +48,8 @@
 		}
 		list, err := source.Read(ctx)
 		pages = max(list.Pages, 1)
-		a.takeOwn(list, err)
 		nextRead = now.Add(max(spread, schedule.After(list.Pages, err, rand.Float64())))
+		a.takeOwn(list, err, nextRead)
 	}
 }
 
@@ -69,13 +70,15 @@
 	}
 }
 
-func (a *Agent) takeOwn(list discovery.List, err error) {
+func (a *Agent) takeOwn(list discovery.List, err error, nextRead time.Time) {
 	if err != nil {
 		a.log.V(1).Info("the platform's list cannot be read", "cause", err.Error())
 		return
 	}
 	a.mutex.Lock()
-	a.overlay.takeOwn(reading{senders: view.Senders{List: list.Senders}, madeAt: list.Began, currentAt: list.Began})
+	a.overlay.takeOwn(reading{
+		senders: view.Senders{List: list.Senders}, madeAt: list.Began, currentAt: list.Began, dueAt: nextRead,
+	})
 	a.mutex.Unlock()
 	a.publishSenders(time.Now())
 }
@@ -89,9 +92,8 @@
 	}
 	if pages == 0 {
 		pages = 1
-		if update, ok := a.upstream.Latest(view.TopicSenders); ok {
-			pages += len(update.Payload.(view.Senders).List) / pageEstimate
-		}
+		senders, _, _ := distribution.Payload[view.Senders](a.upstream, view.TopicSenders)
+		pages += len(senders.List) / pageEstimate
 	}
 	return time.Duration(float64(a.agents()*pages) / rate * float64(time.Second))
 }
--- a/internal/service/agent/feed.go
+++ b/internal/service/agent/feed.go
@@ -24,16 +24,31 @@
 	Members       func([]view.NodeState)
 }
 
+// topics returns the prefixes of the topics that are wanted.
+func (u Updates) topics() []string {
+	var wanted []string
+	if u.Configuration != nil {
+		wanted = append(wanted, view.TopicConfiguration)
+	}
+	if u.Senders != nil {
+		wanted = append(wanted, view.TopicSenders)
+	}
+	if u.Members != nil {
+		wanted = append(wanted, view.TopicMembers)
+	}
+	return wanted
+}
+
 // Feed hands the dispatcher of this machine what its agent knows, until the
 // context ends. It connects again when the agent has ended.
 func Feed(ctx context.Context, s *settings.Settings, identity protocol.Identity, updates Updates) {
 	hub := distribution.NewHub(logr.Discard())
 	puller := distribution.NewPuller(hub, distribution.PullerOptions{
 		Identity: identity, Sources: func() []string { return []string{s.AgentFeed()} },
-		Connections: 1, Topics: topics, Wait: feedWait,
+		Connections: 1, Topics: updates.topics(), Wait: feedWait,
 	}, logr.Discard())
 	go puller.Run(ctx)
-	changes, cancel := hub.Subscribe(topics...)
+	changes, cancel := hub.Subscribe(updates.topics()...)
 	defer cancel()
 	var handed handedOver
 	for {
@@ -57,12 +72,16 @@
 		h.versions = map[string]distribution.Version{}
 	}
 	if update, fresh := h.take(hub, view.TopicConfiguration); fresh && updates.Configuration != nil {
-		updates.Configuration(update.Payload.(view.Configuration))
+		if configuration, ok := update.Payload.(view.Configuration); ok {
+			updates.Configuration(configuration)
+		}
 	}
 	if update, fresh := h.take(hub, view.TopicSenders); fresh && updates.Senders != nil {
-		senders := update.Payload.(view.Senders).After(update.Age)
-		senders.Epoch, senders.Counter = update.Version.Epoch, update.Version.Counter
-		updates.Senders(senders)
+		if senders, ok := update.Payload.(view.Senders); ok {
+			senders = senders.After(update.Age)
+			senders.Epoch, senders.Counter = update.Version.Epoch, update.Version.Counter
+			updates.Senders(senders)
+		}
 	}
 	if h.takeMembers(hub) && updates.Members != nil {
 		updates.Members(mergedMembers(hub))
--- a/internal/service/agent/overlay.go
+++ b/internal/service/agent/overlay.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	staleAfter = 2 * time.Second // without a confirmation the agent reads the platform itself
-	gapUsual   = 500 * time.Millisecond
-	gapMost    = 3 * time.Second
-	holdBack   = 3 * time.Second // after its start an agent publishes no stale list for so long
+	staleAfter = 1500 * time.Millisecond // after a confirmation was due the agent reads the platform itself
+	startAfter = 2 * time.Second         // after its start it does so where no list has come
+	holdBack   = 3 * time.Second         // after its start an agent publishes no stale list for so long
 )
 
 // reading is a list of senders and when it was known to be current.
@@ -18,6 +17,7 @@
 	senders   view.Senders
 	madeAt    time.Time // warm-ups count from here
 	currentAt time.Time // zero: there is no list
+	dueAt     time.Time // when the next confirmation is due
 }
 
 // overlay decides which list the dispatcher gets: the one that the control
@@ -27,14 +27,10 @@
 	started time.Time
 	control reading
 	own     reading
-	gap     time.Duration // between the last two confirmations of the control's list
 }
 
 // takeControl notes the list of the control members.
 func (o *overlay) takeControl(next reading) {
-	if step := next.currentAt.Sub(o.control.currentAt); step > 0 && !o.control.currentAt.IsZero() {
-		o.gap = min(step, gapMost)
-	}
 	if !next.currentAt.Before(o.control.currentAt) {
 		o.control = next
 	}
@@ -58,17 +54,14 @@
 	if best.currentAt.IsZero() {
 		return best, false
 	}
-	fresh := now.Sub(best.currentAt) < o.bound()
+	fresh := now.Before(best.dueAt.Add(staleAfter))
 	return best, fresh || now.Sub(o.started) >= holdBack
 }
 
 // staleAt returns when the list of the control members becomes stale.
 func (o *overlay) staleAt() time.Time {
 	if o.control.currentAt.IsZero() {
-		return o.started.Add(staleAfter)
+		return o.started.Add(startAfter)
 	}
-	return o.control.currentAt.Add(o.bound())
+	return o.control.dueAt.Add(staleAfter)
 }
-
-// bound is longer where the reader reads seldom because the list is long.
-func (o *overlay) bound() time.Duration { return staleAfter + max(0, o.gap-gapUsual) }
--- a/internal/service/coordination/coordination.go
+++ b/internal/service/coordination/coordination.go
@@ -26,6 +26,7 @@
 	peerSilence  = 600 * time.Millisecond // beyond the wait
 	peerAlive    = 1200 * time.Millisecond
 	mergeEvery   = 250 * time.Millisecond // at most
+	publishEvery = 100 * time.Millisecond // at most
 	readerKey    = "senders"              // orders the members for the reader's role
 	storeRole    = "store"
 	ticksInBeats = 4 // looks for missed heartbeats in each period
@@ -44,6 +45,7 @@
 	monitor  *membership.Monitor
 	election election
 	merged   []view.NodeState
+	changed  chan struct{} // capacity 1: the monitor's view is to be published
 }
 
 // Attach registers the handlers for Pull and Heartbeat on a server that does
@@ -62,6 +64,7 @@
 	})
 	go c.peers.Run(ctx)
 	go c.watch(ctx, membership.Period(s)/ticksInBeats)
+	go c.publishViews(ctx)
 	go c.follow(ctx)
 	if s.CloudAPI.Address != "" {
 		go discovery.RunReader(ctx, s, hub, c.publisher, c.reads, log)
@@ -75,6 +78,7 @@
 	c := &Coordination{
 		identity: identity, publisher: identity.Node + "@" + strconv.FormatUint(identity.Incarnation, 10),
 		hub: hub, members: members, log: log,
+		changed:  make(chan struct{}, 1),
 		monitor:  membership.NewMonitor(identity.Node, membership.Period(s)),
 		election: election{self: identity.Address, started: time.Now()},
 	}
@@ -123,8 +127,8 @@
 // reads decides whether this member should read the platform's list now.
 func (c *Coordination) reads() bool {
 	_, held := c.hub.Latest(view.TopicSenders)
-	confirmedAt, _ := c.hub.Confirmed(view.TopicSenders)
-	list := listState{held: held, mine: c.Reads(), confirmedAt: confirmedAt}
+	confirmed, _ := c.hub.Confirmed(view.TopicSenders)
+	list := listState{held: held, mine: c.Reads(), due: confirmed.At.Add(confirmed.Every)}
 	return c.election.reads(time.Now(), placement.Order(readerKey, c.members()), c.Alive, list)
 }
 
@@ -133,9 +137,7 @@
 	c.mutex.Lock()
 	reply, changed := c.monitor.Beat(now, beat)
 	c.mutex.Unlock()
-	if changed {
-		c.publishView()
-	}
+	c.note(changed)
 	if members := c.members(); beat.MembersDigest != membership.Digest(members) {
 		reply.Members = members
 	}
@@ -150,9 +152,7 @@
 	c.mutex.Lock()
 	_, changed := c.monitor.Beat(time.Now(), membership.Heartbeat{Identity: peer})
 	c.mutex.Unlock()
-	if changed {
-		c.publishView()
-	}
+	c.note(changed)
 }
 
 // watch looks for missed heartbeats.
@@ -167,37 +167,51 @@
 			c.mutex.Lock()
 			changed := c.monitor.Tick(now)
 			c.mutex.Unlock()
-			if changed {
-				c.publishView()
-			}
+			c.note(changed)
 		}
 	}
 }
 
-func (c *Coordination) publishView() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.hub.Advance(view.MembersTopic(c.identity.Node), c.publisher, c.monitor.View())
+// note has the monitor's view published where it has changed.
+func (c *Coordination) note(changed bool) {
+	if !changed {
+		return
+	}
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Coordination) publishViews(ctx context.Context) {
+	onChanges(ctx, c.changed, publishEvery, func() {
+		c.mutex.Lock()
+		monitored := c.monitor.View()
+		c.mutex.Unlock()
+		c.hub.Advance(view.MembersTopic(c.identity.Node), c.publisher, monitored)
+	})
 }
 
 // follow keeps the merged view up to date.
 func (c *Coordination) follow(ctx context.Context) {
 	changes, cancel := c.hub.Subscribe(view.TopicMembers)
 	defer cancel()
-	pause := time.NewTimer(0)
-	defer pause.Stop()
+	onChanges(ctx, changes, mergeEvery, c.merge)
+}
+
+// onChanges calls a function after changes, at most so often.
+func onChanges(ctx context.Context, changes <-chan struct{}, every time.Duration, call func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-changes:
 		}
-		c.merge()
-		pause.Reset(mergeEvery)
+		call()
 		select {
 		case <-ctx.Done():
 			return
-		case <-pause.C:
+		case <-time.After(every):
 		}
 	}
 }
--- a/internal/service/coordination/election.go
+++ b/internal/service/coordination/election.go
@@ -6,16 +6,16 @@
 )
 
 const (
-	startupPause  = 250 * time.Millisecond  // in which a member that starts hears from the others first
-	takeoverAfter = 1200 * time.Millisecond // without a confirmed list
-	takeoverStep  = 600 * time.Millisecond  // more for each live member that is before in the order
+	startupPause  = 250 * time.Millisecond // in which a member that starts hears from the others first
+	takeoverAfter = 700 * time.Millisecond // after the next confirmation was due
+	takeoverStep  = 600 * time.Millisecond // more for each live member that is before in the order
 )
 
 // listState is what a control member knows of the list of senders.
 type listState struct {
-	held        bool      // it has a list
-	mine        bool      // it has read that list itself
-	confirmedAt time.Time // when the list was last known to be current; zero: never
+	held bool      // it has a list
+	mine bool      // it has read that list itself
+	due  time.Time // of the next confirmation that the list is current; zero: never
 }
 
 // election decides whether a control member reads the platform's list. It is
@@ -38,8 +38,8 @@
 		return now.Sub(e.started) >= startupPause
 	}
 	reference := e.started
-	if list.confirmedAt.After(reference) {
-		reference = list.confirmedAt
+	if list.due.After(reference) {
+		reference = list.due
 	}
 	return now.Sub(reference) >= takeoverAfter+time.Duration(rank)*takeoverStep
 }
--- a/internal/service/discovery/reader.go
+++ b/internal/service/discovery/reader.go
@@ -51,22 +51,23 @@
 // time from the begin of this read to the begin of the next.
 func (r *reader) take(list List, err error) time.Duration {
 	r.report(err)
+	next := r.schedule.After(list.Pages, err, rand.Float64())
 	if err == nil {
-		r.publish(list)
+		r.publish(list, next)
 	}
-	return r.schedule.After(list.Pages, err, rand.Float64())
+	return next
 }
 
-func (r *reader) publish(list List) {
-	held, _ := r.hub.Latest(view.TopicSenders)
-	known, _ := held.Payload.(view.Senders)
+// publish makes a list known, of which the next version is due after a time.
+func (r *reader) publish(list List, next time.Duration) {
+	known, held, _ := distribution.Payload[view.Senders](r.hub, view.TopicSenders)
 	known = known.After(held.Age)
 	senders := r.omissions.complete(list, known.List)
 	owned := r.hub.Owned(view.TopicSenders, r.publisher)
 	if !owned || !view.DifferenceOf(known.List, senders, 0).Empty() {
 		r.hub.Advance(view.TopicSenders, r.publisher, view.Senders{List: senders})
 	}
-	r.hub.Confirm(view.TopicSenders, r.publisher, list.Began)
+	r.hub.Confirm(view.TopicSenders, r.publisher, distribution.Confirmed{At: list.Began, Every: next})
 }
 
 // report logs when reads begin to fail and when they succeed again.
--- a/internal/service/distribution/hub.go
+++ b/internal/service/distribution/hub.go
@@ -18,6 +18,7 @@
 	historySize   = 16 // earlier payloads of a topic that differences may start from
 	waitMost      = 10 * time.Second
 	reassertEvery = 300 * time.Millisecond
+	topicsMost    = 4096 // more are not learned from the vectors of others
 )
 
 // Hub holds the newest update of each topic and serves it to those who pull.
@@ -32,6 +33,14 @@
 	onPull  func(protocol.Identity)
 }
 
+// Payload returns the payload of a topic's newest update, with the update, or
+// false where there is none of this type.
+func Payload[Value any](h *Hub, topicName string) (Value, Update, bool) {
+	update, _ := h.Latest(topicName)
+	value, ok := update.Payload.(Value)
+	return value, update, ok
+}
+
 // NewHub returns a hub without topics.
 func NewHub(log logr.Logger) *Hub { return NewHubWithClock(log, time.Now) }
 
@@ -48,7 +57,7 @@
 // vectors may exist before its first payload.
 type topic struct {
 	current    retained
-	confirmed  time.Time // when the payload was last known to be current; zero where nobody says
+	confirmed  Confirmed // zero where nobody says that the payload is current
 	publisher  string    // who published it through this hub; empty: it came from elsewhere
 	seen       Version   // newest version known to exist anywhere
 	reasserted time.Time
@@ -56,6 +65,13 @@
 	cached     map[Version]any // differences to the present payload
 }
 
+// Confirmed says when a payload was last known to be current, and after what
+// time from then the next confirmation is due.
+type Confirmed struct {
+	At    time.Time
+	Every time.Duration
+}
+
 type retained struct {
 	version Version
 	payload any
@@ -119,7 +135,7 @@
 			return false
 		}
 	}
-	t.publisher, t.confirmed = "", time.Time{}
+	t.publisher, t.confirmed = "", Confirmed{}
 	h.replace(update.Topic, t, retained{update.Version, payload, at})
 	return true
 }
@@ -132,7 +148,7 @@
 	defer h.mutex.Unlock()
 	t := h.topic(topicName)
 	version := t.next(publisher)
-	t.publisher, t.confirmed = publisher, time.Time{}
+	t.publisher, t.confirmed = publisher, Confirmed{}
 	h.replace(topicName, t, retained{version, payload, h.now()})
 	return version
 }
@@ -177,37 +193,37 @@
 
 // Confirm notes that the payload which this hub's publisher last advanced was
 // current at a given moment.
-func (h *Hub) Confirm(topicName, publisher string, at time.Time) {
+func (h *Hub) Confirm(topicName, publisher string, confirmed Confirmed) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if t := h.topics[topicName]; t != nil && t.publisher == publisher {
-		t.confirm(at)
+		t.confirm(confirmed)
 	}
 }
 
 // TakeConfirmation notes that a version was current at a given moment, as
 // another hub says. It has no effect where another version is held.
-func (h *Hub) TakeConfirmation(topicName string, version Version, at time.Time) {
+func (h *Hub) TakeConfirmation(topicName string, version Version, confirmed Confirmed) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if t := h.topics[topicName]; t != nil && t.current.payload != nil && t.current.version == version {
-		t.confirm(at)
+		t.confirm(confirmed)
 	}
 }
 
-func (t *topic) confirm(at time.Time) {
-	if at.After(t.confirmed) {
-		t.confirmed = at
+func (t *topic) confirm(confirmed Confirmed) {
+	if confirmed.At.After(t.confirmed.At) {
+		t.confirmed = confirmed
 	}
 }
 
 // Confirmed returns when the payload of a topic was last known to be current.
-func (h *Hub) Confirmed(topicName string) (at time.Time, ok bool) {
+func (h *Hub) Confirmed(topicName string) (Confirmed, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	t := h.topics[topicName]
-	if t == nil || t.confirmed.IsZero() {
-		return time.Time{}, false
+	if t == nil || t.confirmed.At.IsZero() {
+		return Confirmed{}, false
 	}
 	return t.confirmed, true
 }
--- a/internal/service/distribution/messages.go
+++ b/internal/service/distribution/messages.go
@@ -17,10 +17,12 @@
 	Payload any
 }
 
-// Confirmation says how long ago a version was known to be current.
+// Confirmation says how long ago a version was known to be current, and after
+// what time from then the next confirmation is due.
 type Confirmation struct {
 	Version Version
 	Age     time.Duration
+	Every   time.Duration
 }
 
 // Pull asks for what is newer than a version vector.
--- a/internal/service/distribution/pull.go
+++ b/internal/service/distribution/pull.go
@@ -40,6 +40,9 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for name, version := range vector {
+		if h.topics[name] == nil && len(h.topics) >= topicsMost {
+			continue
+		}
 		t := h.topic(name)
 		t.see(version)
 		outdated := t.publisher != "" && t.seen.Newer(t.current.version)
@@ -62,11 +65,11 @@
 		if held := request.Vector[name]; t.current.version.Newer(held) {
 			reply.Updates = append(reply.Updates, t.since(name, held, now))
 		}
-		if !t.confirmed.IsZero() {
+		if !t.confirmed.At.IsZero() {
 			if reply.Confirmations == nil {
 				reply.Confirmations = map[string]Confirmation{}
 			}
-			reply.Confirmations[name] = Confirmation{t.current.version, now.Sub(t.confirmed)}
+			reply.Confirmations[name] = Confirmation{t.current.version, now.Sub(t.confirmed.At), t.confirmed.Every}
 		}
 	}
 	return reply
--- a/internal/service/distribution/puller.go
+++ b/internal/service/distribution/puller.go
@@ -180,7 +180,8 @@
 		}
 	}
 	for name, confirmation := range reply.Confirmations {
-		h.TakeConfirmation(name, confirmation.Version, received.Add(-confirmation.Age-transit))
+		confirmed := Confirmed{At: received.Add(-confirmation.Age - transit), Every: confirmation.Every}
+		h.TakeConfirmation(name, confirmation.Version, confirmed)
 	}
 	return taken
 }
--- a/internal/service/membership/heartbeats.go
+++ b/internal/service/membership/heartbeats.go
@@ -12,6 +12,7 @@
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
 	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/view"
 )
 
 const (
@@ -91,7 +92,7 @@
 	defer h.mutex.Unlock()
 	beat := h.beat
 	beat.MembersDigest = Digest(h.members)
-	chosen := Monitors(Key(beat.Identity), h.members, h.monitors)
+	chosen := Monitors(view.Key(beat.Identity), h.members, h.monitors)
 	for address, client := range h.clients {
 		if !slices.Contains(chosen, address) {
 			client.Close()
--- a/internal/service/membership/merge.go
+++ b/internal/service/membership/merge.go
@@ -32,7 +32,7 @@
 
 // foldStates keeps the statement that outweighs the others on each process.
 func foldStates(known *states, next view.NodeState) *states {
-	key := Key(next.Identity)
+	key := next.Key()
 	if held, ok := known.Get(key); ok && !Supersedes(next, held) {
 		return known
 	}
@@ -53,7 +53,7 @@
 		}
 	}
 	for _, state := range list(outdated.State()) {
-		if _, watched := merged.State().Get(Key(state.Identity)); !watched {
+		if _, watched := merged.State().Get(state.Key()); !watched {
 			merged.Apply(state)
 		}
 	}
--- a/internal/service/membership/messages.go
+++ b/internal/service/membership/messages.go
@@ -42,6 +42,3 @@
 	gob.Register(Heartbeat{})
 	gob.Register(HeartbeatReply{})
 }
-
-// Key names a process among all nodes and roles.
-func Key(identity protocol.Identity) string { return identity.Node + "/" + identity.Role }
--- a/internal/service/membership/monitor.go
+++ b/internal/service/membership/monitor.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"yardwharf/internal/service/view"
@@ -41,7 +39,7 @@
 
 // Beat takes a heartbeat. It reports whether the monitor's view has changed.
 func (m *Monitor) Beat(now time.Time, beat Heartbeat) (reply HeartbeatReply, changed bool) {
-	key := Key(beat.Identity)
+	key := view.Key(beat.Identity)
 	node := m.nodes[key]
 	if node != nil && older(beat, node.state) {
 		return HeartbeatReply{
@@ -86,7 +84,7 @@
 	m.others = make(map[string]view.NodeState, len(states))
 	for _, state := range states {
 		if state.Suspect || !state.Alive {
-			m.others[Key(state.Identity)] = state
+			m.others[state.Key()] = state
 		}
 	}
 }
@@ -124,12 +122,6 @@
 	for _, node := range m.nodes {
 		members.Nodes = append(members.Nodes, node.state)
 	}
-	sortStates(members.Nodes)
+	view.SortStates(members.Nodes)
 	return members
 }
-
-func sortStates(states []view.NodeState) {
-	slices.SortFunc(states, func(a, b view.NodeState) int {
-		return strings.Compare(Key(a.Identity), Key(b.Identity))
-	})
-}
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -14,14 +14,11 @@
 const (
 	TopicConfiguration = "configuration"
 	TopicSenders       = "senders"
-	membersPrefix      = "members/"
+	TopicMembers       = "members/" // a prefix: each monitor has a topic
 )
 
-// TopicMembers is the prefix of the topics of all monitors.
-const TopicMembers = membersPrefix
-
 // MembersTopic returns the topic of one monitor.
-func MembersTopic(monitor string) string { return membersPrefix + monitor }
+func MembersTopic(monitor string) string { return TopicMembers + monitor }
 
 // Node names a store or a control member.
 type Node struct {
@@ -77,7 +74,7 @@
 }
 
 func init() {
-	for _, payload := range []any{Configuration{}, Senders{}, SendersDifference{}, Members{}} {
+	for _, payload := range []any{Configuration{}, Senders{}, SendersDifference{}, Members{}, MembersDifference{}} {
 		gob.Register(payload)
 	}
 }
