--- /dev/null
+++ b/internal/service/dispatcher/accept.go
@@ -0,0 +1,149 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/verdict"
+)
+
+const (
+	forwardTimeout = 250 * time.Millisecond
+	forwardPause   = 20 * time.Millisecond
+	bodyBudget     = 0.25 // part of the memory limit that bodies may take
+)
+
+// accept has a message accepted by the owner of its queue. The result is
+// Refused only if no copy of the message can exist anywhere.
+func (d *Dispatcher) accept(ctx context.Context, message protocol.Message) protocol.AcceptStatus {
+	mayExist := false
+	for {
+		status := d.acceptOnce(ctx, message)
+		switch status {
+		case protocol.Accepted:
+			return status
+		case protocol.Undecided:
+			mayExist = true
+		}
+		if ctx.Err() != nil || status == protocol.Refused && !mayExist {
+			break
+		}
+		message.Head.Age += forwardPause
+		pause(ctx, forwardPause)
+	}
+	if mayExist {
+		return protocol.Undecided
+	}
+	return protocol.Refused
+}
+
+func (d *Dispatcher) acceptOnce(ctx context.Context, message protocol.Message) protocol.AcceptStatus {
+	d.mutex.Lock()
+	mine := d.queues[message.Head.Queue] != nil
+	address := d.ownerAddress(message.Head.Queue)
+	d.mutex.Unlock()
+	switch {
+	case mine:
+		return d.acceptHere(ctx, message).Status
+	case address == "" || address == d.identity.Address:
+		return protocol.NotOwner
+	}
+	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	reply, err := transport.Call[protocol.AcceptReply](callCtx, d.peer(address), protocol.Accept{Message: message})
+	switch {
+	case err == nil && reply.Status == protocol.Refused:
+		return protocol.NotOwner // it has too few stores; another owner may have more
+	case err == nil:
+		return reply.Status
+	case verdict.Of(err) == verdict.NotRun:
+		return protocol.NotOwner
+	default:
+		return protocol.Undecided
+	}
+}
+
+// acceptHere accepts a message into a queue that this dispatcher owns. The same
+// message may come more than once.
+func (d *Dispatcher) acceptHere(ctx context.Context, message protocol.Message) protocol.AcceptReply {
+	id := message.Head.ID
+	for {
+		d.mutex.Lock()
+		owned := d.queues[message.Head.Queue]
+		if owned == nil || owned.leaving {
+			d.mutex.Unlock()
+			return protocol.AcceptReply{Status: protocol.NotOwner}
+		}
+		if entry := owned.Get(id); entry != nil {
+			d.mutex.Unlock()
+			if entry.Head.State == protocol.Discarded {
+				return protocol.AcceptReply{Status: protocol.Undecided}
+			}
+			return protocol.AcceptReply{Status: protocol.Accepted}
+		}
+		first := owned.accepting[id]
+		if first == nil {
+			return protocol.AcceptReply{Status: d.acceptInto(ctx, owned, message)}
+		}
+		d.mutex.Unlock()
+		select {
+		case <-first:
+		case <-ctx.Done():
+			return protocol.AcceptReply{Status: protocol.Undecided}
+		}
+	}
+}
+
+// acceptInto writes the copies and takes the message into the queue. The mutex
+// is held when it is called and free when it returns. Copies of a message that
+// was not accepted stay where they are: the same message may be accepted yet,
+// and a mark that forbids it to run would outlast that.
+func (d *Dispatcher) acceptInto(ctx context.Context, owned *ownedQueue, message protocol.Message) protocol.AcceptStatus {
+	id := message.Head.ID
+	done := make(chan struct{})
+	owned.accepting[id] = done
+	message.Head.Epoch = owned.Epoch
+	message.Head.Sequence = owned.NextSequence()
+	message.Head.State = protocol.Queued
+	message.Head.BodySize = len(message.Body)
+	begun := d.now()
+	d.mutex.Unlock()
+
+	result := d.writeCopies(ctx, message)
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(owned.accepting, id)
+	close(done)
+	message.Head.Age += d.now() - begun
+	if result.status != protocol.Accepted {
+		return result.status
+	}
+	if owned.dropped {
+		return protocol.Undecided
+	}
+	entry := owned.Add(d.now(), message.Head, message.Body, result.holders)
+	entry.Touched = result.touched
+	d.keepBody(entry)
+	d.pump(owned)
+	return protocol.Accepted
+}
+
+// keepBody keeps the body in memory while there is room for it.
+func (d *Dispatcher) keepBody(entry *queue.Entry) {
+	budget := int(bodyBudget * float64(d.settings.Limits.MemoryMb) * (1 << 20))
+	if d.bodyBytes+len(entry.Body) > budget {
+		entry.Body = nil
+		return
+	}
+	d.bodyBytes += len(entry.Body)
+}
+
+// freeBody gives a message's memory back.
+func (d *Dispatcher) freeBody(entry *queue.Entry) {
+	d.bodyBytes -= len(entry.Body)
+	entry.Body = nil
+}
--- /dev/null
+++ b/internal/service/dispatcher/deliver.go
@@ -0,0 +1,303 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/delivery"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+)
+
+const (
+	callbackTimeout = 3 * time.Second
+	idleWake        = 5 * time.Second
+)
+
+// deliveryState is a message that waits for a sender or is with one.
+type deliveryState struct {
+	owned   *ownedQueue
+	entry   *queue.Entry
+	service *serviceState
+	timeout time.Duration
+	retries int           // failed attempts that end the message
+	aim     time.Duration // until then its run should begin
+	sent    bool          // handed to the decision module
+	paid    bool          // the rate's next arrival is this message's
+}
+
+// pumpAll does what is due in all queues. The mutex is held.
+func (d *Dispatcher) pumpAll() {
+	for _, owned := range d.queues {
+		d.pump(owned)
+	}
+	for _, service := range d.services {
+		d.pumpService(service)
+	}
+}
+
+// pump does what is due in one queue. The mutex is held.
+func (d *Dispatcher) pump(owned *ownedQueue) {
+	if !d.mayAct(owned) {
+		return
+	}
+	for _, step := range owned.Advance(d.now()) {
+		switch step.Kind {
+		case queue.Deliver:
+			d.startDelivery(owned, step.Entry)
+		case queue.Expire:
+			d.endEntry(owned, step.Entry, protocol.DeadLetter, "")
+		case queue.CallBack:
+			go d.callBack(owned, step.Entry)
+		case queue.DropCallback:
+			d.callbackDone(owned, step.Entry)
+		}
+	}
+	if at, some := owned.Wake(); some {
+		d.wakeAt(at)
+	}
+}
+
+// wakeAt makes the timer fire at a moment, or earlier. The mutex is held.
+func (d *Dispatcher) wakeAt(at time.Duration) {
+	if d.nextWake != 0 && d.nextWake <= at {
+		return
+	}
+	d.nextWake = max(at, 1)
+	signal(d.pumpWake)
+}
+
+// runPump does what is due when its time has come.
+func (d *Dispatcher) runPump(ctx context.Context) {
+	timer := time.NewTimer(idleWake)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.pumpWake:
+		case <-timer.C:
+			d.mutex.Lock()
+			d.nextWake = 0
+			d.pumpAll()
+			d.mutex.Unlock()
+		}
+		d.mutex.Lock()
+		span := idleWake
+		if d.nextWake != 0 {
+			span = max(0, d.nextWake-d.now())
+		}
+		d.mutex.Unlock()
+		timer.Reset(span)
+	}
+}
+
+// startDelivery hands a message to its service's decision module.
+func (d *Dispatcher) startDelivery(owned *ownedQueue, entry *queue.Entry) {
+	current := d.configuration.Load()
+	route, configured, found := current.Match(entry.Head.Host, entry.Head.Target)
+	if !found {
+		d.endEntry(owned, entry, protocol.DeadLetter, "") // its route was dropped
+		return
+	}
+	state := &deliveryState{
+		owned: owned, entry: entry, service: d.services[configured.Name],
+		timeout: route.Timeout(), retries: route.MaxRetries,
+		aim: entry.Accepted() + entry.Head.Delay + route.ScheduleTarget(),
+	}
+	d.deliveries[entry.Head.ID] = state
+	state.service.waiting = append(state.service.waiting, state)
+	d.pumpService(state.service)
+}
+
+// withdrawAll takes back the messages of a queue that no sender has. The mutex
+// is held.
+func (d *Dispatcher) withdrawAll(owned *ownedQueue) {
+	for id, state := range d.deliveries {
+		if state.owned != owned || state.entry.Phase != queue.Running {
+			continue
+		}
+		if state.sent && !state.service.driver.Withdraw(d.now(), id) {
+			continue // a sender has it
+		}
+		delete(d.deliveries, id)
+		state.service.forget(state)
+		owned.Retry(d.now(), state.entry, false, 0)
+	}
+}
+
+// deliver carries one attempt out. It runs in a goroutine of its own.
+func (d *Dispatcher) deliver(id string, service *serviceState, attempt balance.Attempt) {
+	d.mutex.Lock()
+	state := d.deliveries[id]
+	if state == nil {
+		service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun})
+		d.mutex.Unlock()
+		return
+	}
+	if !d.mayAct(state.owned) || !d.takeRate(state) {
+		d.notSent(state, attempt)
+		d.mutex.Unlock()
+		return
+	}
+	head, body := state.entry.HeadAt(d.now()), state.entry.Body
+	holders := state.entry.Holders
+	d.mutex.Unlock()
+	if body == nil && head.BodySize > 0 {
+		fetched, found := d.fetchBody(context.Background(), id, holders)
+		if !found {
+			d.mutex.Lock()
+			d.notSent(state, attempt)
+			d.mutex.Unlock()
+			return
+		}
+		body = fetched
+	}
+	result := d.client.Deliver(context.Background(), delivery.Request{
+		Address: attempt.Address, Instance: attempt.Instance, Head: head, Body: body,
+		Timeout: state.timeout, MaxConnections: attempt.MaxConnections,
+	})
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.attemptEnded(state, attempt, result)
+}
+
+// notSent books that an attempt was not begun. The mutex is held.
+func (d *Dispatcher) notSent(state *deliveryState, attempt balance.Attempt) {
+	if !state.service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun}) {
+		delete(d.deliveries, state.entry.Head.ID)
+		state.owned.Retry(d.now(), state.entry, false, -1)
+	}
+	d.pump(state.owned)
+}
+
+// attemptEnded books the end of an attempt and decides what follows. The mutex
+// is held.
+func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
+	if !state.service.driver.Ended(d.now(), attempt.ID, result.Outcome()) {
+		delete(d.deliveries, state.entry.Head.ID)
+		d.settle(state, result)
+	}
+	d.pumpService(state.service)
+	d.pump(state.owned)
+}
+
+// settle ends a message or puts it back into its queue.
+func (d *Dispatcher) settle(state *deliveryState, result delivery.Result) {
+	owned, entry := state.owned, state.entry
+	switch {
+	case result.Succeeded():
+		d.counters.completed.Add(1)
+		d.endEntry(owned, entry, protocol.Completed, result.Seal)
+	case result.Impossible():
+		d.endEntry(owned, entry, protocol.DeadLetter, "")
+	case result.Failed():
+		if entry.Head.Failures+1 >= state.retries {
+			d.endEntry(owned, entry, protocol.DeadLetter, "")
+			return
+		}
+		owned.Retry(d.now(), entry, true, -1)
+		d.recordFailures(entry)
+	default:
+		owned.Retry(d.now(), entry, false, max(result.RetryAfter, -1))
+	}
+}
+
+// givenBack puts a message back that no sender could be had for. The mutex is
+// held.
+func (d *Dispatcher) givenBack(id string, wait time.Duration) {
+	state := d.deliveries[id]
+	if state == nil {
+		return
+	}
+	delete(d.deliveries, id)
+	state.owned.Retry(d.now(), state.entry, false, wait)
+	if at, some := state.owned.Wake(); some {
+		d.wakeAt(at)
+	}
+}
+
+// endEntry ends a message and records it at its stores. The mutex is held.
+func (d *Dispatcher) endEntry(owned *ownedQueue, entry *queue.Entry, state protocol.State, stamp string) {
+	d.freeBody(entry)
+	owned.End(d.now(), entry, state, stamp)
+	d.recordEnd(owned, entry)
+	d.pump(owned)
+}
+
+// recordEnd has the stores of a message record its end. The mutex is held.
+func (d *Dispatcher) recordEnd(owned *ownedQueue, entry *queue.Entry) {
+	end := protocol.End{
+		ID: entry.Head.ID, Queue: owned.Name, State: entry.Head.State,
+		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue,
+	}
+	for _, nodes := range [][]string{entry.Holders, entry.Touched} {
+		for _, node := range nodes {
+			if link := d.stores[node]; link != nil {
+				link.ends[end.ID] = end
+				delete(link.failures, end.ID)
+				signal(link.flush)
+			}
+		}
+	}
+}
+
+// recordFailures has the stores of a message record its failed attempts.
+func (d *Dispatcher) recordFailures(entry *queue.Entry) {
+	for _, node := range entry.Holders {
+		if link := d.stores[node]; link != nil {
+			link.failures[entry.Head.ID] = entry.Head.Failures
+			signal(link.flush)
+		}
+	}
+}
+
+// callBack tells the receiver that a message has ended.
+func (d *Dispatcher) callBack(owned *ownedQueue, entry *queue.Entry) {
+	d.mutex.Lock()
+	head := entry.Head
+	d.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callbackTimeout)
+	status, err := d.client.Callback(ctx, head.CallbackURL, head.ID, head.State.String(), head.Stamp)
+	cancel()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	taken := err == nil && (status/100 == 2 || status == http.StatusBadRequest)
+	if !taken {
+		owned.RetryCallback(d.now(), entry)
+		if at, some := owned.Wake(); some {
+			d.wakeAt(at)
+		}
+		return
+	}
+	d.callbackDone(owned, entry)
+}
+
+// callbackDone records that nothing is owed any more.
+func (d *Dispatcher) callbackDone(owned *ownedQueue, entry *queue.Entry) {
+	owned.CallbackTaken(d.now(), entry)
+	d.recordEnd(owned, entry)
+}
+
+// takeRate takes the right to one more arrival at a rated service. The first
+// attempt of a message has it already. The mutex is held.
+func (d *Dispatcher) takeRate(state *deliveryState) bool {
+	limiter := state.service.limiter
+	if limiter == nil {
+		return true
+	}
+	if state.paid {
+		state.paid = false
+		return true
+	}
+	_, ok := limiter.Take(d.now())
+	return ok
+}
+
+// rateOwner reports whether this dispatcher may spend the rate of a service.
+func (d *Dispatcher) rateOwner(name string) bool {
+	owned := d.queues[ratedPrefix+name]
+	return owned != nil && d.mayAct(owned)
+}
--- /dev/null
+++ b/internal/service/dispatcher/dispatcher.go
@@ -0,0 +1,265 @@
+// Package dispatcher is the data plane of the service. It takes messages from
+// clients, has them kept by the stores, delivers those of the queues that it
+// owns through the decision module, and answers what became of them.
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
+
+	"yardwharf/internal/service/agent"
+	"yardwharf/internal/service/configuration"
+	"yardwharf/internal/service/delivery"
+	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/view"
+)
+
+// Role is the name of this role in identities.
+const Role = "dispatcher"
+
+// Class is the class of errors that this package makes.
+var Class = errs.Class("dispatcher")
+
+// Dispatcher is the running role. The mutex guards all fields below it.
+type Dispatcher struct {
+	settings      *settings.Settings
+	identity      protocol.Identity
+	log           logr.Logger
+	started       time.Time
+	localQueue    string
+	client        *delivery.Client
+	configuration atomic.Pointer[configuration.Configuration]
+	configured    chan struct{} // closed when the first configuration is there
+	draining      atomic.Bool   // told to end: new work goes elsewhere
+	counters      counters
+
+	ownershipWake chan struct{}
+	repairWake    chan struct{}
+	pumpWake      chan struct{}
+	work          sync.WaitGroup
+
+	mutex      sync.Mutex
+	closing    bool
+	haveList   bool
+	members    []string
+	stores     map[string]*storeLink
+	queues     map[string]*ownedQueue
+	epochs     map[string]uint64 // highest epoch heard of for queues asked for
+	leases     *lease.Holder
+	table      sessionTable
+	services   map[string]*serviceState
+	senders    map[string][]view.Sender // by service
+	deliveries map[string]*deliveryState
+	peers      map[string]*transport.Client
+	repairs    []repairItem
+	bodyBytes  int
+	nextWake   time.Duration // when the timer fires; 0: at its usual pace
+}
+
+// Run runs the role until the context ends, then hands over what it holds.
+func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	d := newDispatcher(s, log)
+	front, err := net.Listen("tcp4", s.Listen.Front)
+	if err != nil {
+		return Class.Wrap(err)
+	}
+	readiness, err := net.Listen("tcp4", s.Listen.Readiness)
+	if err != nil {
+		return Class.Wrap(err)
+	}
+	internal, err := net.Listen("tcp4", s.Internal(protocol.DispatcherPort))
+	if err != nil {
+		return Class.Wrap(err)
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	server := d.internalServer()
+	go func() { _ = server.Serve(internal) }()
+	readinessServer := &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: 3 * time.Second}
+	go func() { _ = readinessServer.Serve(readiness) }()
+	go agent.Feed(background, s, d.identity, agent.Updates{
+		Configuration: d.takeConfiguration,
+		Senders:       d.takeSenders,
+		Members:       func([]view.NodeState) {},
+	})
+	go d.runOwnership(background)
+	go d.runRepairs(background)
+	go d.runPump(background)
+	frontServer := d.serveFront(ctx, front)
+	<-ctx.Done()
+	d.leave(frontServer)
+	server.Close()
+	_ = readinessServer.Close()
+	return nil
+}
+
+func newDispatcher(s *settings.Settings, log logr.Logger) *Dispatcher {
+	now := time.Now()
+	identity := s.Identity(Role, protocol.DispatcherPort, now)
+	return &Dispatcher{
+		settings: s, identity: identity, log: log, started: now,
+		localQueue:    localQueueName(identity),
+		client:        delivery.NewClient(),
+		configured:    make(chan struct{}),
+		ownershipWake: make(chan struct{}, 1),
+		repairWake:    make(chan struct{}, 1),
+		pumpWake:      make(chan struct{}, 1),
+		stores:        map[string]*storeLink{},
+		queues:        map[string]*ownedQueue{},
+		epochs:        map[string]uint64{},
+		leases:        lease.NewHolder(),
+		services:      map[string]*serviceState{},
+		senders:       map[string][]view.Sender{},
+		deliveries:    map[string]*deliveryState{},
+		peers:         map[string]*transport.Client{},
+	}
+}
+
+// now returns the steady clock of this process.
+func (d *Dispatcher) now() time.Duration { return time.Since(d.started) }
+
+// takesQueues reports whether this dispatcher takes shared queues. The mutex is
+// held.
+func (d *Dispatcher) takesQueues() bool {
+	return d.configuration.Load() != nil && d.haveList && !d.closing && !d.draining.Load()
+}
+
+// ready reports whether clients should come here.
+func (d *Dispatcher) ready() bool {
+	if d.draining.Load() || d.configuration.Load() == nil {
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.haveList && d.queues[d.localQueue] != nil && len(d.upStores()) >= d.copiesWanted()
+}
+
+func (d *Dispatcher) readinessHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (d *Dispatcher) internalServer() *transport.Server {
+	server := transport.NewServer(d.identity, d.log)
+	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request protocol.Accept) (protocol.AcceptReply, error) {
+		return d.acceptHere(ctx, request.Message), nil
+	})
+	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request protocol.Offer) (protocol.OfferReply, error) {
+		d.offered(ctx, request.Queues)
+		return protocol.OfferReply{}, nil
+	})
+	return server
+}
+
+// takeConfiguration puts a newer configuration in force.
+func (d *Dispatcher) takeConfiguration(update view.Configuration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.takeStores(update.Stores)
+	current := d.configuration.Load()
+	if len(update.Raw) == 0 || current != nil && update.Revision <= current.Revision() {
+		return
+	}
+	parsed, err := configuration.Parse(update.Raw)
+	if err != nil {
+		d.log.Error(err, "configuration cannot be used", "revision", update.Revision)
+		return
+	}
+	d.configuration.Store(parsed)
+	if current == nil {
+		close(d.configured)
+	}
+	d.log.Info("configuration in force", "revision", parsed.Revision())
+	d.reconfigureServices(parsed)
+	d.considerQueues()
+	d.pumpAll()
+}
+
+// takeStores connects to stores that are new and forgets those that were
+// removed. The mutex is held.
+func (d *Dispatcher) takeStores(nodes []view.Node) {
+	if len(nodes) == 0 {
+		return
+	}
+	listed := map[string]bool{}
+	for _, node := range nodes {
+		listed[node.Name] = true
+		if known := d.stores[node.Name]; known != nil && known.client.Address() == node.Address {
+			continue
+		} else if known != nil {
+			d.forgetStore(known)
+		}
+		d.addStore(node)
+	}
+	for name, link := range d.stores {
+		if !listed[name] {
+			d.forgetStore(link)
+		}
+	}
+}
+
+func (d *Dispatcher) addStore(node view.Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	link := &storeLink{
+		node: node.Name, zone: node.Zone,
+		client: transport.NewClient(d.identity, node.Address),
+		kick:   make(chan struct{}, 1), flush: make(chan struct{}, 1),
+		ends: map[string]protocol.End{}, failures: map[string]int{},
+		holders: map[string]protocol.QueueState{}, stop: cancel,
+	}
+	d.stores[node.Name] = link
+	go d.runStore(ctx, link)
+}
+
+func (d *Dispatcher) forgetStore(link *storeLink) {
+	link.stop()
+	link.up = false
+	delete(d.stores, link.node)
+	d.leases.Lost(link.node)
+	d.copiesLost(link)
+	d.log.Info("store removed", "store", link.node)
+}
+
+// takeSenders takes in a newer list of senders.
+func (d *Dispatcher) takeSenders(update view.Senders) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	byService := map[string][]view.Sender{}
+	for _, sender := range update.List {
+		byService[sender.Service] = append(byService[sender.Service], sender)
+	}
+	d.senders = byService
+	d.haveList = true
+	for _, service := range d.services {
+		d.updateSenders(service)
+	}
+	d.considerQueues()
+	d.pumpAll()
+}
+
+// peer returns the client for another dispatcher.
+func (d *Dispatcher) peer(address string) *transport.Client {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	client := d.peers[address]
+	if client == nil {
+		client = transport.NewClient(d.identity, address)
+		d.peers[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/internal/service/dispatcher/services.go
@@ -0,0 +1,212 @@
+package dispatcher
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/configuration"
+	"yardwharf/internal/service/ratelimit"
+)
+
+const (
+	submitPatience = 2 * time.Second       // a message is given back when no sender was had for so long
+	ratedAhead     = 4                     // messages of a rated service that wait at its decision module
+	lateMargin     = 20 * time.Millisecond // a run that begins so close to its aim counts as late
+)
+
+// serviceState holds what is needed to deliver to one service.
+type serviceState struct {
+	name       string
+	configured *configuration.Service
+	driver     *balance.Driver
+	limiter    *ratelimit.Bucket // nil until this dispatcher may spend the rate
+	epoch      uint64            // of the lease that the limiter was made under
+	waiting    []*deliveryState  // messages not yet handed to the driver
+}
+
+// forget takes a message out of those that wait.
+func (s *serviceState) forget(state *deliveryState) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(have *deliveryState) bool { return have == state })
+}
+
+// serviceActions carries out what the decision module of one service asks for.
+// Its methods are called with the mutex held.
+type serviceActions struct {
+	dispatcher *Dispatcher
+	service    *serviceState
+}
+
+// Send begins a delivery.
+func (a *serviceActions) Send(message string, attempt balance.Attempt) {
+	go a.dispatcher.deliver(message, a.service, attempt)
+}
+
+// GiveBack puts a message back for which there was no sender.
+func (a *serviceActions) GiveBack(message string, wait time.Duration) {
+	a.dispatcher.givenBack(message, wait)
+}
+
+// SetTimer asks for a call of the decision module's timer.
+func (a *serviceActions) SetTimer(after time.Duration) {
+	time.AfterFunc(after, func() {
+		d := a.dispatcher
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		a.service.driver.Timer(d.now())
+	})
+}
+
+// reconfigureServices takes over the services of a configuration. The mutex is
+// held.
+func (d *Dispatcher) reconfigureServices(current *configuration.Configuration) {
+	for name, configured := range current.Services() {
+		service := d.services[name]
+		if service == nil {
+			service = d.newService(current, configured)
+			if service == nil {
+				continue
+			}
+			d.services[name] = service
+		}
+		service.configured = configured
+		if service.limiter != nil {
+			service.limiter.SetRate(d.now(), configured.RatePerS)
+		}
+		d.updateSenders(service)
+	}
+}
+
+// newService makes the decision module of a service.
+func (d *Dispatcher) newService(current *configuration.Configuration, configured *configuration.Service) *serviceState {
+	service := &serviceState{name: configured.Name, configured: configured}
+	zones := slices.Sorted(maps.Keys(d.settings.Zones))
+	driver, err := balance.New(balance.Options{
+		Zone: d.settings.Zone, Zones: zones, Dispatchers: d.sharers(configured),
+		Me: d.place(), Seed: seedOf(d.identity.Node + "/" + configured.Name),
+		MaxConnections: configured.MaxConns, Timeout: longestTimeout(current, configured.Name),
+	}, &serviceActions{d, service})
+	if err != nil {
+		d.log.Error(err, "service cannot be used", "service", configured.Name)
+		return nil
+	}
+	service.driver = driver
+	return service
+}
+
+// sharers returns how many dispatchers deliver to a service.
+func (d *Dispatcher) sharers(configured *configuration.Service) int {
+	if configured.Rated() {
+		return 1
+	}
+	return max(1, len(d.table.nodes))
+}
+
+// place returns this dispatcher's position among the live ones.
+func (d *Dispatcher) place() int {
+	return max(0, slices.Index(d.table.nodes, d.identity.Node))
+}
+
+func seedOf(text string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text))
+	return hash.Sum64()
+}
+
+// longestTimeout returns the longest time that one delivery to a service takes.
+func longestTimeout(current *configuration.Configuration, service string) time.Duration {
+	var longest time.Duration
+	for _, route := range current.Routes() {
+		if route.Service == service {
+			longest = max(longest, route.Timeout())
+		}
+	}
+	return longest
+}
+
+// refreshFleet tells the decision modules how many dispatchers there are. The
+// mutex is held.
+func (d *Dispatcher) refreshFleet() {
+	for _, service := range d.services {
+		service.driver.SetFleet(d.sharers(service.configured), service.configured.MaxConns)
+	}
+}
+
+// updateSenders hands the current list to a service's decision module.
+func (d *Dispatcher) updateSenders(service *serviceState) {
+	if service.configured.Static() {
+		service.driver.SetSenders(d.now(), []balance.Sender{{Address: service.configured.StaticEndpoint, Zone: d.settings.Zone}})
+		return
+	}
+	listed := d.senders[service.name]
+	senders := make([]balance.Sender, 0, len(listed))
+	for _, sender := range listed {
+		senders = append(senders, balance.Sender{
+			ID: sender.ID, Address: sender.Address, Zone: sender.Zone,
+			Slots: sender.Slots, Draining: sender.Draining, WarmupLeft: sender.WarmupLeft,
+		})
+	}
+	service.driver.SetSenders(d.now(), senders)
+}
+
+// pumpService hands waiting messages to the decision module, as far as the rate
+// allows. The mutex is held.
+func (d *Dispatcher) pumpService(service *serviceState) {
+	if !service.configured.Rated() {
+		for _, state := range service.waiting {
+			d.submit(service, state)
+		}
+		service.waiting = service.waiting[:0]
+		return
+	}
+	if len(service.waiting) == 0 || !d.refreshLimiter(service) {
+		return
+	}
+	for len(service.waiting) > 0 && service.driver.Waiting() < ratedAhead {
+		wait, ok := service.limiter.Take(d.now())
+		if !ok {
+			d.wakeAt(d.now() + wait)
+			return
+		}
+		state := d.nextRated(service)
+		state.paid = true
+		d.submit(service, state)
+	}
+}
+
+// submit asks the decision module for a sender.
+func (d *Dispatcher) submit(service *serviceState, state *deliveryState) {
+	state.sent = true
+	service.driver.Submit(d.now(), state.entry.Head.ID, min(d.now()+submitPatience, state.entry.Expires()))
+}
+
+// refreshLimiter makes a new, empty limiter for each lease on a service's rate.
+// It reports whether this dispatcher may spend the rate.
+func (d *Dispatcher) refreshLimiter(service *serviceState) bool {
+	owned := d.queues[ratedPrefix+service.name]
+	if owned == nil || !d.mayAct(owned) {
+		return false
+	}
+	if service.limiter == nil || service.epoch != owned.Epoch {
+		service.limiter = ratelimit.New(d.now(), service.configured.RatePerS)
+		service.epoch = owned.Epoch
+	}
+	return true
+}
+
+// nextRated takes the next message of a rated service: the oldest that can begin
+// within its aim, or else the oldest of all.
+func (d *Dispatcher) nextRated(service *serviceState) *deliveryState {
+	chosen := 0
+	for i, state := range service.waiting {
+		if state.aim-lateMargin > d.now() {
+			chosen = i
+			break
+		}
+	}
+	state := service.waiting[chosen]
+	service.waiting = slices.Delete(service.waiting, chosen, chosen+1)
+	return state
+}
--- /dev/null
+++ b/internal/service/dispatcher/stores.go
@@ -0,0 +1,212 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/transport"
+)
+
+const (
+	renewInterval   = 400 * time.Millisecond
+	renewTimeout    = 700 * time.Millisecond
+	endFlushDelay   = 20 * time.Millisecond
+	endBatchMost    = 256
+	endBatchTimeout = 2 * time.Second
+	absentAfter     = 2500 * time.Millisecond // a store unheard for so long no longer counts as holding copies
+	latencyWeight   = 0.1
+)
+
+// storeLink is the link to one store. The fields below the client are guarded
+// by the dispatcher's mutex.
+type storeLink struct {
+	node, zone string
+	client     *transport.Client
+	stop       context.CancelFunc
+	kick       chan struct{} // asks for a renewal at once
+	flush      chan struct{} // asks for pending ends to be sent
+
+	up         bool
+	heard      time.Duration // when its last reply came
+	absent     bool          // its copies have been taken for lost
+	storeID    string
+	recovering bool
+	version    uint64
+	sessions   []protocol.Session
+	holders    map[string]protocol.QueueState
+	latency    time.Duration // of acknowledgements, of late
+
+	ends     map[string]protocol.End
+	failures map[string]int
+}
+
+// run renews the session and sends ends until the context ends.
+func (d *Dispatcher) runStore(ctx context.Context, link *storeLink) {
+	var workers sync.WaitGroup
+	workers.Add(1)
+	go func() {
+		defer workers.Done()
+		d.sendEnds(ctx, link)
+	}()
+	for ctx.Err() == nil {
+		d.renew(ctx, link)
+		select {
+		case <-ctx.Done():
+		case <-link.kick:
+		case <-time.After(renewInterval):
+		}
+	}
+	workers.Wait()
+	link.client.Close()
+}
+
+// renew renews the session once and takes in what the store tells.
+func (d *Dispatcher) renew(ctx context.Context, link *storeLink) {
+	d.mutex.Lock()
+	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version}
+	d.mutex.Unlock()
+	sent := d.now()
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	reply, err := transport.Call[protocol.RenewReply](callCtx, link.client, request)
+	cancel()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if err != nil {
+		d.renewFailed(link)
+		return
+	}
+	d.renewed(link, reply, sent)
+}
+
+func (d *Dispatcher) renewFailed(link *storeLink) {
+	if !link.client.Connected() && link.up {
+		link.up = false
+		link.version = 0
+		d.leases.Lost(link.node)
+		d.log.Info("store lost", "store", link.node)
+	}
+	if !link.absent && link.storeID != "" && d.now()-link.heard > absentAfter {
+		link.absent = true
+		d.copiesLost(link)
+	}
+}
+
+func (d *Dispatcher) renewed(link *storeLink, reply protocol.RenewReply, sent time.Duration) {
+	if !link.up {
+		d.log.Info("store found", "store", link.node)
+	}
+	link.up = true
+	link.heard = d.now()
+	link.recovering = reply.Recovering
+	if link.storeID != "" && link.storeID != reply.StoreID {
+		d.log.Info("store has a new disk", "store", link.node)
+		link.ends, link.failures = map[string]protocol.End{}, map[string]int{}
+		d.copiesLost(link)
+	}
+	link.storeID = reply.StoreID
+	link.absent = false
+	d.leases.Renewed(link.node, sent, d.now())
+	if reply.Changed {
+		d.takeTable(link, reply)
+		d.revokeUnlisted(link, sent)
+	}
+	d.claimMissing(link)
+	d.considerQueues()
+	if len(link.ends)+len(link.failures) > 0 {
+		signal(link.flush)
+	}
+	d.pumpAll()
+}
+
+// takeTable takes in the sessions and the owners that a store knows.
+func (d *Dispatcher) takeTable(link *storeLink, reply protocol.RenewReply) {
+	link.version = reply.Version
+	link.sessions = reply.Sessions
+	link.holders = make(map[string]protocol.QueueState, len(reply.Queues))
+	for _, state := range reply.Queues {
+		link.holders[state.Queue] = state
+	}
+	d.refreshTable()
+}
+
+// sendEnds sends the records that wait for a store, in batches.
+func (d *Dispatcher) sendEnds(ctx context.Context, link *storeLink) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-link.flush:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(endFlushDelay):
+		}
+		for d.sendEndBatch(ctx, link) {
+		}
+	}
+}
+
+// sendEndBatch sends one batch; it reports whether more waits.
+func (d *Dispatcher) sendEndBatch(ctx context.Context, link *storeLink) bool {
+	d.mutex.Lock()
+	batch := protocol.EndBatch{}
+	for _, end := range link.ends {
+		if len(batch.Ends) >= endBatchMost {
+			break
+		}
+		batch.Ends = append(batch.Ends, end)
+	}
+	for id, count := range link.failures {
+		if len(batch.Failures) >= endBatchMost {
+			break
+		}
+		batch.Failures = append(batch.Failures, protocol.Failures{ID: id, Count: count})
+	}
+	up, storeID := link.up, link.storeID
+	d.mutex.Unlock()
+	if !up || len(batch.Ends)+len(batch.Failures) == 0 {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, endBatchTimeout)
+	defer cancel()
+	if _, err := transport.Call[protocol.EndBatchReply](callCtx, link.client, batch); err != nil {
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if link.storeID != storeID {
+		return true
+	}
+	for _, end := range batch.Ends {
+		if link.ends[end.ID] == end {
+			delete(link.ends, end.ID)
+		}
+	}
+	for _, failed := range batch.Failures {
+		if link.failures[failed.ID] == failed.Count {
+			delete(link.failures, failed.ID)
+		}
+	}
+	return len(link.ends)+len(link.failures) > 0
+}
+
+// flushed reports whether the stores that are up have all ends.
+func (d *Dispatcher) flushed() bool {
+	for _, link := range d.stores {
+		if link.up && len(link.ends)+len(link.failures) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// signal wakes a goroutine that waits for a channel with room for one.
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
