Ask the last store once more only after enough have answered

Cause: an answer of a recovering store closed the channel a second time; the process ended. Change: such an answer does not count.

--- a/internal/service/control/replica.go
+++ b/internal/service/control/replica.go
@@ -424,6 +424,15 @@
 	return register.Member{Node: r.identity.Node, Zone: r.identity.Zone, Address: r.identity.Address, Disk: disk}
 }
 
+// forgiveSilence starts to count anew how long others have been silent. It is
+// called when this process itself has stood still.
+func (r *replica) forgiveSilence() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.started = time.Now()
+	clear(r.heard)
+}
+
 // silent returns the members of a value that have not answered for a time.
 func (r *replica) silent(value *register.Value, limit time.Duration) []string {
 	r.mutex.Lock()
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -18,6 +18,7 @@
 	behindPause    = 20 * time.Millisecond
 	replaceAfter   = 3 * time.Second  // a silent member gives its place to one that joins
 	removeAfter    = 20 * time.Second // a silent member is removed from an even number
+	standstill     = 3 * time.Second  // between two rounds: this process was stopped itself
 	unsettledTicks = 2                // rounds of upkeep after which an undecided value is finished
 )
 
@@ -28,6 +29,7 @@
 	stores    func() []view.NodeState
 	tolerated int // machines that may be lost at once
 	unsettled int
+	ticked    time.Time
 	gone      map[string]time.Time // known stores that do not live, since when
 }
 
@@ -41,6 +43,7 @@
 
 // tick is one round of upkeep.
 func (u *upkeep) tick(ctx context.Context) {
+	u.noteTime(time.Now())
 	decided, known := u.replica.survey(ctx)
 	if !known {
 		u.unsettled++
@@ -63,6 +66,15 @@
 	}
 }
 
+// noteTime excuses the silence of others when this process has stood still.
+func (u *upkeep) noteTime(now time.Time) {
+	if !u.ticked.IsZero() && now.Sub(u.ticked) > standstill {
+		u.replica.forgiveSilence()
+		clear(u.gone)
+	}
+	u.ticked = now
+}
+
 // rest waits for the next round, or until a value is known to be missing.
 func (u *upkeep) rest(ctx context.Context) {
 	pause := upkeepEvery
--- a/internal/service/coordination/coordination.go
+++ b/internal/service/coordination/coordination.go
@@ -126,10 +126,22 @@
 
 // reads decides whether this member should read the platform's list now.
 func (c *Coordination) reads() bool {
-	_, held := c.hub.Latest(view.TopicSenders)
-	confirmed, _ := c.hub.Confirmed(view.TopicSenders)
-	list := listState{held: held, mine: c.Reads(), due: confirmed.At.Add(confirmed.Every)}
-	return c.election.reads(time.Now(), placement.Order(readerKey, c.members()), c.Alive, list)
+	now := time.Now()
+	return c.election.reads(now, placement.Order(readerKey, c.members()), c.Alive, c.list(now))
+}
+
+// list tells the election of the list that is held. One that came without a
+// confirmation counts as current when it was made.
+func (c *Coordination) list(now time.Time) listState {
+	update, held := c.hub.Latest(view.TopicSenders)
+	if !held {
+		return listState{}
+	}
+	confirmed, ok := c.hub.Confirmed(view.TopicSenders)
+	if !ok {
+		confirmed.At = now.Add(-update.Age)
+	}
+	return listState{held: true, mine: c.Reads(), due: confirmed.At.Add(confirmed.Every)}
 }
 
 // beat answers a heartbeat.
--- a/internal/service/discovery/discovery_test.go
+++ b/internal/service/discovery/discovery_test.go
@@ -203,6 +203,21 @@
 	c.Assert(m.hub.Vector(nil)[view.TopicSenders].Newer(version), qt.IsTrue)
 }
 
+func TestAChangedListTravelsWithItsConfirmation(t *testing.T) {
+	c := qt.New(t)
+	s := newScript(c)
+	m := s.member("a@1")
+	for _, id := range []string{"i-1", "i-2"} {
+		s.now = s.now.Add(time.Second)
+		s.reads(m, view.Sender{ID: id})
+		reply, err := m.hub.Pull(context.Background(), distribution.Pull{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Confirmations[view.TopicSenders], qt.Equals, distribution.Confirmation{
+			Version: reply.Updates[0].Version, Every: ReadEvery,
+		})
+	}
+}
+
 func TestANewReaderReplacesADeadOne(t *testing.T) {
 	c := qt.New(t)
 	s := newScript(c)
--- a/internal/service/discovery/reader.go
+++ b/internal/service/discovery/reader.go
@@ -64,10 +64,12 @@
 	known = known.After(held.Age)
 	senders := r.omissions.complete(list, known.List)
 	owned := r.hub.Owned(view.TopicSenders, r.publisher)
-	if !owned || !view.DifferenceOf(known.List, senders, 0).Empty() {
-		r.hub.Advance(view.TopicSenders, r.publisher, view.Senders{List: senders})
+	confirmed := distribution.Confirmed{At: list.Began, Every: next}
+	if owned && view.DifferenceOf(known.List, senders, 0).Empty() {
+		r.hub.Confirm(view.TopicSenders, r.publisher, confirmed)
+		return
 	}
-	r.hub.Confirm(view.TopicSenders, r.publisher, distribution.Confirmed{At: list.Began, Every: next})
+	r.hub.AdvanceConfirmed(view.TopicSenders, r.publisher, view.Senders{List: senders}, confirmed)
 }
 
 // report logs when reads begin to fail and when they succeed again.
--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -113,10 +113,11 @@
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			if !link.recovering || reply.Held {
-				answered++
-			}
 			best = betterReply(best, reply)
+			if link.recovering && !reply.Held {
+				return
+			}
+			answered++
 			if answered == wanted {
 				close(enough)
 			}
--- a/internal/service/distribution/hub.go
+++ b/internal/service/distribution/hub.go
@@ -144,11 +144,16 @@
 // newer than all that have been seen. The publisher's name must be another
 // one in each life of its process.
 func (h *Hub) Advance(topicName, publisher string, payload any) Version {
+	return h.AdvanceConfirmed(topicName, publisher, payload, Confirmed{})
+}
+
+// AdvanceConfirmed is Advance with a confirmation that goes with the payload.
+func (h *Hub) AdvanceConfirmed(topicName, publisher string, payload any, confirmed Confirmed) Version {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	t := h.topic(topicName)
 	version := t.next(publisher)
-	t.publisher, t.confirmed = publisher, Confirmed{}
+	t.publisher, t.confirmed = publisher, confirmed
 	h.replace(topicName, t, retained{version, payload, h.now()})
 	return version
 }
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -227,3 +227,9 @@
 	Status AcceptStatus
 	Holder string
 }
+
+// Offer tells a dispatcher that queues were released for it to acquire.
+type Offer struct{ Queues []string }
+
+// OfferReply answers Offer.
+type OfferReply struct{}
--- a/internal/service/segment/format.go
+++ b/internal/service/segment/format.go
@@ -72,7 +72,8 @@
 	if len(b) < headerUsed || bytes.Equal(b[:headerUsed], zeroHeader[:]) {
 		return fileHeader{}, errUnusedFile
 	}
-	if first := b[:len(magic)]; !bytes.Equal(first, magic) && !bytes.Equal(first, zeroHeader[:len(magic)]) {
+	// A torn header may hold the beginning of the magic only.
+	if !bytes.HasPrefix(magic, bytes.TrimRight(b[:len(magic)], "\x00")) {
 		return fileHeader{}, Class.New("no segment file")
 	}
 	if version := binary.LittleEndian.Uint32(b[8:]); version > FormatVersion {
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"yardwharf/internal/service/membership"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
 	"yardwharf/internal/service/settings"
@@ -54,14 +55,23 @@
 		_ = opened.close()
 		return Class.Wrap(err)
 	}
-	log.Info("store ready", "id", opened.log.StoreID(), "formatted", opened.log.Formatted(), "messages", len(opened.index.entries))
+	log.Info("store ready", "id", opened.log.StoreID(), "formatted", opened.log.Formatted(), "messages", opened.messages())
 	server := newServer(opened, identity, settings.Seconds(s.Bounds.CatchUpS), log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
+	beats := membership.StartHeartbeats(ctx, s, identity, details(s, opened), log)
 	err = opened.watch(ctx, served)
+	if ctx.Err() != nil {
+		defer func() { <-beats.Done() }()
+	}
 	return opened.shutDown(listener, server, err)
 }
 
+// details are what the store announces of itself.
+func details(s *settings.Settings, opened *store) membership.Details {
+	return membership.Details{Class: s.MachineClass, StoreID: opened.log.StoreID()}
+}
+
 // watch runs the tick until the context ends or something fails.
 func (s *store) watch(ctx context.Context, served <-chan error) error {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -91,6 +91,13 @@
 	return s, nil
 }
 
+// messages returns how many messages the index holds.
+func (s *store) messages() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.index.entries)
+}
+
 func (s *store) close() error { return s.log.Close() }
 
 // recovering reports whether the disk was empty a short time ago.
