--- a/internal/service/membership/monitor_test.go
+++ b/internal/service/membership/monitor_test.go
@@ -12,15 +12,15 @@
 
 const period = time.Second
 
-// bench is a monitor on a clock that tests move.
-type bench struct {
+// scenario is a monitor on a clock that tests move.
+type scenario struct {
 	c       *qt.C
 	now     time.Time
 	monitor *Monitor
 }
 
-func newBench(c *qt.C) *bench {
-	return &bench{c: c, now: time.Unix(1000, 0), monitor: NewMonitor("core-1", period)}
+func newScenario(c *qt.C) *scenario {
+	return &scenario{c: c, now: time.Unix(1000, 0), monitor: NewMonitor("core-1", period)}
 }
 
 func beatOf(incarnation, refutation uint64) Heartbeat {
@@ -31,7 +31,7 @@
 }
 
 // pass lets time go by with regular ticks.
-func (b *bench) pass(duration time.Duration) (changed bool) {
+func (b *scenario) pass(duration time.Duration) (changed bool) {
 	for end := b.now.Add(duration); b.now.Before(end); {
 		b.now = b.now.Add(period / 4)
 		changed = b.monitor.Tick(b.now) || changed
@@ -39,12 +39,12 @@
 	return changed
 }
 
-func (b *bench) beat(beat Heartbeat) HeartbeatReply {
+func (b *scenario) beat(beat Heartbeat) HeartbeatReply {
 	reply, _ := b.monitor.Beat(b.now, beat)
 	return reply
 }
 
-func (b *bench) state() view.NodeState {
+func (b *scenario) state() view.NodeState {
 	nodes := b.monitor.View().Nodes
 	b.c.Assert(nodes, qt.HasLen, 1)
 	return nodes[0]
@@ -52,7 +52,7 @@
 
 func TestMissedHeartbeatsMakeSuspectThenDead(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	b.beat(beatOf(1, 0))
 	c.Assert(b.state().StoreID, qt.Equals, "disk-1")
 	c.Assert(b.pass(2500*time.Millisecond), qt.IsFalse)
@@ -68,7 +68,7 @@
 
 func TestOnlyChangesAreReported(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	_, changed := b.monitor.Beat(b.now, beatOf(1, 0))
 	c.Assert(changed, qt.IsTrue)
 	_, changed = b.monitor.Beat(b.now, beatOf(1, 0))
@@ -81,7 +81,7 @@
 
 func TestAnEarlierIncarnationIsToldOfTheLater(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	b.beat(beatOf(9, 0))
 	early := beatOf(5, 0)
 	reply := b.beat(early)
@@ -96,7 +96,7 @@
 
 func TestASuspicionOfAnotherMonitorIsRefuted(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	beat := beatOf(3, 2)
 	b.beat(beat)
 	dead := view.NodeState{Identity: beat.Identity, Refutation: 4}
@@ -112,7 +112,7 @@
 
 func TestALeaveIsFinalForItsIncarnation(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	b.beat(beatOf(1, 0))
 	leave := beatOf(1, 0)
 	leave.Leaving = true
@@ -126,7 +126,7 @@
 
 func TestAMonitorThatStoodStillBlamesNobody(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	b.beat(beatOf(1, 0))
 	b.pass(period)
 	b.now = b.now.Add(time.Minute)
@@ -138,7 +138,7 @@
 
 func TestTheDeadAreForgotten(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(c)
+	b := newScenario(c)
 	b.beat(beatOf(1, 0))
 	b.pass(10 * period)
 	c.Assert(b.monitor.View().Nodes, qt.HasLen, 1)
