--- /dev/null
+++ b/internal/service/delivery/callback.go
@@ -0,0 +1,61 @@
+package delivery
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	callbackConnections = 2 // to one receiver
+	callbackIdle        = 2 * time.Second
+	callbackTimeout     = 5 * time.Second
+	callbackAnswerMost  = 64 << 10
+)
+
+// callbackBody tells the end of a message.
+type callbackBody struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+	Stamp string `json:"stamp"`
+}
+
+// newCallbackClient returns a client with few connections to each receiver. It may
+// repeat a call by itself: call-backs are owed at least once.
+func newCallbackClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxConnsPerHost: callbackConnections,
+			MaxIdleConnsPerHost: callbackConnections, IdleConnTimeout: callbackIdle,
+			ResponseHeaderTimeout: callbackTimeout, DisableCompression: true,
+		},
+		Timeout:       callbackTimeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Callback tells a receiver that a message has ended. It returns the status of the
+// answer, or an error where none came.
+func (c *Client) Callback(ctx context.Context, url, id, state, stamp string) (status int, err error) {
+	body, err := json.Marshal(callbackBody{ID: id, State: state, Stamp: stamp})
+	if err != nil {
+		return 0, Class.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, Class.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.callbacks.Do(request)
+	if err != nil {
+		return 0, Class.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, callbackAnswerMost))
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/internal/service/delivery/delivery_test.go
@@ -0,0 +1,457 @@
+package delivery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/verdict"
+)
+
+var background = context.Background()
+
+func TestRequestAsItArrived(t *testing.T) {
+	p, client := newPeer(t, answers(success))
+	result := client.Deliver(background, message("m1"))
+	p.c.Assert(result.Succeeded(), qt.IsTrue, qt.Commentf("%+v", result))
+	p.c.Assert(result.Seal, qt.Equals, "seal.1")
+	p.c.Assert(result.Load, qt.DeepEquals, &balance.Load{Running: 3, Waiting: 0, Slots: 8})
+	p.c.Assert(result.Connected, qt.IsTrue)
+	p.c.Assert(result.Reused, qt.IsFalse)
+	p.c.Assert(p.heads, qt.DeepEquals, []string{"POST /a%2Fb//c?x=%20&&y HTTP/1.1\r\nHost: host.example\r\n" +
+		"X-Request-Id: m1\r\nX-Ordering-Key: key 7\r\nContent-Type: text/plain\r\nX-Target-Instance: i-1\r\n" +
+		"X-Deadline-Ms: 1500\r\nContent-Length: 8\r\n"})
+	p.c.Assert(p.bodies, qt.DeepEquals, []string{"the body"})
+}
+
+// A GET without a body carries no length, and what is not known is left out.
+func TestLeastRequest(t *testing.T) {
+	p, client := newPeer(t, answers(success))
+	request := message("m1")
+	request.Head.Method, request.Body, request.Instance = http.MethodGet, nil, ""
+	request.Head.ContentType, request.Head.OrderingKey = "", ""
+	result := client.Deliver(background, request)
+	p.c.Assert(result.Succeeded(), qt.IsTrue)
+	p.c.Assert(p.heads, qt.DeepEquals, []string{"GET /a%2Fb//c?x=%20&&y HTTP/1.1\r\nHost: host.example\r\n" +
+		"X-Request-Id: m1\r\nX-Deadline-Ms: 1500\r\n"})
+}
+
+func TestLargeBody(t *testing.T) {
+	p, client := newPeer(t, answers(success))
+	request := message("m1")
+	request.Body = []byte(strings.Repeat("0123456789abcdef", 16<<10))
+	result := client.Deliver(background, request)
+	p.c.Assert(result.Succeeded(), qt.IsTrue, qt.Commentf("%+v", result))
+	p.c.Assert(p.bodies[0] == string(request.Body), qt.IsTrue)
+}
+
+// What cannot be written as it is does not go out.
+func TestInvalidRequest(t *testing.T) {
+	for name, spoil := range map[string]func(*Request){
+		"no id":       func(r *Request) { r.Head.ID = "" },
+		"id":          func(r *Request) { r.Head.ID = "a\r\nX: y" },
+		"method":      func(r *Request) { r.Head.Method = "GET /" },
+		"target":      func(r *Request) { r.Head.Target = "/a b" },
+		"target line": func(r *Request) { r.Head.Target = "/a\r\n" },
+		"host":        func(r *Request) { r.Head.Host = "a\nb" },
+		"key":         func(r *Request) { r.Head.OrderingKey = "a\nb" },
+		"type":        func(r *Request) { r.Head.ContentType = "a\nb" },
+		"instance":    func(r *Request) { r.Instance = "a\nb" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, client := newPeer(t, answers(success))
+			request := message("m1")
+			spoil(&request)
+			result := client.Deliver(background, request)
+			p.c.Assert(result.Verdict, qt.Equals, verdict.NotRun)
+			p.c.Assert(errors.Is(result.Err, ErrInvalid), qt.IsTrue)
+			p.c.Assert(p.dials, qt.Equals, 0)
+		})
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer  string
+		verdict verdict.Verdict
+		outcome balance.Status
+	}{
+		"success":          {success, verdict.Ran, balance.Succeeded},
+		"chunked":          {chunked, verdict.Ran, balance.Succeeded},
+		"after a 100":      {"HTTP/1.1 100 Continue\r\n\r\n" + success, verdict.Ran, balance.Succeeded},
+		"failed":           {failed, verdict.Ran, balance.Failed},
+		"impossible":       {impossible, verdict.Ran, balance.Refused},
+		"full":             {full, verdict.NotRun, balance.Full},
+		"misplaced":        {misplaced, verdict.NotRun, balance.ConnectFailed},
+		"running":          {running, verdict.NotRun, balance.NotRun},
+		"late":             {late, verdict.MayHaveRun, balance.TimedOut},
+		"503 alone":        {unsure, verdict.MayHaveRun, balance.Lost},
+		"no seal":          {strings.Replace(success, "X-Server-Seal", "X-Other", 1), verdict.MayHaveRun, balance.Lost},
+		"another's":        {as("m2", success), verdict.MayHaveRun, balance.Lost},
+		"another's full":   {as("m2", full), verdict.MayHaveRun, balance.Lost},
+		"another's 421":    {as("m2", misplaced), verdict.MayHaveRun, balance.Lost},
+		"no id":            {strings.Replace(success, "X-Request-Id", "X-Other", 1), verdict.MayHaveRun, balance.Lost},
+		"no end told":      {strings.Replace(success, "Content-Length: 4\r\n", "", 1), verdict.MayHaveRun, balance.Lost},
+		"done and not":     {strings.Replace(success, "X-Server-Load", "X-Not-Executed", 1), verdict.MayHaveRun, balance.Lost},
+		"no answer at all": {"hello\r\n\r\n", verdict.MayHaveRun, balance.Lost},
+		"switched":         {"HTTP/1.1 101 Switching\r\n\r\n", verdict.MayHaveRun, balance.Lost},
+		"many 1xx":         {strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 9) + success, verdict.MayHaveRun, balance.Lost},
+		"too large": {strings.Replace(success, "Content-Length: 4\r\n\r\ndone", "Content-Length: 2000000\r\n\r\n"+
+			strings.Repeat("x", 2000000), 1), verdict.MayHaveRun, balance.Lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, client := newPeer(t, answers(test.answer))
+			result := client.Deliver(background, message("m1"))
+			p.c.Assert(result.Verdict, qt.Equals, test.verdict, qt.Commentf("%+v", result))
+			p.c.Assert(result.Outcome().Status, qt.Equals, test.outcome)
+			p.c.Assert(result.Succeeded(), qt.Equals, test.outcome == balance.Succeeded)
+			p.c.Assert(len(p.heads), qt.Equals, 1) // sent once
+		})
+	}
+}
+
+// The verdict when the sender breaks off after each byte of its answer.
+func TestAnswerBrokenOffAtEveryByte(t *testing.T) {
+	for name, text := range map[string]string{
+		"success": success, "chunked": chunked, "failed": failed, "impossible": impossible, "full": full, "misplaced": misplaced,
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := strings.Index(text, "\r\n\r\n") + 4
+			whole := len(text)
+			for cut := range whole + 1 {
+				p, client := newPeer(t, answers(text[:cut]))
+				result := client.Deliver(background, message("m1"))
+				want := verdict.MayHaveRun
+				switch {
+				case text == full || text == misplaced:
+					if cut >= head {
+						want = verdict.NotRun
+					}
+				case cut == whole:
+					want = verdict.Ran
+				}
+				p.c.Assert(result.Verdict, qt.Equals, want, qt.Commentf("after %d of %d bytes: %+v", cut, whole, result))
+				p.c.Assert(len(p.heads), qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// The verdict when the sender breaks off after each byte of the request. The method
+// and the lack of a body make no difference: nothing is sent again by itself.
+func TestRequestBrokenOffAtEveryByte(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			request := message("m1")
+			if request.Head.Method = method; method == http.MethodGet {
+				request.Body = nil
+			}
+			whole := len(request.appendHead(nil, request.Timeout)) + len(request.Body)
+			for cut := range whole + 1 {
+				p, client := newPeer(t, reads(cut), answers(success))
+				result := client.Deliver(background, request)
+				want := verdict.MayHaveRun
+				if cut == 0 {
+					want = verdict.NotRun
+				}
+				p.c.Assert(result.Verdict, qt.Equals, want, qt.Commentf("after %d of %d bytes", cut, whole))
+				p.c.Assert(p.dials, qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// An answer that comes while the request is still being written counts.
+func TestAnswerBeforeTheWholeRequest(t *testing.T) {
+	p, client := newPeer(t, func(_ *peer, conn net.Conn, _ *bufio.Reader) {
+		_, _ = io.CopyN(io.Discard, conn, 50)
+	})
+	reads := p.scripts[0]
+	p.scripts[0] = func(p *peer, conn net.Conn, reader *bufio.Reader) { reads(p, conn, reader) }
+	client.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := p.dial(ctx, address)
+		return &early{Conn: conn, answer: strings.NewReader(full)}, err
+	}
+	result := client.Deliver(background, message("m1"))
+	p.c.Assert(result.Verdict, qt.Equals, verdict.NotRun, qt.Commentf("%+v", result))
+	p.c.Assert(client.Idle(), qt.Equals, 0) // the rest of the request is missing
+}
+
+// early is a connection on which the answer is there already.
+type early struct {
+	net.Conn
+	answer io.Reader
+}
+
+func (e *early) Read(to []byte) (int, error) { return e.answer.Read(to) }
+
+func TestNoConnection(t *testing.T) {
+	p, client := newPeer(t)
+	result := client.Deliver(background, message("m1"))
+	p.c.Assert(result.Verdict, qt.Equals, verdict.NotRun)
+	p.c.Assert(result.Connected, qt.IsFalse)
+	p.c.Assert(result.Outcome().Status, qt.Equals, balance.ConnectFailed)
+	p.c.Assert(errors.Is(result.Err, errRefused), qt.IsTrue)
+}
+
+func TestSilence(t *testing.T) {
+	p, client := newPeer(t, answers())
+	client.dial = func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		return silent{near}, nil
+	}
+	result := client.Deliver(background, message("m1"))
+	p.c.Assert(result.Verdict, qt.Equals, verdict.MayHaveRun)
+	p.c.Assert(result.Outcome().Status, qt.Equals, balance.TimedOut)
+	p.c.Assert(client.Idle(), qt.Equals, 0)
+}
+
+func TestCancelled(t *testing.T) {
+	ctx, cancel := context.WithCancel(background)
+	p, client := newPeer(t, func(p *peer, _ net.Conn, reader *bufio.Reader) {
+		p.request(reader)
+		cancel()
+		_, _ = reader.ReadByte()
+	})
+	result := client.Deliver(ctx, message("m1"))
+	p.c.Assert(result.Verdict, qt.Equals, verdict.MayHaveRun)
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	p, client := newPeer(t, answersAndStays(success, as("m2", success)))
+	first := client.Deliver(background, message("m1"))
+	p.c.Assert(client.Idle(), qt.Equals, 1)
+	second := client.Deliver(background, message("m2"))
+	p.c.Assert(first.Reused, qt.IsFalse)
+	p.c.Assert(second.Reused, qt.IsTrue)
+	p.c.Assert(second.Succeeded(), qt.IsTrue)
+	p.c.Assert(p.dials, qt.Equals, 1)
+}
+
+// Connections are left before their senders close them.
+func TestKeepAlive(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"timeout=5": 3950 * time.Millisecond, "max=7, timeout=2": 1550 * time.Millisecond, "timeout=0": 0,
+		"timeout=-1": 0, "timeout=x": 0, "": defaultIdle, "max=3": defaultIdle, "timeout=1e9": 48*time.Second - idleMargin,
+	} {
+		qt.Check(t, idleTime(header), qt.Equals, want, qt.Commentf("%q", header))
+	}
+	p, client := newPeer(t, answersAndStays(success), answersAndStays(as("m2", success)))
+	client.Deliver(background, message("m1"))
+	p.now = p.now.Add(4 * time.Second)
+	result := client.Deliver(background, message("m2"))
+	p.c.Assert(result.Succeeded(), qt.IsTrue)
+	p.c.Assert(result.Reused, qt.IsFalse)
+	p.c.Assert(p.dials, qt.Equals, 2)
+	p.now = p.now.Add(4 * time.Second)
+	client.sweep()
+	p.c.Assert(client.Idle(), qt.Equals, 0)
+	p.c.Assert(client.pools, qt.HasLen, 0)
+}
+
+func TestConnectionClose(t *testing.T) {
+	p, client := newPeer(t, answersAndStays(strings.Replace(success, "Keep-Alive: timeout=5", "Connection: close", 1)))
+	result := client.Deliver(background, message("m1"))
+	p.c.Assert(result.Succeeded(), qt.IsTrue)
+	p.c.Assert(client.Idle(), qt.Equals, 0)
+}
+
+// An idle connection on which not a byte can be written is no end of the delivery.
+func TestIdleConnectionWasClosed(t *testing.T) {
+	p, client := newPeer(t, answers(success), answers(as("m2", success)))
+	client.Deliver(background, message("m1"))
+	client.mutex.Lock()
+	idle := client.pools["sender:1"].idle[0]
+	client.mutex.Unlock()
+	_, _ = idle.raw.Read(make([]byte, 1)) // until the sender has closed it
+	result := client.Deliver(background, message("m2"))
+	p.c.Assert(result.Succeeded(), qt.IsTrue, qt.Commentf("%+v", result))
+	p.c.Assert(result.Reused, qt.IsFalse)
+	p.c.Assert(p.heads, qt.HasLen, 2)
+}
+
+// A second answer to a message that was answered is never taken for the next one's.
+func TestLateSecondAnswer(t *testing.T) {
+	t.Run("with the first", func(t *testing.T) {
+		p, client := newPeer(t, answersAndStays(success+success), answersAndStays(as("m2", success)))
+		client.Deliver(background, message("m1"))
+		p.c.Assert(client.Idle(), qt.Equals, 0)
+		result := client.Deliver(background, message("m2"))
+		p.c.Assert(result.Succeeded(), qt.IsTrue)
+		p.c.Assert(result.Reused, qt.IsFalse)
+	})
+	t.Run("after the next request", func(t *testing.T) {
+		p, client := newPeer(t, answersAndStays(success, success))
+		client.Deliver(background, message("m1"))
+		result := client.Deliver(background, message("m2"))
+		p.c.Assert(result.Reused, qt.IsTrue)
+		p.c.Assert(result.Verdict, qt.Equals, verdict.MayHaveRun)
+		p.c.Assert(errors.Is(result.Err, ErrForeign), qt.IsTrue)
+		p.c.Assert(client.Idle(), qt.Equals, 0)
+	})
+	t.Run("to the same message", func(t *testing.T) {
+		p, client := newPeer(t, answersAndStays(failed), answersAndStays(success))
+		client.Deliver(background, message("m1"))
+		p.c.Assert(client.Idle(), qt.Equals, 1)
+		result := client.Deliver(background, message("m1"))
+		p.c.Assert(result.Reused, qt.IsFalse)
+		p.c.Assert(result.Succeeded(), qt.IsTrue)
+	})
+}
+
+// On real sockets an idle connection that was closed, or on which bytes came, is seen
+// before anything is written.
+func TestQuiet(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn){
+		"open":   func(net.Conn) {},
+		"closed": func(conn net.Conn) { _ = conn.Close() },
+		"bytes":  func(conn net.Conn) { _, _ = io.WriteString(conn, "x") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer listener.Close()
+			raw, err := dialTCP(background, listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer raw.Close()
+			far, err := listener.Accept()
+			c.Assert(err, qt.IsNil)
+			defer far.Close()
+			conn := newConnection(raw, "")
+			c.Assert(conn.quiet(), qt.IsTrue)
+			if spoil(far); name != "open" {
+				_, _ = conn.reader.Peek(1) // until it has arrived
+			}
+			c.Assert(conn.quiet(), qt.Equals, name == "open")
+		})
+	}
+}
+
+// A sender's connections are bounded; idle ones give way.
+func TestBoundOfConnections(t *testing.T) {
+	hold := make(chan struct{})
+	arrived := make(chan struct{})
+	p, client := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
+		p.request(reader)
+		close(arrived)
+		<-hold
+		_, _ = io.WriteString(conn, success)
+	}, answersAndStays(as("m3", success)))
+	request := message("m1")
+	request.MaxConnections = 1
+	ended := make(chan Result)
+	go func() { ended <- client.Deliver(background, request) }()
+	<-arrived
+	other := message("m2")
+	other.MaxConnections = 1
+	result := client.Deliver(background, other)
+	p.c.Assert(result.Verdict, qt.Equals, verdict.NotRun)
+	p.c.Assert(errors.Is(result.Err, ErrNoConnection), qt.IsTrue)
+	p.c.Assert(result.Outcome().Status, qt.Equals, balance.NotRun)
+	close(hold)
+	first := <-ended
+	p.c.Assert(first.Succeeded(), qt.IsTrue)
+	client.mutex.Lock()
+	client.pools["sender:1"].idle[0].lastID = "m3" // may not be used for it
+	client.mutex.Unlock()
+	third := message("m3")
+	third.MaxConnections = 1
+	result = client.Deliver(background, third)
+	p.c.Assert(result.Succeeded(), qt.IsTrue)
+	p.c.Assert(result.Reused, qt.IsFalse)
+	p.c.Assert(client.pools["sender:1"].open, qt.Equals, 1)
+}
+
+func TestLoadAndRetryAfter(t *testing.T) {
+	for text, want := range map[string]*balance.Load{
+		"3,0,8": {Running: 3, Slots: 8}, " 1, 2 ,3": {Running: 1, Waiting: 2, Slots: 3},
+		"": nil, "1,2": nil, "a,b,c": nil, "-1,0,8": nil, "1,2,3,4": nil,
+	} {
+		qt.Check(t, parseLoad(text), qt.DeepEquals, want, qt.Commentf("%q", text))
+	}
+	for text, want := range map[string]time.Duration{
+		"2": 2 * time.Second, "0.5": 500 * time.Millisecond, "": NoRetryAfter, "soon": NoRetryAfter,
+		"-3": NoRetryAfter, "1e9": retryAfterMost, "NaN": NoRetryAfter,
+	} {
+		qt.Check(t, parseRetryAfter(text), qt.Equals, want, qt.Commentf("%q", text))
+	}
+}
+
+func TestCallback(t *testing.T) {
+	c := qt.New(t)
+	var got callbackBody
+	status := http.StatusOK
+	receiver := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.Method, qt.Equals, http.MethodPost)
+		c.Check(r.URL.Path, qt.Equals, "/done")
+		c.Check(r.Header.Get("Content-Type"), qt.Equals, "application/json")
+		c.Check(json.NewDecoder(r.Body).Decode(&got), qt.IsNil)
+		w.Header().Set("Location", "/elsewhere")
+		w.WriteHeader(status)
+	}))
+	defer receiver.Close()
+	client := NewClient()
+	defer client.Close()
+	for _, status = range []int{200, 400, 503, 307} {
+		told, err := client.Callback(background, receiver.URL+"/done", "m1", "completed", "seal.1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(told, qt.Equals, status)
+		c.Assert(got, qt.Equals, callbackBody{ID: "m1", State: "completed", Stamp: "seal.1"})
+	}
+	receiver.Close()
+	_, err := client.Callback(background, receiver.URL, "m1", "completed", "seal.1")
+	c.Assert(err, qt.IsNotNil)
+	_, err = client.Callback(background, "::", "m1", "completed", "seal.1")
+	c.Assert(err, qt.IsNotNil)
+}
+
+func BenchmarkDeliver(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		buffer := make([]byte, 16<<10)
+		for n := 0; ; n++ {
+			if _, err := conn.Read(buffer); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, as(fmt.Sprintf("m%d", n%2), success)); err != nil {
+				return
+			}
+		}
+	}()
+	client := NewClient()
+	defer client.Close()
+	requests := [2]Request{message("m0"), message("m1")}
+	for i := range requests {
+		requests[i].Address = listener.Addr().String()
+		requests[i].Body = make([]byte, 5000)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if result := client.Deliver(background, requests[n%2]); !result.Succeeded() {
+			b.Fatalf("%+v", result)
+		}
+	}
+}
--- a/window.go
+++ b/window.go
@@ -55,7 +55,7 @@
 	switch {
 	case waiting > windowWaits*slots:
 		w.room = max(windowLeast, w.room-windowDown)
-	case running+waiting < slots && w.used()+1 >= b.window(w):
+	case running+waiting < slots && w.used()+2 > b.window(w): // with this job, one more had no room
 		w.room += windowUp
 	}
 	w.room = min(w.room, slots)
