Deliver first what can still begin within its aim

Cause: after an outage each service's backlog was served oldest first, so that for as long as it lasted all messages were late. Change: messages wait at the dispatcher, those within their aim first, and few at a time at the decision module.

--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -26,6 +26,8 @@
 	aim     time.Duration // until then its run should begin
 	sent    bool          // handed to the decision module
 	paid    bool          // the rate's next arrival is this message's
+
+	withdrawn bool // taken out before it was handed over
 }
 
 // pumpAll does what is due in all queues. The mutex is held.
@@ -108,7 +110,7 @@
 		aim: entry.Accepted() + entry.Head.Delay + route.ScheduleTarget(),
 	}
 	d.deliveries[entry.Head.ID] = state
-	state.service.waiting = append(state.service.waiting, state)
+	state.service.waiting.add(state)
 	d.pumpService(state.service)
 }
 
@@ -123,7 +125,7 @@
 			continue // a sender has it
 		}
 		delete(d.deliveries, id)
-		state.service.forget(state)
+		state.service.waiting.withdraw(state)
 		owned.Retry(d.now(), state.entry, false, 0)
 	}
 }
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -13,7 +13,7 @@
 
 const (
 	submitPatience = 2 * time.Second       // a message is given back when no sender was had for so long
-	ratedAhead     = 4                     // messages of a rated service that wait at its decision module
+	submitAhead    = 4                     // messages that wait at the decision module; the others wait in order of worth
 	lateMargin     = 20 * time.Millisecond // a run that begins so close to its aim counts as late
 )
 
@@ -24,12 +24,7 @@
 	driver     *balance.Driver
 	limiter    *ratelimit.Bucket // nil until this dispatcher may spend the rate
 	epoch      uint64            // of the lease that the limiter was made under
-	waiting    []*deliveryState  // messages not yet handed to the driver
-}
-
-// forget takes a message out of those that wait.
-func (s *serviceState) forget(state *deliveryState) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(have *deliveryState) bool { return have == state })
+	waiting    waitingMessages   // messages not yet handed to the driver
 }
 
 // serviceActions carries out what the decision module of one service asks for.
@@ -56,6 +51,7 @@
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
 		a.service.driver.Timer(d.now())
+		d.pumpService(a.service)
 	})
 }
 
@@ -151,27 +147,25 @@
 	service.driver.SetSenders(d.now(), senders)
 }
 
-// pumpService hands waiting messages to the decision module, as far as the rate
-// allows. The mutex is held.
+// pumpService hands waiting messages to the decision module, as far as it has
+// use for them and the rate allows. The mutex is held.
 func (d *Dispatcher) pumpService(service *serviceState) {
-	if !service.configured.Rated() {
-		for _, state := range service.waiting {
-			d.submit(service, state)
-		}
-		service.waiting = service.waiting[:0]
+	rated := service.configured.Rated()
+	if rated && (service.waiting.empty() || !d.refreshLimiter(service)) {
 		return
 	}
-	if len(service.waiting) == 0 || !d.refreshLimiter(service) {
-		return
-	}
-	for len(service.waiting) > 0 && service.driver.Waiting() < ratedAhead {
-		wait, ok := service.limiter.Take(d.now())
-		if !ok {
-			d.wakeAt(d.now() + wait)
+	for !service.waiting.empty() && service.driver.Waiting() < submitAhead {
+		if rated {
+			if wait, ok := service.limiter.Take(d.now()); !ok {
+				d.wakeAt(d.now() + wait)
+				return
+			}
+		}
+		state := service.waiting.next(d.now() + lateMargin)
+		if state == nil {
 			return
 		}
-		state := d.nextRated(service)
-		state.paid = true
+		state.paid = rated
 		d.submit(service, state)
 	}
 }
@@ -195,18 +189,3 @@
 	}
 	return true
 }
-
-// nextRated takes the next message of a rated service: the oldest that can begin
-// within its aim, or else the oldest of all.
-func (d *Dispatcher) nextRated(service *serviceState) *deliveryState {
-	chosen := 0
-	for i, state := range service.waiting {
-		if state.aim-lateMargin > d.now() {
-			chosen = i
-			break
-		}
-	}
-	state := service.waiting[chosen]
-	service.waiting = slices.Delete(service.waiting, chosen, chosen+1)
-	return state
-}
