--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -33,11 +33,8 @@
 // serveBody answers with the bytes of a message that is queued or dead.
 func (d *Dispatcher) serveBody(w http.ResponseWriter, r *http.Request, id string) {
 	head, body, status := d.lookUp(r.Context(), id, true)
-	if status == http.StatusOK && head.BodySize != len(body) {
-		status = http.StatusServiceUnavailable
-		if head.State == protocol.Completed {
-			status = http.StatusNotFound
-		}
+	if status == http.StatusOK {
+		status = bodyStatus(head, body)
 	}
 	if status != http.StatusOK {
 		http.Error(w, http.StatusText(status), status)
@@ -51,6 +48,19 @@
 	_, _ = w.Write(body)
 }
 
+// bodyStatus returns the status of an answer with a message's bytes. A record
+// without a target tells of a message's end only: its store has no bytes.
+func bodyStatus(head protocol.Head, body []byte) int {
+	switch {
+	case head.State == protocol.Completed:
+		return http.StatusNotFound
+	case head.Target == "" || head.BodySize != len(body):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusOK
+	}
+}
+
 // lookUp finds a message here or in the stores. Not found is an answer only
 // when every store that may have the message has said so.
 func (d *Dispatcher) lookUp(ctx context.Context, id string, withBody bool) (protocol.Head, []byte, int) {
@@ -144,22 +154,22 @@
 // queryGrace is how long a question waits for the last stores.
 const queryGrace = 100 * time.Millisecond
 
-// betterReply returns the reply that tells more: an end over an open message,
-// a body over none.
+// betterReply joins two replies: an end counts over an open message, and the
+// bytes come from a store that has them.
 func betterReply(a, b protocol.QueryReply) protocol.QueryReply {
-	if !b.Held {
+	switch {
+	case !b.Held:
 		return a
-	}
-	if !a.Held {
+	case !a.Held:
 		return b
-	}
-	body := a.Body
-	if len(body) < len(b.Body) {
-		body = b.Body
+	case a.Head.Target == "" && b.Head.Target != "":
+		a, b = b, a
 	}
 	if b.Head.State.Ended() && !a.Head.State.Ended() {
-		a = b
+		a.Head.State, a.Head.Stamp = b.Head.State, b.Head.Stamp
+	}
+	if len(a.Body) < len(b.Body) && b.Head.Target != "" {
+		a.Body, a.Head.BodySize = b.Body, b.Head.BodySize
 	}
-	a.Body = body
 	return a
 }
