--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -64,7 +64,8 @@
 
 // Grantor gives out the leases of one store. It is not safe for concurrent use.
 type Grantor struct {
-	grantsFrom time.Time // before it only leases that are still held are granted
+	grantsFrom time.Time // before it only leases are granted that surely nobody else holds
+	complete   bool      // the kept promises are all that were ever given
 	sessions   map[SessionID]*session
 	queues     map[string]*queue
 	version    uint64
@@ -87,6 +88,11 @@
 	return g
 }
 
+// PromisesComplete notes that the promises which the grantor was made with are
+// all that its store ever gave: its disk was not lost. A queue without a promise
+// then surely has no holder.
+func (g *Grantor) PromisesComplete() { g.complete = true }
+
 // Version grows with each change of the sessions and holders.
 func (g *Grantor) Version() uint64 { return g.version }
 
@@ -140,6 +146,7 @@
 		s = &session{identity: identity, queues: map[string]*queue{}}
 		g.sessions[id] = s
 		g.version++
+		g.endReplaced(now, id)
 	}
 	s.connections = connections
 	if connections > 0 {
@@ -212,8 +219,29 @@
 	case held, own:
 		return true
 	default:
-		return !now.Before(g.grantsFrom)
+		return !now.Before(g.grantsFrom) || g.complete && q.promise.Epoch == 0 || g.replaced(q.promise.By)
+	}
+}
+
+// replaced reports whether a later process of the same node is in touch, which
+// proves that a process has ended and acts under none of its leases.
+func (g *Grantor) replaced(id SessionID) bool {
+	for other := range g.sessions {
+		if other.Node == id.Node && other.Incarnation > id.Incarnation {
+			return true
+		}
 	}
+	return false
+}
+
+// endReplaced ends the sessions of earlier processes of a node.
+func (g *Grantor) endReplaced(now time.Time, id SessionID) {
+	for other, s := range g.sessions {
+		if other.Node == id.Node && other.Incarnation < id.Incarnation {
+			g.extend(s, now)
+		}
+	}
+	g.Expire(now)
 }
 
 // Write asks whether an owner may write to a queue under an epoch.
--- /dev/null
+++ b/internal/service/lease/lease_test.go
@@ -0,0 +1,563 @@
+package lease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+)
+
+const (
+	simulatedQueue  = "ordered/1"
+	noticeMost      = 200 * time.Millisecond // until both ends of a connection know of its end
+	simulatedLength = 60 * time.Second
+)
+
+// event is something that happens at a moment of the simulated time.
+type event struct {
+	at     time.Duration
+	number int
+	run    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// mutant breaks a rule, to show that the checker sees it.
+type mutant int
+
+const (
+	noMutant mutant = iota
+	grantsAtOnceAfterRestart
+	takesStaleEpochs
+	forgetsPromises
+	countsFromAnswer
+	keepsGrantsOverLoss
+	keepsGrantsOverGaps
+	needsOneLess
+)
+
+// world runs stores and dispatchers on one simulated clock.
+type world struct {
+	random  *rand.Rand
+	events  eventHeap
+	now     time.Duration
+	number  int
+	mutant  mutant
+	stores  []*simulatedStore
+	nodes   []*simulatedNode
+	faults  bool
+	fault   error
+	owner   string // the dispatcher that was valid last, and its epoch
+	epoch   uint64
+	valid   int // moments at which some dispatcher was valid
+	checked int
+}
+
+type simulatedStore struct {
+	name        string
+	grantor     *Grantor
+	life        int
+	connections map[SessionID]int
+	promises    map[string]Promise
+}
+
+// connection is one connection between a dispatcher and a store.
+type connection struct {
+	life   int // of the store
+	open   bool
+	closed bool // the store knows of its end
+}
+
+type simulatedNode struct {
+	identity    protocol.Identity
+	holder      *Holder
+	connections []*connection
+	epoch       uint64
+	versions    []uint64
+	frozenUntil time.Duration
+	inbox       []func()
+	life        int
+}
+
+var epochStart = time.Unix(0, 0)
+
+func (w *world) clock() time.Time { return epochStart.Add(w.now) }
+
+func (w *world) after(delay time.Duration, run func()) {
+	w.number++
+	heap.Push(&w.events, event{w.now + delay, w.number, run})
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.random.Int64N(int64(most-least)+1))
+}
+
+// delay is that of one message; some take very long.
+func (w *world) delay() time.Duration {
+	if w.faults && w.random.IntN(12) == 0 {
+		return w.between(0, 3*time.Second)
+	}
+	return w.between(100*time.Microsecond, 20*time.Millisecond)
+}
+
+func newWorld(seed uint64, stores, nodes int, m mutant) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 7)), mutant: m, faults: true}
+	for i := range stores {
+		s := &simulatedStore{name: fmt.Sprint("store-", i)}
+		w.startStore(s)
+		w.stores = append(w.stores, s)
+	}
+	for i := range nodes {
+		n := &simulatedNode{
+			identity:    protocol.Identity{Node: fmt.Sprint("edge-", i), Role: "dispatcher", Incarnation: 1},
+			holder:      NewHolder(),
+			connections: make([]*connection, stores),
+			versions:    make([]uint64, stores),
+		}
+		w.nodes = append(w.nodes, n)
+		w.after(w.between(0, RenewInterval), func() { w.tickNode(n, n.life) })
+	}
+	w.after(time.Second, w.breakSomething)
+	return w
+}
+
+func (w *world) startStore(s *simulatedStore) {
+	s.life++
+	s.connections = map[SessionID]int{}
+	promises := map[string]Promise{}
+	if s.grantor != nil && w.mutant != forgetsPromises {
+		for name, q := range s.grantor.queues {
+			promises[name] = q.promise
+		}
+	}
+	s.grantor = NewGrantor(w.clock(), uint64(w.now)<<8+1, promises)
+	if w.mutant == grantsAtOnceAfterRestart {
+		s.grantor.grantsFrom = w.clock()
+	}
+}
+
+// onNode runs a step of a dispatcher, which waits while it is frozen.
+func (w *world) onNode(n *simulatedNode, run func()) {
+	if w.now < n.frozenUntil {
+		n.inbox = append(n.inbox, run)
+		return
+	}
+	run()
+}
+
+// connect returns the connection to a store, or opens one.
+func (w *world) connect(n *simulatedNode, i int) *connection {
+	s := w.stores[i]
+	if c := n.connections[i]; c != nil && c.open && c.life == s.life {
+		return c
+	}
+	if w.mutant != keepsGrantsOverLoss {
+		n.holder.Lost(s.name)
+		n.versions[i] = 0
+	}
+	c := &connection{life: s.life, open: true}
+	n.connections[i] = c
+	id := SessionOf(n.identity)
+	s.connections[id]++
+	s.grantor.Connected(w.clock(), n.identity)
+	return c
+}
+
+// disconnect ends a connection; both ends come to know of it.
+func (w *world) disconnect(n *simulatedNode, i int) {
+	c, s := n.connections[i], w.stores[i]
+	if c == nil || !c.open {
+		return
+	}
+	c.open = false
+	identity := n.identity
+	w.after(w.between(0, noticeMost), func() { w.noticeClosed(s, c, identity) })
+	w.after(w.between(0, noticeMost), func() {
+		w.onNode(n, func() {
+			if n.connections[i] == c && w.mutant != keepsGrantsOverLoss {
+				n.holder.Lost(s.name)
+			}
+		})
+	})
+}
+
+func (w *world) noticeClosed(s *simulatedStore, c *connection, identity protocol.Identity) {
+	if c.closed || c.life != s.life {
+		return
+	}
+	c.closed = true
+	s.connections[SessionOf(identity)]--
+	s.grantor.Closed(w.clock(), identity)
+}
+
+// call delivers a request to a store and its reply to the dispatcher.
+func (w *world) call(n *simulatedNode, i int, handle func(s *simulatedStore) func()) {
+	c, s, life := w.connect(n, i), w.stores[i], n.life
+	w.after(w.delay(), func() {
+		if !c.open || c.life != s.life {
+			return
+		}
+		reply := handle(s)
+		w.after(w.delay(), func() {
+			if !c.open || c.life != s.life {
+				return
+			}
+			w.onNode(n, func() {
+				if n.life == life && n.connections[i] == c && c.open {
+					reply()
+				}
+			})
+		})
+	})
+}
+
+func (w *world) tickNode(n *simulatedNode, life int) {
+	w.onNode(n, func() {
+		if n.life != life {
+			return
+		}
+		for i := range w.stores {
+			w.renew(n, i)
+		}
+		if end, ok := n.holder.ValidUntil(simulatedQueue, w.now, len(w.stores), 1); !ok {
+			if w.random.IntN(3) == 0 {
+				w.acquireAll(n)
+			}
+		} else if w.random.IntN(40) == 0 {
+			w.releaseAll(n)
+		} else if end > 0 && w.random.IntN(3) == 0 {
+			w.claimMissing(n)
+		}
+		w.after(RenewInterval, func() { w.tickNode(n, life) })
+	})
+}
+
+func (w *world) renew(n *simulatedNode, i int) {
+	sent := w.now
+	w.call(n, i, func(s *simulatedStore) func() {
+		s.grantor.Renew(w.clock(), n.identity, true, s.connections[SessionOf(n.identity)])
+		version := s.grantor.Version()
+		holder, epoch := s.grantor.Lease(simulatedQueue)
+		return func() {
+			if version != n.versions[i] && w.mutant != keepsGrantsOverGaps {
+				n.versions[i] = version
+				if holder != n.identity.Node || epoch != n.holder.Epoch(simulatedQueue) {
+					n.holder.Revoked(s.name, simulatedQueue)
+				}
+			}
+			switch w.mutant {
+			case countsFromAnswer:
+				n.holder.Renewed(s.name, w.now, w.now)
+			case keepsGrantsOverGaps:
+				n.holder.Renewed(s.name, sent, sent)
+			default:
+				n.holder.Renewed(s.name, sent, w.now)
+			}
+		}
+	})
+}
+
+func (w *world) acquireAll(n *simulatedNode) {
+	n.holder.Drop(simulatedQueue)
+	n.epoch++
+	for i := range w.stores {
+		w.acquire(n, i, n.epoch, false)
+	}
+}
+
+func (w *world) claimMissing(n *simulatedNode) {
+	for i, s := range w.stores {
+		if len(n.holder.Missing(simulatedQueue, []string{s.name})) > 0 {
+			w.acquire(n, i, n.holder.Epoch(simulatedQueue), true)
+		}
+	}
+}
+
+func (w *world) acquire(n *simulatedNode, i int, epoch uint64, held bool) {
+	sent := w.now
+	w.call(n, i, func(s *simulatedStore) func() {
+		if w.mutant == takesStaleEpochs {
+			q := s.grantor.queue(simulatedQueue)
+			q.promise.Epoch = min(q.promise.Epoch, epoch-1)
+			if q.holder != nil && q.epoch > epoch {
+				q.holder = nil
+			}
+		}
+		decision := s.grantor.Acquire(w.clock(), n.identity, s.connections[SessionOf(n.identity)], simulatedQueue, epoch, held)
+		return func() {
+			n.epoch = max(n.epoch, decision.Promise.Epoch)
+			if decision.Allowed {
+				n.holder.Granted(s.name, simulatedQueue, epoch, sent)
+			}
+		}
+	})
+}
+
+func (w *world) releaseAll(n *simulatedNode) {
+	n.holder.Drop(simulatedQueue)
+	for i := range w.stores {
+		w.call(n, i, func(s *simulatedStore) func() {
+			s.grantor.Release(w.clock(), n.identity, simulatedQueue)
+			return func() {}
+		})
+	}
+}
+
+// breakSomething restarts a store or a dispatcher, freezes one, or resets or
+// cuts a connection. At most one store is down at a time: restarts are instant.
+func (w *world) breakSomething() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	i := w.random.IntN(len(w.stores))
+	switch w.random.IntN(4) {
+	case 0:
+		w.restartStore(i)
+	case 1:
+		n.frozenUntil = w.now + w.between(0, 4*time.Second)
+		w.after(n.frozenUntil-w.now, func() { w.thaw(n) })
+	case 2:
+		w.disconnect(n, i)
+	case 3:
+		w.restartNode(n)
+	}
+	w.after(w.between(50*time.Millisecond, 3*time.Second), w.breakSomething)
+}
+
+func (w *world) restartStore(i int) {
+	for _, n := range w.nodes {
+		w.disconnect(n, i)
+	}
+	w.startStore(w.stores[i])
+}
+
+func (w *world) thaw(n *simulatedNode) {
+	if w.now < n.frozenUntil {
+		return
+	}
+	inbox := n.inbox
+	n.inbox = nil
+	for _, run := range inbox {
+		run()
+	}
+}
+
+func (w *world) restartNode(n *simulatedNode) {
+	for i := range w.stores {
+		w.disconnect(n, i)
+	}
+	n.life++
+	n.identity.Incarnation++
+	n.holder, n.inbox, n.frozenUntil, n.epoch = NewHolder(), nil, 0, 0
+	n.connections = make([]*connection, len(w.stores))
+	n.versions = make([]uint64, len(w.stores))
+	life := n.life
+	w.after(w.between(0, time.Second), func() { w.tickNode(n, life) })
+}
+
+// check looks for two dispatchers that would act at this moment.
+func (w *world) check() {
+	tolerated := 1
+	if w.mutant == needsOneLess {
+		tolerated = 2
+	}
+	valid := 0
+	for _, n := range w.nodes {
+		if w.now < n.frozenUntil {
+			continue // it acts only after it has taken in what it missed
+		}
+		if _, ok := n.holder.ValidUntil(simulatedQueue, w.now, len(w.stores), tolerated); ok {
+			valid++
+			w.checkEpoch(n)
+		}
+	}
+	w.checked++
+	if valid > 0 {
+		w.valid++
+	}
+	if valid > 1 {
+		w.fault = fmt.Errorf("%d dispatchers are valid at %v", valid, w.now)
+	}
+}
+
+// checkEpoch looks for an owner whose epoch is not above that of the one before.
+func (w *world) checkEpoch(n *simulatedNode) {
+	owner, epoch := fmt.Sprint(n.identity.Node, "/", n.life), n.holder.Epoch(simulatedQueue)
+	if epoch < w.epoch || epoch == w.epoch && owner != w.owner {
+		w.fault = fmt.Errorf("%s has epoch %d at %v after %s had %d", owner, epoch, w.now, w.owner, w.epoch)
+	}
+	w.owner, w.epoch = owner, epoch
+}
+
+func (w *world) run() error {
+	for w.fault == nil && len(w.events) > 0 && w.now < simulatedLength {
+		next := heap.Pop(&w.events).(event)
+		w.now = next.at
+		next.run()
+		w.check()
+	}
+	return w.fault
+}
+
+// Whatever is lost, delayed, frozen and restarted, no two dispatchers are ever
+// valid at once, epochs only grow, and some dispatcher mostly is valid.
+func TestOneHolderAtATime(t *testing.T) {
+	worlds := uint64(400)
+	if testing.Short() {
+		worlds = 60
+	}
+	for _, stores := range []int{3, 4, 5} {
+		valid, checked := 0, 0
+		for seed := range worlds {
+			w := newWorld(seed, stores, 3, noMutant)
+			if err := w.run(); err != nil {
+				t.Fatalf("seed %d, %d stores: %v", seed, stores, err)
+			}
+			valid, checked = valid+w.valid, checked+w.checked
+		}
+		t.Logf("%d stores: some dispatcher was valid at %.0f%% of the moments", stores, 100*float64(valid)/float64(checked))
+		if valid*4 < checked {
+			t.Errorf("%d stores: a dispatcher was valid at %d of %d moments only", stores, valid, checked)
+		}
+	}
+}
+
+// The checker sees each of these faults.
+func TestMutantsAreSeen(t *testing.T) {
+	for name, m := range map[string]mutant{
+		"grants at once after a restart": grantsAtOnceAfterRestart, "takes stale epochs": takesStaleEpochs, "forgets promises": forgetsPromises,
+		"counts a renewal from its answer":    countsFromAnswer,
+		"keeps grants over a lost connection": keepsGrantsOverLoss, "keeps grants over gaps": keepsGrantsOverGaps,
+		"needs one grant less": needsOneLess,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(600) {
+				if newWorld(seed, 3, 3, m).run() != nil {
+					return
+				}
+			}
+			t.Error("not seen in 600 runs")
+		})
+	}
+}
+
+func identity(node string) protocol.Identity {
+	return protocol.Identity{Node: node, Role: "dispatcher", Incarnation: 1}
+}
+
+// A script of requests to one store and the answers that it must give.
+func TestGrantorRules(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	a, b := identity("a"), identity("b")
+	g := NewGrantor(start, 5, map[string]Promise{"kept": {Epoch: 7, By: SessionOf(a)}})
+	allowed := func(ms int, who protocol.Identity, queue string, epoch uint64, held bool) bool {
+		return g.Acquire(at(ms), who, 1, queue, epoch, held).Allowed
+	}
+
+	c.Check(allowed(0, b, "q", 1, false), qt.IsFalse, qt.Commentf("within the wait after the start"))
+	c.Check(allowed(1, b, "kept", 7, true), qt.IsFalse, qt.Commentf("held, but another brought the epoch"))
+	c.Check(allowed(2, a, "kept", 6, true), qt.IsFalse, qt.Commentf("held, below the promise"))
+	c.Check(allowed(3, a, "kept", 7, true), qt.IsTrue)
+	c.Check(allowed(1499, b, "q", 1, false), qt.IsFalse)
+	c.Check(allowed(1502, b, "kept", 8, false), qt.IsFalse, qt.Commentf("a's session lasts until 1503"))
+	c.Check(allowed(1503, b, "kept", 7, false), qt.IsFalse, qt.Commentf("not above the promise"))
+	c.Check(allowed(1503, b, "kept", 8, false), qt.IsTrue)
+	c.Check(allowed(1504, b, "kept", 8, false), qt.IsTrue, qt.Commentf("the same again: the answer was lost"))
+	c.Check(allowed(1505, b, "kept", 9, false), qt.IsTrue, qt.Commentf("its own lease with a new epoch"))
+
+	c.Check(g.Write(a, "kept", 8).Allowed, qt.IsFalse)
+	c.Check(g.Write(b, "kept", 8).Allowed, qt.IsTrue, qt.Commentf("an older epoch from who brought the promise"))
+	raised := g.Write(a, "kept", 11)
+	c.Check(raised, qt.Equals, Decision{Allowed: true, Promise: Promise{11, SessionOf(a)}, Raised: true})
+	c.Check(g.Write(b, "kept", 10).Allowed, qt.IsFalse)
+
+	version := g.Version()
+	g.Release(at(1600), a, "kept")
+	c.Check(g.Version(), qt.Equals, version, qt.Commentf("a has no lease to release"))
+	g.Release(at(1600), b, "kept")
+	c.Check(g.Version() > version, qt.IsTrue)
+	holder, epoch := g.Lease("kept")
+	c.Check(holder, qt.Equals, "")
+	c.Check(epoch, qt.Equals, uint64(11))
+}
+
+// Leases end soon after the last connection of their session has.
+func TestClosedSession(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	a, b := identity("a"), identity("b")
+	g := NewGrantor(start.Add(-LeaseDuration), 1, nil)
+	g.Renew(at(0), a, true, 2)
+	c.Assert(g.Acquire(at(0), a, 2, "q", 1, false).Allowed, qt.IsTrue)
+	g.Closed(at(100), a)
+	c.Check(g.Acquire(at(500), b, 1, "q", 2, false).Allowed, qt.IsFalse, qt.Commentf("one of two connections is left"))
+	g.Closed(at(600), a)
+	c.Check(g.Acquire(at(899), b, 1, "q", 2, false).Allowed, qt.IsFalse)
+	c.Check(g.Acquire(at(900), b, 1, "q", 2, false).Allowed, qt.IsTrue)
+
+	g.Closed(at(1000), b)
+	g.Connected(at(1200), b)
+	c.Check(g.Acquire(at(1400), a, 1, "q", 3, false).Allowed, qt.IsFalse, qt.Commentf("it has come back in time"))
+	c.Check(len(g.Sessions("dispatcher")), qt.Equals, 1)
+	c.Check(len(g.Sessions("agent")), qt.Equals, 0)
+	g.Expire(at(1200 + 1500))
+	c.Check(len(g.Sessions("dispatcher")), qt.Equals, 0)
+}
+
+// The holder counts the renewal that the last needed store answered.
+func TestHolderCountsRenewals(t *testing.T) {
+	c := qt.New(t)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	h := NewHolder()
+	c.Check(h.Granted("s1", "q", 1, ms(0)), qt.IsFalse, qt.Commentf("no session"))
+	for i, store := range []string{"s1", "s2", "s3"} {
+		h.Renewed(store, ms(100*i), ms(100*i+5))
+		c.Check(h.Granted(store, "q", 4, ms(300)), qt.IsTrue)
+	}
+	until := func(now, stores, tolerated int) time.Duration {
+		end, ok := h.ValidUntil("q", ms(now), stores, tolerated)
+		if !ok {
+			return 0
+		}
+		return end
+	}
+	c.Check(until(400, 3, 1), qt.Equals, ms(100+1300))
+	c.Check(until(400, 3, 0), qt.Equals, ms(0+1300))
+	c.Check(until(400, 4, 1), qt.Equals, ms(0+1300))
+	c.Check(until(400, 5, 1), qt.Equals, time.Duration(0))
+	c.Check(until(1400, 3, 1), qt.Equals, time.Duration(0))
+	h.Lost("s3")
+	c.Check(until(400, 3, 1), qt.Equals, ms(0+1300))
+	h.Renewed("s3", ms(500), ms(510))
+	c.Check(until(600, 3, 1), qt.Equals, ms(0+1300), qt.Commentf("s3 has not granted again"))
+	c.Check(h.Granted("s3", "q", 4, ms(499)), qt.IsFalse)
+	c.Check(h.Granted("s3", "q", 4, ms(520)), qt.IsTrue)
+	h.Renewed("s2", ms(600), ms(1599))
+	c.Check(until(1600, 3, 1), qt.Equals, ms(500+1300))
+	h.Renewed("s1", ms(700), ms(1500))
+	c.Check(h.Missing("q", []string{"s1", "s2", "s3"}), qt.DeepEquals, []string{"s1"}, qt.Commentf("s1 may have ended the session"))
+	h.Revoked("s2", "q")
+	c.Check(until(1600, 3, 1), qt.Equals, time.Duration(0))
+	c.Check(h.Granted("s2", "q", 3, ms(1600)), qt.IsTrue)
+	c.Check(until(1600, 3, 1), qt.Equals, time.Duration(0), qt.Commentf("another epoch"))
+	h.Drop("q")
+	c.Check(h.Epoch("q"), qt.Equals, uint64(0))
+}
--- a/internal/service/segment/log.go
+++ b/internal/service/segment/log.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// reservedFiles are kept free for records that must always find room and
-	// for the copies that reclaiming makes.
-	reservedFiles = 2
+	// reservedFiles are kept free of ordinary records: the last of them is for
+	// the copies that reclaiming makes, the others are for vital records too.
+	reservedFiles = 3
 	minimumFiles  = reservedFiles + 2
 	fullShare     = 0.85    // of the unreserved files that live records may fill
 	pendingMost   = 8 << 20 // bytes that may wait for the disk
@@ -24,6 +24,16 @@
 	ErrTooBig = Class.New("record is larger than a file")
 )
 
+// Priority says how much of the reserve a record may use.
+type Priority uint8
+
+// The priorities.
+const (
+	Ordinary Priority = iota // refused while the ring has little room
+	Vital                    // what must be kept although the ring is full
+	Moved                    // what replaces a record during Reclaim
+)
+
 // Owner knows which records are live. Its methods are called with no lock of
 // the log held.
 type Owner interface {
@@ -123,10 +133,9 @@
 // Stopped is closed when the log has failed or was closed.
 func (l *Log) Stopped() <-chan struct{} { return l.stopped }
 
-// Append adds a record to the current group. Records that are not vital are
-// refused with ErrFull while the ring has little room. The commit may be
-// waited for by any number of callers.
-func (l *Log) Append(kind byte, payload []byte, vital bool) (Position, *Commit, error) {
+// Append adds a record to the current group, or answers ErrFull. The commit
+// may be waited for by any number of callers.
+func (l *Log) Append(kind byte, payload []byte, priority Priority) (Position, *Commit, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	size := uint32(recordHead + len(payload))
@@ -137,14 +146,12 @@
 		return Position{}, nil, ErrClosed
 	case headerSize+size+recordHead > l.segmentSize:
 		return Position{}, nil, ErrTooBig
-	case !vital && !l.hasRoom(int64(size)):
+	case priority == Ordinary && !l.hasRoom(int64(size)):
 		return Position{}, nil, ErrFull
 	}
-	target := l.ring[len(l.ring)-1]
-	if target.end+size+recordHead > l.segmentSize {
-		if target = l.roll(); target == nil {
-			return Position{}, nil, ErrFull
-		}
+	target := l.target(size, priority)
+	if target == nil {
+		return Position{}, nil, ErrFull
 	}
 	position := Position{Generation: target.generation, Offset: target.end, Size: uint32(len(payload))}
 	l.enqueue(target, kind, payload)
@@ -154,6 +161,27 @@
 	return position, l.commit, nil
 }
 
+// target returns the file for a record; nil means that the ring is full. Only
+// moved records go to the last file that the ring may have.
+func (l *Log) target(size uint32, priority Priority) *segmentFile {
+	if l.shortOfFiles() {
+		l.freeDead()
+	}
+	last, most := l.ring[len(l.ring)-1], l.maxSegments
+	if priority != Moved {
+		most--
+	}
+	fits := last.end+size+recordHead <= l.segmentSize
+	switch {
+	case fits && len(l.ring) <= most:
+		return last
+	case !fits && len(l.ring) < most:
+		return l.roll()
+	default:
+		return nil
+	}
+}
+
 // Barrier returns the group whose end means that all that was appended before
 // is durable.
 func (l *Log) Barrier() *Commit {
@@ -186,23 +214,19 @@
 	s.live--
 	s.liveBytes -= size
 	l.liveBytes -= size
-	if s.live == 0 && s == l.ring[0] || l.maxSegments-len(l.ring) <= reservedFiles {
+	if s.live == 0 && s == l.ring[0] || l.shortOfFiles() {
 		signal(l.wakeClean)
 	}
 }
 
-// Room reports whether a record of a size that is not vital finds room.
-func (l *Log) Room(payload int) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.failure == nil && l.hasRoom(int64(recordHead+payload))
-}
-
 func (l *Log) hasRoom(size int64) bool {
 	capacity := int64(float64(l.maxSegments-reservedFiles-1) * float64(l.segmentSize) * fullShare)
 	if l.liveBytes+size > capacity || l.waiting > pendingMost {
 		return false
 	}
+	if l.shortOfFiles() {
+		l.freeDead()
+	}
 	if l.maxSegments-len(l.ring) > reservedFiles {
 		return true
 	}
@@ -210,11 +234,11 @@
 	return l.maxSegments-len(l.ring) == reservedFiles && int64(last.end)+size+recordHead <= int64(l.segmentSize)
 }
 
-// roll begins the next file; nil means that the ring is full.
+// shortOfFiles reports whether the ring has reached its reserve.
+func (l *Log) shortOfFiles() bool { return l.maxSegments-len(l.ring) <= reservedFiles }
+
+// roll begins the next file.
 func (l *Log) roll() *segmentFile {
-	if len(l.ring) >= l.maxSegments {
-		return nil
-	}
 	var next *segmentFile
 	if len(l.free) > 0 {
 		next = l.free[0]
--- a/internal/service/segment/reclaim.go
+++ b/internal/service/segment/reclaim.go
@@ -35,14 +35,16 @@
 	l.mutex.Lock()
 	freed := l.freeDead()
 	var victim *segmentFile
+	var generation uint64
 	if l.mustReclaim() {
 		victim = l.ring[0]
+		generation = victim.generation
 	}
 	ahead := victim == nil && len(l.free) < filesMadeAhead && l.made < l.maxSegments
 	l.mutex.Unlock()
 	switch {
 	case victim != nil:
-		return l.reclaim(victim)
+		return l.reclaim(victim, generation)
 	case ahead:
 		return l.makeAhead()
 	default:
@@ -76,20 +78,20 @@
 	}
 	last := l.ring[len(l.ring)-1]
 	dead := used - (l.liveBytes - last.liveBytes)
-	if l.maxSegments-len(l.ring) <= reservedFiles {
+	if l.shortOfFiles() {
 		return dead >= int64(l.segmentSize)
 	}
 	return len(l.free) == 0 && l.ring[0].liveBytes < int64(l.segmentSize)/sparseShare
 }
 
 // reclaim offers the records of a file to the owner and waits until what
-// replaces them is durable.
-func (l *Log) reclaim(victim *segmentFile) bool {
+// replaces them is durable. The file may be freed and used again meanwhile;
+// its generation tells.
+func (l *Log) reclaim(victim *segmentFile, generation uint64) bool {
 	if l.Barrier().Wait() != nil {
 		return false
 	}
-	generation, end := victim.generation, victim.end
-	scanner := newScanner(victim.file, generation, end)
+	scanner := newScanner(victim.file, generation, l.segmentSize)
 	batch := 0
 	for {
 		record, ok, err := scanner.next()
--- a/internal/service/segment/writer.go
+++ b/internal/service/segment/writer.go
@@ -73,16 +73,36 @@
 			r.segment.file = file
 			l.mutex.Unlock()
 		}
-		if _, err := r.segment.file.WriteAt(r.bytes, int64(r.offset)); err != nil {
-			return Class.Wrap(err)
-		}
-		if err := r.segment.file.Sync(); err != nil {
-			return Class.Wrap(err)
+		if err := writeRun(r); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// writeRun writes and syncs one run. The header of a file is synced first: else
+// the old header might stay while records behind it are overwritten, and what
+// is left of them would be taken for the old log.
+func writeRun(r run) error {
+	if r.offset == 0 {
+		if err := writeSynced(r.segment.file, r.bytes[:headerSize], 0); err != nil {
+			return err
+		}
+		r.offset, r.bytes = headerSize, r.bytes[headerSize:]
+	}
+	return writeSynced(r.segment.file, r.bytes, int64(r.offset))
+}
+
+func writeSynced(file File, bytes []byte, offset int64) error {
+	if len(bytes) == 0 {
+		return nil
+	}
+	if _, err := file.WriteAt(bytes, offset); err != nil {
+		return Class.Wrap(err)
+	}
+	return Class.Wrap(file.Sync())
+}
+
 // create makes a file of full length whose name and length are durable.
 func (l *Log) create(name string) (File, error) {
 	file, err := l.files.Open(name, true)
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -83,6 +83,8 @@
 	open    entryList
 	ended   entryList // in the order of their ends
 	promise segment.Position
+
+	promisedEpoch uint64 // in the promise record
 }
 
 // index holds all entries. It is not safe for concurrent use.
@@ -158,20 +160,25 @@
 		e.unlink()
 		e.queue.ended.add(e)
 	}
-	e.state, e.stamp, e.callbackDue = end.state, end.stamp, end.callbackDue
-	if e.callbackURL == "" {
-		e.callbackURL = end.callbackURL
-	}
-	if e.epoch == 0 {
-		e.epoch, e.sequence, e.bodySize = end.epoch, end.sequence, end.bodySize
-	}
-	if !e.callbackDue {
-		e.callbackURL = ""
-	}
+	e.state, e.stamp, e.callbackDue, e.callbackURL = end.state, end.stamp, end.callbackDue, end.callbackURL
+	e.epoch, e.sequence, e.bodySize = end.epoch, end.sequence, end.bodySize
 	e.head = nil
 	x.account(e)
 }
 
+// merged completes an end by what the entry knows.
+func (e *entry) merged(end *endState) *endState {
+	whole := e.endOf()
+	whole.state, whole.stamp, whole.callbackDue = end.state, end.stamp, end.callbackDue
+	if !e.state.Ended() {
+		whole.endedAt = end.endedAt
+	}
+	if !whole.callbackDue {
+		whole.callbackURL = ""
+	}
+	return whole
+}
+
 // remove forgets an entry.
 func (x *index) remove(e *entry) {
 	e.unlink()
--- a/internal/service/store/record.go
+++ b/internal/service/store/record.go
@@ -125,8 +125,9 @@
 }
 
 // encodeMessage writes the head, with the moment of acceptance in place of the
-// age, and the body.
-func encodeMessage(b []byte, m *protocol.Message, bornAt time.Duration) []byte {
+// age, the end if the message has ended, and the body. So a message and its
+// end never depend on the order of two records.
+func encodeMessage(b []byte, m *protocol.Message, bornAt time.Duration, end *endState) []byte {
 	h := &m.Head
 	b = appendString(b, h.ID)
 	b = appendString(b, h.Queue)
@@ -142,16 +143,28 @@
 	b = appendDuration(b, h.Delay)
 	b = appendDuration(b, h.Retention)
 	b = binary.AppendUvarint(b, uint64(max(h.Failures, 0)))
+	b = appendBool(b, end != nil)
+	if end != nil {
+		b = encodeEnd(b, end)
+	}
 	b = binary.AppendUvarint(b, uint64(len(m.Body)))
 	return append(b, m.Body...)
 }
 
+// messageContent is the content of a message record.
+type messageContent struct {
+	message protocol.Message
+	bornAt  time.Duration
+	end     *endState // nil unless it had ended
+}
+
 // decodeMessage reads a message; its body shares the payload's memory.
-func decodeMessage(payload []byte) (head protocol.Head, bornAt time.Duration, body []byte, err error) {
+func decodeMessage(payload []byte) (content messageContent, err error) {
 	d := decoder{rest: payload}
+	head := &content.message.Head
 	head.ID = d.string()
 	head.Queue = d.string()
-	bornAt = d.duration()
+	content.bornAt = d.duration()
 	head.Epoch = d.uint()
 	head.Sequence = d.uint()
 	head.Method = d.string()
@@ -163,10 +176,14 @@
 	head.Delay = d.duration()
 	head.Retention = d.duration()
 	head.Failures = int(d.uint())
-	body = d.bytes()
-	head.BodySize = len(body)
+	if d.bool() {
+		end := d.end()
+		content.end = &end
+	}
+	content.message.Body = d.bytes()
+	head.BodySize = len(content.message.Body)
 	head.State = protocol.Queued
-	return head, bornAt, body, d.err("message")
+	return content, d.err("message")
 }
 
 func encodeEnd(b []byte, e *endState) []byte {
@@ -185,12 +202,16 @@
 
 func decodeEnd(payload []byte) (endState, error) {
 	d := decoder{rest: payload}
-	e := endState{
+	e := d.end()
+	return e, d.err("end")
+}
+
+func (d *decoder) end() endState {
+	return endState{
 		id: d.string(), queue: d.string(), state: protocol.State(d.uint()), stamp: d.string(),
 		callbackURL: d.string(), callbackDue: d.bool(), epoch: d.uint(), sequence: d.uint(),
 		bodySize: int(d.uint()), bornAt: d.duration(), endedAt: d.duration(),
 	}
-	return e, d.err("end")
 }
 
 func encodeFailures(b []byte, id string, count int) []byte {
--- a/internal/service/store/recovery.go
+++ b/internal/service/store/recovery.go
@@ -1,9 +1,11 @@
 package store
 
 import (
+	"errors"
 	"time"
 
 	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
 )
 
@@ -61,23 +63,32 @@
 		return nil
 	}
 	s.replayed.promises[name] = promise
-	s.replace(&s.index.queue(name).promise, position)
+	q := s.index.queue(name)
+	s.replace(&q.promise, position)
+	q.promisedEpoch = promise.Epoch
 	return nil
 }
 
 func (s *store) replayMessage(payload []byte, position segment.Position) error {
-	head, bornAt, _, err := decodeMessage(payload)
+	content, err := decodeMessage(payload)
 	if err != nil {
 		return err
 	}
-	s.replayed.latest = max(s.replayed.latest, bornAt)
+	head := &content.message.Head
+	s.replayed.latest = max(s.replayed.latest, content.bornAt)
 	e := s.index.entries[head.ID]
-	if e == nil {
-		e = s.index.addOpen(&head, bornAt)
-	} else if !e.wantsBody() {
+	switch {
+	case e != nil && !e.wantsBody():
 		s.log.Drop(position)
 		return nil
-	}
+	case e == nil && content.end != nil:
+		e = s.index.addEnded(content.end)
+	case e == nil:
+		e = s.index.addOpen(head, content.bornAt)
+	case content.end != nil:
+		s.index.applyEnd(e, content.end)
+	}
+	e.failures = max(e.failures, head.Failures)
 	s.replace(&e.message, position)
 	return nil
 }
@@ -132,13 +143,16 @@
 	}
 	s.grantor = lease.NewGrantor(time.Now(), s.options.version, s.replayed.promises)
 	s.replayed = nil
-	return s.keepClock()
+	if err := s.keepClock(); !errors.Is(err, segment.ErrFull) {
+		return err
+	}
+	return nil // the last reading still tells the time
 }
 
 // formatDisk writes the first records of an empty disk.
 func (s *store) formatDisk() error {
 	s.bootstrap = s.options.bootstrap
-	position, _, err := s.write(formatRecord, true, func(b []byte) []byte { return encodeFormat(b, s.bootstrap) })
+	position, _, err := s.write(formatRecord, segment.Vital, func(b []byte) []byte { return encodeFormat(b, s.bootstrap) })
 	s.replace(&s.format, position)
 	return err
 }
@@ -148,34 +162,47 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	place, e := s.placeOf(kind, payload)
-	if place == nil || *place != position {
+	switch {
+	case place == nil || *place != position:
 		return nil
+	case kind == messageRecord && (e.end.Generation != 0 || e.failuresRecord.Generation != 0):
+		return s.moveMessage(e, payload)
 	}
-	moved, _, err := s.log.Append(kind, payload, true)
+	moved, _, err := s.log.Append(kind, payload, segment.Moved)
 	if err != nil {
 		return err
 	}
 	s.replace(place, moved)
-	if kind == messageRecord {
-		return s.rewriteFollowers(e)
-	}
 	return nil
 }
 
-// rewriteFollowers writes the records that must lie behind their message's.
-func (s *store) rewriteFollowers(e *entry) error {
-	if e.failuresRecord.Generation != 0 {
-		if err := s.writeFailures(e); err != nil {
-			return err
-		}
+// moveMessage writes a message with its end and its failures, whose own
+// records it replaces.
+func (s *store) moveMessage(e *entry, payload []byte) error {
+	content, err := decodeMessage(payload)
+	if err != nil {
+		return err
 	}
-	if e.state.Ended() {
-		_, err := s.writeEnd(e)
+	content.message.Head.Failures = e.failures
+	moved, _, err := s.writeContent(&content.message, content.bornAt, e, segment.Moved)
+	if err != nil {
 		return err
 	}
+	s.replace(&e.message, moved)
+	s.replace(&e.end, segment.Position{})
+	s.replace(&e.failuresRecord, segment.Position{})
 	return nil
 }
 
+// writeContent writes a message record, with the end of an ended entry.
+func (s *store) writeContent(m *protocol.Message, bornAt time.Duration, e *entry, priority segment.Priority) (segment.Position, *segment.Commit, error) {
+	var end *endState
+	if e != nil && e.state.Ended() {
+		end = e.endOf()
+	}
+	return s.write(messageRecord, priority, func(b []byte) []byte { return encodeMessage(b, m, bornAt, end) })
+}
+
 // placeOf returns where the position of a record is kept, and its entry.
 func (s *store) placeOf(kind byte, payload []byte) (*segment.Position, *entry) {
 	switch kind {
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -91,7 +91,7 @@
 func (s *store) acquireOne(now time.Time, identity protocol.Identity, request protocol.Acquire, name string) (protocol.Grant, error) {
 	connections := s.connections[lease.SessionOf(identity)]
 	decision := s.grantor.Acquire(now, identity, connections, name, request.Epoch, request.Held)
-	if decision.Raised {
+	if decision.Allowed {
 		if _, err := s.keepPromise(name, decision.Promise); err != nil {
 			return protocol.Grant{}, err
 		}
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -106,10 +106,10 @@
 }
 
 // write appends a record made by encode. The mutex is held.
-func (s *store) write(kind byte, vital bool, encode func([]byte) []byte) (segment.Position, *segment.Commit, error) {
+func (s *store) write(kind byte, priority segment.Priority, encode func([]byte) []byte) (segment.Position, *segment.Commit, error) {
 	buffer := s.buffers.Get().(*[]byte)
 	*buffer = encode((*buffer)[:0])
-	position, commit, err := s.log.Append(kind, *buffer, vital)
+	position, commit, err := s.log.Append(kind, *buffer, priority)
 	if cap(*buffer) <= bufferKept {
 		s.buffers.Put(buffer)
 	}
@@ -130,10 +130,8 @@
 	if !decision.Allowed {
 		return protocol.Fenced, nil, nil
 	}
-	if decision.Raised {
-		if _, err := s.keepPromise(m.Head.Queue, decision.Promise); err != nil {
-			return 0, nil, err
-		}
+	if _, err := s.keepPromise(m.Head.Queue, decision.Promise); err != nil {
+		return 0, nil, err
 	}
 	e := s.index.entries[m.Head.ID]
 	switch {
@@ -142,8 +140,9 @@
 	case e.message.Generation == 0 && e.wantsBody():
 		return s.appendBody(e, m)
 	case e.callbackDue && e.callbackURL == "" && m.Head.CallbackURL != "":
-		e.callbackURL = m.Head.CallbackURL
-		commit, err := s.writeEnd(e)
+		end := e.endOf()
+		end.callbackURL = m.Head.CallbackURL
+		commit, err := s.writeEnd(e, end, segment.Vital)
 		return protocol.Stored, commit, err
 	default:
 		return protocol.Stored, s.log.Barrier(), nil
@@ -186,7 +185,7 @@
 	if s.index.memory > s.options.memoryMost {
 		return protocol.Full, nil, nil
 	}
-	position, commit, status, err := s.writeMessage(m)
+	position, commit, status, err := s.writeMessage(m, nil)
 	if status != protocol.Stored {
 		return status, nil, err
 	}
@@ -207,31 +206,29 @@
 	}
 }
 
-// appendBody keeps the body of a message that is known by its end. The end is
-// written again behind it, so that the end is never reclaimed first.
+// appendBody keeps the body of a message that is known by its end.
 func (s *store) appendBody(e *entry, m *protocol.Message) (protocol.AppendStatus, *segment.Commit, error) {
-	position, _, status, err := s.writeMessage(m)
-	if status != protocol.Stored {
-		return status, nil, err
-	}
-	e.message = position
 	e.bornAt, e.bodySize = s.bornAt(m), len(m.Body)
 	e.epoch, e.sequence = m.Head.Epoch, m.Head.Sequence
 	if e.callbackDue {
 		e.callbackURL = m.Head.CallbackURL
 	}
-	commit, err := s.writeEnd(e)
-	return protocol.Stored, commit, err
+	position, commit, status, err := s.writeMessage(m, e)
+	if status != protocol.Stored {
+		return status, nil, err
+	}
+	s.replace(&e.message, position)
+	s.replace(&e.end, segment.Position{})
+	return protocol.Stored, commit, nil
 }
 
 func (s *store) bornAt(m *protocol.Message) time.Duration { return s.clock.now() - m.Head.Age }
 
-func (s *store) writeMessage(m *protocol.Message) (segment.Position, *segment.Commit, protocol.AppendStatus, error) {
-	if err := s.keepClock(); err != nil {
+func (s *store) writeMessage(m *protocol.Message, e *entry) (segment.Position, *segment.Commit, protocol.AppendStatus, error) {
+	if err := s.keepClock(); err != nil && !errors.Is(err, segment.ErrFull) {
 		return segment.Position{}, nil, 0, err
 	}
-	bornAt := s.bornAt(m)
-	position, commit, err := s.write(messageRecord, false, func(b []byte) []byte { return encodeMessage(b, m, bornAt) })
+	position, commit, err := s.writeContent(m, s.bornAt(m), e, segment.Ordinary)
 	switch {
 	case errors.Is(err, segment.ErrFull):
 		return position, nil, protocol.Full, nil
@@ -248,7 +245,7 @@
 	if s.lastClock.Generation != 0 && now-s.clockAt < clockEvery {
 		return nil
 	}
-	position, _, err := s.write(clockRecord, true, func(b []byte) []byte { return encodeClock(b, s.clock.read()) })
+	position, _, err := s.write(clockRecord, segment.Vital, func(b []byte) []byte { return encodeClock(b, s.clock.read()) })
 	if err != nil {
 		return err
 	}
@@ -263,15 +260,20 @@
 	*place = position
 }
 
-// keepPromise writes the promise of a queue.
+// keepPromise writes the promise of a queue unless it has been written.
 func (s *store) keepPromise(queue string, promise lease.Promise) (*segment.Commit, error) {
-	position, commit, err := s.write(promiseRecord, true, func(b []byte) []byte {
+	q := s.index.queue(queue)
+	if promise.Epoch <= q.promisedEpoch {
+		return nil, nil
+	}
+	position, commit, err := s.write(promiseRecord, segment.Vital, func(b []byte) []byte {
 		return encodePromise(b, queue, promise)
 	})
 	if err != nil {
 		return nil, err
 	}
-	s.replace(&s.index.queue(queue).promise, position)
+	s.replace(&q.promise, position)
+	q.promisedEpoch = promise.Epoch
 	return commit, nil
 }
 
@@ -310,14 +312,12 @@
 	switch {
 	case e == nil && s.index.memory > tombstoneShare*s.options.memoryMost:
 		return Class.New("no memory for the end of unknown message %s", end.ID)
-	case e == nil:
-		e = s.index.addEnded(state)
-	case !supersedes(end, e):
+	case e != nil && !supersedes(end, e):
 		return nil
-	default:
-		s.index.applyEnd(e, state)
+	case e != nil:
+		state = e.merged(state)
 	}
-	_, err := s.writeEnd(e)
+	_, err := s.writeEnd(e, state, segment.Vital)
 	return err
 }
 
@@ -358,12 +358,18 @@
 	return e.callbackDue && !end.CallbackDue
 }
 
-// writeEnd writes an entry's end and drops what it makes needless.
-func (s *store) writeEnd(e *entry) (*segment.Commit, error) {
-	position, commit, err := s.write(endRecord, true, func(b []byte) []byte { return encodeEnd(b, e.endOf()) })
+// writeEnd writes an end, applies it to its entry, which it makes if need be,
+// and drops what it makes needless.
+func (s *store) writeEnd(e *entry, end *endState, priority segment.Priority) (*segment.Commit, error) {
+	position, commit, err := s.write(endRecord, priority, func(b []byte) []byte { return encodeEnd(b, end) })
 	if err != nil {
 		return nil, err
 	}
+	if e == nil {
+		e = s.index.addEnded(end)
+	} else {
+		s.index.applyEnd(e, end)
+	}
 	s.replace(&e.end, position)
 	s.dropNeedless(e)
 	return commit, nil
@@ -383,15 +389,15 @@
 	if e == nil || e.state.Ended() || failures.Count <= e.failures {
 		return nil
 	}
-	e.failures = failures.Count
-	return s.writeFailures(e)
+	return s.writeFailures(e, failures.Count, segment.Vital)
 }
 
-func (s *store) writeFailures(e *entry) error {
-	position, _, err := s.write(failuresRecord, true, func(b []byte) []byte { return encodeFailures(b, e.id, e.failures) })
+func (s *store) writeFailures(e *entry, count int, priority segment.Priority) error {
+	position, _, err := s.write(failuresRecord, priority, func(b []byte) []byte { return encodeFailures(b, e.id, count) })
 	if err != nil {
 		return err
 	}
+	e.failures = count
 	s.replace(&e.failuresRecord, position)
 	return nil
 }
@@ -426,14 +432,15 @@
 
 // withBody adds the body, and the fields of the head that are on disk only.
 func withBody(reply protocol.QueryReply, payload []byte) (protocol.QueryReply, error) {
-	head, _, body, err := decodeMessage(payload)
+	content, err := decodeMessage(payload)
 	if err != nil {
 		return protocol.QueryReply{}, err
 	}
+	head := content.message.Head
 	known := reply.Head
 	head.Queue, head.Age, head.Failures = known.Queue, known.Age, known.Failures
 	head.State, head.Stamp, head.CallbackDue = known.State, known.Stamp, known.CallbackDue
-	return protocol.QueryReply{Head: head, Body: body, Held: true}, nil
+	return protocol.QueryReply{Head: head, Body: content.message.Body, Held: true}, nil
 }
 
 // tick drops what nobody may ask for any more.
