--- a/internal/service/delivery/client.go
+++ b/internal/service/delivery/client.go
@@ -123,8 +123,9 @@
 	if stop := context.AfterFunc(ctx, func() { _ = conn.raw.Close() }); ctx.Done() != nil {
 		defer stop()
 	}
-	_ = conn.raw.SetDeadline(until.Add(answerSlack))
-	written, writeErr := conn.write(request, max(leastDeadline, until.Sub(c.now())))
+	left := max(leastDeadline, until.Sub(c.now()))
+	_ = conn.raw.SetDeadline(time.Now().Add(left + answerSlack))
+	written, writeErr := conn.write(request, left)
 	if written == 0 && writeErr != nil {
 		result.Verdict, result.Err = verdict.NotRun, Class.Wrap(writeErr)
 		return result, true
