--- a/internal/service/configuration/parse.go
+++ b/internal/service/configuration/parse.go
@@ -76,7 +76,7 @@
 		return syntaxError(raw, err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return Class.New("%s: more follows the configuration", position(raw, decoder.InputOffset()))
+		return Class.New("%s: more follows the configuration", position(raw, decoder.InputOffset()-1))
 	}
 	err = compiled.Validate(content)
 	var invalid *jsonschema.ValidationError
@@ -173,15 +173,15 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return Class.New("%s: cut short", position(raw, int64(len(raw))))
 	case errors.As(err, &syntax):
-		return Class.New("%s: %v", position(raw, syntax.Offset), err)
+		return Class.New("%s: %v", position(raw, syntax.Offset-1), err)
 	case errors.As(err, &wrongType):
-		return Class.New("%s: %v", position(raw, wrongType.Offset), err)
+		return Class.New("%s: %v", position(raw, wrongType.Offset-1), err)
 	default:
 		return Class.Wrap(err)
 	}
 }
 
-// position turns an offset into a line and a column, both counted from 1.
+// position names the line and the column of a byte, both counted from 1.
 func position(raw []byte, offset int64) string {
 	before := raw[:min(max(offset, 0), int64(len(raw)))]
 	line := 1 + bytes.Count(before, []byte("\n"))
--- /dev/null
+++ b/internal/service/control/replica_test.go
@@ -0,0 +1,360 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/register"
+	"yardwharf/internal/service/view"
+)
+
+var errCut = errors.New("cut off")
+
+const hopTime = time.Millisecond
+
+// memoryStorage is a Storage without a disk. It does not sleep: simulated time
+// stands still while a goroutine waits for a mutex.
+type memoryStorage struct {
+	state register.State
+	found bool
+}
+
+func (m *memoryStorage) Save(state register.State) error {
+	m.state, m.found = state, true
+	return nil
+}
+
+// network links replicas inside a bubble of simulated time.
+type network struct {
+	mutex    sync.Mutex
+	replicas map[string]*replica
+	disks    map[string]*memoryStorage
+	cut      map[string]bool // addresses that nobody reaches and that reach nobody
+	dropped  func(to string, request any) bool
+}
+
+func newNetwork() *network {
+	return &network{
+		replicas: map[string]*replica{}, disks: map[string]*memoryStorage{}, cut: map[string]bool{},
+		dropped: func(string, any) bool { return false },
+	}
+}
+
+// link is the network as one process sees it.
+type link struct {
+	network *network
+	from    string
+}
+
+func (l link) call(ctx context.Context, address string, request any) (any, error) {
+	n := l.network
+	n.mutex.Lock()
+	target, lost := n.replicas[address], n.cut[address] || n.cut[l.from] || n.dropped(address, request)
+	n.mutex.Unlock()
+	if target == nil || lost {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	time.Sleep(hopTime)
+	var answer any
+	var err error
+	if join, ok := request.(joinRequest); ok {
+		answer = joinReply{Joined: target.admit(ctx, join.Member)}
+	} else {
+		answer, err = target.callSelf(request)
+	}
+	time.Sleep(hopTime)
+	return answer, err
+}
+
+func coreAddress(index int) string { return fmt.Sprintf("10.0.0.%d:7784", index) }
+
+var coreSeeds = []string{coreAddress(1), coreAddress(2), coreAddress(3)}
+
+// start starts a process with the disk that it has.
+func (n *network) start(c *qt.C, index int, bootstrap bool) *replica {
+	address := coreAddress(index)
+	disk := n.disks[address]
+	if disk == nil {
+		disk = &memoryStorage{}
+		n.disks[address] = disk
+	}
+	identity := protocol.Identity{Node: "core-" + strconv.Itoa(index), Role: roleName, Zone: "zone", Address: address}
+	r, err := newReplica(identity, coreSeeds, bootstrap, disk, disk.state, disk.found, link{n, address}, logr.Discard())
+	c.Assert(err, qt.IsNil)
+	n.mutex.Lock()
+	n.replicas[address] = r
+	n.mutex.Unlock()
+	return r
+}
+
+func (n *network) stop(index int) {
+	n.mutex.Lock()
+	delete(n.replicas, coreAddress(index))
+	n.mutex.Unlock()
+}
+
+func (n *network) wipe(index int) {
+	n.stop(index)
+	delete(n.disks, coreAddress(index))
+}
+
+func (n *network) setCut(cut bool, indices ...int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, index := range indices {
+		n.cut[coreAddress(index)] = cut
+	}
+}
+
+// drop sets which requests are lost.
+func (n *network) drop(dropped func(to string, request any) bool) {
+	n.mutex.Lock()
+	n.dropped = dropped
+	n.mutex.Unlock()
+}
+
+// inBubble runs a test on three members in simulated time.
+func inBubble(t *testing.T, test func(c *qt.C, n *network, core []*replica)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNetwork()
+		core := []*replica{nil}
+		for index := 1; index <= 3; index++ {
+			core = append(core, n.start(c, index, true))
+		}
+		test(c, n, core)
+		time.Sleep(10 * time.Second) // calls that were cut off end
+	})
+}
+
+func replace(r *replica, base, revision int64) register.Outcome {
+	return r.order(context.Background(), register.Replace(base, revision, []byte(strconv.FormatInt(revision, 10)))).Outcome
+}
+
+func revisionAt(c *qt.C, r *replica) int64 {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	value, decided := r.newest(ctx)
+	c.Assert(decided, qt.IsTrue)
+	return value.Revision
+}
+
+func newUpkeep(r *replica) *upkeep {
+	return &upkeep{replica: r, stores: func() []view.NodeState { return nil }, tolerated: 1}
+}
+
+func TestOrdersAreTakenAndRefused(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *network, core []*replica) {
+		began := time.Now()
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		c.Assert(time.Since(began) < 50*time.Millisecond, qt.IsTrue)
+		c.Assert(replace(core[2], 0, 3), qt.Equals, register.Taken)
+		c.Assert(replace(core[2], 0, 4), qt.Equals, register.Stale)
+		c.Assert(replace(core[3], 3, 2), qt.Equals, register.Invalid)
+		c.Assert(replace(core[3], 3, 9), qt.Equals, register.Taken)
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		c.Assert(revisionAt(c, core[2]), qt.Equals, int64(9))
+	})
+}
+
+func TestMinorityAnswersUndecidedInTime(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		n.setCut(true, 2, 3)
+		began := time.Now()
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Undecided)
+		c.Assert(time.Since(began) <= orderTimeout, qt.IsTrue)
+		n.setCut(false, 2, 3)
+		c.Assert(replace(core[2], 0, 4), qt.Equals, register.Taken)
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Stale)
+	})
+}
+
+// TestUndecidedChangeIsFinishedBeforeARefusal has one member accept a change
+// whose proposer then falls silent.
+func TestUndecidedChangeIsFinishedBeforeARefusal(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		n.drop(func(to string, request any) bool {
+			_, accept := request.(register.Accept)
+			return accept && to != coreAddress(2)
+		})
+		core[1].storageFails(true)
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Undecided)
+		core[1].storageFails(false)
+		n.drop(func(string, any) bool { return false })
+		n.setCut(true, 1)
+		c.Assert(replace(core[3], 0, 4), qt.Equals, register.Stale)
+		c.Assert(revisionAt(c, core[3]), qt.Equals, int64(3))
+		n.setCut(false, 1)
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+	})
+}
+
+// storageFails makes the acceptor's accepted values fail to be saved.
+func (r *replica) storageFails(fails bool) {
+	r.acceptorMutex.Lock()
+	defer r.acceptorMutex.Unlock()
+	state := r.acceptor.State()
+	var storage register.Storage = &memoryStorage{}
+	if fails {
+		storage = refusesValues{}
+	}
+	r.acceptor = register.NewAcceptor(r.identity.Address, state, storage)
+}
+
+// refusesValues saves promises only.
+type refusesValues struct{}
+
+func (refusesValues) Save(state register.State) error {
+	if state.Accepted != (register.Ballot{}) {
+		return errors.New("disk full")
+	}
+	return nil
+}
+
+func TestEightOrdersAtOnce(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *network, core []*replica) {
+		outcomes := make([]register.Outcome, 8)
+		began := time.Now()
+		var group sync.WaitGroup
+		for i := range outcomes {
+			group.Go(func() { outcomes[i] = replace(core[1+i%3], 0, int64(10+i)) })
+		}
+		group.Wait()
+		count := map[register.Outcome]int{}
+		for _, outcome := range outcomes {
+			count[outcome]++
+		}
+		c.Assert(count[register.Taken], qt.Equals, 1)
+		c.Assert(count[register.Stale], qt.Equals, 7, qt.Commentf("%v", count))
+		c.Logf("eight orders on one base took %v", time.Since(began))
+	})
+}
+
+func TestMemberThatMissedAChangeCatchesUp(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		n.setCut(true, 3)
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		n.setCut(false, 3)
+		newUpkeep(core[3]).tick(context.Background())
+		c.Assert(core[3].known().Value.Revision, qt.Equals, int64(3))
+	})
+}
+
+func TestOtherMembersLearnAtOnce(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *network, core []*replica) {
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		time.Sleep(20 * time.Millisecond)
+		for _, r := range core[1:] {
+			c.Assert(r.known().Value.Revision, qt.Equals, int64(3))
+		}
+	})
+}
+
+func TestMemberWithALostDiskJoinsAgain(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		n.wipe(3)
+		third := n.start(c, 3, false)
+		n.setCut(true, 2)
+		newUpkeep(third).tick(context.Background())
+		c.Assert(third.isMember(), qt.IsFalse, qt.Commentf("joined without the majority that has not forgotten"))
+		c.Assert(replace(core[1], 3, 4), qt.Equals, register.Undecided)
+		n.setCut(false, 2)
+		time.Sleep(5 * time.Second)
+		newUpkeep(third).tick(context.Background())
+		c.Assert(third.isMember(), qt.IsTrue)
+		n.setCut(true, 1)
+		current := revisionAt(c, core[2])
+		c.Assert(replace(third, current, 9), qt.Equals, register.Taken)
+	})
+}
+
+func TestFurtherMembersAreAddedAndReplaced(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		for index := 4; index <= 5; index++ {
+			r := n.start(c, index, true)
+			core = append(core, r)
+			newUpkeep(r).tick(context.Background())
+			c.Assert(r.isMember(), qt.IsTrue)
+		}
+		c.Assert(core[5].known().Value.Members, qt.HasLen, 5)
+		n.setCut(true, 1, 2)
+		c.Assert(replace(core[4], 0, 3), qt.Equals, register.Taken)
+
+		time.Sleep(replaceAfter + time.Second)
+		for _, r := range core[3:] {
+			newUpkeep(r).tick(context.Background())
+		}
+		sixth := n.start(c, 6, false)
+		newUpkeep(sixth).tick(context.Background())
+		c.Assert(sixth.isMember(), qt.IsTrue)
+		c.Assert(sixth.known().Value.Members, qt.HasLen, 5)
+		c.Assert(revisionAt(c, sixth), qt.Equals, int64(3))
+	})
+}
+
+func TestAllRestartAtOnce(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		time.Sleep(time.Second)
+		for index := 1; index <= 3; index++ {
+			n.stop(index)
+		}
+		for index := 1; index <= 3; index++ {
+			core[index] = n.start(c, index, false)
+		}
+		c.Assert(revisionAt(c, core[2]), qt.Equals, int64(3))
+		c.Assert(replace(core[3], 0, 3), qt.Equals, register.Taken)
+		c.Assert(replace(core[3], 0, 4), qt.Equals, register.Stale)
+	})
+}
+
+func TestUpkeepKeepsNamesAndStores(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *network, core []*replica) {
+		u := newUpkeep(core[1])
+		states := []view.NodeState{
+			{Identity: protocol.Identity{Node: "store-1", Role: "store", Zone: "z", Address: "10.0.0.9:7783"}, StoreID: "a", Alive: true},
+			{Identity: protocol.Identity{Node: "store-2", Role: "store", Zone: "z", Address: "10.0.0.8:7783"}, StoreID: "b"},
+		}
+		u.stores = func() []view.NodeState { return states }
+		for range 2 {
+			u.tick(context.Background())
+			time.Sleep(upkeepEvery)
+		}
+		value := core[1].known().Value
+		c.Assert(value.Stores, qt.DeepEquals, []register.StoreMember{{Node: "store-1", Zone: "z", Address: "10.0.0.9:7783", StoreID: "a"}})
+		for _, member := range value.Members {
+			c.Assert(member.Node, qt.Not(qt.Equals), "")
+		}
+		states[0].StoreID = "c"
+		u.tick(context.Background())
+		c.Assert(core[1].known().Value.Stores[0].StoreID, qt.Equals, "c")
+	})
+}
+
+func TestReplacedStoreIsRemovedOnlyWhenEnoughLive(t *testing.T) {
+	c := qt.New(t)
+	u := &upkeep{tolerated: 1}
+	value := &register.Value{Stores: []register.StoreMember{{Node: "a"}, {Node: "b"}, {Node: "c"}, {Node: "d"}}}
+	now := time.Unix(0, 0)
+	live := map[string]register.StoreMember{"a": {}, "b": {}}
+	_, removed := u.replacedStore(value, live, now)
+	c.Assert(removed, qt.IsFalse)
+	_, removed = u.replacedStore(value, live, now.Add(2*removeAfter))
+	c.Assert(removed, qt.IsFalse)
+	live["c"] = register.StoreMember{}
+	node, removed := u.replacedStore(value, live, now.Add(2*removeAfter))
+	c.Assert(removed, qt.IsTrue)
+	c.Assert(node, qt.Equals, "d")
+}
