Do not pause a service's only sender for its messages' failures

Cause: two messages in a row that can't be done kept all others from the only sender of a rated service for 0.25 s and cut its window to one. Tests for that, for a release of all senders and for the bound of connections; the tests' clock is a heap. The constant rateSpan stands with its use again.

--- a/internal/service/balance/driver.go
+++ b/internal/service/balance/driver.go
@@ -192,7 +192,7 @@
 		d.forget(id, r)
 	}
 	d.balancer.Outcome(now, yardwharf.Outcome{
-		Request: id, Attempt: attempt.Number, Worker: r.worker, Status: outcome.Status.decision(),
+		Request: id, Attempt: attempt.Number, Worker: r.worker, Status: outcome.Status.decision(len(d.workers) == 1),
 		Latency: outcome.Latency, Closed: !keeps, Load: outcome.Load.values(),
 	})
 	return keeps
@@ -232,12 +232,17 @@
 	return wait*3/4 + time.Duration(d.random.Float64()*float64(wait/2))
 }
 
-// decision is the status that the decision module knows.
-func (s Status) decision() yardwharf.Status {
+// decision is the status that the decision module knows. Failures and broken
+// connections that may be the message's own do not speak against a sender that has
+// no other beside it: to pause it would only hold up the rest.
+func (s Status) decision(onlySender bool) yardwharf.Status {
 	switch s {
 	case Succeeded:
 		return yardwharf.OK
 	case Failed:
+		if onlySender {
+			return yardwharf.Rejected
+		}
 		return yardwharf.Error
 	case Refused:
 		return yardwharf.Rejected
@@ -250,6 +255,9 @@
 	case NotRun:
 		return yardwharf.Moot
 	default:
+		if onlySender {
+			return yardwharf.Cancelled
+		}
 		return yardwharf.Reset
 	}
 }
--- a/internal/service/balance/driver_test.go
+++ b/internal/service/balance/driver_test.go
@@ -241,3 +241,66 @@
 	r.play(2 * time.Second)
 	r.c.Assert(d.sent, qt.HasLen, 1)
 }
+
+// While the senders of a service are replaced one after the other by cold ones, nothing
+// is late, and nothing goes to those that drain.
+func TestRelease(t *testing.T) {
+	r := newRig(t, 8, 9, 12, Options{})
+	for _, s := range r.senders {
+		s.work = 250 * ms
+	}
+	r.traffic(30*time.Second, 5*ms)
+	r.play(5 * time.Second)
+	for i := range 9 {
+		old := r.list[0].ID
+		s := r.add(fmt.Sprintf("t%03d", i), 12)
+		s.work, s.coldUntil = 250*ms, r.now+3*time.Second
+		r.list[0].Draining = true
+		r.tell()
+		before := r.sentTo[old]
+		r.play(time.Second)
+		r.c.Assert(r.sentTo[old], qt.Equals, before)
+		r.list = r.list[1:]
+		r.tell()
+	}
+	r.play(20 * time.Second)
+	late, all := r.late(0, r.now, 800*ms)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d", all))
+	for i := range 9 {
+		share := r.dispatchers[0].driver.Shares()[fmt.Sprintf("t%03d", i)]
+		r.c.Assert(share > 0.2/9 && share < 3.0/9, qt.IsTrue, qt.Commentf("%d has %v", i, share))
+	}
+}
+
+// Failures of messages do not keep the only sender of a service from working.
+func TestFailuresAtTheOnlySender(t *testing.T) {
+	for _, status := range []Status{Failed, Lost, Refused} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			r := newRig(t, 1, 1, 4, Options{})
+			d := r.dispatchers[0]
+			d.manual = true
+			for n := range 10 {
+				r.submit(d)
+				r.c.Assert(d.sent, qt.HasLen, n+1)
+				d.driver.Ended(r.now, d.sent[n].ID, Outcome{Status: status})
+			}
+		})
+	}
+}
+
+// What one dispatcher has out at a sender stays within its part of the connections.
+func TestConnections(t *testing.T) {
+	r := newRig(t, 1, 1, 100, Options{MaxConnections: 40})
+	d := r.dispatchers[0]
+	d.manual = true
+	for range 100 {
+		r.submit(d)
+	}
+	r.c.Assert(d.sent, qt.HasLen, 34)
+	d.driver.SetFleet(2, 40)
+	for _, attempt := range d.sent[:34] {
+		d.driver.Ended(r.now, attempt.ID, Outcome{Status: Succeeded, Load: &Load{Running: 1, Slots: 100}})
+	}
+	r.c.Assert(d.sent, qt.HasLen, 34+17)
+	r.c.Assert(d.sent[50].MaxConnections, qt.Equals, 17)
+}
--- a/internal/service/balance/rig_test.go
+++ b/internal/service/balance/rig_test.go
@@ -1,9 +1,9 @@
 package balance
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +20,7 @@
 	dispatchers []*dispatcher
 	senders     map[string]*scripted
 	list        []Sender
-	events      []event
+	events      agenda
 	order       int
 	random      *rand.Rand
 	messages    int
@@ -32,6 +32,26 @@
 	again       bool // messages that are given back or fail are submitted again
 }
 
+// agenda is a heap of events, the earliest first.
+type agenda []event
+
+func (a agenda) Len() int { return len(a) }
+
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
+
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	e := (*a)[last]
+	*a = (*a)[:last]
+	return e
+}
+
 type event struct {
 	at    time.Duration
 	order int
@@ -102,25 +122,14 @@
 
 func (r *rig) after(wait time.Duration, do func()) {
 	r.order++
-	r.events = append(r.events, event{r.now + wait, r.order, do})
+	heap.Push(&r.events, event{r.now + wait, r.order, do})
 }
 
 // play lets time pass.
 func (r *rig) play(span time.Duration) {
 	end := r.now + span
-	for {
-		first := -1
-		for i, e := range r.events {
-			if e.at <= end && (first < 0 || e.at < r.events[first].at ||
-				e.at == r.events[first].at && e.order < r.events[first].order) {
-				first = i
-			}
-		}
-		if first < 0 {
-			break
-		}
-		e := r.events[first]
-		r.events = slices.Delete(r.events, first, first+1)
+	for len(r.events) > 0 && r.events[0].at <= end {
+		e := heap.Pop(&r.events).(event)
 		r.now = max(r.now, e.at)
 		e.do()
 	}
--- a/jam.go
+++ b/jam.go
@@ -13,6 +13,7 @@
 // and what the home carries for its warmth says what its cold hosts bear.
 
 const (
+	rateSpan  = 2 * time.Second        // memory of the rate of completions
 	waitFew   = 0.1                    // of the slack: a job that waits no longer counts as started at once
 	warmEvery = 100 * time.Millisecond // how old the sum of all warmth may be
 	startNew  = 0.15                   // weight of one start in how often they are late
--- a/learned.go
+++ b/learned.go
@@ -82,7 +82,3 @@
 // SetParts says how many processes this dispatcher has now, this one counted: what
 // all dispatchers together may send to a cold worker is shared out to each.
 func (b *Balancer) SetParts(n int) { b.parts = float64(max(1, n)) }
-
-const (
-	rateSpan = 2 * time.Second // memory of the rate of completions
-)
