--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -358,3 +358,14 @@
 	c.Assert(removed, qt.IsTrue)
 	c.Assert(node, qt.Equals, "d")
 }
+
+func TestStandstillIsNotTheSilenceOfOthers(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *network, core []*replica) {
+		u := newUpkeep(core[1])
+		u.tick(context.Background())
+		time.Sleep(removeAfter + time.Second)
+		c.Assert(core[1].silent(core[1].known().Value, replaceAfter), qt.HasLen, 2)
+		u.noteTime(time.Now())
+		c.Assert(core[1].silent(core[1].known().Value, replaceAfter), qt.HasLen, 0)
+	})
+}
