--- a/internal/service/balance/design_test.go
+++ b/internal/service/balance/design_test.go
@@ -231,3 +231,43 @@
 		driver.Timer(now)
 	}
 }
+
+// BenchmarkOverload is a decision while all windows are full and messages wait.
+func BenchmarkOverload12Senders(b *testing.B)  { benchmarkOverload(b, 12) }
+func BenchmarkOverload230Senders(b *testing.B) { benchmarkOverload(b, 230) }
+
+// queueing keeps the deliveries that are under way.
+type queueing struct{ nothing }
+
+func (q *queueing) Send(_ string, attempt Attempt) { q.sent = append(q.sent, attempt) }
+
+func benchmarkOverload(b *testing.B, senders int) {
+	do := &queueing{}
+	driver, err := New(Options{Dispatchers: 8}, do)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Sender
+	for i := range senders {
+		list = append(list, Sender{ID: fmt.Sprint(i), Slots: 4})
+	}
+	now, n := time.Second, 0
+	submit := func() {
+		n++
+		driver.Submit(now, fmt.Sprint(n), now+time.Minute)
+	}
+	driver.SetSenders(now, list)
+	for driver.Waiting() < defaultHoldMost/2 {
+		submit()
+	}
+	load := &Load{Running: 4, Waiting: 1, Slots: 4}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 100 * time.Microsecond
+		first := do.sent[0]
+		do.sent = do.sent[1:]
+		driver.Ended(now, first.ID, Outcome{Status: Succeeded, Load: load})
+		submit()
+		driver.Timer(now)
+	}
+}
--- a/internal/service/balance/driver_test.go
+++ b/internal/service/balance/driver_test.go
@@ -304,3 +304,31 @@
 	r.c.Assert(d.sent, qt.HasLen, 34+17)
 	r.c.Assert(d.sent[50].MaxConnections, qt.Equals, 17)
 }
+
+// One dispatcher alone tries a dead sender with one message every few hundred ms, and
+// when it is back sends it one message before all others.
+func TestProbesOfADeadSender(t *testing.T) {
+	r := newRig(t, 1, 1, 22, Options{})
+	d, s := r.dispatchers[0], r.senders["s000"]
+	r.traffic(20*time.Second, 20*ms)
+	r.play(5 * time.Second)
+	s.down = true
+	r.play(5 * time.Second)
+	for range 20 {
+		before := len(d.sent)
+		r.play(250 * ms)
+		probes := len(d.sent) - before
+		r.c.Assert(probes >= 1 && probes <= 3, qt.IsTrue, qt.Commentf("%d", probes))
+	}
+	s.down, s.done = false, 0
+	for range 500 {
+		if r.play(ms); s.done > 0 {
+			break
+		}
+		r.c.Assert(s.running <= 1, qt.IsTrue, qt.Commentf("%d at once before the first answer", s.running))
+	}
+	r.c.Assert(s.done > 0, qt.IsTrue)
+	r.play(5 * time.Second)
+	late, all := r.late(0, r.now, time.Hour)
+	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d never ran", all))
+}
--- a/internal/service/balance/rig_test.go
+++ b/internal/service/balance/rig_test.go
@@ -68,6 +68,7 @@
 	down      bool // refuses connections
 	silent    bool // takes messages and answers none
 	running   int
+	done      int
 	waiting   []func()
 	most      int // most that ran and waited at once
 	coldUntil time.Duration
@@ -212,6 +213,7 @@
 		}
 		r.after(time.Duration(work), func() {
 			s.running--
+			s.done++
 			if len(s.waiting) > 0 {
 				next := s.waiting[0]
 				s.waiting = s.waiting[1:]
