Measure what the stores' tables take of a dispatcher

Cause: a dispatcher keeps and folds the table of every store, which no figure showed. Change: yardhollow measures the memory of a store's table at a dispatcher and the time to fold all of them; names stand to the left.

--- a/internal/tools/hollow/leases.go
+++ b/internal/tools/hollow/leases.go
@@ -21,6 +21,8 @@
 	TableBytes     int           // answer with the whole table
 	StoreTable     time.Duration // to make and encode it
 	HolderTable    time.Duration // to decode it
+	TableMemory    int64         // of one store's table at a dispatcher
+	TableFold      time.Duration // of one store's table, when all are folded
 	StoreMemory    int64         // of one store's sessions and leases
 	HolderMemory   int64         // of one dispatcher's grants of all stores
 	ValidityCheck  time.Duration // of one queue at the dispatcher
@@ -74,6 +76,7 @@
 	result.StoreMemory = liveHeap() - before
 	result.measureRenewals(size, store, now)
 	result.measureTable(store, now)
+	result.measureHeldTables(store, now)
 	result.measureHolder(size)
 	result.VersionsPerEnd = versionsOfRestart(store, now)
 	return result
--- a/internal/tools/hollow/table.go
+++ b/internal/tools/hollow/table.go
@@ -94,6 +94,12 @@
 	{"table: store / dispatcher processor", func(r *Report) string {
 		return timeText(r.Leases.StoreTable) + " / " + timeText(r.Leases.HolderTable)
 	}},
+	{"table: memory at a dispatcher, of all stores", func(r *Report) string {
+		return bytesText(float64(r.Leases.TableMemory) * float64(r.Leases.Stores))
+	}},
+	{"table: fold of all at a dispatcher", func(r *Report) string {
+		return timeText(r.Leases.TableFold * time.Duration(r.Leases.Stores))
+	}},
 	{"one restart: new versions of the table", func(r *Report) string { return fmt.Sprint(r.Leases.VersionsPerEnd) }},
 	{"one restart: bytes at a store", func(r *Report) string { return bytesText(r.Leases.restartBytes(r.Size)) }},
 	{"one restart: processor of a store", func(r *Report) string { return timeText(r.Leases.restartTime(r.Size)) }},
@@ -150,7 +156,7 @@
 
 // WriteTable prints a column for each report.
 func WriteTable(out io.Writer, reports []Report) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	var dispatchers, destinations []string
 	for _, r := range reports {
 		dispatchers = append(dispatchers, fmt.Sprint(r.Size.Dispatchers))
