Count a configuration that was skipped as in force with the next one

Cause: at 1,000 dispatchers and 230,000 destinations 645 changes counted as never in force, at agents too busy to pull between two changes. Change: a configuration holds the changes before it. Result: go test ./internal/tools/hollow passes.

--- a/internal/tools/hollow/change.go
+++ b/internal/tools/hollow/change.go
@@ -91,10 +91,13 @@
 	}
 }
 
-// noteInForce notes when an agent's dispatcher works by a configuration.
+// noteInForce notes when an agent's dispatcher works by a configuration, which
+// holds the changes before it as well: a busy agent may skip some.
 func (f *fleet) noteInForce(p *process, version distribution.Version, at time.Time) {
 	for _, change := range f.changes {
-		if change.version == version {
+		_, noted := change.inForce[p]
+		decided := change.version != (distribution.Version{})
+		if decided && !noted && !change.version.Newer(version) {
 			change.inForce[p] = at
 		}
 	}
--- a/internal/tools/hollow/hollow_test.go
+++ b/internal/tools/hollow/hollow_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"yardwharf/internal/service/distribution"
 	"yardwharf/internal/service/view"
 )
 
@@ -138,3 +139,22 @@
 		}
 	}
 }
+
+// An agent that was too busy for one configuration and got the next one works
+// by both.
+func TestSkippedConfigurationIsInForceWithTheNext(t *testing.T) {
+	f := newFleet(smallSize(), machineCost{})
+	first := &configurationChange{version: distribution.Version{Epoch: 1, Counter: 5}, inForce: map[*process]time.Time{}}
+	second := &configurationChange{version: distribution.Version{Epoch: 1, Counter: 6}, inForce: map[*process]time.Time{}}
+	undecided := &configurationChange{inForce: map[*process]time.Time{}}
+	f.changes = []*configurationChange{first, second, undecided}
+	f.noteInForce(f.agents[0], second.version, f.now)
+	for name, change := range map[string]*configurationChange{"first": first, "second": second} {
+		if at, noted := change.inForce[f.agents[0]]; !noted || !at.Equal(f.now) {
+			t.Errorf("%s change: in force at %v (%v), want at %v", name, at, noted, f.now)
+		}
+	}
+	if len(undecided.inForce) > 0 {
+		t.Error("a change that is not decided is in force")
+	}
+}
