Answer status and message on internal ports, and take settings over at SIGHUP

Cause: operators could not ask a process what it holds; flaggy printed pages and ended the program by itself; only the agent took changed settings over. The agent's feed is on the machine's own address where that is a loopback one.

--- a/internal/service/agent/agent.go
+++ b/internal/service/agent/agent.go
@@ -31,8 +31,9 @@
 var Class = errs.Class("agent")
 
 const (
-	controlWait = 800 * time.Millisecond // long poll of the first source; bounds the age of confirmations
-	spareWait   = 4 * time.Second        // of the others
+	controlWait   = 800 * time.Millisecond // long poll of the first source; bounds the age of confirmations
+	settingsEvery = time.Second            // between two looks at the settings file
+	spareWait     = 4 * time.Second        // of the others
 )
 
 // topics are those that agents and dispatchers want.
@@ -68,7 +69,7 @@
 // the file changes or the process gets a SIGHUP.
 func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
 	a := New(s, log)
-	go watchSettings(ctx, a.Reload, log)
+	go settings.Watch(ctx, settingsEvery, a.Reload, log)
 	return a.Run(ctx)
 }
 
@@ -88,6 +89,12 @@
 	go func() { served <- server.Serve(listener) }()
 	defer server.Close()
 
+	stopStatus, err := a.serveStatus(time.Now())
+	if err != nil {
+		return err
+	}
+	defer stopStatus()
+
 	puller := distribution.NewPuller(a.upstream, distribution.PullerOptions{
 		Identity: a.identity, Sources: a.sources, Connections: s.FaultTolerance.Machines + 1,
 		Topics: topics, Wait: controlWait, SpareWait: spareWait,
--- /dev/null
+++ b/internal/service/commands/roles.go
@@ -0,0 +1,88 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/agent"
+	"yardwharf/internal/service/control"
+	"yardwharf/internal/service/dispatcher"
+	"yardwharf/internal/service/logging"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/store"
+)
+
+// agentLinger is the part of the grace time for which an agent outlives the
+// signal to end, so that the dispatcher beside it keeps its link.
+const agentLinger = 0.85
+
+// role is a long-running part of the service.
+type role struct {
+	name, description string
+	needs             []string // keys of the settings that others may leave out
+	run               func(context.Context, *settings.Settings, logr.Logger) error
+	linger            float64 // part of the grace time that it serves on after the signal
+}
+
+var roles = []role{
+	{
+		name: "dispatcher", description: "take messages and deliver them", run: dispatcher.Run,
+		needs: []string{settings.KeyFront, settings.KeyReadiness},
+	},
+	{name: "agent", description: "link a dispatcher to the control plane", run: agent.Run, linger: agentLinger},
+	{
+		name: "store", description: "keep copies of messages and grant leases", run: store.Run,
+		needs: []string{settings.KeyDataDir},
+	},
+	{
+		name: "control", description: "keep the configuration and the membership", run: control.Run,
+		needs: []string{settings.KeyDataDir, settings.KeyControl},
+	},
+}
+
+// runRole runs a role until a signal to end.
+func runRole(r role, verbose bool, errors io.Writer) int {
+	path, err := settings.Path()
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return exitUsage
+	}
+	loaded, err := settings.Load(path)
+	if err == nil {
+		err = loaded.Require(path, r.needs...)
+	}
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return exitUsage
+	}
+	log := logging.New(errors, loaded.Node+"/"+r.name, verbose)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go awaitSignals(cancel, log, time.Duration(r.linger*float64(settings.Seconds(loaded.Bounds.GraceS))))
+	if err := r.run(ctx, loaded, log); err != nil {
+		log.Error(err, "role ended")
+		return exitFailure
+	}
+	return exitSuccess
+}
+
+// awaitSignals cancels the context some time after a signal to end.
+func awaitSignals(cancel context.CancelFunc, log logr.Logger, linger time.Duration) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
+	for received := range signals {
+		if received == syscall.SIGTERM || received == syscall.SIGINT {
+			log.Info("told to end", "signal", received.String())
+			time.Sleep(linger)
+			cancel()
+			return
+		}
+	}
+}
--- a/internal/service/configuration/parse.go
+++ b/internal/service/configuration/parse.go
@@ -12,6 +12,8 @@
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/zeebo/errs"
+
+	"yardwharf/internal/service/jsontext"
 )
 
 // Class is the class of errors that this package makes. An error has one line
@@ -76,7 +78,7 @@
 		return syntaxError(raw, err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return Class.New("%s: more follows the configuration", position(raw, decoder.InputOffset()-1))
+		return Class.New("%s: more follows the configuration", jsontext.Position(raw, decoder.InputOffset()-1))
 	}
 	err = compiled.Validate(content)
 	var invalid *jsonschema.ValidationError
@@ -166,25 +168,4 @@
 }
 
 // syntaxError names the line and column at which the JSON cannot be read.
-func syntaxError(raw []byte, err error) error {
-	var syntax *json.SyntaxError
-	var wrongType *json.UnmarshalTypeError
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return Class.New("%s: cut short", position(raw, int64(len(raw))))
-	case errors.As(err, &syntax):
-		return Class.New("%s: %v", position(raw, syntax.Offset-1), err)
-	case errors.As(err, &wrongType):
-		return Class.New("%s: %v", position(raw, wrongType.Offset-1), err)
-	default:
-		return Class.Wrap(err)
-	}
-}
-
-// position names the line and the column of a byte, both counted from 1.
-func position(raw []byte, offset int64) string {
-	before := raw[:min(max(offset, 0), int64(len(raw)))]
-	line := 1 + bytes.Count(before, []byte("\n"))
-	column := len(before) - bytes.LastIndexByte(before, '\n')
-	return fmt.Sprintf("line %d, column %d", line, column)
-}
+func syntaxError(raw []byte, err error) error { return Class.New("%s", jsontext.Fault(raw, err)) }
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -18,6 +18,7 @@
 	"yardwharf/internal/service/distribution"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/status"
 	"yardwharf/internal/service/transport"
 )
 
@@ -73,6 +74,8 @@
 	hub := distribution.NewHub(log)
 	replica.publishTo(hub)
 	coordination := coordination.Attach(running, s, replica.identity, server, hub, replica.memberAddresses, log)
+	started := time.Now()
+	status.Serve(server, started, func(report *status.Report) { fillStatus(report, replica, hub, coordination) })
 	upkeep := &upkeep{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
 	api := newAPIServer(replica, noRetirement{replica}, log)
 
@@ -82,6 +85,7 @@
 	group.Go(func() { failures <- api.Serve(operator) })
 	group.Go(func() { upkeep.run(running) })
 	group.Go(func() { replica.watch(running, hub) })
+	go settings.Watch(running, settings.LookEvery, func(changed *settings.Settings) { replica.setSeeds(changed.ControlMembers()) }, log)
 	log.Info("serving", "operator", s.Listen.Control, "internal", replica.identity.Address)
 	select {
 	case <-ctx.Done():
--- a/internal/service/control/join.go
+++ b/internal/service/control/join.go
@@ -81,7 +81,7 @@
 func (r *replica) memberAddresses() []string {
 	known := r.known()
 	if known.Value == nil {
-		return r.seeds
+		return r.currentSeeds()
 	}
 	addresses := make([]string, 0, len(known.Value.Members))
 	for _, member := range known.Value.Members {
--- a/internal/service/control/replica.go
+++ b/internal/service/control/replica.go
@@ -24,7 +24,6 @@
 // acceptor that others call, and it proposes changes.
 type replica struct {
 	identity protocol.Identity
-	seeds    []string
 	log      logr.Logger
 	peers    caller
 	onChange func(*register.Value) // called with each newer decided value
@@ -37,6 +36,7 @@
 	proposer *register.Proposer
 
 	mutex    sync.Mutex
+	seeds    []string           // addresses to ask while no member is known
 	decided  register.Versioned // newest value known to be decided; no value before the first
 	accepted register.Versioned // newest value found while none is known to be decided
 	names    map[string]register.Member
@@ -205,6 +205,19 @@
 	r.note(decided)
 }
 
+// setSeeds replaces the addresses that are asked while no member is known.
+func (r *replica) setSeeds(seeds []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.seeds = seeds
+}
+
+func (r *replica) currentSeeds() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.seeds
+}
+
 // found remembers a value that may not be decided, to start from while no
 // decided one is known.
 func (r *replica) found(best register.Versioned) {
--- a/internal/service/control/round.go
+++ b/internal/service/control/round.go
@@ -181,7 +181,7 @@
 // ask sends Read to the voters of a value, or to the seeds where there is none
 // yet, and returns to how many that it had not been sent to before.
 func (r *replica) ask(round *round, best register.Versioned, asked map[string]bool) int {
-	addresses := r.seeds
+	addresses := r.currentSeeds()
 	if best.Value != nil {
 		addresses = best.Value.Voters()
 	}
--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -134,7 +134,7 @@
 
 // keepBody keeps the body in memory while there is room for it.
 func (d *Dispatcher) keepBody(entry *queue.Entry) {
-	budget := int(bodyBudget * float64(d.settings.Limits.MemoryMb) * (1 << 20))
+	budget := int(bodyBudget * float64(d.memoryMb) * (1 << 20))
 	if d.bodyBytes+len(entry.Body) > budget {
 		entry.Body = nil
 		return
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -178,6 +178,7 @@
 // attemptEnded books the end of an attempt and decides what follows. The mutex
 // is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
+	d.counters.deliveries.note(&result)
 	if !state.service.driver.Ended(d.now(), attempt.ID, result.Outcome()) {
 		delete(d.deliveries, state.entry.Head.ID)
 		d.settle(state, result)
@@ -274,6 +275,7 @@
 		}
 		return
 	}
+	d.counters.callbacks.Add(1)
 	d.callbackDone(owned, entry)
 }
 
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"yardwharf/internal/service/lease"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/status"
 	"yardwharf/internal/service/transport"
 	"yardwharf/internal/service/view"
 )
@@ -63,6 +64,7 @@
 	peers      map[string]*transport.Client
 	repairs    []repairItem
 	bodyBytes  int
+	memoryMb   int           // limit of this process
 	nextWake   time.Duration // when the timer fires; 0: at its usual pace
 }
 
@@ -92,6 +94,7 @@
 		Senders:       d.takeSenders,
 		Members:       func([]view.NodeState) {},
 	})
+	go settings.Watch(background, settings.LookEvery, d.reload, log)
 	go d.runOwnership(background)
 	go d.runRepairs(background)
 	go d.runPump(background)
@@ -122,9 +125,18 @@
 		senders:       map[string][]view.Sender{},
 		deliveries:    map[string]*deliveryState{},
 		peers:         map[string]*transport.Client{},
+		memoryMb:      s.Limits.MemoryMb,
 	}
 }
 
+// reload takes over the limits that may change while the role runs. Seeds are
+// the agent's concern.
+func (d *Dispatcher) reload(changed *settings.Settings) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.memoryMb = changed.Limits.MemoryMb
+}
+
 // now returns the steady clock of this process.
 func (d *Dispatcher) now() time.Duration { return time.Since(d.started) }
 
@@ -163,6 +175,8 @@
 		d.offered(ctx, request.Queues)
 		return protocol.OfferReply{}, nil
 	})
+	status.Serve(server, d.started, d.fillStatus)
+	status.ServeMessages(server, d.messageReport)
 	return server
 }
 
--- a/internal/service/logging/logging.go
+++ b/internal/service/logging/logging.go
@@ -10,13 +10,18 @@
 	"github.com/go-logr/logr/funcr"
 )
 
-// New returns a logger that writes a line for each entry.
-func New(out io.Writer, node string) logr.Logger {
+// New returns a logger that writes a line for each entry; those of level 1 only
+// where it is verbose.
+func New(out io.Writer, node string, verbose bool) logr.Logger {
 	var mutex sync.Mutex
 	write := func(prefix, arguments string) {
 		mutex.Lock()
 		defer mutex.Unlock()
 		fmt.Fprintln(out, prefix, arguments)
 	}
-	return funcr.New(write, funcr.Options{LogTimestamp: true}).WithName(node)
+	options := funcr.Options{LogTimestamp: true}
+	if verbose {
+		options.Verbosity = 1
+	}
+	return funcr.New(write, options).WithName(node)
 }
--- a/internal/service/segment/log.go
+++ b/internal/service/segment/log.go
@@ -341,6 +341,20 @@
 	return l.liveBytes, int64(l.made) * int64(l.segmentSize)
 }
 
+// Segments returns how many files are in use, and how many may be.
+func (l *Log) Segments() (used, most int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.ring), l.maxSegments
+}
+
+// Grow lets the ring fill so many bytes of the disk; it never takes files away.
+func (l *Log) Grow(room int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.maxSegments = max(l.maxSegments, room/int(l.segmentSize))
+}
+
 // Close commits what is pending and closes the files.
 func (l *Log) Close() error {
 	l.mutex.Lock()
--- a/internal/service/settings/settings.go
+++ b/internal/service/settings/settings.go
@@ -11,12 +11,22 @@
 
 	"github.com/zeebo/errs"
 
+	"yardwharf/internal/service/jsontext"
 	"yardwharf/internal/service/protocol"
 )
 
 // PathVariable names the environment variable with the path of the file.
 const PathVariable = "YARDWHARF_SETTINGS"
 
+// Keys that not every role needs.
+const (
+	KeyFront     = "listen.front"
+	KeyReadiness = "listen.readiness"
+	KeyControl   = "listen.control"
+	KeyCloudAPI  = "cloudApi.address"
+	KeyDataDir   = "dataDir"
+)
+
 // Class is the class of errors that this package makes.
 var Class = errs.Class("settings")
 
@@ -129,7 +139,7 @@
 func Parse(path string, content []byte) (*Settings, error) {
 	s := &Settings{}
 	if err := json.Unmarshal(content, s); err != nil {
-		return nil, Class.New("%s: %v", path, err)
+		return nil, Class.New("%s: %s", path, jsontext.Fault(content, err))
 	}
 	faults := s.faults()
 	if len(faults) == 0 {
@@ -162,23 +172,58 @@
 		require(err == nil, "seeds", fmt.Sprintf("%q is no address with a port", seed))
 	}
 	require(s.FaultTolerance.Machines >= 0, "faultTolerance.machines", "is below 0")
-	for key, address := range map[string]string{
-		"listen.front": s.Listen.Front, "listen.readiness": s.Listen.Readiness,
-		"listen.control": s.Listen.Control, "cloudApi.address": s.CloudAPI.Address,
-	} {
+	for _, key := range []string{KeyFront, KeyReadiness, KeyControl, KeyCloudAPI} {
+		address := s.value(key)
 		_, _, err := net.SplitHostPort(address)
 		require(address == "" || err == nil, key, fmt.Sprintf("%q is no address with a port", address))
 	}
 	return faults
 }
 
+// value returns the value of a key that not every role needs.
+func (s *Settings) value(key string) string {
+	switch key {
+	case KeyFront:
+		return s.Listen.Front
+	case KeyReadiness:
+		return s.Listen.Readiness
+	case KeyControl:
+		return s.Listen.Control
+	case KeyCloudAPI:
+		return s.CloudAPI.Address
+	case KeyDataDir:
+		return s.DataDir
+	default:
+		return ""
+	}
+}
+
+// Require reports, a line each, which of some keys are empty.
+func (s *Settings) Require(path string, keys ...string) error {
+	var lines []string
+	for _, key := range keys {
+		if s.value(key) == "" {
+			lines = append(lines, path+": "+key+": is empty, and this role needs it")
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return Class.New("%s", strings.Join(lines, "\n"))
+}
+
 // Internal returns the internal address of a listener of this machine.
 func (s *Settings) Internal(offset int) string {
 	return protocol.InternalAddress(s.IP, s.InternalPorts[0], offset)
 }
 
 // AgentFeed returns the loopback address at which the agent feeds the dispatcher.
+// On a machine whose own address is a loopback one, that is used, so that several
+// such machines may share a host.
 func (s *Settings) AgentFeed() string {
+	if own := net.ParseIP(s.IP); own != nil && own.IsLoopback() {
+		return s.Internal(protocol.AgentFeedPort)
+	}
 	return protocol.InternalAddress("127.0.0.1", s.InternalPorts[0], protocol.AgentFeedPort)
 }
 
--- /dev/null
+++ b/internal/service/status/member.go
@@ -0,0 +1,24 @@
+package status
+
+import "yardwharf/internal/service/view"
+
+// MemberOf returns what is told of a process that sends heartbeats.
+func MemberOf(state view.NodeState) Member {
+	return Member{
+		Node: state.Identity.Node, Role: state.Identity.Role, Zone: state.Identity.Zone,
+		Address: state.Identity.Address, State: stateOf(state),
+	}
+}
+
+func stateOf(state view.NodeState) string {
+	switch {
+	case state.Left:
+		return Left
+	case !state.Alive:
+		return Dead
+	case state.Suspect:
+		return Suspect
+	default:
+		return Alive
+	}
+}
--- /dev/null
+++ b/internal/service/status/status.go
@@ -0,0 +1,162 @@
+// Package status defines the report that each process of the service gives of
+// itself on its internal port, and how operators ask for it. Nothing is
+// collected while nobody asks.
+package status
+
+import (
+	"context"
+	"encoding/gob"
+	"time"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/transport"
+)
+
+// Request asks a process for its report.
+type Request struct{}
+
+// Report is what a process tells of itself. What a role does not know is empty.
+type Report struct {
+	Identity protocol.Identity `json:"identity"`
+	UptimeS  float64           `json:"uptimeS"`
+	Revision int64             `json:"revision"` // of the configuration; 0: none yet
+	Members  []Member          `json:"members,omitempty"`
+	Sessions []Session         `json:"sessions,omitempty"`
+	Queues   []Queue           `json:"queues,omitempty"`
+	Stores   []Store           `json:"stores,omitempty"`
+	Senders  int               `json:"senders"`
+	Counters []Counter         `json:"counters,omitempty"`
+}
+
+// The states of a member.
+const (
+	Alive   = "alive"
+	Suspect = "suspect"
+	Dead    = "dead"
+	Left    = "left"
+	Listed  = "listed" // a voter of the register
+)
+
+// Member is a process that the reporting one knows of.
+type Member struct {
+	Node    string `json:"node"`
+	Role    string `json:"role"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+// Session is a dispatcher that is in touch with a store.
+type Session struct {
+	Node    string `json:"node"`
+	Address string `json:"address"`
+	Ready   bool   `json:"ready"` // it takes queues
+}
+
+// Queue is the state of one queue.
+type Queue struct {
+	Name    string `json:"name"`
+	Epoch   uint64 `json:"epoch"`
+	Holder  string `json:"holder"` // empty where nobody holds it
+	Open    int    `json:"open"`
+	Running int    `json:"running"`
+}
+
+// Store is the state of one store. Only the store itself knows its sizes.
+type Store struct {
+	Node       string `json:"node"`
+	Zone       string `json:"zone"`
+	Address    string `json:"address"`
+	Up         bool   `json:"up"`
+	Recovering bool   `json:"recovering"`
+	Segments   int    `json:"segments,omitempty"` // in use
+	SegmentMax int    `json:"segmentMax,omitempty"`
+	Messages   int    `json:"messages,omitempty"`
+	LiveBytes  int64  `json:"liveBytes,omitempty"`
+	FileBytes  int64  `json:"fileBytes,omitempty"`
+}
+
+// Counter counts events since the start of the process.
+type Counter struct {
+	Name  string `json:"name"`
+	End   string `json:"end,omitempty"` // which end of a delivery is counted
+	Value uint64 `json:"value"`
+}
+
+// MessageRequest asks what is known of one message.
+type MessageRequest struct{ ID string }
+
+// MessageReport tells what is known of one message.
+type MessageReport struct {
+	ID          string   `json:"id"`
+	Found       bool     `json:"found"`
+	Complete    bool     `json:"complete"` // enough stores have answered to be sure
+	State       string   `json:"state,omitempty"`
+	Stamp       string   `json:"stamp,omitempty"`
+	Queue       string   `json:"queue,omitempty"`
+	Owner       string   `json:"owner,omitempty"`
+	AgeS        float64  `json:"ageS"`
+	Failures    int      `json:"failures"`
+	CallbackURL string   `json:"callbackUrl,omitempty"`
+	CallbackDue bool     `json:"callbackDue"`
+	Holders     []Holder `json:"holders,omitempty"`
+}
+
+// Holder is what one store knows of a message.
+type Holder struct {
+	Store    string `json:"store"`
+	Answered bool   `json:"answered"`
+	State    string `json:"state"` // empty where it has no record
+}
+
+func init() {
+	for _, message := range []any{Request{}, Report{}, MessageRequest{}, MessageReport{}} {
+		gob.Register(message)
+	}
+}
+
+// Serve makes a server answer requests for a report. The function adds what the
+// role knows to it. It must be called before the server serves.
+func Serve(server *transport.Server, started time.Time, fill func(*Report)) {
+	transport.Handle(server, func(context.Context, *transport.Peer, Request) (Report, error) {
+		report := Report{Identity: server.Identity(), UptimeS: time.Since(started).Seconds()}
+		fill(&report)
+		report.Counters = append(report.Counters, Counter{Name: "unreadable_connections", Value: server.Unreadable()})
+		return report, nil
+	})
+}
+
+// ServeMessages makes a server answer requests for the report of a message.
+func ServeMessages(server *transport.Server, answer func(context.Context, string) MessageReport) {
+	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request MessageRequest) (MessageReport, error) {
+		return answer(ctx, request.ID), nil
+	})
+}
+
+// MessageReportOf returns the report of a message by its head.
+func MessageReportOf(head protocol.Head) MessageReport {
+	return MessageReport{
+		ID: head.ID, Found: true, State: head.State.String(), Stamp: head.Stamp,
+		Queue: head.Queue, AgeS: head.Age.Seconds(), Failures: head.Failures,
+		CallbackURL: head.CallbackURL, CallbackDue: head.CallbackDue,
+	}
+}
+
+// operator is how those who ask introduce themselves.
+func operator() protocol.Identity {
+	return protocol.Identity{Node: "operator", Role: "operator", Incarnation: uint64(time.Now().UnixMicro())}
+}
+
+// Ask asks the process at an internal address for its report.
+func Ask(ctx context.Context, address string) (Report, error) {
+	client := transport.NewClient(operator(), address)
+	defer client.Close()
+	return transport.Call[Report](ctx, client, Request{})
+}
+
+// AskMessage asks the process at an internal address for the report of a message.
+func AskMessage(ctx context.Context, address, id string) (MessageReport, error) {
+	client := transport.NewClient(operator(), address)
+	defer client.Close()
+	return transport.Call[MessageReport](ctx, client, MessageRequest{ID: id})
+}
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -14,6 +14,7 @@
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
 	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/status"
 	"yardwharf/internal/service/transport"
 )
 
@@ -60,6 +61,10 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	beats := membership.StartHeartbeats(ctx, s, identity, details(s, opened), log)
+	go settings.Watch(ctx, settings.LookEvery, func(changed *settings.Settings) {
+		opened.reload(changed)
+		beats.SetMembers(changed.ControlMembers())
+	}, log)
 	err = opened.watch(ctx, served)
 	if ctx.Err() != nil {
 		defer func() { <-beats.Done() }()
@@ -113,16 +118,12 @@
 
 func storeOptions(s *settings.Settings, identity protocol.Identity, log logr.Logger) options {
 	size, count := ringSize(s.Limits.DiskMb)
-	memoryMb := s.Limits.MemoryMb
-	if memoryMb <= 0 {
-		memoryMb = defaultMemoryMb
-	}
 	return options{
 		files:       segment.Folder{Path: filepath.Join(s.DataDir, folderName)},
 		storeID:     newStoreID(),
 		segmentSize: size,
 		maxSegments: count,
-		memoryMost:  int(memoryShare * float64(memoryMb) * (1 << 20)),
+		memoryMost:  indexMemory(s.Limits.MemoryMb),
 		statusTime:  settings.Seconds(s.Bounds.StatusS),
 		bootstrap:   s.Bootstrap,
 		role:        DispatcherRole,
@@ -131,14 +132,37 @@
 	}
 }
 
+// reload takes over the limits that may change while the store runs. A ring only
+// grows: what a smaller one would lose may be wanted.
+func (s *store) reload(changed *settings.Settings) {
+	s.log.Grow(ringRoom(changed.Limits.DiskMb))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.options.memoryMost = indexMemory(changed.Limits.MemoryMb)
+	s.options.statusTime = settings.Seconds(changed.Bounds.StatusS)
+}
+
+// indexMemory returns how many bytes the index may take.
+func indexMemory(memoryMb int) int {
+	if memoryMb <= 0 {
+		memoryMb = defaultMemoryMb
+	}
+	return int(memoryShare * float64(memoryMb) * (1 << 20))
+}
+
 // ringSize returns the size and the greatest number of the segments.
 func ringSize(diskMb int) (size, count int) {
+	room := ringRoom(diskMb)
+	size = min(max(room/segmentsWanted, segmentLeast), segmentMost)
+	return size, room / size
+}
+
+// ringRoom returns how many bytes the segments may fill.
+func ringRoom(diskMb int) int {
 	if diskMb <= 0 {
 		diskMb = defaultDiskMb
 	}
-	room := int(diskShare * float64(diskMb) * (1 << 20))
-	size = min(max(room/segmentsWanted, segmentLeast), segmentMost)
-	return size, room / size
+	return int(diskShare * float64(diskMb) * (1 << 20))
 }
 
 func newStoreID() string {
@@ -174,6 +198,9 @@
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Query) (protocol.QueryReply, error) {
 		return s.query(request)
 	})
+	started := time.Now()
+	status.Serve(server, started, func(report *status.Report) { s.fillStatus(report, identity, catchUp) })
+	status.ServeMessages(server, s.messageAnswers(identity.Node))
 	return server
 }
 
--- a/internal/service/transport/server.go
+++ b/internal/service/transport/server.go
@@ -70,6 +70,9 @@
 // OnClose registers a function that is called when a connection has ended.
 func (s *Server) OnClose(call func(*Peer)) { s.closed = call }
 
+// Identity returns who the server introduces itself as.
+func (s *Server) Identity() protocol.Identity { return s.identity }
+
 // Unreadable returns how many connections were ended because of bytes that
 // could not be read as frames.
 func (s *Server) Unreadable() uint64 { return s.unread.Load() }
