Run every role as a process on loopback under faults, with stand-ins

Change: stand-ins for senders, the platform's list and call-back receivers; internal/tools/serviceyard starts all roles with free ports and distinct loopback addresses, kills, freezes and restarts them, and checks accepted = completed, order per key, delays, call-backs and the ceiling of a rate.

--- /dev/null
+++ b/internal/tools/serviceyard/yard_test.go
@@ -0,0 +1,214 @@
+package serviceyard
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/commands"
+	"yardwharf/internal/service/status"
+	"yardwharf/internal/tools/standin/worker"
+)
+
+// roleVariable makes the test's program run a role instead of the tests.
+const roleVariable = "SERVICEYARD_ROLE"
+
+const testTimeout = 90 * time.Second
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(roleVariable); role != "" {
+		os.Exit(commands.Main([]string{role}, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// startYard starts a yard whose roles are processes of the test's own program,
+// and awaits that it serves.
+func startYard(c *qt.C) (context.Context, *Yard) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	c.Cleanup(cancel)
+	folder := c.TempDir()
+	y, err := Start(Options{Folder: folder, Failing: 3, Command: func(role string) *exec.Cmd {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), roleVariable+"="+role)
+		return cmd
+	}})
+	c.Cleanup(func() { showLogs(c, folder) })
+	c.Cleanup(y.Close)
+	c.Assert(err, qt.IsNil)
+	c.Assert(y.Configure(ctx, 0, 1), qt.IsNil)
+	c.Assert(y.AwaitReady(ctx), qt.IsNil)
+	c.Assert(y.Started(), qt.IsNil)
+	return ctx, y
+}
+
+// showLogs prints what the processes of a failed test have logged.
+func showLogs(c *qt.C, folder string) {
+	if !c.Failed() {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, path := range logs {
+		content, _ := os.ReadFile(path)
+		c.Logf("%s:\n%s", filepath.Base(path), content)
+	}
+}
+
+// TestNothingAcceptedIsLostWithFaults sends messages of all kinds while a store and a
+// dispatcher are killed and started again, another store stands still as one
+// that is cut off, and a control member ends and returns.
+func TestNothingAcceptedIsLostWithFaults(t *testing.T) {
+	c := qt.New(t)
+	ctx, y := startYard(c)
+	client := NewClient(y)
+	sent := make(chan struct{})
+	load := Load{Plain: 200, Delayed: 20, Rated: 100, Keys: 8, PerKey: 25, Every: 25 * time.Millisecond}
+	go func() {
+		defer close(sent)
+		y.Send(ctx, client, load)
+	}()
+	accepted := func(count int) {
+		c.Helper()
+		c.Assert(Await(ctx, func() bool { return len(client.Accepted()) >= count }), qt.IsNil)
+	}
+	accepted(40)
+	store, frozen := y.Process(RoleStore, 1), y.Process(RoleStore, 2)
+	dispatcher, control := y.Process(RoleDispatcher, 2), y.Process(RoleControl, 1)
+	c.Assert(store.Kill(), qt.IsNil)
+	accepted(100)
+	c.Assert(store.Start(), qt.IsNil)
+	c.Assert(dispatcher.Kill(), qt.IsNil)
+	c.Assert(control.Terminate(), qt.IsNil)
+	accepted(200)
+	c.Assert(dispatcher.Start(), qt.IsNil)
+	c.Assert(control.Start(), qt.IsNil)
+	c.Assert(y.AwaitReady(ctx), qt.IsNil)
+	c.Assert(frozen.Freeze(), qt.IsNil)
+	accepted(len(client.Accepted()) + 40)
+	c.Assert(frozen.Thaw(), qt.IsNil)
+	<-sent
+
+	all := client.Accepted()
+	c.Logf("accepted %d of %d, uncertain %d", len(all), load.Total(), client.Uncertain())
+	c.Check(len(all)+client.Uncertain(), qt.Equals, load.Total())
+	_ = Await(ctx, func() bool { return len(Unfinished(all, y.Ledger))+len(WithoutCallback(all, y.Receiver)) == 0 })
+	runs := y.Ledger.Runs()
+	c.Check(Unfinished(all, y.Ledger), qt.HasLen, 0)
+	c.Check(WithoutCallback(all, y.Receiver), qt.HasLen, 0)
+	c.Check(CallbackFaults(all, y.Ledger, y.Receiver), qt.HasLen, 0)
+	c.Check(OrderFaults(all, runs), qt.HasLen, 0)
+	c.Check(EarlyFaults(all, runs), qt.HasLen, 0)
+	c.Check(RateFault(y.Ledger.Arrivals(RatedService), RatePerS), qt.Equals, "")
+	for _, m := range all {
+		var state State
+		err := Await(ctx, func() bool {
+			var err error
+			state, err = client.State(ctx, m.ID)
+			return err == nil && state.State == "completed"
+		})
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", m.ID))
+		c.Assert(state.Stamp, qt.Equals, y.Ledger.Seal(m.ID))
+	}
+}
+
+// TestEachRoleTellsItsStatus asks all processes as an operator does, also after a
+// SIGHUP with a file that cannot be used.
+func TestEachRoleTellsItsStatus(t *testing.T) {
+	c := qt.New(t)
+	ctx, y := startYard(c)
+	client := NewClient(y)
+	c.Assert(client.Send(ctx, Message{ID: "m-1", Path: PlainPath, Callback: y.Receiver.URL()}), qt.IsNil)
+	c.Assert(Await(ctx, func() bool { return len(y.Receiver.Taken("m-1")) > 0 }), qt.IsNil)
+	ask := func(role string) status.Report {
+		c.Helper()
+		report, err := status.Ask(ctx, y.InternalAddresses(role)[0])
+		c.Assert(err, qt.IsNil)
+		c.Assert(report.Identity.Role, qt.Equals, role)
+		c.Assert(report.UptimeS > 0, qt.IsTrue)
+		return report
+	}
+	for _, m := range y.machines {
+		c.Assert(os.WriteFile(m.path, []byte("{"), 0o600), qt.IsNil)
+	}
+	for _, p := range y.processes {
+		c.Assert(p.Hangup(), qt.IsNil)
+	}
+	for _, m := range y.machines {
+		for _, role := range rolesOf(m.class) {
+			c.Assert(Await(ctx, func() bool {
+				log, _ := os.ReadFile(filepath.Join(y.options.Folder, m.settings.Node+"-"+role+".log"))
+				return bytes.Contains(log, []byte("new settings are faulty; the old ones stay"))
+			}), qt.IsNil, qt.Commentf("%s/%s", m.settings.Node, role))
+		}
+	}
+
+	dispatcher := ask(RoleDispatcher)
+	c.Check(dispatcher.Revision, qt.Equals, int64(1))
+	c.Check(dispatcher.Senders, qt.Equals, 6)
+	c.Check(dispatcher.Stores, qt.HasLen, machinesOfAClass)
+	c.Check(dispatcher.Sessions, qt.HasLen, machinesOfAClass)
+	c.Check(len(dispatcher.Queues) > 0, qt.IsTrue)
+
+	store := ask(RoleStore)
+	c.Assert(store.Stores, qt.HasLen, 1)
+	c.Check(store.Stores[0].SegmentMax > 0, qt.IsTrue)
+	c.Check(store.Sessions, qt.HasLen, machinesOfAClass)
+
+	for _, role := range []string{RoleAgent, RoleControl} {
+		report := ask(role)
+		c.Check(report.Revision, qt.Equals, int64(1), qt.Commentf("%s", role))
+		c.Check(report.Senders, qt.Equals, 6, qt.Commentf("%s", role))
+		c.Check(report.Stores, qt.HasLen, machinesOfAClass, qt.Commentf("%s", role))
+		c.Check(len(report.Members) >= machinesOfAClass, qt.IsTrue, qt.Commentf("%s", role))
+	}
+
+	c.Assert(Await(ctx, func() bool {
+		message, err := status.AskMessage(ctx, y.InternalAddresses(RoleDispatcher)[1], "m-1")
+		return err == nil && message.State == "completed" && !message.CallbackDue && len(message.Holders) == machinesOfAClass
+	}), qt.IsNil)
+}
+
+func rolesOf(class string) []string {
+	for _, c := range classes {
+		if c.name == class {
+			return c.roles
+		}
+	}
+	return nil
+}
+
+// at returns a moment some milliseconds after an arbitrary one.
+func at(milliseconds int) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+func TestRulesFindFaults(t *testing.T) {
+	c := qt.New(t)
+	accepted := []Accepted{
+		{Message{ID: "a", Key: "k"}, at(0)}, {Message{ID: "b", Key: "k"}, at(1)}, {Message{ID: "d", Delay: time.Second}, at(0)},
+	}
+	good := []worker.Run{{ID: "a", Key: "k", Began: at(1), Ended: at(2), Seal: "1"}, {ID: "b", Key: "k", Began: at(3), Ended: at(4), Seal: "2"}}
+	c.Check(OrderFaults(accepted, good), qt.HasLen, 0)
+	overtaking := []worker.Run{{ID: "a", Key: "k", Began: at(1), Ended: at(5), Seal: "1"}, good[1]}
+	c.Check(OrderFaults(accepted, overtaking), qt.HasLen, 1)
+	c.Check(OrderFaults(accepted, good[1:]), qt.HasLen, 1)
+	c.Check(EarlyFaults(accepted, []worker.Run{{ID: "d", Began: at(950)}}), qt.HasLen, 0)
+	c.Check(EarlyFaults(accepted, []worker.Run{{ID: "d", Began: at(800)}}), qt.HasLen, 1)
+	var even, burst []time.Time
+	for i := range 200 {
+		even = append(even, at(i*100))
+		burst = append(burst, at(i*10))
+	}
+	c.Check(RateFault(even, 10), qt.Equals, "")
+	c.Check(RateFault(burst, 10), qt.Not(qt.Equals), "")
+	c.Check(Unfinished(accepted, worker.NewLedger()), qt.DeepEquals, []string{"a", "b", "d"})
+	c.Check(promises(http.StatusServiceUnavailable), qt.IsTrue)
+	c.Check(promises(http.StatusGatewayTimeout), qt.IsFalse)
+}
