Count the entries of a list's change at their real rate

Cause: at long lists the simulation gathers the changes of 2 s into one, and the sum at the target's rates counted that one each 0.5 s. Change: the sum takes the simulation's interval for the bytes.

--- a/internal/tools/hollow/run.go
+++ b/internal/tools/hollow/run.go
@@ -93,7 +93,7 @@
 // planChanges schedules changes of the list and of the configuration, a machine
 // that fails and some that restart.
 func (f *fleet) planChanges(length time.Duration) {
-	every := max(confirmEvery, time.Duration(float64(f.size.Destinations)/listEntriesPerS*float64(time.Second)))
+	every := f.size.listInterval()
 	count := max(1, int(f.size.changesPerSecond()*every.Seconds()))
 	for at := every / 2; at < length; at += every {
 		f.after(at, func() { f.changeList(count) })
@@ -108,6 +108,11 @@
 	}
 }
 
+// listInterval returns the time between two changes of the list in the simulation.
+func (s Size) listInterval() time.Duration {
+	return max(confirmEvery, time.Duration(float64(s.Destinations)/listEntriesPerS*float64(time.Second)))
+}
+
 // measure runs the simulation for a time and returns what was used.
 func (f *fleet) measure(length time.Duration) phase {
 	agents, members := make([]Load, len(f.agents)), make([]Load, len(f.members))
@@ -175,11 +180,12 @@
 func (r *Report) atTarget() atTarget {
 	list, views, configurations := r.Size.changesPerS()
 	copies := float64(r.Size.Tolerated + 1)
-	perChange := list*float64(r.ListBytes) + views*float64(r.MemberBytes) + configurations*float64(r.Machine.ConfigurationSize)
+	// A simulated change of a long list holds the entries of several real ones.
+	bytesPerS := min(list, 1/r.Size.listInterval().Seconds())*float64(r.ListBytes) + views*float64(r.MemberBytes) + configurations*float64(r.Machine.ConfigurationSize)
 	share := list*r.Machine.List.Processor().Seconds() + views*r.Machine.Members.Processor().Seconds() +
 		configurations*r.Machine.Configuration.Processor().Seconds()
 	return atTarget{
-		Bytes:  r.Rest.bytesPerS(r.Rest.Agent) + copies*perChange,
+		Bytes:  r.Rest.bytesPerS(r.Rest.Agent) + copies*bytesPerS,
 		Share:  r.Rest.share(r.Rest.Agent, r.Sockets.CallCost) + share,
 		Memory: r.Machine.AgentMemory + r.Machine.DispatcherMemory,
 	}
