Tell leases on one queue apart, and grant permits for a rate held elsewhere

Cause: a queue lost and acquired again while a sender had a message mixed up the two deliveries; a message for a rated service in another queue (ordered, or accepted before the rate) never got the right to be sent. Change: deliveries are named by lease; the rate's owner grants short-lived permits to other dispatchers.

--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -18,6 +18,7 @@
 
 // deliveryState is a message that waits for a sender or is with one.
 type deliveryState struct {
+	key     string // names the message under this lease on its queue
 	owned   *ownedQueue
 	entry   *queue.Entry
 	service *serviceState
@@ -104,42 +105,47 @@
 		d.endEntry(owned, entry, protocol.DeadLetter, "") // its route was dropped
 		return
 	}
+	service := d.services[configured.Name]
+	if service == nil {
+		owned.Retry(d.now(), entry, false, -1)
+		return
+	}
 	state := &deliveryState{
-		owned: owned, entry: entry, service: d.services[configured.Name],
+		key: entry.Head.ID + owned.suffix, owned: owned, entry: entry, service: service,
 		timeout: route.Timeout(), retries: route.MaxRetries,
 		aim: entry.Accepted() + entry.Head.Delay + route.ScheduleTarget(),
 	}
-	d.deliveries[entry.Head.ID] = state
-	state.service.waiting.add(state)
-	d.pumpService(state.service)
+	d.deliveries[state.key] = state
+	service.waiting.add(state)
+	d.pumpService(service)
 }
 
 // withdrawAll takes back the messages of a queue that no sender has. The mutex
 // is held.
 func (d *Dispatcher) withdrawAll(owned *ownedQueue) {
-	for id, state := range d.deliveries {
+	for key, state := range d.deliveries {
 		if state.owned != owned || state.entry.Phase != queue.Running {
 			continue
 		}
-		if state.sent && !state.service.driver.Withdraw(d.now(), id) {
+		if state.sent && !state.service.driver.Withdraw(d.now(), key) {
 			continue // a sender has it
 		}
-		delete(d.deliveries, id)
+		delete(d.deliveries, key)
 		state.service.waiting.withdraw(state)
 		owned.Retry(d.now(), state.entry, false, 0)
 	}
 }
 
 // deliver carries one attempt out. It runs in a goroutine of its own.
-func (d *Dispatcher) deliver(id string, service *serviceState, attempt balance.Attempt) {
+func (d *Dispatcher) deliver(key string, service *serviceState, attempt balance.Attempt) {
 	d.mutex.Lock()
-	state := d.deliveries[id]
+	state := d.deliveries[key]
 	if state == nil {
 		service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun})
 		d.mutex.Unlock()
 		return
 	}
-	if !d.mayAct(state.owned) || !d.takeRate(state) {
+	if !d.mayAct(state.owned) || !d.takeRateAgain(state) {
 		d.notSent(state, attempt)
 		d.mutex.Unlock()
 		return
@@ -148,7 +154,7 @@
 	holders := state.entry.Holders
 	d.mutex.Unlock()
 	if body == nil && head.BodySize > 0 {
-		fetched, found := d.fetchBody(context.Background(), id, holders)
+		fetched, found := d.fetchBody(context.Background(), head.ID, holders)
 		if !found {
 			d.mutex.Lock()
 			d.notSent(state, attempt)
@@ -169,7 +175,7 @@
 // notSent books that an attempt was not begun. The mutex is held.
 func (d *Dispatcher) notSent(state *deliveryState, attempt balance.Attempt) {
 	if !state.service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun}) {
-		delete(d.deliveries, state.entry.Head.ID)
+		delete(d.deliveries, state.key)
 		state.owned.Retry(d.now(), state.entry, false, -1)
 	}
 	d.pump(state.owned)
@@ -179,7 +185,7 @@
 // is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
 	if !state.service.driver.Ended(d.now(), attempt.ID, result.Outcome()) {
-		delete(d.deliveries, state.entry.Head.ID)
+		delete(d.deliveries, state.key)
 		d.settle(state, result)
 	}
 	d.pumpService(state.service)
@@ -188,7 +194,7 @@
 
 // settle ends a message or puts it back into its queue.
 func (d *Dispatcher) settle(state *deliveryState, result delivery.Result) {
-	owned, entry := state.owned, state.entry
+	owned, entry := d.current(state)
 	switch {
 	case result.Succeeded():
 		d.counters.completed.Add(1)
@@ -207,14 +213,27 @@
 	}
 }
 
+// current returns the queue and the entry of a message now: the queue may have
+// been lost and acquired again while a sender had the message.
+func (d *Dispatcher) current(state *deliveryState) (*ownedQueue, *queue.Entry) {
+	if state.owned.dropped {
+		if again := d.queues[state.owned.Name]; again != nil {
+			if entry := again.Get(state.entry.Head.ID); entry != nil && entry.Phase != queue.Done {
+				return again, entry
+			}
+		}
+	}
+	return state.owned, state.entry
+}
+
 // givenBack puts a message back that no sender could be had for. The mutex is
 // held.
-func (d *Dispatcher) givenBack(id string, wait time.Duration) {
-	state := d.deliveries[id]
+func (d *Dispatcher) givenBack(key string, wait time.Duration) {
+	state := d.deliveries[key]
 	if state == nil {
 		return
 	}
-	delete(d.deliveries, id)
+	delete(d.deliveries, key)
 	state.owned.Retry(d.now(), state.entry, false, wait)
 	if at, some := state.owned.Wake(); some {
 		d.wakeAt(at)
@@ -282,24 +301,3 @@
 	owned.CallbackTaken(d.now(), entry)
 	d.recordEnd(owned, entry)
 }
-
-// takeRate takes the right to one more arrival at a rated service. The first
-// attempt of a message has it already. The mutex is held.
-func (d *Dispatcher) takeRate(state *deliveryState) bool {
-	limiter := state.service.limiter
-	if limiter == nil {
-		return true
-	}
-	if state.paid {
-		state.paid = false
-		return true
-	}
-	_, ok := limiter.Take(d.now())
-	return ok
-}
-
-// rateOwner reports whether this dispatcher may spend the rate of a service.
-func (d *Dispatcher) rateOwner(name string) bool {
-	owned := d.queues[ratedPrefix+name]
-	return owned != nil && d.mayAct(owned)
-}
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -163,6 +163,9 @@
 		d.offered(ctx, request.Queues)
 		return protocol.OfferReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.TakeRate) (protocol.TakeRateReply, error) {
+		return d.grantPermits(request), nil
+	})
 	return server
 }
 
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -33,6 +33,7 @@
 // ownedQueue is a queue that this dispatcher owns.
 type ownedQueue struct {
 	*queue.Queue
+	suffix    string                   // tells this lease on the queue from earlier ones
 	granted   map[string]time.Duration // when the grants of stores were asked for
 	asked     map[string]bool          // stores that a claim is under way at
 	outbid    map[string]bool          // stores that have promised a higher epoch
@@ -333,7 +334,7 @@
 		return
 	}
 	owned := &ownedQueue{
-		Queue: queue.New(name, epoch), asked: map[string]bool{}, granted: map[string]time.Duration{},
+		Queue: queue.New(name, epoch), suffix: "@" + strconv.FormatUint(epoch, 36), asked: map[string]bool{}, granted: map[string]time.Duration{},
 		accepting: map[string]chan struct{}{}, outbid: map[string]bool{},
 	}
 	d.queues[name] = owned
--- /dev/null
+++ b/internal/service/dispatcher/parts_test.go
@@ -0,0 +1,176 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/configuration"
+	"yardwharf/internal/service/delivery"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/verdict"
+)
+
+const testConfiguration = `{"revision":1,"routes":[
+{"name":"plain","hostname":"h.example","pathPrefix":"/plain/","routeType":"async","timeoutMs":1000,"targetLatencyMs":80,"priority":1,"service":"free","maxRetries":3,"ordered":false,"retentionS":90,"callback":false,"scheduleTargetMs":800},
+{"name":"rated","hostname":"h.example","pathPrefix":"/rated/","routeType":"async","timeoutMs":1000,"targetLatencyMs":80,"priority":1,"service":"outside","maxRetries":3,"ordered":false,"retentionS":90,"callback":false,"scheduleTargetMs":800},
+{"name":"keys","hostname":"h.example","pathPrefix":"/keys/","routeType":"async","timeoutMs":1000,"targetLatencyMs":80,"priority":1,"service":"outside","maxRetries":2,"ordered":true,"retentionS":90,"callback":false,"scheduleTargetMs":800}],
+"services":[
+{"name":"free","healthCheck":"/health","maxConns":10,"protocol":"h1","tls":false,"ratePerS":0,"dedup":false,"pull":false,"staticEndpoint":null},
+{"name":"outside","healthCheck":"/health","maxConns":10,"protocol":"h1","tls":false,"ratePerS":10,"dedup":false,"pull":false,"staticEndpoint":"127.0.0.1:1"}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// newTestDispatcher returns a dispatcher without listeners or stores.
+func newTestDispatcher(c *qt.C) *Dispatcher {
+	d := newDispatcher(&settings.Settings{
+		Node: "edge-a-1", IP: "127.0.0.1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r"},
+		InternalPorts: []int{7780, 7795}, Limits: settings.Limits{MemoryMb: 100},
+		FaultTolerance: settings.FaultTolerance{Machines: 1},
+	}, logr.Discard())
+	parsed, err := configuration.Parse([]byte(testConfiguration))
+	c.Assert(err, qt.IsNil)
+	d.configuration.Store(parsed)
+	d.reconfigureServices(parsed)
+	return d
+}
+
+// own gives the dispatcher a queue without asking any store.
+func own(d *Dispatcher, name string, epoch uint64) *ownedQueue {
+	owned := &ownedQueue{
+		Queue: queue.New(name, epoch), granted: map[string]time.Duration{}, asked: map[string]bool{},
+		accepting: map[string]chan struct{}{}, outbid: map[string]bool{},
+	}
+	d.queues[name] = owned
+	return owned
+}
+
+func TestQueueOfAMessage(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	current := d.configuration.Load()
+	queueOf := func(path, key string) string {
+		route, service, found := current.Match("h.example", path)
+		c.Assert(found, qt.IsTrue)
+		return d.queueFor(route, service, key)
+	}
+	c.Assert(queueOf("/plain/x", "k"), qt.Equals, d.localQueue)
+	c.Assert(queueOf("/rated/x", ""), qt.Equals, "rated/outside")
+	c.Assert(queueOf("/keys/x", "k"), qt.Equals, queueOf("/keys/y", "k"))
+	c.Assert(queueOf("/keys/x", "k"), qt.Matches, "ordered/.*")
+	c.Assert(queueOf("/keys/x", ""), qt.Equals, "rated/outside")
+}
+
+func TestUrgentMessagesComeBeforeLateOnes(t *testing.T) {
+	c := qt.New(t)
+	var waiting waitingMessages
+	states := map[string]*deliveryState{}
+	for _, one := range []struct {
+		key string
+		aim time.Duration
+	}{{"late-1", 1}, {"soon", 20}, {"late-2", 2}, {"later", 30}, {"gone", 15}} {
+		states[one.key] = &deliveryState{key: one.key, aim: one.aim}
+		waiting.add(states[one.key])
+	}
+	waiting.withdraw(states["gone"])
+	waiting.withdraw(states["gone"])
+	var order []string
+	for !waiting.empty() {
+		order = append(order, waiting.next(10).key)
+	}
+	c.Assert(order, qt.DeepEquals, []string{"soon", "later", "late-1", "late-2"})
+	c.Assert(waiting.next(10), qt.IsNil)
+}
+
+func TestHeadsOfStoresAreMerged(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	d.stores["s2"] = &storeLink{node: "s2", ends: map[string]protocol.End{}, failures: map[string]int{}, flush: make(chan struct{}, 1)}
+	owned := own(d, "ordered/1", 5)
+	head := func(id string, epoch, sequence uint64, state protocol.State) protocol.Head {
+		return protocol.Head{ID: id, OrderingKey: "k", Epoch: epoch, Sequence: sequence, State: state, Retention: time.Minute}
+	}
+	d.adopt(owned, map[string][]protocol.Head{
+		"s1": {head("second", 4, 1, protocol.Queued), head("done", 3, 1, protocol.Completed)},
+		"s2": {head("first", 3, 2, protocol.Queued), head("done", 3, 1, protocol.Queued)},
+	})
+	steps := owned.Advance(d.now())
+	c.Assert(steps, qt.HasLen, 1)
+	c.Assert(steps[0].Entry.Head.ID, qt.Equals, "first")
+	c.Assert(owned.Open(), qt.Equals, 2)
+	c.Assert(d.stores["s2"].ends["done"].State, qt.Equals, protocol.Completed)
+	c.Assert(d.repairs, qt.HasLen, 2)
+}
+
+func TestZonesAreSpread(t *testing.T) {
+	c := qt.New(t)
+	links := []*storeLink{{node: "a1", zone: "a"}, {node: "a2", zone: "a"}, {node: "b1", zone: "b"}}
+	var order []string
+	for _, link := range spreadZones(links) {
+		order = append(order, link.node)
+	}
+	c.Assert(order, qt.DeepEquals, []string{"a1", "b1", "a2"})
+}
+
+func TestPermitsRunOut(t *testing.T) {
+	c := qt.New(t)
+	rate := rateState{permits: []time.Duration{5, 10, 20}}
+	c.Assert(rate.takePermit(7), qt.IsTrue)
+	c.Assert(rate.takePermit(19), qt.IsTrue)
+	c.Assert(rate.takePermit(19), qt.IsFalse)
+}
+
+func TestOnlyTheOwnerGrantsPermits(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	reply := d.grantPermits(protocol.TakeRate{Service: "outside", Count: 3})
+	c.Assert(reply.Granted, qt.Equals, 0)
+	reply = d.grantPermits(protocol.TakeRate{Service: "unknown", Count: 3})
+	c.Assert(reply.Granted, qt.Equals, 0)
+}
+
+func TestEndReachesTheQueueThatWasAcquiredAgain(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	head := protocol.Head{ID: "m", Host: "h.example", Target: "/keys/x", OrderingKey: "k", Retention: time.Minute}
+	before := own(d, "ordered/1", 1)
+	entry := before.Add(d.now(), head, nil, nil)
+	before.Advance(d.now())
+	state := &deliveryState{key: "m@1", owned: before, entry: entry, service: d.services["outside"], retries: 2}
+	d.drop(before, "test")
+	again := own(d, "ordered/1", 2)
+	second := again.Add(d.now(), head, nil, nil)
+	d.settle(state, delivery.Result{Verdict: verdict.Ran, Status: 200, Seal: "seal"})
+	c.Assert(second.Head.State, qt.Equals, protocol.Completed)
+	c.Assert(second.Head.Stamp, qt.Equals, "seal")
+}
+
+func TestFailedAttemptsEndAMessage(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	owned := own(d, "ordered/1", 1)
+	entry := owned.Add(d.now(), protocol.Head{ID: "m", Retention: time.Minute}, nil, nil)
+	state := &deliveryState{key: "m@1", owned: owned, entry: entry, service: d.services["outside"], retries: 2}
+	failed := delivery.Result{Verdict: verdict.Ran, Status: 500}
+	owned.Advance(d.now())
+	d.settle(state, delivery.Result{Verdict: verdict.MayHaveRun, RetryAfter: delivery.NoRetryAfter})
+	c.Assert(entry.Head.Failures, qt.Equals, 0)
+	owned.Advance(time.Minute / 2)
+	d.settle(state, failed)
+	c.Assert(entry.Head.State, qt.Equals, protocol.Queued)
+	c.Assert(entry.Head.Failures, qt.Equals, 1)
+	owned.Advance(time.Minute / 2)
+	d.settle(state, failed)
+	c.Assert(entry.Head.State, qt.Equals, protocol.DeadLetter)
+}
+
+func TestUnknownAttemptIsBookedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	d.deliver("unknown", d.services["free"], balance.Attempt{})
+	c.Assert(d.services["free"].driver.Waiting(), qt.Equals, 0)
+}
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -8,7 +8,6 @@
 
 	"yardwharf/internal/service/balance"
 	"yardwharf/internal/service/configuration"
-	"yardwharf/internal/service/ratelimit"
 )
 
 const (
@@ -22,9 +21,8 @@
 	name       string
 	configured *configuration.Service
 	driver     *balance.Driver
-	limiter    *ratelimit.Bucket // nil until this dispatcher may spend the rate
-	epoch      uint64            // of the lease that the limiter was made under
-	waiting    waitingMessages   // messages not yet handed to the driver
+	rate       rateState
+	waiting    waitingMessages // messages not yet handed to the driver
 }
 
 // serviceActions carries out what the decision module of one service asks for.
@@ -68,8 +66,8 @@
 			d.services[name] = service
 		}
 		service.configured = configured
-		if service.limiter != nil {
-			service.limiter.SetRate(d.now(), configured.RatePerS)
+		if service.rate.limiter != nil {
+			service.rate.limiter.SetRate(d.now(), configured.RatePerS)
 		}
 		d.updateSenders(service)
 	}
@@ -151,15 +149,9 @@
 // use for them and the rate allows. The mutex is held.
 func (d *Dispatcher) pumpService(service *serviceState) {
 	rated := service.configured.Rated()
-	if rated && (service.waiting.empty() || !d.refreshLimiter(service)) {
-		return
-	}
 	for !service.waiting.empty() && service.driver.Waiting() < submitAhead {
-		if rated {
-			if wait, ok := service.limiter.Take(d.now()); !ok {
-				d.wakeAt(d.now() + wait)
-				return
-			}
+		if rated && !d.takeRate(service) {
+			return
 		}
 		state := service.waiting.next(d.now() + lateMargin)
 		if state == nil {
@@ -173,19 +165,5 @@
 // submit asks the decision module for a sender.
 func (d *Dispatcher) submit(service *serviceState, state *deliveryState) {
 	state.sent = true
-	service.driver.Submit(d.now(), state.entry.Head.ID, min(d.now()+submitPatience, state.entry.Expires()))
-}
-
-// refreshLimiter makes a new, empty limiter for each lease on a service's rate.
-// It reports whether this dispatcher may spend the rate.
-func (d *Dispatcher) refreshLimiter(service *serviceState) bool {
-	owned := d.queues[ratedPrefix+service.name]
-	if owned == nil || !d.mayAct(owned) {
-		return false
-	}
-	if service.limiter == nil || service.epoch != owned.Epoch {
-		service.limiter = ratelimit.New(d.now(), service.configured.RatePerS)
-		service.epoch = owned.Epoch
-	}
-	return true
+	service.driver.Submit(d.now(), state.key, min(d.now()+submitPatience, state.entry.Expires()))
 }
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -233,3 +233,16 @@
 
 // OfferReply answers Offer.
 type OfferReply struct{}
+
+// TakeRate asks the owner of a rated service's queue for permits to send.
+type TakeRate struct {
+	Service string
+	Count   int
+}
+
+// TakeRateReply answers TakeRate. A permit counts for a short time from the
+// moment it was asked for.
+type TakeRateReply struct {
+	Granted int
+	Wait    time.Duration // until it is worth asking again
+}
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -6,7 +6,7 @@
 	for _, message := range []any{
 		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{},
-		Accept{}, AcceptReply{}, Offer{}, OfferReply{},
+		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, TakeRate{}, TakeRateReply{},
 	} {
 		gob.Register(message)
 	}
