Work out the time that an attempt tells its sender as its head is written

Cause, measured by a probe in trials: southside, Pool.Start laid out the whole head (conn.writeRelay, X-Remaining from Relay.Until at that moment) and conn.write sent it once the connection was up.

Change: conn.write puts the time left, rounded down to a millisecond, into the head as its first byte is about to go out; with under a millisecond left nothing is sent and the attempt ends as Moot, which never ran and tells nothing of the host. One path carries first attempts, retries and copies.

--- a/internal/carry/southside/conn.go
+++ b/internal/carry/southside/conn.go
@@ -17,6 +17,9 @@
 const (
 	bufferSize = 4 << 10
 	maxLine    = 128 << 10 // a result of 64 KiB, escaped, with what stands around it
+
+	leastLeft      = time.Millisecond // X-Remaining tells no less; an attempt with less left is not sent
+	remainingPiece = 8                // where X-Remaining's value stands among a request's pieces
 )
 
 // conn is a connection to a host. It carries one relay or probe at a time.
@@ -40,12 +43,13 @@
 	probe bool
 	sent  time.Duration // of a probe
 
-	until   time.Duration
-	wants   uint32
-	number  []byte // X-Remaining as written
-	pieces  [16][]byte
-	unsent  [][]byte // what is left of the pieces
-	touched bool     // a byte has gone out
+	until     time.Duration
+	wants     uint32
+	length    []byte // Content-Length as written
+	remaining []byte // X-Remaining as written
+	pieces    [16][]byte
+	unsent    [][]byte // what is left of the pieces
+	touched   bool     // a byte has gone out
 
 	in     []byte
 	have   int // bytes in it
@@ -129,21 +133,24 @@
 	c.lent = 0
 }
 
-// writeRelay lays out a relay's request.
+// writeRelay lays out a relay's request, all but the time that is left.
 func (c *conn) writeRelay(r *dispatch.Relay) {
 	m := &r.Message.Payload
-	left := max(0, r.Until-c.p.loop.Now())
-	c.number = strconv.AppendFloat(c.number[:0], left.Seconds(), 'f', 3, 64)
+	c.length = strconv.AppendInt(c.length[:0], int64(len(m.Body)), 10)
 	out := append(c.pieces[:0], m.Method, []byte(" "), m.Target,
 		[]byte(" HTTP/1.1\r\nHost: "), c.h.name, []byte("\r\nX-Txn: "), m.ID,
-		[]byte("\r\nX-Remaining: "), c.number)
+		[]byte("\r\nX-Remaining: "), nil) // the last one is remainingPiece
 	if len(m.Key) > 0 {
 		out = append(out, []byte("\r\nIdempotency-Key: "), m.Key)
 	}
-	size := len(c.number)
-	c.number = strconv.AppendInt(c.number, int64(len(m.Body)), 10)
-	out[8] = c.number[:size]
-	c.unsent = append(out, []byte("\r\nContent-Length: "), c.number[size:], []byte("\r\n\r\n"), m.Body)
+	c.unsent = append(out, []byte("\r\nContent-Length: "), c.length, []byte("\r\n\r\n"), m.Body)
+}
+
+// writeRemaining puts the time that is left into a request of which no byte has gone out.
+// It is rounded down: the host is never told more than there is.
+func (c *conn) writeRemaining(left time.Duration) {
+	c.remaining = strconv.AppendFloat(c.remaining[:0], left.Truncate(time.Millisecond).Seconds(), 'f', 3, 64)
+	c.unsent[remainingPiece] = c.remaining
 }
 
 // writeProbe lays out a probe.
@@ -227,15 +234,37 @@
 	}
 }
 
-// write puts out what it can, and is the one place where an attempt begins. Guards the drain:
-// one that has waited for its connection must not begin at a host that has been away, or has
-// left this address, for the grace; nor where nobody waits for it any more.
+// mayBegin says whether the first byte may go out, and how what is on the connection ends where it
+// may not. Guards the drain: one that has waited for its connection must not begin at a host that
+// has been away, or has left this address, for the grace; nor where nobody waits for it any more.
+// One whose time is over as its connection comes up tells nothing of the host.
+func (c *conn) mayBegin(now time.Duration) (yardwharf.Status, bool) {
+	switch {
+	case c.h.away && now >= c.h.until, c.address != c.h.address && now >= c.h.moved:
+		return yardwharf.ConnectFailed, false
+	case c.relay == nil: // a probe
+		return yardwharf.OK, true
+	case c.relay.Until-now < leastLeft:
+		return yardwharf.Moot, false
+	case !c.relay.MayBegin():
+		return yardwharf.ConnectFailed, false // unless a client that has gone has called it off by now
+	}
+	return yardwharf.OK, true
+}
+
+// write puts out what it can, and is the one place where an attempt begins. Only now is it known
+// how long that took, so the time that is left is worked out here: guards the host against work
+// for a client that will not wait for it.
 func (c *conn) write() {
-	now := c.p.loop.Now()
-	if !c.touched && (c.h.away && now >= c.h.until || c.address != c.h.address && now >= c.h.moved ||
-		c.relay != nil && !c.relay.MayBegin()) {
-		c.end(yardwharf.ConnectFailed) // unless a client that has gone has called it off by now
-		return
+	if !c.touched {
+		now := c.p.loop.Now()
+		if st, may := c.mayBegin(now); !may {
+			c.end(st)
+			return
+		}
+		if c.relay != nil {
+			c.writeRemaining(c.relay.Until - now)
+		}
 	}
 	before := pending(c.unsent)
 	rest, err := sock.Write(c.fd, c.unsent)
@@ -265,7 +294,7 @@
 	if c.closed {
 		return
 	}
-	if len(c.unsent) > 0 {
+	if len(c.unsent) > 0 && st != yardwharf.Moot {
 		st = yardwharf.ConnectFailed
 	}
 	if c.kept && st == yardwharf.Reset {
--- a/internal/carry/southside/southside_test.go
+++ b/internal/carry/southside/southside_test.go
@@ -505,8 +505,9 @@
 	}
 }
 
-// full points a host at a socket that takes no connections any more and says nothing.
-func full(t *testing.T, h *host) {
+// full points a host at a socket that takes no connections any more and says nothing, and
+// returns that socket.
+func full(t *testing.T, h *host) int {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -527,4 +528,5 @@
 		}
 		t.Cleanup(func() { unix.Close(c) })
 	}
+	return fd
 }
