--- a/internal/service/segment/log.go
+++ b/internal/service/segment/log.go
@@ -14,7 +14,7 @@
 	minimumFiles  = reservedFiles + 2
 	fullShare     = 0.85    // of the unreserved files that live records may fill
 	pendingMost   = 8 << 20 // bytes that may wait for the disk
-	keptBuffer    = 256 << 10
+	keptBuffer    = 1 << 20
 )
 
 // Errors of Append.
--- a/internal/service/store/store_test.go
+++ b/internal/service/store/store_test.go
@@ -121,3 +121,100 @@
 	c.Assert(ended.Head.CallbackURL, qt.Equals, want.Head.CallbackURL)
 	c.Assert(call[protocol.QueryReply](t, owner, protocol.Query{ID: "unknown"}).Held, qt.IsFalse)
 }
+
+// What an owner may do and what a second one may not, over the wire.
+func TestRoleGrantsLeases(t *testing.T) {
+	c := qt.New(t)
+	s := testSettings(t, "127.0.31.2")
+	s.Bootstrap = false
+	defer start(t, s)()
+	first, second := client(t, s, "edge-1"), client(t, s, "edge-2")
+	acquire := func(who *transport.Client, epoch uint64, held bool) protocol.Grant {
+		return call[protocol.AcquireReply](t, who, protocol.Acquire{Queues: []string{"rated/x"}, Epoch: epoch, Held: held}).Grants[0]
+	}
+	status := func(who *transport.Client, id string, epoch uint64) protocol.AppendStatus {
+		return call[protocol.AppendReply](t, who, protocol.Append{Message: message(id, "rated/x", epoch)}).Status
+	}
+
+	renewed := call[protocol.RenewReply](t, first, protocol.Renew{Ready: true})
+	c.Assert(renewed.Recovering, qt.IsTrue, qt.Commentf("an empty disk without bootstrap"))
+	c.Assert(acquire(first, 4, false).Granted, qt.IsFalse, qt.Commentf("right after the start"))
+	c.Assert(acquire(first, 4, true).Granted, qt.IsTrue, qt.Commentf("it still holds the queue"))
+	c.Assert(status(first, "m1", 4), qt.Equals, protocol.Stored)
+	c.Assert(status(second, "m2", 3), qt.Equals, protocol.Fenced)
+	c.Assert(acquire(second, 5, false), qt.DeepEquals, protocol.Grant{Queue: "rated/x", Promised: 4})
+
+	table := call[protocol.RenewReply](t, second, protocol.Renew{KnownVersion: renewed.Version})
+	c.Assert(table.Changed, qt.IsTrue)
+	c.Assert(table.Queues, qt.DeepEquals, []protocol.QueueState{{Queue: "rated/x", Epoch: 4, Holder: "edge-1", Open: 1}})
+	c.Assert(call[protocol.RenewReply](t, second, protocol.Renew{KnownVersion: table.Version}).Changed, qt.IsFalse)
+
+	closedAt := time.Now()
+	first.Close()
+	granted := acquire(second, 5, false)
+	for ; !granted.Granted; granted = acquire(second, 5, false) {
+		c.Assert(time.Since(closedAt) < callWithin, qt.IsTrue)
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Assert(time.Since(closedAt) >= 250*time.Millisecond, qt.IsTrue)
+	c.Assert(granted.Heads, qt.HasLen, 1)
+	c.Assert(granted.Heads[0].ID, qt.Equals, "m1")
+	c.Assert(granted.Heads[0].Age > 100*time.Millisecond, qt.IsTrue)
+	call[protocol.ReleaseReply](t, second, protocol.Release{Queues: []string{"rated/x"}})
+	c.Assert(acquire(client(t, s, "edge-3"), 6, false).Granted, qt.IsTrue)
+}
+
+// Ends that come first, twice or in another order lead to the same state, and
+// requests that cannot be right change nothing.
+func TestRoleTakesEndsInAnyOrder(t *testing.T) {
+	c := qt.New(t)
+	s := testSettings(t, "127.0.31.3")
+	defer start(t, s)()
+	owner := client(t, s, "edge-1")
+	end := func(id string, state protocol.State, due bool) {
+		call[protocol.EndBatchReply](t, owner, protocol.EndBatch{Ends: []protocol.End{
+			{ID: id, Queue: "local/edge-1", State: state, Stamp: "seal", CallbackDue: due},
+		}})
+	}
+	query := func(id string) protocol.QueryReply {
+		return call[protocol.QueryReply](t, owner, protocol.Query{ID: id, WithBody: true})
+	}
+	keep := func(id string) {
+		reply := call[protocol.AppendReply](t, owner, protocol.Append{Message: message(id, "local/edge-1", 1)})
+		c.Assert(reply.Status, qt.Equals, protocol.Stored)
+	}
+
+	end("early", protocol.Completed, false)
+	keep("early")
+	c.Assert(query("early").Head.State, qt.Equals, protocol.Completed)
+
+	end("dead", protocol.DeadLetter, false)
+	keep("dead")
+	dead := query("dead")
+	c.Assert(dead.Head.State, qt.Equals, protocol.DeadLetter)
+	c.Assert(string(dead.Body), qt.Equals, "body of dead")
+
+	keep("owed")
+	end("owed", protocol.Completed, true)
+	end("owed", protocol.DeadLetter, true)
+	c.Assert(query("owed").Head.State, qt.Equals, protocol.Completed)
+	c.Assert(query("owed").Head.CallbackDue, qt.IsTrue)
+	end("owed", protocol.Completed, false)
+	end("owed", protocol.Completed, true)
+	keep("owed")
+	c.Assert(query("owed").Head.CallbackDue, qt.IsFalse, qt.Commentf("taken stays taken"))
+
+	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+	defer cancel()
+	for _, bad := range []protocol.EndBatch{
+		{Ends: []protocol.End{{ID: "x", State: protocol.Completed}, {ID: "y", State: protocol.Queued}}},
+		{Ends: []protocol.End{{ID: "x", State: protocol.Completed}, {ID: "", State: protocol.Completed}}},
+	} {
+		_, err := transport.Call[protocol.EndBatchReply](ctx, owner, bad)
+		c.Assert(err, qt.ErrorMatches, "request: store: .*")
+		c.Assert(query("x").Held, qt.IsFalse, qt.Commentf("a batch with a bad record is refused whole"))
+	}
+	nameless := message("", "local/edge-1", 1)
+	_, err := transport.Call[protocol.AppendReply](ctx, owner, protocol.Append{Message: nameless})
+	c.Assert(err, qt.ErrorMatches, "request: store: id of 0 bytes.*")
+}
