--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -12,23 +12,26 @@
 
 const (
 	forwardTimeout = 250 * time.Millisecond
-	forwardPause   = 20 * time.Millisecond
+	forwardPause   = 15 * time.Millisecond
+	giveUpPart     = 0.45 // of the client's time, after which nothing is tried again
 	bodyBudget     = 0.25 // part of the memory limit that bodies may take
 )
 
 // accept has a message accepted by the owner of its queue. The result is
-// Refused only if no copy of the message can exist anywhere.
-func (d *Dispatcher) accept(ctx context.Context, message protocol.Message) protocol.AcceptStatus {
+// Refused only if no copy of the message can exist anywhere. It is given up well
+// before the client does, so that the client can turn to another dispatcher.
+func (d *Dispatcher) accept(ctx context.Context, message protocol.Message, patience time.Duration) protocol.AcceptStatus {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	giveUp := d.now() + part(patience, giveUpPart)
 	mayExist := false
 	for {
 		status := d.acceptOnce(ctx, message)
-		switch status {
-		case protocol.Accepted:
+		if status == protocol.Accepted {
 			return status
-		case protocol.Undecided:
-			mayExist = true
 		}
-		if ctx.Err() != nil || status == protocol.Refused && !mayExist {
+		mayExist = mayExist || status == protocol.Undecided
+		if status == protocol.Refused || ctx.Err() != nil || d.now() >= giveUp {
 			break
 		}
 		message.Head.Age += forwardPause
--- a/internal/service/dispatcher/copies.go
+++ b/internal/service/dispatcher/copies.go
@@ -19,6 +19,7 @@
 	repairTimeout  = 2 * time.Second
 	repairPause    = 50 * time.Millisecond
 	repairParallel = 8
+	silentAfter    = 150 * time.Millisecond // a store that acknowledges nothing for so long gets nothing more
 )
 
 // copyResult is what came of writing the copies of a message.
@@ -45,7 +46,7 @@
 func (d *Dispatcher) candidates() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
-		if link.up {
+		if link.up && !link.silent(d.now()) {
 			links = append(links, link)
 		}
 	}
@@ -132,6 +133,9 @@
 		case <-timer.C:
 			if len(links) > 0 {
 				launch()
+			} else if d.allSilent(result) {
+				result.status = protocol.Undecided
+				return result
 			}
 			timer.Reset(hedge)
 		case <-ctx.Done():
@@ -141,6 +145,26 @@
 	}
 }
 
+// allSilent reports whether every store that may still acknowledge a copy has
+// been silent for so long that waiting on is of no use.
+func (d *Dispatcher) allSilent(result copyResult) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, node := range result.touched {
+		link := d.stores[node]
+		if link != nil && !slices.Contains(result.holders, node) && !link.silent(d.now()) {
+			return false
+		}
+	}
+	return true
+}
+
+// silent reports whether the store owes acknowledgements and has sent none for
+// long. The dispatcher's mutex is held.
+func (l *storeLink) silent(now time.Duration) bool {
+	return l.unanswered > 0 && now-max(l.unansweredSince, l.acknowledged) > silentAfter
+}
+
 // failedCopies tells whether a message of which too few copies could be written
 // may have left some.
 func failedCopies(result copyResult) protocol.AcceptStatus {
@@ -171,11 +195,16 @@
 
 // writeCopy asks one store to keep a copy.
 func (d *Dispatcher) writeCopy(link *storeLink, message protocol.Message, answers chan<- copyAnswer) {
-	begun := time.Now()
+	begun := d.now()
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
+	d.mutex.Lock()
+	if link.unanswered++; link.unanswered == 1 {
+		link.unansweredSince = begun
+	}
+	d.mutex.Unlock()
 	reply, err := transport.Call[protocol.AppendReply](ctx, link.client, protocol.Append{Message: message})
-	answer := copyAnswer{link: link, status: reply.Status, took: time.Since(begun)}
+	answer := copyAnswer{link: link, status: reply.Status, took: d.now() - begun}
 	switch {
 	case err != nil:
 		answer.verdict = verdict.Of(err)
@@ -183,6 +212,10 @@
 		answer.verdict = verdict.NotRun
 	}
 	d.mutex.Lock()
+	link.unanswered--
+	if err == nil {
+		link.acknowledged = d.now()
+	}
 	link.latency += time.Duration(latencyWeight * float64(answer.took-link.latency))
 	d.mutex.Unlock()
 	answers <- answer
--- a/internal/service/dispatcher/front.go
+++ b/internal/service/dispatcher/front.go
@@ -105,9 +105,7 @@
 		return
 	}
 	head.Queue = d.queueFor(route, service, head.OrderingKey)
-	ctx, cancel := context.WithTimeout(r.Context(), patience(r))
-	defer cancel()
-	switch d.accept(ctx, protocol.Message{Head: head, Body: body}) {
+	switch d.accept(r.Context(), protocol.Message{Head: head, Body: body}, patience(r)) {
 	case protocol.Accepted:
 		d.counters.accepted.Add(1)
 		w.WriteHeader(http.StatusAccepted)
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	renewInterval   = 400 * time.Millisecond
-	renewTimeout    = 700 * time.Millisecond
-	endFlushDelay   = 20 * time.Millisecond
-	endBatchMost    = 256
-	endBatchTimeout = 2 * time.Second
-	absentAfter     = 2500 * time.Millisecond // a store unheard for so long no longer counts as holding copies
-	latencyWeight   = 0.1
+	renewInterval     = 400 * time.Millisecond
+	reconnectInterval = 100 * time.Millisecond
+	renewTimeout      = 700 * time.Millisecond
+	endFlushDelay     = 20 * time.Millisecond
+	endBatchMost      = 256
+	endBatchTimeout   = 2 * time.Second
+	absentAfter       = 2500 * time.Millisecond // a store unheard for so long no longer counts as holding copies
+	latencyWeight     = 0.1
 )
 
 // storeLink is the link to one store. The fields below the client are guarded
@@ -38,6 +39,10 @@
 	holders    map[string]protocol.QueueState
 	latency    time.Duration // of acknowledgements, of late
 
+	unanswered      int           // appends under way
+	unansweredSince time.Duration // when the first of them was sent
+	acknowledged    time.Duration // when the last append was answered
+
 	ends     map[string]protocol.End
 	failures map[string]int
 }
@@ -51,19 +56,23 @@
 		d.sendEnds(ctx, link)
 	}()
 	for ctx.Err() == nil {
-		d.renew(ctx, link)
+		wait := renewInterval
+		if !d.renew(ctx, link) {
+			wait = reconnectInterval
+		}
 		select {
 		case <-ctx.Done():
 		case <-link.kick:
-		case <-time.After(renewInterval):
+		case <-time.After(wait):
 		}
 	}
 	workers.Wait()
 	link.client.Close()
 }
 
-// renew renews the session once and takes in what the store tells.
-func (d *Dispatcher) renew(ctx context.Context, link *storeLink) {
+// renew renews the session once and takes in what the store tells. It reports
+// whether the store is up.
+func (d *Dispatcher) renew(ctx context.Context, link *storeLink) bool {
 	d.mutex.Lock()
 	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version}
 	d.mutex.Unlock()
@@ -75,9 +84,10 @@
 	defer d.mutex.Unlock()
 	if err != nil {
 		d.renewFailed(link)
-		return
+		return link.up
 	}
 	d.renewed(link, reply, sent)
+	return true
 }
 
 func (d *Dispatcher) renewFailed(link *storeLink) {
