--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -369,3 +369,17 @@
 		c.Assert(core[1].silent(core[1].known().Value, replaceAfter), qt.HasLen, 0)
 	})
 }
+
+func TestNewSeedsLeadAProcessToTheMembers(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		late := n.start(c, 9, false)
+		late.setSeeds([]string{coreAddress(7), coreAddress(8)})
+		_, known := late.survey(context.Background())
+		c.Assert(known, qt.IsFalse)
+		late.setSeeds(coreSeeds)
+		decided, known := late.survey(context.Background())
+		c.Assert(known, qt.IsTrue)
+		c.Assert(decided.Value.Revision, qt.Equals, int64(3))
+	})
+}
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -343,7 +343,7 @@
 	}
 	d.adopt(owned, heads)
 	if name != d.localQueue {
-		d.log.Info("queue acquired", "queue", name, "epoch", epoch, "messages", owned.Open())
+		d.log.V(1).Info("queue acquired", "queue", name, "epoch", epoch, "messages", owned.Open())
 	}
 }
 
@@ -651,7 +651,7 @@
 		defer cancel()
 		_, _ = transport.Call[protocol.OfferReply](callCtx, d.peer(address), protocol.Offer{Queues: []string{owned.Name}})
 	}
-	d.log.Info("queue handed over", "queue", owned.Name, "to", successor)
+	d.log.V(1).Info("queue handed over", "queue", owned.Name, "to", successor)
 }
 
 func (d *Dispatcher) upStores() []*storeLink {
--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -121,10 +121,11 @@
 			if err != nil {
 				return
 			}
+			recovering := d.isRecovering(link)
 			mutex.Lock()
 			defer mutex.Unlock()
 			best = betterReply(best, reply)
-			if link.recovering && !reply.Held {
+			if recovering && !reply.Held {
 				return
 			}
 			answered++
@@ -151,6 +152,13 @@
 	return best, answered >= wanted
 }
 
+// isRecovering reports whether a store may lack messages that it once had.
+func (d *Dispatcher) isRecovering(link *storeLink) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return link.recovering
+}
+
 // queryGrace is how long a question waits for the last stores.
 const queryGrace = 100 * time.Millisecond
 
--- a/internal/service/transport/server.go
+++ b/internal/service/transport/server.go
@@ -43,6 +43,7 @@
 	listener    net.Listener
 	connections map[net.Conn]struct{}
 	stopped     bool
+	refusal     string // host and cause of the last connection that was refused
 }
 
 // NewServer returns a server without handlers.
@@ -146,7 +147,7 @@
 	peer, err := s.greet(conn, reader, writer)
 	if err != nil {
 		s.unread.Add(1)
-		s.log.Info("connection refused", "from", conn.RemoteAddr().String(), "cause", err.Error())
+		s.logRefused(conn.RemoteAddr(), err)
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -168,6 +169,25 @@
 	s.closed(peer)
 }
 
+// logRefused logs a connection that was refused: at level 0 only where the host
+// or the cause differs from the last one, as a refused peer tries again and again.
+func (s *Server) logRefused(from net.Addr, cause error) {
+	host, _, err := net.SplitHostPort(from.String())
+	if err != nil {
+		host = from.String()
+	}
+	refusal := host + ": " + cause.Error()
+	s.mutex.Lock()
+	repeated := s.refusal == refusal
+	s.refusal = refusal
+	s.mutex.Unlock()
+	log := s.log
+	if repeated {
+		log = log.V(1)
+	}
+	log.Info("connection refused", "from", host, "cause", cause.Error())
+}
+
 // greet exchanges hello frames.
 func (s *Server) greet(conn net.Conn, reader *frameReader, writer *frameWriter) (*Peer, error) {
 	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
