--- a/internal/tools/serviceyard/yard_test.go
+++ b/internal/tools/serviceyard/yard_test.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// TestEachRoleTellsItsStatus asks all processes as an operator does, also after a
-// SIGHUP with a file that cannot be used.
+// TestEachRoleTellsItsStatus asks all processes as an operator does, after a SIGHUP
+// with a file that cannot be used, and one with a file that can.
 func TestEachRoleTellsItsStatus(t *testing.T) {
 	c := qt.New(t)
 	ctx, y := startYard(c)
@@ -169,17 +169,14 @@
 	for _, m := range y.machines {
 		c.Assert(os.WriteFile(m.path, []byte("{"), 0o600), qt.IsNil)
 	}
-	for _, p := range y.processes {
-		c.Assert(p.Hangup(), qt.IsNil)
-	}
+	hangup(c, ctx, y, "new settings are faulty; the old ones stay")
 	for _, m := range y.machines {
-		for _, role := range rolesOf(m.class) {
-			c.Assert(Await(ctx, func() bool {
-				log, _ := os.ReadFile(filepath.Join(y.options.Folder, m.settings.Node+"-"+role+".log"))
-				return bytes.Contains(log, []byte("new settings are faulty; the old ones stay"))
-			}), qt.IsNil, qt.Commentf("%s/%s", m.settings.Node, role))
-		}
+		m.settings.Limits.MemoryMb++
+		c.Assert(m.write(), qt.IsNil)
 	}
+	hangup(c, ctx, y, "settings loaded again")
+	c.Assert(client.Send(ctx, Message{ID: "m-2", Path: PlainPath}), qt.IsNil)
+	c.Assert(Await(ctx, func() bool { return y.Ledger.Seal("m-2") != "" }), qt.IsNil)
 
 	dispatcher := ask(RoleDispatcher)
 	c.Check(dispatcher.Revision, qt.Equals, int64(1))
@@ -207,13 +204,18 @@
 	}), qt.IsNil)
 }
 
-func rolesOf(class string) []string {
-	for _, c := range classes {
-		if c.name == class {
-			return c.roles
-		}
+// hangup sends each process a SIGHUP and waits until it has logged a line.
+func hangup(c *qt.C, ctx context.Context, y *Yard, line string) {
+	c.Helper()
+	for _, p := range y.processes {
+		c.Assert(p.Hangup(), qt.IsNil)
+	}
+	for _, p := range y.processes {
+		c.Assert(Await(ctx, func() bool {
+			log, err := os.ReadFile(filepath.Join(y.options.Folder, p.Node+"-"+p.Role+".log"))
+			return err == nil && bytes.Contains(log, []byte(line))
+		}), qt.IsNil, qt.Commentf("%s/%s", p.Node, p.Role))
 	}
-	return nil
 }
 
 // at returns a moment some milliseconds after an arbitrary one.
