Judge a store's wait after its start only by answers that came within it

Change: the assertion counts where the answer came within the wait; the wait itself is held by package lease on a fake clock (restart_test, lease_test), as strictly as before.

--- a/internal/service/store/store_test.go
+++ b/internal/service/store/store_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr/testr"
 
+	"yardwharf/internal/service/lease"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
 	"yardwharf/internal/service/transport"
@@ -127,6 +128,7 @@
 	c := qt.New(t)
 	s := testSettings(t, "127.0.31.2")
 	s.Bootstrap = false
+	startedAt := time.Now()
 	defer start(t, s)()
 	first, second := client(t, s, "edge-1"), client(t, s, "edge-2")
 	acquire := func(who *transport.Client, epoch uint64, held bool) protocol.Grant {
@@ -138,7 +140,10 @@
 
 	renewed := call[protocol.RenewReply](t, first, protocol.Renew{Ready: true})
 	c.Assert(renewed.Recovering, qt.IsTrue, qt.Commentf("an empty disk without bootstrap"))
-	c.Assert(acquire(first, 4, false).Granted, qt.IsFalse, qt.Commentf("right after the start"))
+	early := acquire(first, 4, false)
+	if time.Since(startedAt) < lease.LeaseDuration { // a busy machine may take longer; package lease holds the wait itself
+		c.Assert(early.Granted, qt.IsFalse, qt.Commentf("right after the start"))
+	}
 	c.Assert(acquire(first, 4, true).Granted, qt.IsTrue, qt.Commentf("it still holds the queue"))
 	c.Assert(status(first, "m1", 4), qt.Equals, protocol.Stored)
 	c.Assert(status(second, "m2", 3), qt.Equals, protocol.Fenced)
