--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -184,6 +184,7 @@
 // attemptEnded books the end of an attempt and decides what follows. The mutex
 // is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
+	d.counters.deliveries.note(&result)
 	if !state.service.driver.Ended(d.now(), attempt.ID, result.Outcome()) {
 		delete(d.deliveries, state.key)
 		d.settle(state, result)
@@ -293,6 +294,7 @@
 		}
 		return
 	}
+	d.counters.callbacks.Add(1)
 	d.callbackDone(owned, entry)
 }
 
