--- a/example/service/main.go
+++ b/example/service/main.go
@@ -136,7 +136,7 @@
 	wrong := serviceyard.CallbackFaults(accepted, yard.Ledger, yard.Receiver)
 	tooMany := serviceyard.RateFault(yard.Ledger.Arrivals(serviceyard.RatedService), serviceyard.RatePerS)
 	fmt.Fprintf(out, "accepted %d of %d messages (%d without a clear answer); completed %d\n",
-		len(accepted), load.Total(), client.Uncertain(), len(accepted)-len(unfinished))
+		len(accepted), load.Total(), len(client.Uncertain()), len(accepted)-len(unfinished))
 	fmt.Fprintf(out, "order: %d keys of %d messages, %d overtaken; delays: %d early\n", load.Keys, load.PerKey, len(overtaken), len(early))
 	fmt.Fprintf(out, "rate: ceiling %d a second, %s\n", serviceyard.RatePerS, orKept(tooMany))
 	fmt.Fprintf(out, "call-backs: %d owed, %d wrong\n", len(owed), len(wrong))
--- a/internal/tools/serviceyard/client.go
+++ b/internal/tools/serviceyard/client.go
@@ -29,6 +29,13 @@
 	SentAt time.Time
 }
 
+// Uncertain is a message that was neither accepted nor refused for sure.
+type Uncertain struct {
+	Message
+	Status int // 0: the connection broke
+	Took   time.Duration
+}
+
 // Client sends messages to the dispatchers in turn and remembers what was
 // accepted.
 type Client struct {
@@ -37,7 +44,7 @@
 	mutex     sync.Mutex
 	next      int
 	accepted  []Accepted
-	uncertain int // neither accepted nor refused for sure
+	uncertain []Uncertain
 }
 
 // NewClient returns a client of a yard.
@@ -50,11 +57,11 @@
 	return append([]Accepted(nil), c.accepted...)
 }
 
-// Uncertain returns how many messages have no clear answer.
-func (c *Client) Uncertain() int {
+// Uncertain returns the messages without a clear answer.
+func (c *Client) Uncertain() []Uncertain {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.uncertain
+	return append([]Uncertain(nil), c.uncertain...)
 }
 
 func (c *Client) front() string {
@@ -80,7 +87,7 @@
 		case !sent || promises(status):
 			return false
 		default:
-			c.uncertain++
+			c.uncertain = append(c.uncertain, Uncertain{m, status, time.Since(begun)})
 			return true
 		}
 	})
--- a/internal/tools/serviceyard/yard_test.go
+++ b/internal/tools/serviceyard/yard_test.go
@@ -106,6 +106,7 @@
 		c.Helper()
 		wanted := len(client.Accepted()) + count
 		c.Assert(Await(ctx, func() bool { return len(client.Accepted()) >= wanted }), qt.IsNil)
+		c.Logf("%d accepted, %d uncertain", len(client.Accepted()), len(client.Uncertain()))
 	}
 	more(40)
 	store, frozen := y.Process(RoleStore, 1), y.Process(RoleStore, 2)
@@ -127,9 +128,13 @@
 	<-sent
 
 	all := client.Accepted()
-	c.Logf("accepted %d of %d, uncertain %d", len(all), load.Total(), client.Uncertain())
-	c.Check(len(all)+client.Uncertain(), qt.Equals, load.Total())
-	c.Check(client.Uncertain() < load.Total()/10, qt.IsTrue)
+	uncertain := client.Uncertain()
+	c.Logf("accepted %d of %d, uncertain %d", len(all), load.Total(), len(uncertain))
+	for _, m := range uncertain {
+		c.Logf("uncertain: %s, status %d after %v", m.ID, m.Status, m.Took)
+	}
+	c.Check(len(all)+len(uncertain), qt.Equals, load.Total())
+	c.Check(len(uncertain) < load.Total()/10, qt.IsTrue)
 	_ = Await(ctx, func() bool { return len(Unfinished(all, y.Ledger))+len(WithoutCallback(all, y.Receiver)) == 0 })
 	runs := y.Ledger.Runs()
 	c.Check(Unfinished(all, y.Ledger), qt.HasLen, 0)
