Empty storage machines on the operator's order

Cause: Retire.Begin and Retire.Read answered 404 and 409 only, as no part could move the messages of a store that is taken away.

Change: the register's value names leaving and emptied stores. Owners write no new copies to a leaving store, write its messages to others until f+1 stores that stay have each, and tell it so; it refuses new messages, lists what has not moved, and is complete when nothing is left and all open sessions know that it leaves. Any control member goes on with what another began. A lost store leaves the known ones once 2f+1 others have lived for catchUpS and it is gone for catchUpS + 2 s (20 s before); the disk with which a store became known counts in full at once.

--- a/internal/service/control/api.go
+++ b/internal/service/control/api.go
@@ -26,43 +26,15 @@
 	baseHeader        = "X-Base-Version"
 )
 
-// RetireState is the state of a machine that is being emptied.
-type RetireState string
-
-// The states of a machine that is being emptied.
-const (
-	RetireRunning   RetireState = "running"
-	RetireCompleted RetireState = "completed"
-)
-
-// RetireStatus says how an order to empty a machine was received.
-type RetireStatus uint8
-
-// How an order to empty a machine was received.
-const (
-	RetireTaken       RetireStatus = 1 + iota
-	RetireUnknown                  // there is no such machine
-	RetireTooFew                   // too few machines would be left
-	RetireUnavailable              // it is not known whether the order was taken
-)
-
-// Retirement empties storage machines.
-type Retirement interface {
-	// Begin asks for a machine to be emptied.
-	Begin(ctx context.Context, node string, deadline time.Duration) RetireStatus
-	// Read returns how far it is, and whether the machine was ever asked for.
-	Read(ctx context.Context, node string) (RetireState, bool)
-}
-
 // api serves the operator.
 type api struct {
 	replica    *replica
-	retirement Retirement
+	retirement *retirement
 	log        logr.Logger
 }
 
 // newAPIServer returns the HTTP server of the operator's API.
-func newAPIServer(replica *replica, retirement Retirement, log logr.Logger) *http.Server {
+func newAPIServer(replica *replica, retirement *retirement, log logr.Logger) *http.Server {
 	a := &api{replica: replica, retirement: retirement, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Config.Replace", a.replaceConfiguration)
@@ -164,66 +136,3 @@
 		_, _ = w.Write(value.Configuration)
 	}
 }
-
-// retireOrder is the body of POST /Retire.Begin/NODE.
-type retireOrder struct {
-	DeadlineS float64 `json:"deadlineS"`
-}
-
-// beginRetirement handles POST /Retire.Begin/NODE.
-func (a *api) beginRetirement(w http.ResponseWriter, request *http.Request) {
-	body, whole := readBody(w, request)
-	if !whole {
-		return
-	}
-	var order retireOrder
-	if err := json.Unmarshal(body, &order); err != nil {
-		answer(w, http.StatusBadRequest, problem{"body: " + err.Error()})
-		return
-	}
-	deadline := time.Duration(order.DeadlineS * float64(time.Second))
-	switch a.retirement.Begin(request.Context(), request.PathValue("node"), deadline) {
-	case RetireTaken:
-		answer(w, http.StatusOK, stateAnswer{RetireRunning})
-	case RetireUnknown:
-		answer(w, http.StatusNotFound, problem{"there is no such storage machine"})
-	case RetireTooFew:
-		answer(w, http.StatusConflict, problem{"too few machines would be left"})
-	default:
-		unavailable(w, "no majority has decided")
-	}
-}
-
-type stateAnswer struct {
-	State RetireState `json:"state"`
-}
-
-// readRetirement handles GET /Retire.Read/NODE.
-func (a *api) readRetirement(w http.ResponseWriter, request *http.Request) {
-	state, known := a.retirement.Read(request.Context(), request.PathValue("node"))
-	if !known {
-		answer(w, http.StatusNotFound, problem{"the machine is not being emptied"})
-		return
-	}
-	answer(w, http.StatusOK, stateAnswer{state})
-}
-
-// noRetirement refuses to empty machines.
-type noRetirement struct{ replica *replica }
-
-// Begin refuses: no machine can be spared.
-func (n noRetirement) Begin(_ context.Context, node string, _ time.Duration) RetireStatus {
-	known := n.replica.known()
-	if known.Value == nil {
-		return RetireUnavailable
-	}
-	for _, store := range known.Value.Stores {
-		if store.Node == node {
-			return RetireTooFew
-		}
-	}
-	return RetireUnknown
-}
-
-// Read knows no machine.
-func (n noRetirement) Read(context.Context, string) (RetireState, bool) { return "", false }
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -73,8 +73,12 @@
 	hub := distribution.NewHub(log)
 	replica.publishTo(hub)
 	coordination := coordination.Attach(running, s, replica.identity, server, hub, replica.memberAddresses, log)
-	upkeep := &upkeep{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
-	api := newAPIServer(replica, noRetirement{replica}, log)
+	retirement := &retirement{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
+	upkeep := &upkeep{
+		replica: replica, retirement: retirement, stores: coordination.Stores,
+		tolerated: s.FaultTolerance.Machines, catchUp: settings.Seconds(s.Bounds.CatchUpS),
+	}
+	api := newAPIServer(replica, retirement, log)
 
 	var group sync.WaitGroup
 	failures := make(chan error, 2)
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -17,21 +17,26 @@
 	joinEvery      = 300 * time.Millisecond
 	unknownEvery   = 100 * time.Millisecond // while no majority has told the decided value
 	behindPause    = 20 * time.Millisecond
-	replaceAfter   = 3 * time.Second  // a silent member gives its place to one that joins
-	removeAfter    = 20 * time.Second // a silent member is removed from an even number
-	standstill     = 3 * time.Second  // between two rounds: this process was stopped itself
-	unsettledTicks = 2                // rounds of upkeep after which an undecided value is finished
+	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins
+	removeAfter    = 20 * time.Second       // a silent member is removed from an even number
+	retireEvery    = 200 * time.Millisecond // while a store is being emptied
+	repairTime     = 2 * time.Second        // beyond the catch-up time, for copies of a lost store to be written again
+	standstill     = 3 * time.Second        // between two rounds: this process was stopped itself
+	unsettledTicks = 2                      // rounds of upkeep after which an undecided value is finished
 )
 
 // upkeep learns decided values that were missed, and keeps the members and the
 // known stores in order.
 type upkeep struct {
-	replica   *replica
-	stores    func() []view.NodeState
-	tolerated int // machines that may be lost at once
-	unsettled int
-	ticked    time.Time
-	gone      map[string]time.Time // known stores that do not live, since when
+	replica    *replica
+	retirement *retirement
+	stores     func() []view.NodeState
+	tolerated  int           // machines that may be lost at once
+	catchUp    time.Duration // until a store that was empty counts in full
+	unsettled  int
+	ticked     time.Time
+	gone       map[string]time.Time               // known stores that do not live, since when
+	present    map[register.StoreMember]time.Time // known stores that live, each with its disk, since when
 }
 
 // run works until the context ends.
@@ -65,6 +70,7 @@
 	for _, change := range u.due(decided.Value, time.Now()) {
 		u.replica.order(ctx, change)
 	}
+	u.retirement.advance(ctx, decided.Value)
 }
 
 // noteTime excuses the silence of others when this process has stood still.
@@ -72,6 +78,7 @@
 	if !u.ticked.IsZero() && now.Sub(u.ticked) > standstill {
 		u.replica.forgiveSilence()
 		clear(u.gone)
+		clear(u.present)
 	}
 	u.ticked = now
 }
@@ -82,6 +89,9 @@
 	if !u.replica.isMember() {
 		pause = joinEvery
 	}
+	if known := u.replica.known().Value; known != nil && len(known.Leaving) > 0 {
+		pause = retireEvery
+	}
 	if u.unsettled > 0 {
 		pause = unknownEvery
 	}
@@ -146,7 +156,8 @@
 
 // anyUnknown reports whether the value lacks a store or has an outdated entry.
 func anyUnknown(value *register.Value, stores []register.StoreMember) bool {
-	return slices.ContainsFunc(stores, func(s register.StoreMember) bool { return !slices.Contains(value.Stores, s) })
+	_, outcome := register.SetStores(stores)(value)
+	return outcome == register.Taken
 }
 
 // liveStores returns the stores that live, by node.
@@ -164,28 +175,45 @@
 }
 
 // replacedStore returns a known store that has been gone for so long that its
-// messages have been copied again, while enough others live.
+// messages have been copied again, while enough others have lived for as long as
+// a new one needs. Until it is removed it counts among the stores whose grants
+// may be missing, and so takes the place of the next loss.
 func (u *upkeep) replacedStore(value *register.Value, live map[string]register.StoreMember, now time.Time) (string, bool) {
-	known, gone := 0, map[string]time.Time{}
-	for _, store := range value.Stores {
-		if _, lives := live[store.Node]; lives {
-			known++
-			continue
-		}
-		since, noted := u.gone[store.Node]
-		if !noted {
-			since = now
+	u.notePresence(value, live, now)
+	whole := 0
+	for _, store := range value.RemainingStores("") {
+		if since, present := u.present[store]; present && now.Sub(since) >= u.catchUp {
+			whole++
 		}
-		gone[store.Node] = since
 	}
-	u.gone = gone
-	if known < 2*u.tolerated+1 {
+	if whole < 2*u.tolerated+1 {
 		return "", false
 	}
-	for node, since := range gone {
-		if now.Sub(since) > removeAfter {
+	for node, since := range u.gone {
+		if now.Sub(since) > u.catchUp+repairTime {
 			return node, true
 		}
 	}
 	return "", false
 }
+
+// notePresence notes since when the known stores have lived or been gone.
+func (u *upkeep) notePresence(value *register.Value, live map[string]register.StoreMember, now time.Time) {
+	present, gone := map[register.StoreMember]time.Time{}, map[string]time.Time{}
+	for _, store := range value.Stores {
+		if _, lives := live[store.Node]; lives {
+			present[store] = noteSince(u.present, store, now)
+		} else {
+			gone[store.Node] = noteSince(u.gone, store.Node, now)
+		}
+	}
+	u.present, u.gone = present, gone
+}
+
+// noteSince returns when a key was first noted, which is now if it was not.
+func noteSince[Key comparable](known map[Key]time.Time, key Key, now time.Time) time.Time {
+	if since, noted := known[key]; noted {
+		return since
+	}
+	return now
+}
--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -127,6 +127,7 @@
 	}
 	entry := owned.Add(d.now(), message.Head, message.Body, result.holders)
 	entry.Touched = result.touched
+	d.needsRepair(owned, entry)
 	d.keepBody(entry)
 	d.pump(owned)
 	return protocol.Accepted
--- a/internal/service/dispatcher/copies.go
+++ b/internal/service/dispatcher/copies.go
@@ -40,12 +40,12 @@
 // copiesWanted returns how many stores must hold each message.
 func (d *Dispatcher) copiesWanted() int { return d.settings.FaultTolerance.Machines + 1 }
 
-// candidates returns the stores that are up, the best first: the own zone, then
+// candidates returns the stores that are up and stay, the best first: the own zone, then
 // one store of each other zone, each time those that answer soonest.
 func (d *Dispatcher) candidates() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
-		if link.up {
+		if link.up && !link.leaving {
 			links = append(links, link)
 		}
 	}
@@ -213,7 +213,7 @@
 
 // needsRepair notes a message with too few copies. The mutex is held.
 func (d *Dispatcher) needsRepair(owned *ownedQueue, entry *queue.Entry) {
-	if len(entry.Holders) >= d.copiesWanted() || entry.Phase == queue.Done {
+	if entry.Phase == queue.Done || d.enoughCopies(entry) {
 		return
 	}
 	d.repairs = append(d.repairs, repairItem{owned, entry})
@@ -264,7 +264,7 @@
 func (d *Dispatcher) repair(ctx context.Context, item repairItem) bool {
 	d.mutex.Lock()
 	entry := item.entry
-	if item.owned.dropped || entry.Phase == queue.Done || len(entry.Holders) >= d.copiesWanted() {
+	if item.owned.dropped || entry.Phase == queue.Done || d.enoughCopies(entry) {
 		d.mutex.Unlock()
 		return true
 	}
@@ -272,20 +272,12 @@
 	message.Head.Epoch = item.owned.Epoch
 	target := d.repairTarget(entry)
 	holders := slices.Clone(entry.Holders)
+	end := endOf(item.owned, entry)
 	d.mutex.Unlock()
 	if target == nil {
 		return false
 	}
-	if message.Body == nil && message.Head.BodySize > 0 {
-		body, found := d.fetchBody(ctx, message.Head.ID, holders)
-		if !found {
-			return false
-		}
-		message.Body = body
-	}
-	answers := make(chan copyAnswer, 1)
-	d.writeCopy(target, message, answers)
-	if answer := <-answers; answer.status != protocol.Stored {
+	if !d.copyTo(ctx, target, message, end, holders) {
 		return false
 	}
 	d.mutex.Lock()
@@ -296,7 +288,24 @@
 	if entry.Phase >= queue.Callback {
 		d.recordEnd(item.owned, entry)
 	}
-	return len(entry.Holders) >= d.copiesWanted()
+	return d.enoughCopies(entry)
+}
+
+// copyTo writes one more copy of a message, whose body may have to be read first.
+func (d *Dispatcher) copyTo(ctx context.Context, target *storeLink, message protocol.Message, end protocol.End, holders []string) bool {
+	if end.State == protocol.Completed {
+		return d.copyOwed(ctx, target, message, end)
+	}
+	if message.Body == nil && message.Head.BodySize > 0 {
+		body, found := d.fetchBody(ctx, message.Head.ID, holders)
+		if !found {
+			return false
+		}
+		message.Body = body
+	}
+	answers := make(chan copyAnswer, 1)
+	d.writeCopy(target, message, answers)
+	return (<-answers).status == protocol.Stored
 }
 
 // repairTarget returns the best store that has no copy of a message.
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -229,12 +229,17 @@
 	d.pump(owned)
 }
 
-// recordEnd has the stores of a message record its end. The mutex is held.
-func (d *Dispatcher) recordEnd(owned *ownedQueue, entry *queue.Entry) {
-	end := protocol.End{
+// endOf returns the record of a message's end.
+func endOf(owned *ownedQueue, entry *queue.Entry) protocol.End {
+	return protocol.End{
 		ID: entry.Head.ID, Queue: owned.Name, State: entry.Head.State,
 		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue,
 	}
+}
+
+// recordEnd has the stores of a message record its end. The mutex is held.
+func (d *Dispatcher) recordEnd(owned *ownedQueue, entry *queue.Entry) {
+	end := endOf(owned, entry)
 	for _, nodes := range [][]string{entry.Holders, entry.Touched} {
 		for _, node := range nodes {
 			if link := d.stores[node]; link != nil {
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -141,7 +141,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.haveList && d.queues[d.localQueue] != nil && len(d.upStores()) >= d.copiesWanted()
+	return d.haveList && d.queues[d.localQueue] != nil && len(d.candidates()) >= d.copiesWanted()
 }
 
 func (d *Dispatcher) readinessHandler() http.Handler {
@@ -199,12 +199,19 @@
 	listed := map[string]bool{}
 	for _, node := range nodes {
 		listed[node.Name] = true
-		if known := d.stores[node.Name]; known != nil && known.client.Address() == node.Address {
-			continue
-		} else if known != nil {
+		known := d.stores[node.Name]
+		if known != nil && known.client.Address() != node.Address {
 			d.forgetStore(known)
+			known = nil
 		}
-		d.addStore(node)
+		if known == nil {
+			known = d.addStore(node)
+		}
+		known.firstDisk = ""
+		if node.FirstDisk {
+			known.firstDisk = node.StoreID
+		}
+		d.noteLeaving(known, node.Leaving)
 	}
 	for name, link := range d.stores {
 		if !listed[name] {
@@ -213,17 +220,18 @@
 	}
 }
 
-func (d *Dispatcher) addStore(node view.Node) {
+func (d *Dispatcher) addStore(node view.Node) *storeLink {
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &storeLink{
 		node: node.Name, zone: node.Zone,
 		client: transport.NewClient(d.identity, node.Address),
 		kick:   make(chan struct{}, 1), flush: make(chan struct{}, 1),
-		ends: map[string]protocol.End{}, failures: map[string]int{},
+		ends: map[string]protocol.End{}, failures: map[string]int{}, moved: map[string]bool{},
 		holders: map[string]protocol.QueueState{}, stop: cancel,
 	}
 	d.stores[node.Name] = link
 	go d.runStore(ctx, link)
+	return link
 }
 
 func (d *Dispatcher) forgetStore(link *storeLink) {
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -324,7 +324,7 @@
 		}
 		granted = append(granted, answer)
 		heads[answer.link.node] = grant.Heads
-		if !answer.reply.Recovering {
+		if !answer.link.mayLack(answer.reply.StoreID, answer.reply.Recovering) {
 			counted++
 		}
 	}
@@ -438,6 +438,7 @@
 	if head.State.Ended() && (!one.head.State.Ended() || !head.CallbackDue) {
 		one.head.State, one.head.Stamp, one.head.CallbackDue = head.State, head.Stamp, head.CallbackDue
 	}
+	one.head.CallbackURL = cmp.Or(one.head.CallbackURL, head.CallbackURL)
 	one.head.Failures = max(one.head.Failures, head.Failures)
 	one.head.Age = min(one.head.Age, head.Age)
 }
--- /dev/null
+++ b/internal/service/dispatcher/retirement_test.go
@@ -0,0 +1,90 @@
+package dispatcher
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/settings"
+)
+
+// withStores returns a dispatcher that does no I/O, with stores that are up.
+func withStores(names ...string) *Dispatcher {
+	s := &settings.Settings{Node: "edge-1", Zone: "a", IP: "127.0.9.43", InternalPorts: []int{29880, 29895}}
+	s.FaultTolerance.Machines = 1
+	d := newDispatcher(s, logr.Discard())
+	for _, name := range names {
+		d.stores[name] = &storeLink{
+			node: name, zone: name, up: true, kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
+			ends: map[string]protocol.End{}, failures: map[string]int{}, moved: map[string]bool{},
+		}
+	}
+	return d
+}
+
+func (d *Dispatcher) own(name string) *ownedQueue {
+	owned := &ownedQueue{Queue: queue.New(name, 1), accepting: map[string]chan struct{}{}}
+	d.queues[name] = owned
+	return owned
+}
+
+func TestCopiesOfALeavingStoreAreWrittenElsewhere(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c", "d")
+	owned := d.own("ordered/1")
+	head := protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}
+	entry := owned.Add(0, head, nil, []string{"a", "b"})
+	a := d.stores["a"]
+	d.noteLeaving(a, true)
+	c.Assert(d.repairs, qt.HasLen, 1)
+	for _, link := range d.candidates() {
+		c.Assert(link.node, qt.Not(qt.Equals), "a")
+	}
+	d.settleOneUnmoved(owned, a, head)
+	c.Assert(a.moved, qt.HasLen, 0, qt.Commentf("one copy elsewhere is not enough"))
+	entry.Holders = append(entry.Holders, "c")
+	d.settleOneUnmoved(owned, a, head)
+	c.Assert(a.movedBatch(), qt.DeepEquals, []string{"m"})
+}
+
+func TestSecondRetirementAndALossInTheMiddle(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c", "d", "e")
+	owned := d.own("ordered/1")
+	head := protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}
+	entry := owned.Add(0, head, nil, []string{"a", "b", "c"})
+	d.noteLeaving(d.stores["a"], true)
+	c.Assert(d.enoughCopies(entry), qt.IsTrue)
+	d.noteLeaving(d.stores["b"], true)
+	c.Assert(d.enoughCopies(entry), qt.IsFalse)
+	entry.Holders = append(entry.Holders, "d")
+	c.Assert(d.enoughCopies(entry), qt.IsTrue)
+	d.copiesLost(d.stores["c"])
+	d.settleOneUnmoved(owned, d.stores["a"], head)
+	c.Assert(d.stores["a"].moved, qt.HasLen, 0)
+	c.Assert(d.repairs, qt.Not(qt.HasLen), 0)
+}
+
+func TestLeavingStoreLearnsOfEnds(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c", "d")
+	owned := d.own("ordered/1")
+	head := protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}
+	entry := owned.Add(0, head, nil, []string{"b", "c"})
+	d.noteLeaving(d.stores["a"], true)
+	owned.End(0, entry, protocol.Completed, "seal")
+	d.settleOneUnmoved(owned, d.stores["a"], head)
+	c.Assert(d.stores["a"].ends["m"].State, qt.Equals, protocol.Completed)
+	c.Assert(d.stores["a"].ends["m"].Stamp, qt.Equals, "seal")
+}
+
+func TestFirstDiskOfAStoreHasForgottenNothing(t *testing.T) {
+	c := qt.New(t)
+	link := &storeLink{firstDisk: "first"}
+	c.Assert(link.mayLack("first", true), qt.IsFalse)
+	c.Assert(link.mayLack("second", true), qt.IsTrue)
+	c.Assert(link.mayLack("second", false), qt.IsFalse)
+}
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -40,6 +40,11 @@
 
 	ends     map[string]protocol.End
 	failures map[string]int
+
+	leaving   bool            // it is being emptied
+	firstDisk string          // its store identity when it became known; empty where that disk was replaced
+	moved     map[string]bool // messages that enough other stores keep, to be told to a leaving one
+	listing   bool            // it is asked for messages that have not moved
 }
 
 // run renews the session and sends ends until the context ends.
@@ -65,7 +70,7 @@
 // renew renews the session once and takes in what the store tells.
 func (d *Dispatcher) renew(ctx context.Context, link *storeLink) {
 	d.mutex.Lock()
-	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version}
+	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version, Leaving: link.leaving}
 	d.mutex.Unlock()
 	sent := d.now()
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -99,7 +104,7 @@
 	}
 	link.up = true
 	link.heard = d.now()
-	link.recovering = reply.Recovering
+	link.recovering = link.mayLack(reply.StoreID, reply.Recovering)
 	if link.storeID != "" && link.storeID != reply.StoreID {
 		d.log.Info("store has a new disk", "store", link.node)
 		link.ends, link.failures = map[string]protocol.End{}, map[string]int{}
@@ -113,6 +118,7 @@
 		d.revokeUnlisted(link, sent)
 	}
 	d.claimMissing(link)
+	d.considerUnmoved(link, reply.Unmoved)
 	d.considerQueues()
 	if len(link.ends)+len(link.failures) > 0 {
 		signal(link.flush)
@@ -165,9 +171,10 @@
 		}
 		batch.Failures = append(batch.Failures, protocol.Failures{ID: id, Count: count})
 	}
+	batch.Moved = link.movedBatch()
 	up, storeID := link.up, link.storeID
 	d.mutex.Unlock()
-	if !up || len(batch.Ends)+len(batch.Failures) == 0 {
+	if !up || len(batch.Ends)+len(batch.Failures)+len(batch.Moved) == 0 {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, endBatchTimeout)
@@ -190,7 +197,10 @@
 			delete(link.failures, failed.ID)
 		}
 	}
-	return len(link.ends)+len(link.failures) > 0
+	for _, id := range batch.Moved {
+		delete(link.moved, id)
+	}
+	return len(link.ends)+len(link.failures)+len(link.moved) > 0
 }
 
 // flushed reports whether the stores that are up have all ends.
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -131,6 +131,7 @@
 type EndBatch struct {
 	Ends     []End
 	Failures []Failures
+	Moved    []string // ids of messages that enough other stores keep: a leaving store may forget them
 }
 
 // EndBatchReply is sent after the batch has been synced.
@@ -161,6 +162,7 @@
 // Renew renews the caller's session, and with it all its leases.
 type Renew struct {
 	Ready        bool   // it takes queues
+	Leaving      bool   // it knows that this store is being emptied
 	KnownVersion uint64 // of the session table that it has from this store
 }
 
@@ -175,7 +177,7 @@
 	Queue  string
 	Epoch  uint64
 	Holder string // node; empty where the queue has no owner
-	Open   int    // messages that have not ended
+	Open   int    // messages that have not ended, or owe a call-back
 }
 
 // RenewReply answers Renew. Sessions and queues are left out where the caller
@@ -187,6 +189,7 @@
 	Changed    bool
 	Sessions   []Session
 	Queues     []QueueState
+	Unmoved    int // of a leaving store: messages that are not known to be kept elsewhere
 }
 
 // Release gives leases back.
@@ -233,3 +236,22 @@
 
 // OfferReply answers Offer.
 type OfferReply struct{}
+
+// ListUnmoved asks a leaving store for messages of these queues that are not
+// known to be kept elsewhere.
+type ListUnmoved struct{ Queues []string }
+
+// ListUnmovedReply answers ListUnmoved; it may not be complete.
+type ListUnmovedReply struct{ Heads []Head }
+
+// Retire tells a store that it is being emptied, and asks how far it is.
+type Retire struct{}
+
+// RetireReply answers Retire. The store is empty when it is not recovering and
+// both numbers are zero.
+type RetireReply struct {
+	StoreID    string
+	Recovering bool // its disk was empty a short time ago: lost copies are being replaced
+	Unmoved    int  // messages that are not known to be kept elsewhere
+	Unaware    int  // open sessions of dispatchers that do not know yet that it leaves
+}
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -7,6 +7,7 @@
 		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{},
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{},
+		ListUnmoved{}, ListUnmovedReply{}, Retire{}, RetireReply{},
 	} {
 		gob.Register(message)
 	}
--- a/internal/service/register/change.go
+++ b/internal/service/register/change.go
@@ -15,6 +15,7 @@
 	Stale                    // another revision is the current one
 	Invalid                  // it can follow no value like the current one
 	Settled                  // nothing was to be changed; the value is decided
+	Unknown                  // it names what the register does not have
 )
 
 // Change makes the next value from a decided one. It returns nil where nothing
@@ -122,39 +123,6 @@
 	return &next, Taken
 }
 
-// SetStores adds stores, and replaces what is known of those that it has.
-func SetStores(stores []StoreMember) Change {
-	return func(current *Value) (*Value, Outcome) {
-		next := *current
-		next.Stores = slices.Clone(current.Stores)
-		for _, store := range stores {
-			index := slices.IndexFunc(next.Stores, func(s StoreMember) bool { return s.Node == store.Node })
-			if index < 0 {
-				next.Stores = append(next.Stores, store)
-			} else {
-				next.Stores[index] = store
-			}
-		}
-		if slices.Equal(next.Stores, current.Stores) {
-			return nil, Settled
-		}
-		return &next, Taken
-	}
-}
-
-// RemoveStore removes a store by its node.
-func RemoveStore(node string) Change {
-	return func(current *Value) (*Value, Outcome) {
-		matches := func(s StoreMember) bool { return s.Node == node }
-		if !slices.ContainsFunc(current.Stores, matches) {
-			return nil, Settled
-		}
-		next := *current
-		next.Stores = slices.DeleteFunc(slices.Clone(current.Stores), matches)
-		return &next, Taken
-	}
-}
-
 // follow completes the next value: its sequence, and the members before it
 // where it changes them.
 func follow(current, next *Value) *Value {
@@ -177,6 +145,8 @@
 		return "invalid"
 	case Settled:
 		return "settled"
+	case Unknown:
+		return "unknown"
 	default:
 		return "undecided"
 	}
--- /dev/null
+++ b/internal/service/register/stores.go
@@ -0,0 +1,119 @@
+package register
+
+import "slices"
+
+// RetiredLimit is how many emptied stores a value remembers.
+const RetiredLimit = 64
+
+// Store returns a known store by its node.
+func (v *Value) Store(node string) (StoreMember, bool) {
+	index := slices.IndexFunc(v.Stores, func(s StoreMember) bool { return s.Node == node })
+	if index < 0 {
+		return StoreMember{}, false
+	}
+	return v.Stores[index], true
+}
+
+// IsLeaving reports whether a store is being emptied.
+func (v *Value) IsLeaving(node string) bool { return slices.Contains(v.Leaving, node) }
+
+// WasRetired reports whether a store was emptied and taken out.
+func (v *Value) WasRetired(node string) bool {
+	return slices.ContainsFunc(v.Retired, func(r RetiredStore) bool { return r.Node == node })
+}
+
+// RemainingStores returns the stores that stay when one of them leaves, beside
+// those that are leaving already.
+func (v *Value) RemainingStores(without string) []StoreMember {
+	return slices.DeleteFunc(slices.Clone(v.Stores), func(s StoreMember) bool {
+		return s.Node == without || v.IsLeaving(s.Node)
+	})
+}
+
+// SetStores adds stores, and replaces what is known of those that it has. An
+// emptied store is not added again with the disk that it had.
+func SetStores(stores []StoreMember) Change {
+	return func(current *Value) (*Value, Outcome) {
+		next := *current
+		next.Stores = slices.Clone(current.Stores)
+		for _, store := range stores {
+			if slices.Contains(current.Retired, RetiredStore{Node: store.Node, StoreID: store.StoreID}) {
+				continue
+			}
+			next.setStore(store)
+		}
+		if slices.Equal(next.Stores, current.Stores) {
+			return nil, Settled
+		}
+		return &next, Taken
+	}
+}
+
+// setStore adds a store or replaces what is known of it.
+func (v *Value) setStore(store StoreMember) {
+	index := slices.IndexFunc(v.Stores, func(s StoreMember) bool { return s.Node == store.Node })
+	if index < 0 {
+		store.FirstStoreID = store.StoreID
+		v.Stores = append(v.Stores, store)
+		return
+	}
+	store.FirstStoreID = v.Stores[index].FirstStoreID
+	v.Stores[index] = store
+}
+
+// RemoveStore removes a store by its node. One that was leaving counts as
+// emptied: its messages are elsewhere.
+func RemoveStore(node string) Change {
+	return func(current *Value) (*Value, Outcome) {
+		store, known := current.Store(node)
+		if !known {
+			return nil, Settled
+		}
+		next := *current
+		next.Stores = slices.DeleteFunc(slices.Clone(current.Stores), func(s StoreMember) bool { return s.Node == node })
+		if current.IsLeaving(node) {
+			next.noteRetired(store)
+		}
+		return &next, Taken
+	}
+}
+
+// noteRetired moves a store from the leaving ones to the emptied ones.
+func (v *Value) noteRetired(store StoreMember) {
+	v.Leaving = slices.DeleteFunc(slices.Clone(v.Leaving), func(node string) bool { return node == store.Node })
+	v.Retired = append(slices.Clone(v.Retired), RetiredStore{Node: store.Node, StoreID: store.StoreID})
+	if excess := len(v.Retired) - RetiredLimit; excess > 0 {
+		v.Retired = v.Retired[excess:]
+	}
+}
+
+// BeginRetirement marks a store as leaving. The outcome is Unknown for a node
+// that the register has never had, and Invalid where the others are not enough.
+func BeginRetirement(node string, enough func(*Value) bool) Change {
+	return func(current *Value) (*Value, Outcome) {
+		_, known := current.Store(node)
+		switch {
+		case current.IsLeaving(node), !known && current.WasRetired(node):
+			return nil, Taken
+		case !known:
+			return nil, Unknown
+		case !enough(current):
+			return nil, Invalid
+		}
+		next := *current
+		next.Leaving = append(slices.Clone(current.Leaving), node)
+		return &next, Taken
+	}
+}
+
+// CompleteRetirement takes a store that has been emptied out of the known ones,
+// unless its disk has been replaced since.
+func CompleteRetirement(node, storeID string) Change {
+	return func(current *Value) (*Value, Outcome) {
+		store, known := current.Store(node)
+		if !known || !current.IsLeaving(node) || store.StoreID != storeID {
+			return nil, Settled
+		}
+		return RemoveStore(node)(current)
+	}
+}
--- a/internal/service/register/value.go
+++ b/internal/service/register/value.go
@@ -60,6 +60,14 @@
 	Zone    string
 	Address string
 	StoreID string // changes when its disk was replaced
+
+	FirstStoreID string // of the disk with which it became known
+}
+
+// RetiredStore is a store that was emptied and taken out of the known ones.
+type RetiredStore struct {
+	Node    string
+	StoreID string
 }
 
 // Value is the content of the register. It is never changed once proposed.
@@ -71,6 +79,8 @@
 	Members       []Member
 	Previous      []Member // the members before this change, where it changes them
 	Stores        []StoreMember
+	Leaving       []string       // nodes of the stores that are being emptied
+	Retired       []RetiredStore // stores that were emptied, newest last
 }
 
 // InitialValue is the value that the members of the first start begin with.
@@ -118,7 +128,8 @@
 	return v.Sequence == other.Sequence && v.Revision == other.Revision &&
 		bytes.Equal(v.Configuration, other.Configuration) &&
 		slices.Equal(v.Members, other.Members) && slices.Equal(v.Previous, other.Previous) &&
-		slices.Equal(v.Stores, other.Stores) && slices.Equal(v.History, other.History)
+		slices.Equal(v.Stores, other.Stores) && slices.Equal(v.Leaving, other.Leaving) &&
+		slices.Equal(v.Retired, other.Retired) && slices.Equal(v.History, other.History)
 }
 
 // Versioned is a value with the ballot under which it was accepted last.
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -26,6 +26,7 @@
 	callbackDue bool
 	stamp       string
 	callbackURL string
+	moved       bool // enough other stores keep it
 	epoch       uint64
 	sequence    uint64
 	bodySize    int
@@ -82,11 +83,22 @@
 	name    string
 	open    entryList
 	ended   entryList // in the order of their ends
+	owed    int       // call-backs that ended messages owe
 	promise segment.Position
 
 	promisedEpoch uint64 // in the promise record
 }
 
+// countOwed notes that one message owes a call-back, or no longer does.
+func (q *queueIndex) countOwed(before, now bool) {
+	if before {
+		q.owed--
+	}
+	if now {
+		q.owed++
+	}
+}
+
 // index holds all entries. It is not safe for concurrent use.
 type index struct {
 	entries map[string]*entry
@@ -160,6 +172,7 @@
 		e.unlink()
 		e.queue.ended.add(e)
 	}
+	e.queue.countOwed(e.callbackDue, end.callbackDue)
 	e.state, e.stamp, e.callbackDue, e.callbackURL = end.state, end.stamp, end.callbackDue, end.callbackURL
 	e.epoch, e.sequence, e.bodySize = end.epoch, end.sequence, end.bodySize
 	e.head = nil
@@ -182,6 +195,7 @@
 // remove forgets an entry.
 func (x *index) remove(e *entry) {
 	e.unlink()
+	e.queue.countOwed(e.callbackDue, false)
 	delete(x.entries, e.id)
 	x.memory -= e.countedAsMemory
 }
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -171,6 +171,12 @@
 		s.release(peer.Identity, request.Queues)
 		return protocol.ReleaseReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ListUnmoved) (protocol.ListUnmovedReply, error) {
+		return s.listUnmoved(request), nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, _ protocol.Retire) (protocol.RetireReply, error) {
+		return s.retire(catchUp), nil
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Query) (protocol.QueryReply, error) {
 		return s.query(request)
 	})
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -35,6 +35,10 @@
 	reply := protocol.RenewReply{
 		StoreID: s.log.StoreID(), Recovering: s.recovering(catchUp), Version: s.grantor.Version(),
 	}
+	s.noteAware(identity, request.Leaving)
+	if s.retirement.leaving {
+		reply.Unmoved = s.unmoved(time.Now())
+	}
 	if reply.Version != request.KnownVersion {
 		reply.Changed = true
 		reply.Sessions = s.grantor.Sessions(s.options.role)
@@ -43,13 +47,14 @@
 	return reply
 }
 
-// queueStates lists the queues that have open messages or a holder.
+// queueStates lists the queues that have a holder, open messages, or call-backs
+// that are owed.
 func (s *store) queueStates() []protocol.QueueState {
 	var states []protocol.QueueState
 	for name, q := range s.index.queues {
 		holder, epoch := s.grantor.Lease(name)
-		if holder != "" || q.open.count > 0 {
-			states = append(states, protocol.QueueState{Queue: name, Epoch: epoch, Holder: holder, Open: q.open.count})
+		if holder != "" || q.open.count+q.owed > 0 {
+			states = append(states, protocol.QueueState{Queue: name, Epoch: epoch, Holder: holder, Open: q.open.count + q.owed})
 		}
 	}
 	return states
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -61,6 +61,7 @@
 	bootstrap   bool // the disk was formatted when the whole system began
 	format      segment.Position
 	lastClock   segment.Position
+	retirement  retirement
 	clockAt     time.Duration // store time of the last clock record
 
 	replayed *replayState // during recovery
@@ -70,8 +71,8 @@
 func openStore(o options) (*store, error) {
 	s := &store{
 		options: o, clock: newClock(), index: newIndex(),
-		connections: map[lease.SessionID]int{},
-		replayed:    &replayState{promises: map[string]lease.Promise{}},
+		connections: map[lease.SessionID]int{}, retirement: retirement{aware: map[lease.SessionID]bool{}},
+		replayed: &replayState{promises: map[string]lease.Promise{}},
 	}
 	s.buffers.New = func() any { return new([]byte) }
 	log, err := segment.New(segment.Options{
@@ -182,7 +183,7 @@
 
 // appendNew keeps a message that the store does not know.
 func (s *store) appendNew(m *protocol.Message) (protocol.AppendStatus, *segment.Commit, error) {
-	if s.index.memory > s.options.memoryMost {
+	if s.retirement.leaving || s.index.memory > s.options.memoryMost {
 		return protocol.Full, nil, nil
 	}
 	position, commit, status, err := s.writeMessage(m, nil)
@@ -299,6 +300,7 @@
 			return nil, err
 		}
 	}
+	s.noteMoved(batch.Moved)
 	return s.log.Barrier(), nil
 }
 
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -26,6 +26,9 @@
 	Zone    string
 	Address string // internal address
 	StoreID string // of stores: changes when the disk was replaced
+
+	FirstDisk bool // of stores: it has the disk with which it became known
+	Leaving   bool // of stores: it is being emptied
 }
 
 // Configuration is the value of the configuration register.
