--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -76,8 +76,12 @@
 	coordination := coordination.Attach(running, s, replica.identity, server, hub, replica.memberAddresses, log)
 	started := time.Now()
 	status.Serve(server, started, func(report *status.Report) { fillStatus(report, replica, hub, coordination) })
-	upkeep := &upkeep{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
-	api := newAPIServer(replica, noRetirement{replica}, log)
+	retirement := &retirement{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
+	upkeep := &upkeep{
+		replica: replica, retirement: retirement, stores: coordination.Stores,
+		tolerated: s.FaultTolerance.Machines, catchUp: settings.Seconds(s.Bounds.CatchUpS),
+	}
+	api := newAPIServer(replica, retirement, log)
 
 	var group sync.WaitGroup
 	failures := make(chan error, 2)
