Run the whole service in one process in virtual time, on a simulated network

Roles take their network, folder and steady clock from the settings, TCP and the machine's own by default, so that testing/synctest can run all of them at once. The register's slots go through the same file interface as the segments. A dispatcher that has left stops its links and timers.

--- a/internal/service/agent/agent.go
+++ b/internal/service/agent/agent.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -78,7 +77,7 @@
 // Run runs the agent until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	s := a.settings.Load()
-	listener, err := net.Listen("tcp4", s.AgentFeed())
+	listener, err := s.Net().Listen(s.AgentFeed())
 	if err != nil {
 		return Class.Wrap(err)
 	}
@@ -89,7 +88,7 @@
 	defer server.Close()
 
 	puller := distribution.NewPuller(a.upstream, distribution.PullerOptions{
-		Identity: a.identity, Sources: a.sources, Connections: s.FaultTolerance.Machines + 1,
+		Network: s.Net(), Identity: a.identity, Sources: a.sources, Connections: s.FaultTolerance.Machines + 1,
 		Topics: topics, Wait: controlWait, SpareWait: spareWait,
 	}, a.log)
 	go puller.Run(ctx)
--- a/internal/service/agent/fallback.go
+++ b/internal/service/agent/fallback.go
@@ -22,7 +22,8 @@
 // stale. At rest it wakes only when the list would become stale.
 func (a *Agent) readWhenStale(ctx context.Context) {
 	address := a.settings.Load().CloudAPI.Address
-	source := discovery.NewSource(address)
+	on := a.settings.Load().Net()
+	source := discovery.NewSourceOn(on, address)
 	schedule := discovery.NewSparseSchedule(ownReadEvery)
 	var nextRead time.Time // zero: the control's list was fresh at the last look
 	pages := 0
@@ -44,7 +45,7 @@
 			continue
 		}
 		if current := a.settings.Load().CloudAPI.Address; current != address {
-			address, source = current, discovery.NewSource(current)
+			address, source = current, discovery.NewSourceOn(on, current)
 		}
 		list, err := source.Read(ctx)
 		pages = max(list.Pages, 1)
--- a/internal/service/agent/feed.go
+++ b/internal/service/agent/feed.go
@@ -44,7 +44,7 @@
 func Feed(ctx context.Context, s *settings.Settings, identity protocol.Identity, updates Updates) {
 	hub := distribution.NewHub(logr.Discard())
 	puller := distribution.NewPuller(hub, distribution.PullerOptions{
-		Identity: identity, Sources: func() []string { return []string{s.AgentFeed()} },
+		Network: s.Net(), Identity: identity, Sources: func() []string { return []string{s.AgentFeed()} },
 		Connections: 1, Topics: updates.topics(), Wait: feedWait,
 	}, logr.Discard())
 	go puller.Run(ctx)
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -38,13 +37,14 @@
 	if s.Listen.Control == "" {
 		return Class.New("listen.control: is empty")
 	}
-	storage, state, found, err := openStorage(filepath.Join(s.DataDir, folderName))
+	folder := filepath.Join(s.DataDir, folderName)
+	storage, state, found, err := openStorage(s.Files(folder), folder)
 	if err != nil {
 		return Class.Wrap(err)
 	}
 	defer storage.Close()
 	identity := s.Identity(roleName, protocol.ControlPort, time.Now())
-	peers := newPeers(identity)
+	peers := newPeers(s, identity)
 	defer peers.Close()
 	replica, err := newReplica(identity, s.ControlMembers(), s.Bootstrap, storage, state, found, peers, log)
 	if err != nil {
@@ -55,12 +55,12 @@
 
 // serve runs the internal server, the operator's API and the upkeep.
 func serve(ctx context.Context, s *settings.Settings, replica *replica, log logr.Logger) error {
-	internal, err := net.Listen("tcp4", s.Internal(protocol.ControlPort))
+	internal, err := s.Net().Listen(s.Internal(protocol.ControlPort))
 	if err != nil {
 		return err
 	}
 	defer internal.Close()
-	operator, err := net.Listen("tcp4", s.Listen.Control)
+	operator, err := s.Net().Listen(s.Listen.Control)
 	if err != nil {
 		return err
 	}
--- a/internal/service/control/peers.go
+++ b/internal/service/control/peers.go
@@ -5,18 +5,20 @@
 	"sync"
 
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/settings"
 	"yardwharf/internal/service/transport"
 )
 
 // peers holds one client for each control process that was called.
 type peers struct {
+	settings *settings.Settings
 	identity protocol.Identity
 	mutex    sync.Mutex
 	clients  map[string]*transport.Client
 }
 
-func newPeers(identity protocol.Identity) *peers {
-	return &peers{identity: identity, clients: map[string]*transport.Client{}}
+func newPeers(s *settings.Settings, identity protocol.Identity) *peers {
+	return &peers{settings: s, identity: identity, clients: map[string]*transport.Client{}}
 }
 
 func (p *peers) client(address string) *transport.Client {
@@ -24,7 +26,7 @@
 	defer p.mutex.Unlock()
 	client := p.clients[address]
 	if client == nil {
-		client = transport.NewClient(p.identity, address)
+		client = transport.NewClientOn(p.settings.Net(), p.identity, address)
 		p.clients[address] = client
 	}
 	return client
--- a/internal/service/control/storage.go
+++ b/internal/service/control/storage.go
@@ -7,11 +7,11 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io/fs"
-	"os"
+	"io"
 	"path/filepath"
 
 	"yardwharf/internal/service/register"
+	"yardwharf/internal/service/segment"
 )
 
 // The files of the register's state. Saves alternate between two slots, so
@@ -33,25 +33,26 @@
 
 // slotStorage keeps an acceptor's state in two slot files.
 type slotStorage struct {
-	folder     string
-	slots      [slotCount]*os.File
+	files      segment.Files
+	slots      [slotCount]segment.File
 	generation uint64
 }
 
 // openStorage opens the slots of a folder, which it makes where there is none.
+// The folder's path is for errors.
 // It reports whether a state was found.
-func openStorage(folder string) (*slotStorage, register.State, bool, error) {
-	storage := &slotStorage{folder: folder}
-	if err := makeFolder(folder); err != nil {
+func openStorage(files segment.Files, folder string) (*slotStorage, register.State, bool, error) {
+	storage := &slotStorage{files: files}
+	if _, err := files.List(); err != nil { // makes the folder
 		return nil, register.State{}, false, err
 	}
 	var newest register.State
 	found := false
 	for slot := range slotCount {
-		state, generation, err := readSlot(storage.path(slot))
+		state, generation, err := readSlot(files, slotName(slot))
 		switch {
 		case errors.Is(err, errOtherFormat):
-			return nil, register.State{}, false, fmt.Errorf("%s: %w", storage.path(slot), err)
+			return nil, register.State{}, false, fmt.Errorf("%s: %w", filepath.Join(folder, slotName(slot)), err)
 		case err != nil || found && generation <= storage.generation:
 			continue
 		}
@@ -63,32 +64,14 @@
 	return storage, newest, found, nil
 }
 
-// makeFolder makes a folder that outlasts a loss of power.
-func makeFolder(folder string) error {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return err
-	}
-	return syncFolder(filepath.Dir(folder))
-}
-
-func syncFolder(folder string) error {
-	handle, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	defer handle.Close()
-	return handle.Sync()
-}
-
-func (s *slotStorage) path(slot int) string {
-	return filepath.Join(s.folder, fmt.Sprintf("register.%d", slot))
-}
+// slotName returns the name of a slot's file.
+func slotName(slot int) string { return fmt.Sprintf("register.%d", slot) }
 
 // openSlots opens both files and makes their names durable, so that a save
 // needs no more than the sync of its own file.
 func (s *slotStorage) openSlots() error {
 	for slot := range slotCount {
-		file, err := os.OpenFile(s.path(slot), os.O_RDWR|os.O_CREATE, 0o644)
+		file, err := s.files.Open(slotName(slot), true)
 		if err != nil {
 			s.Close()
 			return err
@@ -99,7 +82,7 @@
 			return err
 		}
 	}
-	return syncFolder(s.folder)
+	return s.files.Sync()
 }
 
 // Close closes the files.
@@ -152,13 +135,19 @@
 
 // readSlot reads one slot. A slot that was being written when the power was
 // lost is an error like a missing one; a file of another format is not.
-func readSlot(path string) (register.State, uint64, error) {
-	content, err := os.ReadFile(path)
+func readSlot(files segment.Files, name string) (register.State, uint64, error) {
+	file, err := files.Open(name, false)
 	if err != nil {
-		if errors.Is(err, fs.ErrNotExist) {
-			return register.State{}, 0, err
-		}
-		return register.State{}, 0, fmt.Errorf("%s: %w", path, err)
+		return register.State{}, 0, err
+	}
+	defer file.Close()
+	size, err := file.Size()
+	if err != nil {
+		return register.State{}, 0, err
+	}
+	content := make([]byte, size)
+	if _, err := io.ReadFull(io.NewSectionReader(file, 0, size), content); err != nil {
+		return register.State{}, 0, err
 	}
 	return decodeSlot(content)
 }
--- a/internal/service/control/storage_test.go
+++ b/internal/service/control/storage_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"yardwharf/internal/service/register"
+	"yardwharf/internal/service/segment"
 )
 
 func stateWith(counter uint64) register.State {
@@ -19,7 +20,7 @@
 
 // reopen returns the state that a folder has.
 func reopen(c *qt.C, folder string) (register.State, bool) {
-	storage, state, found, err := openStorage(folder)
+	storage, state, found, err := openStorage(segment.Folder{Path: folder}, folder)
 	c.Assert(err, qt.IsNil)
 	storage.Close()
 	return state, found
@@ -28,7 +29,7 @@
 func TestStorageKeepsTheNewestSave(t *testing.T) {
 	c := qt.New(t)
 	folder := filepath.Join(c.TempDir(), "control")
-	storage, _, found, err := openStorage(folder)
+	storage, _, found, err := openStorage(segment.Folder{Path: folder}, folder)
 	c.Assert(err, qt.IsNil)
 	c.Assert(found, qt.IsFalse)
 	for counter := range uint64(5) {
@@ -44,7 +45,7 @@
 	c := qt.New(t)
 	folder := c.TempDir()
 	for counter := range uint64(4) {
-		storage, _, _, err := openStorage(folder)
+		storage, _, _, err := openStorage(segment.Folder{Path: folder}, folder)
 		c.Assert(err, qt.IsNil)
 		c.Assert(storage.Save(stateWith(counter)), qt.IsNil)
 		storage.Close()
@@ -58,11 +59,11 @@
 func TestTornSaveLeavesTheOneBefore(t *testing.T) {
 	c := qt.New(t)
 	folder := c.TempDir()
-	storage, _, _, err := openStorage(folder)
+	storage, _, _, err := openStorage(segment.Folder{Path: folder}, folder)
 	c.Assert(err, qt.IsNil)
 	c.Assert(storage.Save(stateWith(1)), qt.IsNil)
 	c.Assert(storage.Save(stateWith(2)), qt.IsNil)
-	newest := storage.path(int(storage.generation % slotCount))
+	newest := filepath.Join(folder, slotName(int(storage.generation%slotCount)))
 	storage.Close()
 	whole, err := os.ReadFile(newest)
 	c.Assert(err, qt.IsNil)
@@ -89,7 +90,7 @@
 	folder := c.TempDir()
 	path := filepath.Join(folder, "register.1")
 	c.Assert(os.WriteFile(path, []byte("something else\n"), 0o644), qt.IsNil)
-	_, _, _, err := openStorage(folder)
+	_, _, _, err := openStorage(segment.Folder{Path: folder}, folder)
 	c.Assert(err, qt.ErrorIs, errOtherFormat)
 	c.Assert(err, qt.ErrorMatches, path+": not a register file of format 1")
 }
--- a/internal/service/coordination/coordination.go
+++ b/internal/service/coordination/coordination.go
@@ -83,7 +83,7 @@
 		election: election{self: identity.Address, started: time.Now()},
 	}
 	c.peers = distribution.NewPuller(hub, distribution.PullerOptions{
-		Identity: identity, Sources: c.otherMembers, Wait: peerWait, Silence: peerSilence,
+		Network: s.Net(), Identity: identity, Sources: c.otherMembers, Wait: peerWait, Silence: peerSilence,
 	}, log)
 	return c
 }
--- a/internal/service/delivery/callback.go
+++ b/internal/service/delivery/callback.go
@@ -5,9 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
+
+	"yardwharf/internal/service/network"
 )
 
 const (
@@ -26,11 +27,10 @@
 
 // newCallbackClient returns a client with few connections to each receiver. It may
 // repeat a call by itself: call-backs are owed at least once.
-func newCallbackClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newCallbackClient(on network.Network) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: callbackConnections,
+			DialContext: network.Dialer(on, dialTimeout), MaxConnsPerHost: callbackConnections,
 			MaxIdleConnsPerHost: callbackConnections, IdleConnTimeout: callbackIdle,
 			ResponseHeaderTimeout: callbackTimeout, DisableCompression: true,
 		},
--- a/internal/service/delivery/client.go
+++ b/internal/service/delivery/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"yardwharf/internal/service/network"
 	"yardwharf/internal/service/verdict"
 )
 
@@ -38,8 +39,18 @@
 // NewClient returns a client that dials over TCP.
 func NewClient() *Client { return newClient(dialTCP, time.Now) }
 
+// NewClientOn returns a client that dials on a network.
+func NewClientOn(on network.Network) *Client {
+	if on == network.TCP {
+		return NewClient()
+	}
+	client := newClient(on.Dial, time.Now)
+	client.callbacks = newCallbackClient(on)
+	return client
+}
+
 func newClient(dial DialFunc, now func() time.Time) *Client {
-	return &Client{dial: dial, now: now, callbacks: newCallbackClient(), pools: make(map[string]*pool)}
+	return &Client{dial: dial, now: now, callbacks: newCallbackClient(network.TCP), pools: make(map[string]*pool)}
 }
 
 // Close closes all idle connections. Deliveries under way end by themselves.
--- a/internal/service/discovery/reader.go
+++ b/internal/service/discovery/reader.go
@@ -25,7 +25,7 @@
 		hub: hub, publisher: publisher, log: log,
 		schedule: NewSchedule(ReadEvery, readerShare*s.CloudAPI.RatePerS),
 	}
-	source := NewSource(s.CloudAPI.Address)
+	source := NewSourceOn(s.Net(), s.CloudAPI.Address)
 	for ctx.Err() == nil {
 		if !isLeader() {
 			pause(ctx, standbyPause)
--- a/internal/service/discovery/source.go
+++ b/internal/service/discovery/source.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
+
+	"yardwharf/internal/service/network"
 )
 
 const (
@@ -24,14 +25,16 @@
 	now     func() time.Time
 }
 
-// NewSource returns a source that has not connected yet.
-func NewSource(address string) *Source {
-	dialer := &net.Dialer{Timeout: pageTimeout}
+// NewSource returns a source over TCP that has not connected yet.
+func NewSource(address string) *Source { return NewSourceOn(network.TCP, address) }
+
+// NewSourceOn returns a source over a network that has not connected yet.
+func NewSourceOn(on network.Network, address string) *Source {
 	return &Source{
 		address: address,
 		now:     time.Now,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableCompression: true,
+			DialContext: network.Dialer(on, pageTimeout), DisableCompression: true,
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
 		}},
 	}
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -50,6 +49,7 @@
 
 	mutex      sync.Mutex
 	closing    bool
+	ended      bool // the role has left; timers that are still set do nothing
 	haveList   bool
 	members    []string
 	stores     map[string]*storeLink
@@ -69,15 +69,15 @@
 // Run runs the role until the context ends, then hands over what it holds.
 func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
 	d := newDispatcher(s, log)
-	front, err := net.Listen("tcp4", s.Listen.Front)
+	front, err := s.Net().Listen(s.Listen.Front)
 	if err != nil {
 		return Class.Wrap(err)
 	}
-	readiness, err := net.Listen("tcp4", s.Listen.Readiness)
+	readiness, err := s.Net().Listen(s.Listen.Readiness)
 	if err != nil {
 		return Class.Wrap(err)
 	}
-	internal, err := net.Listen("tcp4", s.Internal(protocol.DispatcherPort))
+	internal, err := s.Net().Listen(s.Internal(protocol.DispatcherPort))
 	if err != nil {
 		return Class.Wrap(err)
 	}
@@ -100,16 +100,32 @@
 	d.leave(frontServer)
 	server.Close()
 	_ = readinessServer.Close()
+	d.end()
 	return nil
 }
 
+// end stops what would go on without the role: links to stores, connections to
+// senders and timers.
+func (d *Dispatcher) end() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.ended = true
+	for _, link := range d.stores {
+		link.stop()
+	}
+	for _, peer := range d.peers {
+		peer.Close()
+	}
+	d.client.Close()
+}
+
 func newDispatcher(s *settings.Settings, log logr.Logger) *Dispatcher {
 	now := time.Now()
 	identity := s.Identity(Role, protocol.DispatcherPort, now)
 	return &Dispatcher{
 		settings: s, identity: identity, log: log, started: now,
 		localQueue:    localQueueName(identity),
-		client:        delivery.NewClient(),
+		client:        delivery.NewClientOn(s.Net()),
 		configured:    make(chan struct{}),
 		ownershipWake: make(chan struct{}, 1),
 		repairWake:    make(chan struct{}, 1),
@@ -217,7 +233,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &storeLink{
 		node: node.Name, zone: node.Zone,
-		client: transport.NewClient(d.identity, node.Address),
+		client: transport.NewClientOn(d.settings.Net(), d.identity, node.Address),
 		kick:   make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		ends: map[string]protocol.End{}, failures: map[string]int{},
 		holders: map[string]protocol.QueueState{}, stop: cancel,
@@ -258,7 +274,7 @@
 	defer d.mutex.Unlock()
 	client := d.peers[address]
 	if client == nil {
-		client = transport.NewClient(d.identity, address)
+		client = transport.NewClientOn(d.settings.Net(), d.identity, address)
 		d.peers[address] = client
 	}
 	return client
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -50,6 +50,9 @@
 		d := a.dispatcher
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
+		if d.ended {
+			return
+		}
 		a.service.driver.Timer(d.now())
 		d.pumpService(a.service)
 	})
--- a/internal/service/distribution/puller.go
+++ b/internal/service/distribution/puller.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"yardwharf/internal/service/network"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/transport"
 )
@@ -22,6 +23,7 @@
 
 // PullerOptions say from where and what a Puller pulls.
 type PullerOptions struct {
+	Network     network.Network // nil: TCP
 	Identity    protocol.Identity
 	Sources     func() []string // addresses, the preferred ones first
 	Connections int             // long polls open at once; 0: one for each source
@@ -46,6 +48,9 @@
 
 // NewPuller returns a puller; Run starts it.
 func NewPuller(hub *Hub, options PullerOptions, log logr.Logger) *Puller {
+	if options.Network == nil {
+		options.Network = network.TCP
+	}
 	if options.Wait == 0 {
 		options.Wait = defaultWait
 	}
@@ -191,7 +196,7 @@
 	defer p.mutex.Unlock()
 	client := p.clients[address]
 	if client == nil {
-		client = transport.NewClient(p.options.Identity, address)
+		client = transport.NewClientOn(p.options.Network, p.options.Identity, address)
 		p.clients[address] = client
 	}
 	return client
--- a/internal/service/membership/heartbeats.go
+++ b/internal/service/membership/heartbeats.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"yardwharf/internal/service/network"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
 	"yardwharf/internal/service/transport"
@@ -31,6 +32,7 @@
 
 // Heartbeats sends the heartbeats of one process.
 type Heartbeats struct {
+	network  network.Network
 	period   time.Duration
 	monitors int
 	log      logr.Logger
@@ -48,7 +50,7 @@
 	ctx context.Context, s *settings.Settings, identity protocol.Identity, details Details, log logr.Logger,
 ) *Heartbeats {
 	h := &Heartbeats{
-		period: Period(s), monitors: s.FaultTolerance.Machines + 1, log: log, done: make(chan struct{}),
+		network: s.Net(), period: Period(s), monitors: s.FaultTolerance.Machines + 1, log: log, done: make(chan struct{}),
 		beat:    Heartbeat{Identity: identity, Details: details},
 		members: s.ControlMembers(), clients: map[string]*transport.Client{},
 	}
@@ -103,7 +105,7 @@
 	for _, address := range chosen {
 		client := h.clients[address]
 		if client == nil {
-			client = transport.NewClient(beat.Identity, address)
+			client = transport.NewClientOn(h.network, beat.Identity, address)
 			h.clients[address] = client
 		}
 		calls.Go(func() { h.send(ctx, client, beat, timeout) })
--- /dev/null
+++ b/internal/service/network/network.go
@@ -0,0 +1,46 @@
+// Package network is the network as a process uses it. Roles take it from their
+// settings, so that a simulation can put its own in the place of TCP.
+package network
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Network opens connections.
+type Network interface {
+	// Listen accepts connections at an address with a port.
+	Listen(address string) (net.Listener, error)
+	// Dial connects to an address with a port.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// TCP is the network of the operating system.
+var TCP Network = tcp{}
+
+type tcp struct{}
+
+// Listen accepts connections over IPv4.
+func (tcp) Listen(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+
+// Dial connects over IPv4.
+func (tcp) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+// DialFunc connects as http.Transport asks for it.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that dials on a network within a time.
+func Dialer(n Network, timeout time.Duration) DialFunc {
+	if n == TCP {
+		return (&net.Dialer{Timeout: timeout}).DialContext
+	}
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return n.Dial(ctx, address)
+	}
+}
--- a/internal/service/segment/segmenttest/disk.go
+++ b/internal/service/segment/segmenttest/disk.go
@@ -299,7 +299,10 @@
 	if _, err := f.disk.step(f.epoch); err != nil {
 		return err
 	}
-	f.node.durable, f.node.pending = slices.Clone(f.node.current), nil
+	for _, c := range f.node.pending {
+		f.node.durable = c.apply(f.node.durable)
+	}
+	f.node.pending = nil
 	return nil
 }
 
--- a/internal/service/settings/settings.go
+++ b/internal/service/settings/settings.go
@@ -11,7 +11,9 @@
 
 	"github.com/zeebo/errs"
 
+	"yardwharf/internal/service/network"
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/segment"
 )
 
 // PathVariable names the environment variable with the path of the file.
@@ -42,6 +44,27 @@
 	FaultTolerance  FaultTolerance    `json:"faultTolerance"`
 	Bounds          Bounds            `json:"bounds"`
 	CloudAPI        CloudAPI          `json:"cloudApi"`
+
+	// Simulations put their own in the place of the machine's; nil is the machine's.
+	Network     network.Network                 `json:"-"`
+	Folder      func(path string) segment.Files `json:"-"`
+	SteadyClock func() time.Duration            `json:"-"`
+}
+
+// Net returns the network of the process.
+func (s *Settings) Net() network.Network {
+	if s.Network != nil {
+		return s.Network
+	}
+	return network.TCP
+}
+
+// Files returns a folder of the process's disk.
+func (s *Settings) Files(path string) segment.Files {
+	if s.Folder != nil {
+		return s.Folder(path)
+	}
+	return segment.Folder{Path: path}
 }
 
 // Listen holds the addresses that a role serves on.
--- a/internal/service/store/clock.go
+++ b/internal/service/store/clock.go
@@ -26,8 +26,11 @@
 }
 
 // newClock returns a clock whose store time begins at 0 now.
-func newClock() *clock {
-	return &clock{started: time.Now(), steady: steadyClock()}
+func newClock(steady func() time.Duration) *clock {
+	if steady == nil {
+		steady = steadyClock
+	}
+	return &clock{started: time.Now(), steady: steady()}
 }
 
 func steadyClock() time.Duration {
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -50,7 +50,7 @@
 	if err := opened.log.Barrier().Wait(); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp4", s.Internal(protocol.StorePort))
+	listener, err := s.Net().Listen(s.Internal(protocol.StorePort))
 	if err != nil {
 		_ = opened.close()
 		return Class.Wrap(err)
@@ -118,7 +118,8 @@
 		memoryMb = defaultMemoryMb
 	}
 	return options{
-		files:       segment.Folder{Path: filepath.Join(s.DataDir, folderName)},
+		files:       s.Files(filepath.Join(s.DataDir, folderName)),
+		steady:      s.SteadyClock,
 		storeID:     newStoreID(),
 		segmentSize: size,
 		maxSegments: count,
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -35,6 +35,7 @@
 // options are the parameters of a store.
 type options struct {
 	files       segment.Files
+	steady      func() time.Duration // nil: CLOCK_MONOTONIC
 	storeID     string
 	segmentSize int
 	maxSegments int
@@ -69,7 +70,7 @@
 // openStore recovers the store from its files.
 func openStore(o options) (*store, error) {
 	s := &store{
-		options: o, clock: newClock(), index: newIndex(),
+		options: o, clock: newClock(o.steady), index: newIndex(),
 		connections: map[lease.SessionID]int{},
 		replayed:    &replayState{promises: map[string]lease.Promise{}},
 	}
--- a/internal/service/transport/client.go
+++ b/internal/service/transport/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"yardwharf/internal/service/network"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/verdict"
 )
@@ -31,6 +32,7 @@
 // Client calls one process. It connects when it is first used and again after
 // a failure, with growing pauses. Its methods may be called by many goroutines.
 type Client struct {
+	network  network.Network
 	identity protocol.Identity
 	address  string
 
@@ -42,9 +44,14 @@
 	closed  bool
 }
 
-// NewClient returns a client that has not connected yet.
+// NewClient returns a client over TCP that has not connected yet.
 func NewClient(identity protocol.Identity, address string) *Client {
-	return &Client{identity: identity, address: address}
+	return NewClientOn(network.TCP, identity, address)
+}
+
+// NewClientOn returns a client over a network that has not connected yet.
+func NewClientOn(on network.Network, identity protocol.Identity, address string) *Client {
+	return &Client{network: on, identity: identity, address: address}
 }
 
 // Address returns the address that the client calls.
@@ -121,7 +128,7 @@
 }
 
 func (c *Client) dial() {
-	conn, err := dialConn(c.identity, c.address)
+	conn, err := dialConn(c.network, c.identity, c.address)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	close(c.dialing)
@@ -163,8 +170,10 @@
 	pending map[uint64]chan envelope
 }
 
-func dialConn(identity protocol.Identity, address string) (*clientConn, error) {
-	conn, err := net.DialTimeout("tcp4", address, dialTimeout)
+func dialConn(on network.Network, identity protocol.Identity, address string) (*clientConn, error) {
+	limited, stop := context.WithTimeout(context.Background(), dialTimeout)
+	defer stop()
+	conn, err := on.Dial(limited, address)
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
--- /dev/null
+++ b/internal/simulation/faults.go
@@ -0,0 +1,192 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	afterLoss = 5 * time.Second // catchUpS and a little: until then a lost machine counts as lost
+	lossMost  = 2500            // milliseconds
+	edgePause = 1500            // milliseconds between faults that need no agreement
+)
+
+// fault is a kind of trouble.
+type fault struct {
+	name string
+	loss bool // of a machine that counts: one at a time
+	play func(w *world, random *rand.Rand)
+}
+
+var faults = []fault{
+	{name: "killStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killStore", choose(r, w.stores), r, false, false) }},
+	{name: "powerStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerStore", choose(r, w.stores), r, true, false) }},
+	{name: "wipeStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeStore", choose(r, w.stores), r, true, true) }},
+	{name: "freezeStore", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeStore", choose(r, w.stores).machine, r) }},
+	{name: "stallStore", loss: true, play: func(w *world, r *rand.Rand) { w.stall(choose(r, w.stores), r) }},
+	{name: "cutStore", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutStore", choose(r, w.stores).machine, r, false) }},
+	{name: "killControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killControl", choose(r, w.controls), r, false, false) }},
+	{name: "powerControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerControl", choose(r, w.controls), r, true, false) }},
+	{name: "wipeControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeControl", choose(r, w.controls), r, true, true) }},
+	{name: "freezeControl", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeControl", choose(r, w.controls).machine, r) }},
+	{name: "cutControl", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutControl", choose(r, w.controls).machine, r, false) }},
+	{name: "killDispatcher", play: func(w *world, r *rand.Rand) {
+		w.restart("killDispatcher", choose(r, w.dispatchers), r, false, false)
+	}},
+	{name: "stopDispatcher", play: func(w *world, r *rand.Rand) { w.stopDispatcher(choose(r, w.dispatchers), r) }},
+	{name: "killAgent", play: func(w *world, r *rand.Rand) { w.restart("killAgent", choose(r, w.agents), r, false, false) }},
+	{name: "powerEdge", play: func(w *world, r *rand.Rand) { w.powerEdge(r) }},
+	{name: "freezeEdge", play: func(w *world, r *rand.Rand) { w.freeze("freezeEdge", choose(r, w.dispatchers).machine, r) }},
+	{name: "cutEdge", play: func(w *world, r *rand.Rand) { w.isolate("cutEdge", choose(r, w.dispatchers).machine, r, false) }},
+	{name: "cutOneWay", play: func(w *world, r *rand.Rand) { w.isolate("cutOneWay", choose(r, w.dispatchers).machine, r, true) }},
+	{name: "reset", play: func(w *world, r *rand.Rand) { w.reset(r) }},
+	{name: "crashSender", play: func(w *world, r *rand.Rand) { w.replaceSender(r, true) }},
+	{name: "drainSender", play: func(w *world, r *rand.Rand) { w.replaceSender(r, false) }},
+}
+
+// Kinds lists the names of all faults.
+func Kinds() []string {
+	names := make([]string, 0, len(faults))
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	return names
+}
+
+func choose(random *rand.Rand, from []*process) *process { return from[random.IntN(len(from))] }
+
+// injectFaults plays faults while the load lasts: losses of machines that count
+// one after the other, all others beside them.
+func (w *world) injectFaults(random *rand.Rand) {
+	losses, others := w.chosenFaults(true), w.chosenFaults(false)
+	inLoss := rand.New(rand.NewPCG(random.Uint64(), 6))
+	w.parties.Go(func() {
+		for len(losses) > 0 && w.loaded() {
+			time.Sleep(time.Duration(inLoss.IntN(3000)) * time.Millisecond)
+			losses[inLoss.IntN(len(losses))].play(w, inLoss)
+			time.Sleep(afterLoss)
+		}
+	})
+	for len(others) > 0 && w.loaded() {
+		time.Sleep(time.Duration(200+random.IntN(edgePause)) * time.Millisecond)
+		others[random.IntN(len(others))].play(w, random)
+	}
+}
+
+// loaded reports whether there is time for another fault.
+func (w *world) loaded() bool { return w.journal.now() < startTime+loadTime-time.Second }
+
+func (w *world) chosenFaults(loss bool) []fault {
+	var chosen []fault
+	for _, f := range faults {
+		if f.loss == loss && (len(w.options.Kinds) == 0 || slices.Contains(w.options.Kinds, f.name)) {
+			chosen = append(chosen, f)
+		}
+	}
+	return chosen
+}
+
+// lasting returns for how long a fault lasts.
+func lasting(random *rand.Rand) time.Duration {
+	return time.Duration(100+random.IntN(lossMost)) * time.Millisecond
+}
+
+// restart ends a process and starts it again.
+func (w *world) restart(kind string, p *process, random *rand.Rand, powerLost, wipe bool) {
+	t := w.journal.begin(kind, p.machine)
+	defer w.journal.end(t)
+	if powerLost {
+		w.network.Power(p.machine, false)
+	}
+	p.kill(random, powerLost)
+	if wipe {
+		p.disk.wipe()
+	}
+	time.Sleep(lasting(random))
+	if powerLost {
+		w.network.Power(p.machine, true)
+	}
+	p.start()
+}
+
+// stopDispatcher has a dispatcher leave and starts it again.
+func (w *world) stopDispatcher(p *process, random *rand.Rand) {
+	t := w.journal.begin("stopDispatcher", p.machine)
+	defer w.journal.end(t)
+	p.stop()
+	time.Sleep(lasting(random) / 4)
+	p.start()
+}
+
+// powerEdge takes the power from a dispatcher and its agent.
+func (w *world) powerEdge(random *rand.Rand) {
+	i := random.IntN(machinesEach)
+	t := w.journal.begin("powerEdge", edgeMachine(i))
+	defer w.journal.end(t)
+	w.network.Power(edgeMachine(i), false)
+	w.dispatchers[i].kill(random, true)
+	w.agents[i].kill(random, true)
+	time.Sleep(lasting(random))
+	w.network.Power(edgeMachine(i), true)
+	w.agents[i].start()
+	w.dispatchers[i].start()
+}
+
+// freeze holds up all input and output of a machine.
+func (w *world) freeze(kind, machine string, random *rand.Rand) {
+	t := w.journal.begin(kind, machine)
+	defer w.journal.end(t)
+	w.network.Freeze(machine, true)
+	time.Sleep(lasting(random))
+	w.network.Freeze(machine, false)
+}
+
+func (w *world) stall(p *process, random *rand.Rand) {
+	t := w.journal.begin("stallStore", p.machine)
+	defer w.journal.end(t)
+	release := p.disk.stall()
+	time.Sleep(lasting(random))
+	release()
+}
+
+// isolate cuts a machine off from all machines of the system, or its way out only.
+func (w *world) isolate(kind, machine string, random *rand.Rand, oneWay bool) {
+	t := w.journal.begin(kind, machine)
+	defer w.journal.end(t)
+	w.cutAll(machine, true, oneWay)
+	time.Sleep(lasting(random))
+	w.cutAll(machine, false, oneWay)
+}
+
+func (w *world) cutAll(machine string, cut, oneWay bool) {
+	for i := range machinesEach {
+		for _, other := range []string{edgeMachine(i), storageMachine(i), coreMachine(i)} {
+			if other == machine {
+				continue
+			}
+			w.network.Cut(machine, other, cut)
+			if !oneWay {
+				w.network.Cut(other, machine, cut)
+			}
+		}
+	}
+}
+
+// reset resets the connections between a dispatcher and a store.
+func (w *world) reset(random *rand.Rand) {
+	edge := choose(random, w.dispatchers).machine
+	t := w.journal.begin("reset", edge)
+	defer w.journal.end(t)
+	w.network.Reset(edge, choose(random, w.stores).machine)
+}
+
+func (w *world) replaceSender(random *rand.Rand, crash bool) {
+	kind := "drainSender"
+	if crash {
+		kind = "crashSender"
+	}
+	t := w.journal.begin(kind, machineOf(platformAddress))
+	defer w.journal.end(t)
+	w.platform.replace(random.IntN(1<<20), crash)
+}
--- /dev/null
+++ b/internal/simulation/run.go
@@ -0,0 +1,74 @@
+package simulation
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Options choose a run.
+type Options struct {
+	Seed  uint64
+	Quiet bool     // no faults; the operator changes the configuration all the same
+	Kinds []string // of faults; empty: all
+	Log   logr.Logger
+}
+
+// Report is what a run has shown.
+type Report struct {
+	Seed     uint64
+	Sent     int // tries
+	Accepted int
+	Refused  int
+	Runs     int // attempts that senders began
+	Ended    int // accepted messages that have ended
+	Orders   int // configurations acknowledged
+	Faults   []string
+	Breaks   []string
+}
+
+// Run plays one day. It must be called inside a bubble of testing/synctest.
+func Run(options Options) Report {
+	if options.Log.GetSink() == nil {
+		options.Log = logr.Discard()
+	}
+	w := newWorld(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	w.startAll()
+	load, orders, faults := w.stream(10), w.stream(11), w.stream(12)
+	w.operator.change(0, orders)
+	w.parties.Go(func() { w.clients.watchReadiness(ctx) })
+	time.Sleep(max(0, startTime-w.journal.now()))
+	w.parties.Go(func() { w.changeConfigurations(orders) })
+	if !options.Quiet {
+		w.parties.Go(func() { w.injectFaults(faults) })
+	}
+	w.clients.run(loadTime, load)
+	time.Sleep(finishTime)
+	w.clients.askAll(load)
+	final := w.operator.read(orders)
+	cancel()
+	w.parties.Wait()
+	report := w.check(final)
+	w.stopAll()
+	return report
+}
+
+// stream returns random numbers for one party.
+func (w *world) stream(number uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(w.options.Seed, number))
+}
+
+// changeConfigurations sends changes while the load lasts.
+func (w *world) changeConfigurations(random *rand.Rand) {
+	for w.journal.now() < startTime+loadTime-time.Second {
+		time.Sleep(time.Second + time.Duration(random.IntN(1500))*time.Millisecond)
+		if random.IntN(3) == 0 {
+			w.operator.race(random)
+		} else {
+			w.operator.change(0, random)
+		}
+	}
+}
--- /dev/null
+++ b/internal/simulation/simulation_test.go
@@ -0,0 +1,62 @@
+package simulation
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+)
+
+var (
+	seeds     = flag.Int("seeds", 3, "number of seeds to play")
+	firstSeed = flag.Uint64("seed", 1, "first seed")
+	kinds     = flag.String("kinds", "", "kinds of faults, separated by commas; empty: all")
+	verbose   = flag.Bool("roles", false, "print the logs of the roles")
+)
+
+// play plays one run and prints what it has shown.
+func play(t *testing.T, options Options) Report {
+	var report Report
+	began := time.Now()
+	synctest.Test(t, func(*testing.T) {
+		start := time.Now()
+		if *verbose {
+			options.Log = funcr.New(func(prefix, line string) {
+				fmt.Printf("%8.3f %s %s\n", time.Since(start).Seconds(), prefix, line)
+			}, funcr.Options{})
+		} else {
+			options.Log = logr.Discard()
+		}
+		report = Run(options)
+	})
+	t.Logf("seed %d in %v: %d tries, %d accepted, %d refused, %d runs, %d ended, %d orders, %d faults",
+		report.Seed, time.Since(began).Round(time.Millisecond), report.Sent, report.Accepted, report.Refused,
+		report.Runs, report.Ended, report.Orders, len(report.Faults))
+	if len(report.Breaks) > 0 {
+		t.Errorf("seed %d:\n  %s\nfaults:\n  %s", report.Seed, strings.Join(report.Breaks, "\n  "), strings.Join(report.Faults, "\n  "))
+	}
+	return report
+}
+
+func TestQuietDay(t *testing.T) {
+	report := play(t, Options{Seed: *firstSeed, Quiet: true})
+	if report.Accepted < 500 || report.Refused > 0 || report.Ended < report.Accepted {
+		t.Errorf("a quiet day: %+v", report)
+	}
+}
+
+func TestDaysWithFaults(t *testing.T) {
+	var chosen []string
+	if *kinds != "" {
+		chosen = strings.Split(*kinds, ",")
+	}
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, Options{Seed: seed, Kinds: chosen}) })
+	}
+}
