--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -51,7 +51,7 @@
 	if err := opened.log.Barrier().Wait(); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp4", s.Internal(protocol.StorePort))
+	listener, err := s.Net().Listen(s.Internal(protocol.StorePort))
 	if err != nil {
 		_ = opened.close()
 		return Class.Wrap(err)
@@ -119,7 +119,8 @@
 func storeOptions(s *settings.Settings, identity protocol.Identity, log logr.Logger) options {
 	size, count := ringSize(s.Limits.DiskMb)
 	return options{
-		files:       segment.Folder{Path: filepath.Join(s.DataDir, folderName)},
+		files:       s.Files(filepath.Join(s.DataDir, folderName)),
+		steady:      s.SteadyClock,
 		storeID:     newStoreID(),
 		segmentSize: size,
 		maxSegments: count,
