--- a/internal/service/agent/status.go
+++ b/internal/service/agent/status.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"net"
 	"time"
 
 	"yardwharf/internal/service/distribution"
@@ -13,7 +12,7 @@
 // serveStatus answers operators on the machine's address; the feed itself is
 // for this machine alone. It returns a function that ends it.
 func (a *Agent) serveStatus(started time.Time) (stop func(), err error) {
-	listener, err := net.Listen("tcp4", a.identity.Address)
+	listener, err := a.settings.Load().Net().Listen(a.identity.Address)
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
