--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -21,6 +21,7 @@
 	name       string
 	configured *configuration.Service
 	driver     *balance.Driver
+	timer      *time.Timer // of the driver
 	rate       rateState
 	waiting    waitingMessages // messages not yet handed to the driver
 }
@@ -42,18 +43,26 @@
 	a.dispatcher.givenBack(message, wait)
 }
 
-// SetTimer asks for a call of the decision module's timer.
+// SetTimer asks for a call of the decision module's timer. The module asks only
+// for moments before the one that it waits for, and asks again after each call,
+// so that one timer, set to the last moment asked for, serves it.
 func (a *serviceActions) SetTimer(after time.Duration) {
-	time.AfterFunc(after, func() {
-		d := a.dispatcher
-		d.mutex.Lock()
-		defer d.mutex.Unlock()
-		if d.ended {
-			return
-		}
-		a.service.driver.Timer(d.now())
-		d.pumpService(a.service)
-	})
+	if a.service.timer == nil {
+		a.service.timer = time.AfterFunc(after, func() { a.dispatcher.serviceTimer(a.service) })
+		return
+	}
+	a.service.timer.Reset(after)
+}
+
+// serviceTimer passes the end of a service's timer on.
+func (d *Dispatcher) serviceTimer(service *serviceState) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.ended {
+		return
+	}
+	service.driver.Timer(d.now())
+	d.pumpService(service)
 }
 
 // reconfigureServices takes over the services of a configuration. The mutex is
