--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -51,7 +51,7 @@
 	if err := opened.log.Barrier().Wait(); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp4", s.Internal(protocol.StorePort))
+	listener, err := s.Net().Listen(s.Internal(protocol.StorePort))
 	if err != nil {
 		_ = opened.close()
 		return Class.Wrap(err)
@@ -119,7 +119,8 @@
 func storeOptions(s *settings.Settings, identity protocol.Identity, log logr.Logger) options {
 	size, count := ringSize(s.Limits.DiskMb)
 	return options{
-		files:       segment.Folder{Path: filepath.Join(s.DataDir, folderName)},
+		files:       s.Files(filepath.Join(s.DataDir, folderName)),
+		steady:      s.SteadyClock,
 		storeID:     newStoreID(),
 		segmentSize: size,
 		maxSegments: count,
@@ -195,6 +196,12 @@
 		s.release(peer.Identity, request)
 		return protocol.ReleaseReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ListUnmoved) (protocol.ListUnmovedReply, error) {
+		return s.listUnmoved(request), nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, _ protocol.Retire) (protocol.RetireReply, error) {
+		return s.retire(catchUp), nil
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Query) (protocol.QueryReply, error) {
 		return s.query(request)
 	})
--- a/internal/tools/hollow/leases.go
+++ b/internal/tools/hollow/leases.go
@@ -169,7 +169,7 @@
 	old, next := dispatcherIdentity(1), dispatcherIdentity(1)
 	next.Incarnation++
 	store.grantor.Renew(now, old, false, 1)
-	store.grantor.Release(now, old, localQueue(1))
+	store.grantor.Release(now, old, localQueue(1), 1)
 	store.grantor.Closed(now, old)
 	now = now.Add(lease.ClosedSessionGrace + time.Millisecond)
 	store.grantor.Renew(now, next, false, 1)
