--- a/internal/service/control/status.go
+++ b/internal/service/control/status.go
@@ -52,7 +52,10 @@
 		up := slices.ContainsFunc(states, func(s view.NodeState) bool {
 			return s.Identity.Address == store.Address && s.Alive && !s.Left
 		})
-		stores = append(stores, status.Store{Node: store.Node, Zone: store.Zone, Address: store.Address, Up: up})
+		stores = append(stores, status.Store{
+			Node: store.Node, Zone: store.Zone, Address: store.Address, Up: up,
+			Leaving: slices.Contains(value.Leaving, store.Node),
+		})
 	}
 	return stores
 }
--- a/internal/service/logging/oncall_test.go
+++ b/internal/service/logging/oncall_test.go
@@ -27,7 +27,8 @@
 		source, err := os.ReadFile(path)
 		for _, match := range logCall.FindAllSubmatch(source, -1) {
 			found++
-			c.Check(string(page), qt.Contains, "`"+string(match[1])+"`", qt.Commentf("%s", path))
+			listed := strings.Contains(string(page), "`"+string(match[1])+"`")
+			c.Check(listed, qt.IsTrue, qt.Commentf("%s logs %q", path, match[1]))
 		}
 		return err
 	})
--- a/internal/service/status/print.go
+++ b/internal/service/status/print.go
@@ -37,7 +37,7 @@
 
 // describe says in words how a store is.
 func (s Store) describe() string {
-	text := word(s.Up, "up", "down") + word(s.Recovering, ", recovering", "")
+	text := word(s.Up, "up", "down") + word(s.Recovering, ", recovering", "") + word(s.Leaving, ", leaving", "")
 	if s.SegmentMax > 0 {
 		text += fmt.Sprintf(", segments %d of %d, messages %d, bytes %d live of %d",
 			s.Segments, s.SegmentMax, s.Messages, s.LiveBytes, s.FileBytes)
--- a/internal/service/status/status.go
+++ b/internal/service/status/status.go
@@ -69,6 +69,7 @@
 	Address    string `json:"address"`
 	Up         bool   `json:"up"`
 	Recovering bool   `json:"recovering"`
+	Leaving    bool   `json:"leaving,omitempty"`  // it is being emptied
 	Segments   int    `json:"segments,omitempty"` // in use
 	SegmentMax int    `json:"segmentMax,omitempty"`
 	Messages   int    `json:"messages,omitempty"`
