Sync a full last segment before its records count as durable

Cause: a process that was killed between the write of a full segment and its sync left records that the next start replayed. A last segment with an end record was not synced then, although a repeated append was acknowledged by a barrier with nothing pending.

Change: the last segment is synced in any case.

--- a/internal/service/segment/log_test.go
+++ b/internal/service/segment/log_test.go
@@ -442,3 +442,57 @@
 	_, err = opened.put(1, 1, strings.Repeat("x", testSegment), segment.Vital)
 	c.Assert(err, qt.ErrorIs, segment.ErrTooBig)
 }
+
+// What a start after a kill has replayed counts as durable, so it must outlast
+// the loss of power that follows, also where it fills the last file.
+func TestReplayedRecordsOutlastALossOfPower(t *testing.T) {
+	for point := 4; point < 24; point++ {
+		for seed := range uint64(8) {
+			if err := killThenLosePower(point, seed); err != nil {
+				t.Errorf("kill at operation %d, seed %d: %v", point, seed, err)
+			}
+		}
+	}
+}
+
+// killThenLosePower kills a log that has one group of two files on its way to
+// the disk, starts it again, and lets power fail.
+func killThenLosePower(point int, seed uint64) error {
+	disk := segmenttest.NewDisk()
+	first, err := open(disk, logr.Discard())
+	if err != nil {
+		return err
+	}
+	disk.CrashAt(point)
+	for number := range uint64(testSegment / 400) {
+		if _, err := first.put(uint32(number%testKeys), number+1, strings.Repeat("x", 600), segment.Vital); err != nil {
+			break
+		}
+	}
+	_ = first.log.Barrier().Wait()
+	disk.Kill()
+	_ = first.log.Close()
+	disk.Restart(rand.New(rand.NewPCG(seed, 5)), false)
+	second, err := open(disk, logr.Discard())
+	if err != nil {
+		return err
+	}
+	if err := second.log.Barrier().Wait(); err != nil {
+		return err
+	}
+	known := second.snapshot()
+	disk.Kill()
+	_ = second.log.Close()
+	disk.Restart(rand.New(rand.NewPCG(seed, 6)), true)
+	third, err := open(disk, logr.Discard())
+	if err != nil {
+		return err
+	}
+	defer third.log.Close()
+	for key, value := range known {
+		if found := third.snapshot()[key]; found.number < value.number {
+			return fmt.Errorf("key %d: number %d is lost, %d is there", key, value.number, found.number)
+		}
+	}
+	return nil
+}
--- a/internal/service/segment/recover.go
+++ b/internal/service/segment/recover.go
@@ -126,7 +126,8 @@
 
 // replay hands the records of a file to the owner, up to the first bad one.
 // The last file is cleared behind it, so that nothing of a lost group can
-// turn up later.
+// turn up later, and synced: a process that was killed before its sync may have
+// left records there, and what was replayed counts as durable.
 func (l *Log) replay(s *segmentFile, last bool) error {
 	scanner := newScanner(s.file, s.generation, l.segmentSize)
 	for {
@@ -152,8 +153,11 @@
 	if scanner.ended {
 		s.end = l.segmentSize
 	}
-	if !last || scanner.ended {
-		return nil
+	switch {
+	case !last:
+		return nil // it was synced before the next file was begun
+	case scanner.ended:
+		return Class.Wrap(s.file.Sync())
 	}
 	if err := s.file.Truncate(int64(s.end)); err != nil {
 		return Class.Wrap(err)
