--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -20,7 +20,7 @@
 	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins
 	removeAfter    = 20 * time.Second       // a silent member is removed from an even number
 	retireEvery    = 200 * time.Millisecond // while a store is being emptied
-	repairTime     = 3 * time.Second  // for the copies of a lost store to be written again
+	repairTime     = 3 * time.Second        // for the copies of a lost store to be written again
 	standstill     = 3 * time.Second        // between two rounds: this process was stopped itself
 	unsettledTicks = 2                      // rounds of upkeep after which an undecided value is finished
 )
