--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -18,6 +17,7 @@
 	"yardwharf/internal/service/distribution"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/status"
 	"yardwharf/internal/service/transport"
 )
 
@@ -38,13 +38,14 @@
 	if s.Listen.Control == "" {
 		return Class.New("listen.control: is empty")
 	}
-	storage, state, found, err := openStorage(filepath.Join(s.DataDir, folderName))
+	folder := filepath.Join(s.DataDir, folderName)
+	storage, state, found, err := openStorage(s.Files(folder), folder)
 	if err != nil {
 		return Class.Wrap(err)
 	}
 	defer storage.Close()
 	identity := s.Identity(roleName, protocol.ControlPort, time.Now())
-	peers := newPeers(identity)
+	peers := newPeers(s, identity)
 	defer peers.Close()
 	replica, err := newReplica(identity, s.ControlMembers(), s.Bootstrap, storage, state, found, peers, log)
 	if err != nil {
@@ -55,12 +56,12 @@
 
 // serve runs the internal server, the operator's API and the upkeep.
 func serve(ctx context.Context, s *settings.Settings, replica *replica, log logr.Logger) error {
-	internal, err := net.Listen("tcp4", s.Internal(protocol.ControlPort))
+	internal, err := s.Net().Listen(s.Internal(protocol.ControlPort))
 	if err != nil {
 		return err
 	}
 	defer internal.Close()
-	operator, err := net.Listen("tcp4", s.Listen.Control)
+	operator, err := s.Net().Listen(s.Listen.Control)
 	if err != nil {
 		return err
 	}
@@ -73,6 +74,8 @@
 	hub := distribution.NewHub(log)
 	replica.publishTo(hub)
 	coordination := coordination.Attach(running, s, replica.identity, server, hub, replica.memberAddresses, log)
+	started := time.Now()
+	status.Serve(server, started, func(report *status.Report) { fillStatus(report, replica, hub, coordination) })
 	retirement := &retirement{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
 	upkeep := &upkeep{
 		replica: replica, retirement: retirement, stores: coordination.Stores,
@@ -86,6 +89,7 @@
 	group.Go(func() { failures <- api.Serve(operator) })
 	group.Go(func() { upkeep.run(running) })
 	group.Go(func() { replica.watch(running, hub) })
+	go settings.Watch(running, settings.LookEvery, func(changed *settings.Settings) { replica.setSeeds(changed.ControlMembers()) }, log)
 	log.Info("serving", "operator", s.Listen.Control, "internal", replica.identity.Address)
 	select {
 	case <-ctx.Done():
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"yardwharf/internal/service/lease"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/status"
 	"yardwharf/internal/service/transport"
 	"yardwharf/internal/service/view"
 )
@@ -50,10 +50,12 @@
 
 	mutex      sync.Mutex
 	closing    bool
+	ended      bool // the role has left; timers that are still set do nothing
 	haveList   bool
 	members    []string
 	stores     map[string]*storeLink
 	queues     map[string]*ownedQueue
+	acquiring  map[string]bool   // queues that the stores are being asked for
 	epochs     map[string]uint64 // highest epoch heard of for queues asked for
 	leases     *lease.Holder
 	table      sessionTable
@@ -63,21 +65,22 @@
 	peers      map[string]*transport.Client
 	repairs    []repairItem
 	bodyBytes  int
+	memoryMb   int           // limit of this process
 	nextWake   time.Duration // when the timer fires; 0: at its usual pace
 }
 
 // Run runs the role until the context ends, then hands over what it holds.
 func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
 	d := newDispatcher(s, log)
-	front, err := net.Listen("tcp4", s.Listen.Front)
+	front, err := s.Net().Listen(s.Listen.Front)
 	if err != nil {
 		return Class.Wrap(err)
 	}
-	readiness, err := net.Listen("tcp4", s.Listen.Readiness)
+	readiness, err := s.Net().Listen(s.Listen.Readiness)
 	if err != nil {
 		return Class.Wrap(err)
 	}
-	internal, err := net.Listen("tcp4", s.Internal(protocol.DispatcherPort))
+	internal, err := s.Net().Listen(s.Internal(protocol.DispatcherPort))
 	if err != nil {
 		return Class.Wrap(err)
 	}
@@ -92,6 +95,7 @@
 		Senders:       d.takeSenders,
 		Members:       func([]view.NodeState) {},
 	})
+	go settings.Watch(background, settings.LookEvery, d.reload, log)
 	go d.runOwnership(background)
 	go d.runRepairs(background)
 	go d.runPump(background)
@@ -100,31 +104,57 @@
 	d.leave(frontServer)
 	server.Close()
 	_ = readinessServer.Close()
+	d.end()
 	return nil
 }
 
+// end stops what would go on without the role: links to stores, connections to
+// senders and timers.
+func (d *Dispatcher) end() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.ended = true
+	for _, link := range d.stores {
+		link.stop()
+	}
+	for _, peer := range d.peers {
+		peer.Close()
+	}
+	d.client.Close()
+}
+
 func newDispatcher(s *settings.Settings, log logr.Logger) *Dispatcher {
 	now := time.Now()
 	identity := s.Identity(Role, protocol.DispatcherPort, now)
 	return &Dispatcher{
 		settings: s, identity: identity, log: log, started: now,
 		localQueue:    localQueueName(identity),
-		client:        delivery.NewClient(),
+		client:        delivery.NewClientOn(s.Net()),
 		configured:    make(chan struct{}),
 		ownershipWake: make(chan struct{}, 1),
 		repairWake:    make(chan struct{}, 1),
 		pumpWake:      make(chan struct{}, 1),
 		stores:        map[string]*storeLink{},
 		queues:        map[string]*ownedQueue{},
+		acquiring:     map[string]bool{},
 		epochs:        map[string]uint64{},
 		leases:        lease.NewHolder(),
 		services:      map[string]*serviceState{},
 		senders:       map[string][]view.Sender{},
 		deliveries:    map[string]*deliveryState{},
 		peers:         map[string]*transport.Client{},
+		memoryMb:      s.Limits.MemoryMb,
 	}
 }
 
+// reload takes over the limits that may change while the role runs. Seeds are
+// the agent's concern.
+func (d *Dispatcher) reload(changed *settings.Settings) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.memoryMb = changed.Limits.MemoryMb
+}
+
 // now returns the steady clock of this process.
 func (d *Dispatcher) now() time.Duration { return time.Since(d.started) }
 
@@ -163,6 +193,11 @@
 		d.offered(ctx, request.Queues)
 		return protocol.OfferReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.TakeRate) (protocol.TakeRateReply, error) {
+		return d.grantPermits(request), nil
+	})
+	status.Serve(server, d.started, d.fillStatus)
+	status.ServeMessages(server, d.messageReport)
 	return server
 }
 
@@ -224,12 +259,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &storeLink{
 		node: node.Name, zone: node.Zone,
-		client: transport.NewClient(d.identity, node.Address),
+		client: transport.NewClientOn(d.settings.Net(), d.identity, node.Address),
 		kick:   make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		ends: map[string]protocol.End{}, failures: map[string]int{}, moved: map[string]bool{},
 		holders: map[string]protocol.QueueState{}, stop: cancel,
 	}
 	d.stores[node.Name] = link
+	link.client.OnClose(func() { d.connectionLost(link) })
 	go d.runStore(ctx, link)
 	return link
 }
@@ -266,7 +302,7 @@
 	defer d.mutex.Unlock()
 	client := d.peers[address]
 	if client == nil {
-		client = transport.NewClient(d.identity, address)
+		client = transport.NewClientOn(d.settings.Net(), d.identity, address)
 		d.peers[address] = client
 	}
 	return client
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -192,8 +192,12 @@
 	Unmoved    int // of a leaving store: messages that are not known to be kept elsewhere
 }
 
-// Release gives leases back.
-type Release struct{ Queues []string }
+// Release gives leases back that were granted under one epoch. It is ignored
+// for a queue that the caller has acquired again under another.
+type Release struct {
+	Queues []string
+	Epoch  uint64
+}
 
 // ReleaseReply answers Release.
 type ReleaseReply struct{}
@@ -237,6 +241,19 @@
 // OfferReply answers Offer.
 type OfferReply struct{}
 
+// TakeRate asks the owner of a rated service's queue for permits to send.
+type TakeRate struct {
+	Service string
+	Count   int
+}
+
+// TakeRateReply answers TakeRate. A permit counts for a short time from the
+// moment it was asked for.
+type TakeRateReply struct {
+	Granted int
+	Wait    time.Duration // until it is worth asking again
+}
+
 // ListUnmoved asks a leaving store for messages of these queues that are not
 // known to be kept elsewhere.
 type ListUnmoved struct{ Queues []string }
