Take over a message's end that its earlier owner recorded after the takeover

The stores have dropped the body, so the successor asked for it for ever, and all later messages of the key waited. The end that a store tells is taken over now.

--- a/internal/service/dispatcher/copies.go
+++ b/internal/service/dispatcher/copies.go
@@ -277,11 +277,11 @@
 		return false
 	}
 	if message.Body == nil && message.Head.BodySize > 0 {
-		body, found := d.fetchBody(ctx, message.Head.ID, holders)
+		fetched, found := d.fetchBody(ctx, message.Head.ID, holders)
 		if !found {
 			return false
 		}
-		message.Body = body
+		message.Body = fetched.Body
 	}
 	answers := make(chan copyAnswer, 1)
 	d.writeCopy(target, message, answers)
@@ -309,8 +309,11 @@
 	return nil
 }
 
-// fetchBody reads the body of a message from the first store that has it.
-func (d *Dispatcher) fetchBody(ctx context.Context, id string, holders []string) ([]byte, bool) {
+// fetchBody reads a message with its body from the first store that has it. Where
+// no store has the body, it returns what one tells of the message's end, if any
+// does: a store keeps no body of a message that has completed.
+func (d *Dispatcher) fetchBody(ctx context.Context, id string, holders []string) (protocol.QueryReply, bool) {
+	var ended protocol.QueryReply
 	for _, node := range holders {
 		d.mutex.Lock()
 		link := d.stores[node]
@@ -321,9 +324,13 @@
 		callCtx, cancel := context.WithTimeout(ctx, repairTimeout)
 		reply, err := transport.Call[protocol.QueryReply](callCtx, link.client, protocol.Query{ID: id, WithBody: true})
 		cancel()
-		if err == nil && reply.Held && len(reply.Body) == reply.Head.BodySize {
-			return reply.Body, true
+		switch {
+		case err != nil || !reply.Held:
+		case len(reply.Body) == reply.Head.BodySize && reply.Head.Target != "":
+			return reply, true
+		case reply.Head.State.Ended():
+			ended = reply
 		}
 	}
-	return nil, false
+	return ended, false
 }
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -149,13 +149,17 @@
 	d.mutex.Unlock()
 	if body == nil && head.BodySize > 0 {
 		fetched, found := d.fetchBody(context.Background(), id, holders)
-		if !found {
+		if !found || fetched.Head.State.Ended() {
 			d.mutex.Lock()
-			d.notSent(state, attempt)
-			d.mutex.Unlock()
+			defer d.mutex.Unlock()
+			if fetched.Head.State.Ended() {
+				d.endedElsewhere(state, attempt, fetched.Head)
+			} else {
+				d.notSent(state, attempt)
+			}
 			return
 		}
-		body = fetched
+		body = fetched.Body
 	}
 	result := d.client.Deliver(context.Background(), delivery.Request{
 		Address: attempt.Address, Instance: attempt.Instance, Head: head, Body: body,
@@ -175,6 +179,18 @@
 	d.pump(state.owned)
 }
 
+// endedElsewhere ends a message of which a store knows the end already: its
+// earlier owner recorded it after this dispatcher had read the heads. The mutex
+// is held.
+func (d *Dispatcher) endedElsewhere(state *deliveryState, attempt balance.Attempt, head protocol.Head) {
+	id := state.entry.Head.ID
+	state.service.driver.Withdraw(d.now(), id)
+	state.service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun})
+	delete(d.deliveries, id)
+	d.endEntry(state.owned, state.entry, head.State, head.Stamp)
+	d.pumpService(state.service)
+}
+
 // attemptEnded books the end of an attempt and decides what follows. The mutex
 // is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -31,6 +31,7 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	lives   int
+	turn    sync.Mutex // held by TryLock only: one fault at a time ends and starts it
 }
 
 // start begins a life of the process.
--- a/internal/simulation/senders.go
+++ b/internal/simulation/senders.go
@@ -169,6 +169,19 @@
 	time.AfterFunc(span, func() { p.remove(s) })
 }
 
+// machines returns the machines of a service's senders.
+func (p *platform) machines(service string) []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var machines []string
+	for _, s := range p.senders {
+		if s.instance.Service == service {
+			machines = append(machines, machineOf(s.instance.Address))
+		}
+	}
+	return machines
+}
+
 // setListed changes an entry's state; an empty one removes it. The mutex is held.
 func (p *platform) setListed(id, state string) {
 	var listed []instance
