Keep a message's delivery where its queue is lost and got back meanwhile

Acquired again, its new entries were ignored there or replaced by the end of the old attempt, and some never ran. A dropped queue now withdraws what no sender has, and an attempt that is under way counts for the new entry. Tests fail before.

--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -104,6 +104,11 @@
 		d.endEntry(owned, entry, protocol.DeadLetter, "") // its route was dropped
 		return
 	}
+	if underWay := d.deliveries[entry.Head.ID]; underWay != nil {
+		// A sender has it since an earlier lease on the queue: that attempt's end counts.
+		underWay.owned, underWay.entry = owned, entry
+		return
+	}
 	state := &deliveryState{
 		owned: owned, entry: entry, service: d.services[configured.Name],
 		timeout: route.Timeout(), retries: route.MaxRetries,
--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
-		storage, edge := network.Process("10.2.0.1"), network.Process("10.1.0.1")
+		storage := network.Process("10.2.0.1")
 		server := transport.NewServer(protocol.Identity{Node: "storage-1"}, logr.Discard())
 		transport.Handle(server, func(_ context.Context, _ *transport.Peer, query protocol.Query) (protocol.QueryReply, error) {
 			head := protocol.Head{ID: query.ID, State: protocol.Completed, Stamp: "seal", BodySize: 5}
@@ -37,32 +38,105 @@
 		c.Assert(err, qt.IsNil)
 		go func() { _ = server.Serve(listener) }()
 
-		d := newDispatcher(&settings.Settings{
-			Node: "edge-1", IP: "10.1.0.1", Zone: "z", Zones: map[string]string{"z": "r"},
-			InternalPorts: []int{7780, 7795}, Network: edge,
-		}, logr.Discard())
-		d.takeConfiguration(view.Configuration{
-			Revision: 1, Raw: []byte(oneRoute), Stores: []view.Node{{Name: "storage-1", Zone: "z", Address: "10.2.0.1:7783"}},
-		})
-		d.takeSenders(view.Senders{List: []view.Sender{{ID: "i", Service: "s", Address: "10.5.0.1:80", Zone: "z", Slots: 1}}})
-		owned := &ownedQueue{Queue: queue.New(d.localQueue, 1), accepting: map[string]chan struct{}{}}
+		d, end := simulated(network)
+		owned, entry := adoptOne(d, nil, []string{"storage-1"})
+
+		time.Sleep(time.Second)
+		d.mutex.Lock()
+		c.Check(entry.Head.State, qt.Equals, protocol.Completed)
+		c.Check(entry.Head.Stamp, qt.Equals, "seal")
+		c.Check(owned.Running(), qt.Equals, 0)
+		d.mutex.Unlock()
+		storage.Kill()
+		end()
+	})
+}
+
+// TestQueueLostAndGotBackDuringADelivery takes a queue away and gives it back
+// while a sender has its message: the end of that attempt has to end the message.
+func TestQueueLostAndGotBackDuringADelivery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+		server := network.Process("10.5.0.1")
+		listener, err := server.Listen("10.5.0.1:80")
+		c.Assert(err, qt.IsNil)
+		runs := 0
+		go func() {
+			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs++
+				time.Sleep(50 * time.Millisecond)
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Server-Seal", "seal")
+			}))
+		}()
+		d, end := simulated(network)
+		lost, _ := adoptOne(d, []byte("12345"), nil)
+		time.Sleep(20 * time.Millisecond)
 		d.mutex.Lock()
-		d.queues[d.localQueue] = owned
-		entry := owned.Add(d.now(), protocol.Head{
-			ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", BodySize: 5, Retention: time.Minute,
-		}, nil, []string{"storage-1"})
-		d.pump(owned)
+		d.drop(lost, "test")
 		d.mutex.Unlock()
+		owned, entry := adoptOne(d, []byte("12345"), nil)
 
 		time.Sleep(time.Second)
 		d.mutex.Lock()
 		c.Check(entry.Head.State, qt.Equals, protocol.Completed)
-		c.Check(entry.Head.Stamp, qt.Equals, "seal")
 		c.Check(owned.Running(), qt.Equals, 0)
+		c.Check(runs, qt.Equals, 1)
+		d.mutex.Unlock()
+		server.Kill()
+		end()
+	})
+}
+
+// TestQueueLostWhileMessagesWait takes a queue away whose messages wait for the
+// decision module: none of them may stay there.
+func TestQueueLostWhileMessagesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := simulated(simnet.New(func(_, _ string) time.Duration { return time.Millisecond }))
+		d.takeSenders(view.Senders{})
+		owned, _ := adoptOne(d, []byte("12345"), nil)
+		time.Sleep(20 * time.Millisecond)
+		d.mutex.Lock()
+		c.Check(d.deliveries, qt.HasLen, 1)
+		d.drop(owned, "test")
+		c.Check(d.deliveries, qt.HasLen, 0)
+		c.Check(d.services["s"].driver.Waiting(), qt.Equals, 0)
+		c.Check(d.services["s"].waiting.empty(), qt.IsTrue)
 		d.mutex.Unlock()
+		end()
+	})
+}
+
+// simulated returns a dispatcher with one store and one sender on a simulated
+// network, and a function that ends it.
+func simulated(network *simnet.Network) (d *Dispatcher, end func()) {
+	edge := network.Process("10.1.0.1")
+	d = newDispatcher(&settings.Settings{
+		Node: "edge-1", IP: "10.1.0.1", Zone: "z", Zones: map[string]string{"z": "r"},
+		InternalPorts: []int{7780, 7795}, Network: edge,
+	}, logr.Discard())
+	d.takeConfiguration(view.Configuration{
+		Revision: 1, Raw: []byte(oneRoute), Stores: []view.Node{{Name: "storage-1", Zone: "z", Address: "10.2.0.1:7783"}},
+	})
+	d.takeSenders(view.Senders{List: []view.Sender{{ID: "i", Service: "s", Address: "10.5.0.1:80", Zone: "z", Slots: 1}}})
+	return d, func() {
 		d.end()
 		edge.Kill()
-		storage.Kill()
 		time.Sleep(10 * time.Second)
-	})
+	}
+}
+
+// adoptOne gives the dispatcher its local queue with one open message.
+func adoptOne(d *Dispatcher, body []byte, holders []string) (*ownedQueue, *queue.Entry) {
+	owned := &ownedQueue{Queue: queue.New(d.localQueue, 1), accepting: map[string]chan struct{}{}}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.queues[d.localQueue] = owned
+	entry := owned.Add(d.now(), protocol.Head{
+		ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", BodySize: 5, Retention: time.Minute,
+	}, body, holders)
+	d.pump(owned)
+	return owned, entry
 }
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -586,6 +586,7 @@
 	if owned.dropped {
 		return
 	}
+	d.withdrawAll(owned)
 	owned.dropped = true
 	delete(d.queues, owned.Name)
 	d.leases.Drop(owned.Name)
--- a/internal/simulation/senders.go
+++ b/internal/simulation/senders.go
@@ -42,6 +42,7 @@
 	instance instance
 	network  *simnet.Process
 	slots    chan struct{}
+	leaving  bool
 }
 
 // platform keeps the senders and their list.
@@ -157,6 +158,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	s := p.senders[index%len(p.senders)]
+	if s.leaving {
+		return
+	}
+	s.leaving = true
 	p.add(s.instance.Service)
 	span := time.Duration(bounds.DrainMs)*time.Millisecond + listLag + drainBeyond
 	if crash {
