--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -78,11 +78,9 @@
 			return protocol.AcceptReply{Status: protocol.NotOwner}
 		}
 		if entry := owned.Get(id); entry != nil {
+			status := d.statusOfKnown(entry)
 			d.mutex.Unlock()
-			if entry.Head.State == protocol.Discarded {
-				return protocol.AcceptReply{Status: protocol.Undecided}
-			}
-			return protocol.AcceptReply{Status: protocol.Accepted}
+			return protocol.AcceptReply{Status: status}
 		}
 		first := owned.accepting[id]
 		if first == nil {
@@ -97,6 +95,20 @@
 	}
 }
 
+// statusOfKnown returns whether a message that is in the queue already counts as
+// accepted. One that was found at a single store does not, until it has all its
+// copies: another owner may not have read that store. The mutex is held.
+func (d *Dispatcher) statusOfKnown(entry *queue.Entry) protocol.AcceptStatus {
+	switch state := entry.Head.State; {
+	case state == protocol.Discarded:
+		return protocol.Undecided
+	case state.Ended() || len(entry.Holders) >= d.copiesWanted():
+		return protocol.Accepted
+	default:
+		return protocol.Undecided
+	}
+}
+
 // acceptInto writes the copies and takes the message into the queue. The mutex
 // is held when it is called and free when it returns. Copies of a message that
 // was not accepted stay where they are: the same message may be accepted yet,
--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -109,6 +109,24 @@
 	})
 }
 
+// TestKnownMessageWithTooFewCopiesIsNotAccepted sends a message again that the
+// dispatcher knows from one store only.
+func TestKnownMessageWithTooFewCopiesIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := simulated(simnet.New(func(_, _ string) time.Duration { return time.Millisecond }))
+		d.settings.FaultTolerance.Machines = 1
+		_, entry := adoptOne(d, []byte("12345"), []string{"storage-2"})
+		again := protocol.Message{Head: protocol.Head{ID: "m", Queue: d.localQueue}, Body: []byte("12345")}
+		c.Check(d.acceptHere(t.Context(), again).Status, qt.Equals, protocol.Undecided)
+		d.mutex.Lock()
+		entry.Holders = []string{"storage-2", "storage-3"}
+		d.mutex.Unlock()
+		c.Check(d.acceptHere(t.Context(), again).Status, qt.Equals, protocol.Accepted)
+		end()
+	})
+}
+
 // simulated returns a dispatcher with one store and one sender on a simulated
 // network, and a function that ends it.
 func simulated(network *simnet.Network) (d *Dispatcher, end func()) {
