--- a/internal/service/logging/oncall_test.go
+++ b/internal/service/logging/oncall_test.go
@@ -28,7 +28,7 @@
 		for _, match := range logCall.FindAllSubmatch(source, -1) {
 			found++
 			listed := strings.Contains(string(page), "`"+string(match[1])+"`")
-			c.Check(listed, qt.IsTrue, qt.Commentf("%s logs %q", path, match[1]))
+			c.Check(listed, qt.IsTrue, qt.Commentf("%s: %s", path, match[1]))
 		}
 		return err
 	})
--- a/internal/simulation/senders.go
+++ b/internal/simulation/senders.go
@@ -42,6 +42,7 @@
 	instance instance
 	network  *simnet.Process
 	slots    chan struct{}
+	leaving  bool
 }
 
 // platform keeps the senders and their list.
@@ -157,6 +158,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	s := p.senders[index%len(p.senders)]
+	if s.leaving {
+		return
+	}
+	s.leaving = true
 	p.add(s.instance.Service)
 	span := time.Duration(bounds.DrainMs)*time.Millisecond + listLag + drainBeyond
 	if crash {
@@ -169,6 +174,19 @@
 	time.AfterFunc(span, func() { p.remove(s) })
 }
 
+// machines returns the machines of a service's senders.
+func (p *platform) machines(service string) []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var machines []string
+	for _, s := range p.senders {
+		if s.instance.Service == service {
+			machines = append(machines, machineOf(s.instance.Address))
+		}
+	}
+	return machines
+}
+
 // setListed changes an entry's state; an empty one removes it. The mutex is held.
 func (p *platform) setListed(id, state string) {
 	var listed []instance
