Remove silent members after 3 s, and a retired machine's member before it goes

Cause: control runs on the storage machines now. A retired machine's vote was still needed while another lost its disk.

Change: a silent member leaves an even number after 3 s; a leaving machine's member is taken out, and the change sealed, before completed is answered; it is not admitted again; 409 where fewer than 2f+1 other members would remain. A lost store leaves 1 s after its loss was noted.

--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -309,6 +309,26 @@
 	})
 }
 
+// TestLossAfterAReplacement loses a second member once the successor of the
+// first has had its time.
+func TestLossAfterAReplacement(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		n.stop(1)
+		time.Sleep(100 * time.Millisecond)
+		fourth := n.start(c, 4, false)
+		newUpkeep(fourth).tick(context.Background())
+		c.Assert(fourth.known().Value.Members, qt.HasLen, 4)
+		time.Sleep(replaceAfter)
+		for range 2 {
+			newUpkeep(core[2]).tick(context.Background())
+			newUpkeep(core[3]).tick(context.Background())
+		}
+		c.Assert(core[2].known().Value.Members, qt.HasLen, 3)
+		n.stop(2)
+		c.Assert(replace(core[3], 0, 3), qt.Equals, register.Taken)
+	})
+}
+
 func TestAllRestartAtOnce(t *testing.T) {
 	inBubble(t, func(c *qt.C, n *network, core []*replica) {
 		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
@@ -357,10 +377,10 @@
 	live := map[string]register.StoreMember{"a": {}, "b": {}}
 	_, removed := u.replacedStore(value, live, now)
 	c.Assert(removed, qt.IsFalse)
-	_, removed = u.replacedStore(value, live, now.Add(2*removeAfter))
+	_, removed = u.replacedStore(value, live, now.Add(2*repairTime))
 	c.Assert(removed, qt.IsFalse)
 	live["c"] = register.StoreMember{}
-	node, removed := u.replacedStore(value, live, now.Add(2*removeAfter))
+	node, removed := u.replacedStore(value, live, now.Add(2*repairTime))
 	c.Assert(removed, qt.IsTrue)
 	c.Assert(node, qt.Equals, "d")
 }
@@ -369,7 +389,7 @@
 	inBubble(t, func(c *qt.C, _ *network, core []*replica) {
 		u := newUpkeep(core[1])
 		u.tick(context.Background())
-		time.Sleep(removeAfter + time.Second)
+		time.Sleep(replaceAfter + time.Second)
 		c.Assert(core[1].silent(core[1].known().Value, replaceAfter), qt.HasLen, 2)
 		u.noteTime(time.Now())
 		c.Assert(core[1].silent(core[1].known().Value, replaceAfter), qt.HasLen, 0)
--- a/internal/service/control/retire.go
+++ b/internal/service/control/retire.go
@@ -52,13 +52,7 @@
 	if len(remaining) < 2*r.tolerated+1 || living < max(len(remaining)-r.tolerated, r.tolerated+1) {
 		return false
 	}
-	others := 0
-	for _, member := range value.Members {
-		if member.Node != node {
-			others++
-		}
-	}
-	return others == len(value.Members) || others >= 2*r.tolerated+1
+	return !value.HasMember(node) || len(value.Members) > 2*r.tolerated+1
 }
 
 // advance takes the leaving stores that are empty out of the known ones.
@@ -68,6 +62,13 @@
 		if !known || !r.emptied(ctx, store) {
 			continue
 		}
+		if value.HasMember(node) {
+			r.replica.order(ctx, register.RemoveNode(node))
+			continue
+		}
+		if len(value.Previous) > 0 {
+			continue // until the next round its vote may still be needed
+		}
 		outcome := r.replica.order(ctx, register.CompleteRetirement(node, store.StoreID)).Outcome
 		r.replica.log.Info("store has been emptied", "node", node, "outcome", outcome.String())
 	}
--- a/internal/service/control/retire_test.go
+++ b/internal/service/control/retire_test.go
@@ -125,6 +125,39 @@
 	})
 }
 
+// TestRetiredMemberDoesNotCountInTheRegister empties a machine that runs a
+// member, takes it away, and has another lose its disk in the same moment.
+func TestRetiredMemberDoesNotCountInTheRegister(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		core = append(core, n.start(c, 4, true))
+		newUpkeep(core[4]).tick(context.Background())
+		c.Assert(core[4].isMember(), qt.IsTrue)
+		g := newRig(c, n, core, "core-1", "core-2", "core-3", "core-4")
+		for range 2 {
+			g.upkeeps[1].tick(context.Background())
+		}
+		status, body := g.call(2, "POST", "/Retire.Begin/core-4")
+		c.Assert(status, qt.Equals, 200, qt.Commentf(body))
+		g.replies["core-4"].Unmoved = 0
+		ticks := 0
+		for _, body = g.call(2, "GET", "/Retire.Read/core-4"); body != `{"state":"completed"}` && ticks < 10; ticks++ {
+			g.upkeeps[1].tick(context.Background())
+			newUpkeep(core[4]).tick(context.Background())
+			_, body = g.call(2, "GET", "/Retire.Read/core-4")
+		}
+		c.Assert(body, qt.Equals, `{"state":"completed"}`)
+		c.Logf("completed after %d rounds of upkeep", ticks)
+		n.wipe(4)
+		n.wipe(3)
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		third := n.start(c, 3, false)
+		newUpkeep(third).tick(context.Background())
+		c.Assert(third.isMember(), qt.IsTrue)
+		value, _ := third.newest(context.Background())
+		c.Assert(value.HasMember("core-4"), qt.IsFalse)
+	})
+}
+
 func TestRetirementNeedsLivingStoresAndMembers(t *testing.T) {
 	c := qt.New(t)
 	r := &retirement{tolerated: 1}
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -17,10 +17,9 @@
 	joinEvery      = 300 * time.Millisecond
 	unknownEvery   = 100 * time.Millisecond // while no majority has told the decided value
 	behindPause    = 20 * time.Millisecond
-	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins
-	removeAfter    = 20 * time.Second       // a silent member is removed from an even number
+	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins, or leaves an even number
 	retireEvery    = 200 * time.Millisecond // while a store is being emptied
-	repairTime     = 3 * time.Second        // for the copies of a lost store to be written again
+	repairTime     = time.Second            // after the monitors have noted a loss: its copies are written again by then
 	standstill     = 3 * time.Second        // between two rounds: this process was stopped itself
 	unsettledTicks = 2                      // rounds of upkeep after which an undecided value is finished
 )
@@ -132,7 +131,7 @@
 	if names := u.replica.namesNow(); anyUnnamed(value, names) {
 		changes = append(changes, register.Name(names))
 	}
-	if silent := u.replica.silent(value, removeAfter); len(silent) > 0 && register.MayRemove(value) {
+	if silent := u.replica.silent(value, replaceAfter); len(silent) > 0 && register.MayRemove(value) {
 		u.replica.log.Info("member is removed", "address", silent[0])
 		changes = append(changes, register.Remove(silent[0]))
 	}
--- a/internal/service/register/change.go
+++ b/internal/service/register/change.go
@@ -58,6 +58,9 @@
 // there are fewer than most.
 func Join(member Member, replaced string, most int) Change {
 	return func(current *Value) (*Value, Outcome) {
+		if current.refuses(member.Node) {
+			return nil, Stale
+		}
 		if slices.Contains(current.Members, member) {
 			return nil, Settled
 		}
@@ -96,6 +99,19 @@
 	}
 }
 
+// RemoveNode takes a machine that is leaving out of the members, whatever their
+// number.
+func RemoveNode(node string) Change {
+	return func(current *Value) (*Value, Outcome) {
+		if !current.HasMember(node) || len(current.Members) < 2 {
+			return nil, Settled
+		}
+		next := *current
+		next.Members = slices.DeleteFunc(slices.Clone(current.Members), current.runsOn(node))
+		return &next, Taken
+	}
+}
+
 // Name fills in the nodes and zones of members by their addresses.
 func Name(names map[string]Member) Change {
 	return func(current *Value) (*Value, Outcome) {
--- a/internal/service/register/stores.go
+++ b/internal/service/register/stores.go
@@ -1,6 +1,9 @@
 package register
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // RetiredLimit is how many emptied stores a value remembers.
 const RetiredLimit = 64
@@ -22,6 +25,29 @@
 	return slices.ContainsFunc(v.Retired, func(r RetiredStore) bool { return r.Node == node })
 }
 
+// HasMember reports whether a member runs on a machine.
+func (v *Value) HasMember(node string) bool {
+	return slices.ContainsFunc(v.Members, v.runsOn(node))
+}
+
+// runsOn matches the members on a machine: by its name, or by the host of its
+// store where a member has not told its name yet.
+func (v *Value) runsOn(node string) func(Member) bool {
+	store, known := v.Store(node)
+	host, _, _ := strings.Cut(store.Address, ":")
+	return func(m Member) bool {
+		memberHost, _, _ := strings.Cut(m.Address, ":")
+		return m.Node == node || known && memberHost == host
+	}
+}
+
+// refuses reports whether a machine may not become a member, because it is
+// being emptied or was.
+func (v *Value) refuses(node string) bool {
+	_, known := v.Store(node)
+	return v.IsLeaving(node) || v.WasRetired(node) && !known
+}
+
 // RemainingStores returns the stores that stay when one of them leaves, beside
 // those that are leaving already.
 func (v *Value) RemainingStores(without string) []StoreMember {
