--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"yardwharf/internal/service/lease"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/status"
 	"yardwharf/internal/service/transport"
 	"yardwharf/internal/service/view"
 )
@@ -54,6 +55,7 @@
 	members    []string
 	stores     map[string]*storeLink
 	queues     map[string]*ownedQueue
+	acquiring  map[string]bool   // queues that the stores are being asked for
 	epochs     map[string]uint64 // highest epoch heard of for queues asked for
 	leases     *lease.Holder
 	table      sessionTable
@@ -63,6 +65,7 @@
 	peers      map[string]*transport.Client
 	repairs    []repairItem
 	bodyBytes  int
+	memoryMb   int           // limit of this process
 	nextWake   time.Duration // when the timer fires; 0: at its usual pace
 }
 
@@ -92,6 +95,7 @@
 		Senders:       d.takeSenders,
 		Members:       func([]view.NodeState) {},
 	})
+	go settings.Watch(background, settings.LookEvery, d.reload, log)
 	go d.runOwnership(background)
 	go d.runRepairs(background)
 	go d.runPump(background)
@@ -132,15 +136,25 @@
 		pumpWake:      make(chan struct{}, 1),
 		stores:        map[string]*storeLink{},
 		queues:        map[string]*ownedQueue{},
+		acquiring:     map[string]bool{},
 		epochs:        map[string]uint64{},
 		leases:        lease.NewHolder(),
 		services:      map[string]*serviceState{},
 		senders:       map[string][]view.Sender{},
 		deliveries:    map[string]*deliveryState{},
 		peers:         map[string]*transport.Client{},
+		memoryMb:      s.Limits.MemoryMb,
 	}
 }
 
+// reload takes over the limits that may change while the role runs. Seeds are
+// the agent's concern.
+func (d *Dispatcher) reload(changed *settings.Settings) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.memoryMb = changed.Limits.MemoryMb
+}
+
 // now returns the steady clock of this process.
 func (d *Dispatcher) now() time.Duration { return time.Since(d.started) }
 
@@ -157,7 +171,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.haveList && d.queues[d.localQueue] != nil && len(d.upStores()) >= d.copiesWanted()
+	return d.haveList && d.queues[d.localQueue] != nil && len(d.candidates()) >= d.copiesWanted()
 }
 
 func (d *Dispatcher) readinessHandler() http.Handler {
@@ -179,6 +193,11 @@
 		d.offered(ctx, request.Queues)
 		return protocol.OfferReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.TakeRate) (protocol.TakeRateReply, error) {
+		return d.grantPermits(request), nil
+	})
+	status.Serve(server, d.started, d.fillStatus)
+	status.ServeMessages(server, d.messageReport)
 	return server
 }
 
@@ -215,12 +234,19 @@
 	listed := map[string]bool{}
 	for _, node := range nodes {
 		listed[node.Name] = true
-		if known := d.stores[node.Name]; known != nil && known.client.Address() == node.Address {
-			continue
-		} else if known != nil {
+		known := d.stores[node.Name]
+		if known != nil && known.client.Address() != node.Address {
 			d.forgetStore(known)
+			known = nil
+		}
+		if known == nil {
+			known = d.addStore(node)
+		}
+		known.firstDisk = ""
+		if node.FirstDisk {
+			known.firstDisk = node.StoreID
 		}
-		d.addStore(node)
+		d.noteLeaving(known, node.Leaving)
 	}
 	for name, link := range d.stores {
 		if !listed[name] {
@@ -229,17 +255,19 @@
 	}
 }
 
-func (d *Dispatcher) addStore(node view.Node) {
+func (d *Dispatcher) addStore(node view.Node) *storeLink {
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &storeLink{
 		node: node.Name, zone: node.Zone,
 		client: transport.NewClientOn(d.settings.Net(), d.identity, node.Address),
 		kick:   make(chan struct{}, 1), flush: make(chan struct{}, 1),
-		ends: map[string]protocol.End{}, failures: map[string]int{},
+		ends: map[string]protocol.End{}, failures: map[string]int{}, moved: map[string]bool{},
 		holders: map[string]protocol.QueueState{}, stop: cancel,
 	}
 	d.stores[node.Name] = link
+	link.client.OnClose(func() { d.connectionLost(link) })
 	go d.runStore(ctx, link)
+	return link
 }
 
 func (d *Dispatcher) forgetStore(link *storeLink) {
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -8,7 +8,6 @@
 
 	"yardwharf/internal/service/balance"
 	"yardwharf/internal/service/configuration"
-	"yardwharf/internal/service/ratelimit"
 )
 
 const (
@@ -22,9 +21,9 @@
 	name       string
 	configured *configuration.Service
 	driver     *balance.Driver
-	limiter    *ratelimit.Bucket // nil until this dispatcher may spend the rate
-	epoch      uint64            // of the lease that the limiter was made under
-	waiting    waitingMessages   // messages not yet handed to the driver
+	timer      *time.Timer // of the driver
+	rate       rateState
+	waiting    waitingMessages // messages not yet handed to the driver
 }
 
 // serviceActions carries out what the decision module of one service asks for.
@@ -44,18 +43,26 @@
 	a.dispatcher.givenBack(message, wait)
 }
 
-// SetTimer asks for a call of the decision module's timer.
+// SetTimer asks for a call of the decision module's timer. The module asks only
+// for moments before the one that it waits for, and asks again after each call,
+// so that one timer, set to the last moment asked for, serves it.
 func (a *serviceActions) SetTimer(after time.Duration) {
-	time.AfterFunc(after, func() {
-		d := a.dispatcher
-		d.mutex.Lock()
-		defer d.mutex.Unlock()
-		if d.ended {
-			return
-		}
-		a.service.driver.Timer(d.now())
-		d.pumpService(a.service)
-	})
+	if a.service.timer == nil {
+		a.service.timer = time.AfterFunc(after, func() { a.dispatcher.serviceTimer(a.service) })
+		return
+	}
+	a.service.timer.Reset(after)
+}
+
+// serviceTimer passes the end of a service's timer on.
+func (d *Dispatcher) serviceTimer(service *serviceState) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.ended {
+		return
+	}
+	service.driver.Timer(d.now())
+	d.pumpService(service)
 }
 
 // reconfigureServices takes over the services of a configuration. The mutex is
@@ -71,8 +78,8 @@
 			d.services[name] = service
 		}
 		service.configured = configured
-		if service.limiter != nil {
-			service.limiter.SetRate(d.now(), configured.RatePerS)
+		if service.rate.limiter != nil {
+			service.rate.limiter.SetRate(d.now(), configured.RatePerS)
 		}
 		d.updateSenders(service)
 	}
@@ -154,15 +161,9 @@
 // use for them and the rate allows. The mutex is held.
 func (d *Dispatcher) pumpService(service *serviceState) {
 	rated := service.configured.Rated()
-	if rated && (service.waiting.empty() || !d.refreshLimiter(service)) {
-		return
-	}
 	for !service.waiting.empty() && service.driver.Waiting() < submitAhead {
-		if rated {
-			if wait, ok := service.limiter.Take(d.now()); !ok {
-				d.wakeAt(d.now() + wait)
-				return
-			}
+		if rated && !d.takeRate(service) {
+			return
 		}
 		state := service.waiting.next(d.now() + lateMargin)
 		if state == nil {
@@ -176,19 +177,5 @@
 // submit asks the decision module for a sender.
 func (d *Dispatcher) submit(service *serviceState, state *deliveryState) {
 	state.sent = true
-	service.driver.Submit(d.now(), state.entry.Head.ID, min(d.now()+submitPatience, state.entry.Expires()))
-}
-
-// refreshLimiter makes a new, empty limiter for each lease on a service's rate.
-// It reports whether this dispatcher may spend the rate.
-func (d *Dispatcher) refreshLimiter(service *serviceState) bool {
-	owned := d.queues[ratedPrefix+service.name]
-	if owned == nil || !d.mayAct(owned) {
-		return false
-	}
-	if service.limiter == nil || service.epoch != owned.Epoch {
-		service.limiter = ratelimit.New(d.now(), service.configured.RatePerS)
-		service.epoch = owned.Epoch
-	}
-	return true
+	service.driver.Submit(d.now(), state.key, min(d.now()+submitPatience, state.entry.Expires()))
 }
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	renewInterval   = 400 * time.Millisecond
-	renewTimeout    = 700 * time.Millisecond
-	endFlushDelay   = 20 * time.Millisecond
-	endBatchMost    = 256
-	endBatchTimeout = 2 * time.Second
-	absentAfter     = 2500 * time.Millisecond // a store unheard for so long no longer counts as holding copies
-	latencyWeight   = 0.1
+	renewInterval     = 400 * time.Millisecond
+	reconnectInterval = 100 * time.Millisecond
+	renewTimeout      = 700 * time.Millisecond
+	endFlushDelay     = 20 * time.Millisecond
+	endBatchMost      = 256
+	endBatchTimeout   = 2 * time.Second
+	absentAfter       = 2500 * time.Millisecond // a store unheard for so long no longer counts as holding copies
+	latencyWeight     = 0.1
 )
 
 // storeLink is the link to one store. The fields below the client are guarded
@@ -38,8 +39,17 @@
 	holders    map[string]protocol.QueueState
 	latency    time.Duration // of acknowledgements, of late
 
+	unanswered      int           // appends under way
+	unansweredSince time.Duration // when the first of them was sent
+	acknowledged    time.Duration // when the last append was answered
+
 	ends     map[string]protocol.End
 	failures map[string]int
+
+	leaving   bool            // it is being emptied
+	firstDisk string          // its store identity when it became known; empty where that disk was replaced
+	moved     map[string]bool // messages that enough other stores keep, to be told to a leaving one
+	listing   bool            // it is asked for messages that have not moved
 }
 
 // run renews the session and sends ends until the context ends.
@@ -51,21 +61,25 @@
 		d.sendEnds(ctx, link)
 	}()
 	for ctx.Err() == nil {
-		d.renew(ctx, link)
+		wait := renewInterval
+		if !d.renew(ctx, link) {
+			wait = reconnectInterval
+		}
 		select {
 		case <-ctx.Done():
 		case <-link.kick:
-		case <-time.After(renewInterval):
+		case <-time.After(wait):
 		}
 	}
 	workers.Wait()
 	link.client.Close()
 }
 
-// renew renews the session once and takes in what the store tells.
-func (d *Dispatcher) renew(ctx context.Context, link *storeLink) {
+// renew renews the session once and takes in what the store tells. It reports
+// whether the store is up.
+func (d *Dispatcher) renew(ctx context.Context, link *storeLink) bool {
 	d.mutex.Lock()
-	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version}
+	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version, Leaving: link.leaving}
 	d.mutex.Unlock()
 	sent := d.now()
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -75,9 +89,23 @@
 	defer d.mutex.Unlock()
 	if err != nil {
 		d.renewFailed(link)
-		return
+		return link.up
 	}
 	d.renewed(link, reply, sent)
+	return true
+}
+
+// connectionLost forgets the grants of a store whose connection has ended: the
+// store frees them soon after. They are claimed again with the next renewal.
+func (d *Dispatcher) connectionLost(link *storeLink) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.leases.Lost(link.node)
+	link.version = 0
+	for _, owned := range d.queues {
+		delete(owned.granted, link.node)
+	}
+	signal(link.kick)
 }
 
 func (d *Dispatcher) renewFailed(link *storeLink) {
@@ -99,7 +127,7 @@
 	}
 	link.up = true
 	link.heard = d.now()
-	link.recovering = reply.Recovering
+	link.recovering = link.mayLack(reply.StoreID, reply.Recovering)
 	if link.storeID != "" && link.storeID != reply.StoreID {
 		d.log.Info("store has a new disk", "store", link.node)
 		link.ends, link.failures = map[string]protocol.End{}, map[string]int{}
@@ -113,6 +141,7 @@
 		d.revokeUnlisted(link, sent)
 	}
 	d.claimMissing(link)
+	d.considerUnmoved(link, reply.Unmoved)
 	d.considerQueues()
 	if len(link.ends)+len(link.failures) > 0 {
 		signal(link.flush)
@@ -165,9 +194,10 @@
 		}
 		batch.Failures = append(batch.Failures, protocol.Failures{ID: id, Count: count})
 	}
+	batch.Moved = link.movedBatch()
 	up, storeID := link.up, link.storeID
 	d.mutex.Unlock()
-	if !up || len(batch.Ends)+len(batch.Failures) == 0 {
+	if !up || len(batch.Ends)+len(batch.Failures)+len(batch.Moved) == 0 {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, endBatchTimeout)
@@ -190,7 +220,10 @@
 			delete(link.failures, failed.ID)
 		}
 	}
-	return len(link.ends)+len(link.failures) > 0
+	for _, id := range batch.Moved {
+		delete(link.moved, id)
+	}
+	return len(link.ends)+len(link.failures)+len(link.moved) > 0
 }
 
 // flushed reports whether the stores that are up have all ends.
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -6,7 +6,8 @@
 	for _, message := range []any{
 		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{},
-		Accept{}, AcceptReply{}, Offer{}, OfferReply{},
+		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, TakeRate{}, TakeRateReply{},
+		ListUnmoved{}, ListUnmovedReply{}, Retire{}, RetireReply{},
 	} {
 		gob.Register(message)
 	}
--- a/internal/service/transport/client.go
+++ b/internal/service/transport/client.go
@@ -35,6 +35,7 @@
 	network  network.Network
 	identity protocol.Identity
 	address  string
+	onClose  func()
 
 	mutex   sync.Mutex
 	current *clientConn
@@ -51,9 +52,13 @@
 
 // NewClientOn returns a client over a network that has not connected yet.
 func NewClientOn(on network.Network, identity protocol.Identity, address string) *Client {
-	return &Client{network: on, identity: identity, address: address}
+	return &Client{network: on, identity: identity, address: address, onClose: func() {}}
 }
 
+// OnClose registers a function that is called when a connection has ended. It
+// must be called before the client is first used.
+func (c *Client) OnClose(call func()) { c.onClose = call }
+
 // Address returns the address that the client calls.
 func (c *Client) Address() string { return c.address }
 
@@ -154,6 +159,7 @@
 		c.current = nil
 	}
 	c.mutex.Unlock()
+	c.onClose()
 }
 
 // clientConn is one connection with its calls in progress.
