--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,6 +128,30 @@
 	})
 }
 
+// TestLeaseThatWasGrantedTooLateIsAskedForAgain has the stores name this dispatcher
+// as the holder of an ended process's messages, which it does not own.
+func TestLeaseThatWasGrantedTooLateIsAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := simulated(simnet.New(func(_, _ string) time.Duration { return time.Millisecond }))
+		const name = "local/edge-9/1"
+		d.mutex.Lock()
+		link := d.stores["storage-1"]
+		link.up = true
+		link.sessions = []protocol.Session{{Identity: d.identity, Ready: true}}
+		for i := range 20 {
+			other := protocol.Identity{Node: "edge-" + strconv.Itoa(10+i)}
+			link.sessions = append(link.sessions, protocol.Session{Identity: other, Ready: true})
+		}
+		link.holders = map[string]protocol.QueueState{name: {Queue: name, Epoch: 2, Holder: d.identity.Node, Open: 3}}
+		d.refreshTable()
+		d.mutex.Unlock()
+		wanted, _ := d.planQueues()
+		c.Check(wanted, qt.Contains, name)
+		end()
+	})
+}
+
 // simulated returns a dispatcher with one store and one sender on a simulated
 // network, and a function that ends it.
 func simulated(network *simnet.Network) (d *Dispatcher, end func()) {
