--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -59,13 +59,34 @@
 	case service.Rated():
 		return ratedPrefix + service.Name
 	default:
-		return d.localQueue
+		return d.currentLocalQueue()
 	}
 }
 
-// localQueueName returns the name of the queue of a process's own messages.
-func localQueueName(identity protocol.Identity) string {
-	return localPrefix + identity.Node + "/" + strconv.FormatUint(identity.Incarnation, 36)
+// localQueueName returns the name of the queue of a process's own messages. The
+// number tells it from those that the same process has lost.
+func localQueueName(identity protocol.Identity, number int) string {
+	name := localPrefix + identity.Node + "/" + strconv.FormatUint(identity.Incarnation, 36)
+	if number > 0 {
+		name += "/" + strconv.Itoa(number)
+	}
+	return name
+}
+
+// currentLocalQueue returns the queue for this dispatcher's own messages.
+func (d *Dispatcher) currentLocalQueue() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.localQueue
+}
+
+// renameLocalQueue takes a new queue for this dispatcher's own messages, after
+// another dispatcher has taken over the old one: it may hold that for long. The
+// mutex is held.
+func (d *Dispatcher) renameLocalQueue() {
+	d.localQueues++
+	d.localQueue = localQueueName(d.identity, d.localQueues)
+	d.considerQueues()
 }
 
 // isLocal reports whether a queue holds the messages of one process alone.
@@ -129,7 +150,7 @@
 	}
 	slices.Sort(table.nodes)
 	for name, state := range table.holders {
-		if state.Holder == "" && open[name] {
+		if open[name] && (state.Holder == "" || d.holdsUnknowingly(name, state.Holder)) {
 			table.orphans = append(table.orphans, name)
 		}
 	}
@@ -141,6 +162,14 @@
 	signal(d.ownershipWake)
 }
 
+// holdsUnknowingly reports whether stores take this dispatcher for the owner of
+// the messages of a process that has ended, although it does not own them: its
+// request was granted after it had given up waiting. Nobody else can ask for the
+// queue then. The mutex is held.
+func (d *Dispatcher) holdsUnknowingly(name, holder string) bool {
+	return isLocal(name) && holder == d.identity.Node && d.queues[name] == nil
+}
+
 // ownerAddress returns the internal address of a queue's owner. Empty means
 // that none is known.
 func (d *Dispatcher) ownerAddress(name string) string {
@@ -219,7 +248,8 @@
 		if holder := d.table.holders[name].Holder; holder != "" && holder != d.identity.Node {
 			continue
 		}
-		if placement.First(name, d.table.nodes) == d.identity.Node {
+		first := placement.First(name, d.table.nodes) == d.identity.Node
+		if first || d.holdsUnknowingly(name, d.table.holders[name].Holder) {
 			wanted = append(wanted, name)
 		}
 	}
@@ -608,6 +638,9 @@
 	delete(d.queues, owned.Name)
 	d.leases.Drop(owned.Name)
 	d.log.Info("queue lost", "queue", owned.Name, "cause", cause)
+	if owned.Name == d.localQueue {
+		d.renameLocalQueue()
+	}
 }
 
 // startHandOver stops work on a queue and gives it to a successor.
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -187,3 +187,15 @@
 	d.connectionLost(d.stores["s2"])
 	c.Assert(d.mayAct(owned), qt.IsFalse)
 }
+
+func TestLostLocalQueueIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	before := d.currentLocalQueue()
+	d.drop(own(d, before, 1), "another dispatcher owns it")
+	after := d.currentLocalQueue()
+	c.Assert(after, qt.Not(qt.Equals), before)
+	c.Assert(isLocal(after), qt.IsTrue)
+	wanted, _ := d.planQueues()
+	c.Assert(wanted, qt.DeepEquals, []string{after})
+}
