Let a new director remove a lost store soon

Cause: the times since when stores live or are gone were lost with the process that kept them. Change: stores that live when a process first looks count as whole.

--- a/internal/service/control/retire_test.go
+++ b/internal/service/control/retire_test.go
@@ -203,3 +203,21 @@
 	value.Leaving = []string{"b"}
 	c.Assert(at(18), qt.Equals, "", qt.Commentf("a leaving store is none that stays"))
 }
+
+// TestNewDirectorRemovesALostStoreSoon has the process that noted the loss die.
+func TestNewDirectorRemovesALostStoreSoon(t *testing.T) {
+	c := qt.New(t)
+	u := &upkeep{tolerated: 1, catchUp: 4500 * time.Millisecond}
+	value := &register.Value{}
+	live := map[string]register.StoreMember{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		value.Stores = append(value.Stores, storeMember(name))
+		live[name] = storeMember(name)
+	}
+	delete(live, "a")
+	start := time.Unix(100, 0)
+	node, _ := u.replacedStore(value, live, start)
+	c.Assert(node, qt.Equals, "")
+	node, _ = u.replacedStore(value, live, start.Add(repairTime+time.Millisecond))
+	c.Assert(node, qt.Equals, "a")
+}
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -19,7 +19,7 @@
 	behindPause    = 20 * time.Millisecond
 	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins, or leaves an even number
 	retireEvery    = 200 * time.Millisecond // while a store is being emptied
-	repairTime     = time.Second            // after the monitors have noted a loss: its copies are written again by then
+	repairTime     = 2 * time.Second        // after the monitors have noted a loss: its copies are written again by then
 	standstill     = 3 * time.Second        // between two rounds: this process was stopped itself
 	unsettledTicks = 2                      // rounds of upkeep after which an undecided value is finished
 )
@@ -76,8 +76,7 @@
 func (u *upkeep) noteTime(now time.Time) {
 	if !u.ticked.IsZero() && now.Sub(u.ticked) > standstill {
 		u.replica.forgiveSilence()
-		clear(u.gone)
-		clear(u.present)
+		u.gone, u.present = nil, nil
 	}
 	u.ticked = now
 }
@@ -196,12 +195,18 @@
 	return "", false
 }
 
-// notePresence notes since when the known stores have lived or been gone.
+// notePresence notes since when the known stores have lived or been gone. Those
+// that live when this process first looks have lived for long: it cannot know
+// better, and most of them have.
 func (u *upkeep) notePresence(value *register.Value, live map[string]register.StoreMember, now time.Time) {
+	begun := now
+	if u.present == nil {
+		begun = time.Time{}
+	}
 	present, gone := map[register.StoreMember]time.Time{}, map[string]time.Time{}
 	for _, store := range value.Stores {
 		if _, lives := live[store.Node]; lives {
-			present[store] = noteSince(u.present, store, now)
+			present[store] = noteSince(u.present, store, begun)
 		} else {
 			gone[store.Node] = noteSince(u.gone, store.Node, now)
 		}
