--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -18,7 +18,7 @@
 
 // deliveryState is a message that waits for a sender or is with one.
 type deliveryState struct {
-	key     string // names the message under this lease on its queue
+	key     string // id of the message, by which the decision module knows it
 	owned   *ownedQueue
 	entry   *queue.Entry
 	service *serviceState
@@ -105,13 +105,18 @@
 		d.endEntry(owned, entry, protocol.DeadLetter, "") // its route was dropped
 		return
 	}
+	if underWay := d.deliveries[entry.Head.ID]; underWay != nil {
+		// A sender has it since an earlier lease on the queue: that attempt's end counts.
+		underWay.owned, underWay.entry = owned, entry
+		return
+	}
 	service := d.services[configured.Name]
 	if service == nil {
 		owned.Retry(d.now(), entry, false, -1)
 		return
 	}
 	state := &deliveryState{
-		key: entry.Head.ID + owned.suffix, owned: owned, entry: entry, service: service,
+		key: entry.Head.ID, owned: owned, entry: entry, service: service,
 		timeout: route.Timeout(), retries: route.MaxRetries,
 		aim: entry.Accepted() + entry.Head.Delay + route.ScheduleTarget(),
 	}
@@ -155,13 +160,17 @@
 	d.mutex.Unlock()
 	if body == nil && head.BodySize > 0 {
 		fetched, found := d.fetchBody(context.Background(), head.ID, holders)
-		if !found {
+		if !found || fetched.Head.State.Ended() {
 			d.mutex.Lock()
-			d.notSent(state, attempt)
-			d.mutex.Unlock()
+			defer d.mutex.Unlock()
+			if fetched.Head.State.Ended() {
+				d.endedElsewhere(state, attempt, fetched.Head)
+			} else {
+				d.notSent(state, attempt)
+			}
 			return
 		}
-		body = fetched
+		body = fetched.Body
 	}
 	result := d.client.Deliver(context.Background(), delivery.Request{
 		Address: attempt.Address, Instance: attempt.Instance, Head: head, Body: body,
@@ -181,6 +190,18 @@
 	d.pump(state.owned)
 }
 
+// endedElsewhere ends a message of which a store knows the end already: its
+// earlier owner recorded it after this dispatcher had read the heads. The mutex
+// is held.
+func (d *Dispatcher) endedElsewhere(state *deliveryState, attempt balance.Attempt, head protocol.Head) {
+	id := state.entry.Head.ID
+	state.service.driver.Withdraw(d.now(), id)
+	state.service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun})
+	delete(d.deliveries, id)
+	d.endEntry(state.owned, state.entry, head.State, head.Stamp)
+	d.pumpService(state.service)
+}
+
 // attemptEnded books the end of an attempt and decides what follows. The mutex
 // is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
@@ -195,7 +216,7 @@
 
 // settle ends a message or puts it back into its queue.
 func (d *Dispatcher) settle(state *deliveryState, result delivery.Result) {
-	owned, entry := d.current(state)
+	owned, entry := state.owned, state.entry
 	switch {
 	case result.Succeeded():
 		d.counters.completed.Add(1)
@@ -214,19 +235,6 @@
 	}
 }
 
-// current returns the queue and the entry of a message now: the queue may have
-// been lost and acquired again while a sender had the message.
-func (d *Dispatcher) current(state *deliveryState) (*ownedQueue, *queue.Entry) {
-	if state.owned.dropped {
-		if again := d.queues[state.owned.Name]; again != nil {
-			if entry := again.Get(state.entry.Head.ID); entry != nil && entry.Phase != queue.Done {
-				return again, entry
-			}
-		}
-	}
-	return state.owned, state.entry
-}
-
 // givenBack puts a message back that no sender could be had for. The mutex is
 // held.
 func (d *Dispatcher) givenBack(key string, wait time.Duration) {
--- /dev/null
+++ b/internal/service/dispatcher/ended_test.go
@@ -0,0 +1,160 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/view"
+	"yardwharf/internal/simulation/simnet"
+)
+
+const oneRoute = `{"revision":1,"routes":[{"name":"r","hostname":"a.example","pathPrefix":"/a/","timeoutMs":100,` +
+	`"service":"s","maxRetries":3,"retentionS":90}],"services":[{"name":"s","maxConns":8}],"limits":{}}`
+
+// TestMessageThatEndedAtTheStores gives a dispatcher a message as open whose
+// former owner recorded its success later: the stores have no body any more. The
+// dispatcher has to take the end over, not to ask for the body again and again.
+func TestMessageThatEndedAtTheStores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+		storage := network.Process("10.2.0.1")
+		server := transport.NewServer(protocol.Identity{Node: "storage-1"}, logr.Discard())
+		transport.Handle(server, func(_ context.Context, _ *transport.Peer, query protocol.Query) (protocol.QueryReply, error) {
+			head := protocol.Head{ID: query.ID, State: protocol.Completed, Stamp: "seal", BodySize: 5}
+			return protocol.QueryReply{Held: true, Head: head}, nil
+		})
+		listener, err := storage.Listen("10.2.0.1:7783")
+		c.Assert(err, qt.IsNil)
+		go func() { _ = server.Serve(listener) }()
+
+		d, end := simulated(network)
+		owned, entry := adoptOne(d, nil, []string{"storage-1"})
+
+		time.Sleep(time.Second)
+		d.mutex.Lock()
+		c.Check(entry.Head.State, qt.Equals, protocol.Completed)
+		c.Check(entry.Head.Stamp, qt.Equals, "seal")
+		c.Check(owned.Running(), qt.Equals, 0)
+		d.mutex.Unlock()
+		storage.Kill()
+		end()
+	})
+}
+
+// TestQueueLostAndGotBackDuringADelivery takes a queue away and gives it back
+// while a sender has its message: the end of that attempt has to end the message.
+func TestQueueLostAndGotBackDuringADelivery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+		server := network.Process("10.5.0.1")
+		listener, err := server.Listen("10.5.0.1:80")
+		c.Assert(err, qt.IsNil)
+		runs := 0
+		go func() {
+			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs++
+				time.Sleep(50 * time.Millisecond)
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Server-Seal", "seal")
+			}))
+		}()
+		d, end := simulated(network)
+		lost, _ := adoptOne(d, []byte("12345"), nil)
+		time.Sleep(20 * time.Millisecond)
+		d.mutex.Lock()
+		d.drop(lost, "test")
+		d.mutex.Unlock()
+		owned, entry := adoptOne(d, []byte("12345"), nil)
+
+		time.Sleep(time.Second)
+		d.mutex.Lock()
+		c.Check(entry.Head.State, qt.Equals, protocol.Completed)
+		c.Check(owned.Running(), qt.Equals, 0)
+		c.Check(runs, qt.Equals, 1)
+		d.mutex.Unlock()
+		server.Kill()
+		end()
+	})
+}
+
+// TestQueueLostWhileMessagesWait takes a queue away whose messages wait for the
+// decision module: none of them may stay there.
+func TestQueueLostWhileMessagesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := simulated(simnet.New(func(_, _ string) time.Duration { return time.Millisecond }))
+		d.takeSenders(view.Senders{})
+		owned, _ := adoptOne(d, []byte("12345"), nil)
+		time.Sleep(20 * time.Millisecond)
+		d.mutex.Lock()
+		c.Check(d.deliveries, qt.HasLen, 1)
+		d.drop(owned, "test")
+		c.Check(d.deliveries, qt.HasLen, 0)
+		c.Check(d.services["s"].driver.Waiting(), qt.Equals, 0)
+		c.Check(d.services["s"].waiting.empty(), qt.IsTrue)
+		d.mutex.Unlock()
+		end()
+	})
+}
+
+// TestKnownMessageWithTooFewCopiesIsNotAccepted sends a message again that the
+// dispatcher knows from one store only.
+func TestKnownMessageWithTooFewCopiesIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := simulated(simnet.New(func(_, _ string) time.Duration { return time.Millisecond }))
+		d.settings.FaultTolerance.Machines = 1
+		_, entry := adoptOne(d, []byte("12345"), []string{"storage-2"})
+		again := protocol.Message{Head: protocol.Head{ID: "m", Queue: d.localQueue}, Body: []byte("12345")}
+		c.Check(d.acceptHere(t.Context(), again).Status, qt.Equals, protocol.Undecided)
+		d.mutex.Lock()
+		entry.Holders = []string{"storage-2", "storage-3"}
+		d.mutex.Unlock()
+		c.Check(d.acceptHere(t.Context(), again).Status, qt.Equals, protocol.Accepted)
+		end()
+	})
+}
+
+// simulated returns a dispatcher with one store and one sender on a simulated
+// network, and a function that ends it.
+func simulated(network *simnet.Network) (d *Dispatcher, end func()) {
+	edge := network.Process("10.1.0.1")
+	d = newDispatcher(&settings.Settings{
+		Node: "edge-1", IP: "10.1.0.1", Zone: "z", Zones: map[string]string{"z": "r"},
+		InternalPorts: []int{7780, 7795}, Network: edge,
+	}, logr.Discard())
+	d.takeConfiguration(view.Configuration{
+		Revision: 1, Raw: []byte(oneRoute), Stores: []view.Node{{Name: "storage-1", Zone: "z", Address: "10.2.0.1:7783"}},
+	})
+	d.takeSenders(view.Senders{List: []view.Sender{{ID: "i", Service: "s", Address: "10.5.0.1:80", Zone: "z", Slots: 1}}})
+	return d, func() {
+		d.end()
+		edge.Kill()
+		time.Sleep(10 * time.Second)
+	}
+}
+
+// adoptOne gives the dispatcher its local queue with one open message.
+func adoptOne(d *Dispatcher, body []byte, holders []string) (*ownedQueue, *queue.Entry) {
+	owned := &ownedQueue{Queue: queue.New(d.localQueue, 1), accepting: map[string]chan struct{}{}}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.queues[d.localQueue] = owned
+	entry := owned.Add(d.now(), protocol.Head{
+		ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", BodySize: 5, Retention: time.Minute,
+	}, body, holders)
+	d.pump(owned)
+	return owned, entry
+}
