--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -36,7 +36,6 @@
 	identity      protocol.Identity
 	log           logr.Logger
 	started       time.Time
-	localQueue    string
 	client        *delivery.Client
 	configuration atomic.Pointer[configuration.Configuration]
 	configured    chan struct{} // closed when the first configuration is there
@@ -48,25 +47,27 @@
 	pumpWake      chan struct{}
 	work          sync.WaitGroup
 
-	mutex      sync.Mutex
-	closing    bool
-	ended      bool // the role has left; timers that are still set do nothing
-	haveList   bool
-	members    []string
-	stores     map[string]*storeLink
-	queues     map[string]*ownedQueue
-	acquiring  map[string]bool   // queues that the stores are being asked for
-	epochs     map[string]uint64 // highest epoch heard of for queues asked for
-	leases     *lease.Holder
-	table      sessionTable
-	services   map[string]*serviceState
-	senders    map[string][]view.Sender // by service
-	deliveries map[string]*deliveryState
-	peers      map[string]*transport.Client
-	repairs    []repairItem
-	bodyBytes  int
-	memoryMb   int           // limit of this process
-	nextWake   time.Duration // when the timer fires; 0: at its usual pace
+	mutex       sync.Mutex
+	localQueue  string // of this process's own messages
+	localQueues int    // how many of those were lost
+	closing     bool
+	ended       bool // the role has left; timers that are still set do nothing
+	haveList    bool
+	members     []string
+	stores      map[string]*storeLink
+	queues      map[string]*ownedQueue
+	acquiring   map[string]bool   // queues that the stores are being asked for
+	epochs      map[string]uint64 // highest epoch heard of for queues asked for
+	leases      *lease.Holder
+	table       sessionTable
+	services    map[string]*serviceState
+	senders     map[string][]view.Sender // by service
+	deliveries  map[string]*deliveryState
+	peers       map[string]*transport.Client
+	repairs     []repairItem
+	bodyBytes   int
+	memoryMb    int           // limit of this process
+	nextWake    time.Duration // when the timer fires; 0: at its usual pace
 }
 
 // Run runs the role until the context ends, then hands over what it holds.
@@ -128,7 +129,7 @@
 	identity := s.Identity(Role, protocol.DispatcherPort, now)
 	return &Dispatcher{
 		settings: s, identity: identity, log: log, started: now,
-		localQueue:    localQueueName(identity),
+		localQueue:    localQueueName(identity, 0),
 		client:        delivery.NewClientOn(s.Net()),
 		configured:    make(chan struct{}),
 		ownershipWake: make(chan struct{}, 1),
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -59,13 +59,34 @@
 	case service.Rated():
 		return ratedPrefix + service.Name
 	default:
-		return d.localQueue
+		return d.currentLocalQueue()
 	}
 }
 
-// localQueueName returns the name of the queue of a process's own messages.
-func localQueueName(identity protocol.Identity) string {
-	return localPrefix + identity.Node + "/" + strconv.FormatUint(identity.Incarnation, 36)
+// localQueueName returns the name of the queue of a process's own messages. The
+// number tells it from those that the same process has lost.
+func localQueueName(identity protocol.Identity, number int) string {
+	name := localPrefix + identity.Node + "/" + strconv.FormatUint(identity.Incarnation, 36)
+	if number > 0 {
+		name += "/" + strconv.Itoa(number)
+	}
+	return name
+}
+
+// currentLocalQueue returns the queue for this dispatcher's own messages.
+func (d *Dispatcher) currentLocalQueue() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.localQueue
+}
+
+// renameLocalQueue takes a new queue for this dispatcher's own messages, after
+// another dispatcher has taken over the old one: it may hold that for long. The
+// mutex is held.
+func (d *Dispatcher) renameLocalQueue() {
+	d.localQueues++
+	d.localQueue = localQueueName(d.identity, d.localQueues)
+	d.considerQueues()
 }
 
 // isLocal reports whether a queue holds the messages of one process alone.
@@ -617,6 +638,9 @@
 	delete(d.queues, owned.Name)
 	d.leases.Drop(owned.Name)
 	d.log.Info("queue lost", "queue", owned.Name, "cause", cause)
+	if owned.Name == d.localQueue {
+		d.renameLocalQueue()
+	}
 }
 
 // startHandOver stops work on a queue and gives it to a successor.
