Take a dead monitor's word for no life on its own machine

Cause: after a second replacement of a machine that runs control and a store, dispatchers knew five stores, two of them gone: the lost machine's own monitor had said that its store lives, and no live monitor watches it. Ordered and rated queues stood still for 11 s. Change: such a word proves nothing.

--- a/internal/service/membership/merge.go
+++ b/internal/service/membership/merge.go
@@ -41,7 +41,8 @@
 
 // Merge folds what all monitors say into one state for each process, in the
 // order of their keys. What a monitor has said that is dead itself counts only
-// where no other one watches the process, for its last word is outdated.
+// where no other one watches the process, for its last word is outdated. It
+// proves no life on a dead monitor's own machine.
 func Merge(observations []view.Members) []view.NodeState {
 	dead := deadMonitors(observations)
 	merged, outdated := newFold(), newFold()
@@ -53,9 +54,13 @@
 		}
 	}
 	for _, state := range list(outdated.State()) {
-		if _, watched := merged.State().Get(state.Key()); !watched {
-			merged.Apply(state)
+		if _, watched := merged.State().Get(state.Key()); watched {
+			continue
 		}
+		if dead[state.Identity.Node] {
+			state.Alive = false
+		}
+		merged.Apply(state)
 	}
 	return list(merged.State())
 }
--- a/internal/service/membership/merge_test.go
+++ b/internal/service/membership/merge_test.go
@@ -108,3 +108,17 @@
 		}
 	})
 }
+
+func TestADeadMonitorProvesNoLifeOnItsOwnMachine(t *testing.T) {
+	c := qt.New(t)
+	merged := Merge([]view.Members{
+		said("machine-1", stateOf("machine-1", "store", 1, true), stateOf("machine-2", "store", 1, true)),
+		said("machine-3", stateOf("machine-1", ControlRole, 1, false)),
+	})
+	alive := map[string]bool{}
+	for _, state := range merged {
+		alive[state.Identity.Node+"/"+state.Identity.Role] = state.Alive
+	}
+	c.Assert(alive["machine-1/store"], qt.IsFalse)
+	c.Assert(alive["machine-2/store"], qt.IsTrue)
+}
