Keep a message's place in its queue when one of its copies is replaced

Change: the writer's epoch travels beside the head, and merging heads takes the earliest acceptance.

--- a/internal/service/dispatcher/copies.go
+++ b/internal/service/dispatcher/copies.go
@@ -301,8 +301,7 @@
 		d.mutex.Unlock()
 		return true
 	}
-	message := protocol.Message{Head: entry.HeadAt(d.now()), Body: entry.Body}
-	message.Head.Epoch = item.owned.Epoch
+	message := protocol.Message{Head: entry.HeadAt(d.now()), Body: entry.Body, Lease: item.owned.Epoch}
 	target := d.repairTarget(entry)
 	holders := slices.Clone(entry.Holders)
 	end := endOf(item.owned, entry)
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -471,6 +471,11 @@
 	differ  bool // one store has not learned its end
 }
 
+// acceptedBefore reports whether a record tells of an earlier acceptance.
+func acceptedBefore(a, b protocol.Head) bool {
+	return a.Epoch < b.Epoch || a.Epoch == b.Epoch && a.Sequence < b.Sequence
+}
+
 func mergeHead(merged map[string]*adoptedHead, node string, head protocol.Head) {
 	one := merged[head.ID]
 	if one == nil {
@@ -485,6 +490,9 @@
 		one.head.State, one.head.Stamp, one.head.CallbackDue = head.State, head.Stamp, head.CallbackDue
 	}
 	one.head.CallbackURL = cmp.Or(one.head.CallbackURL, head.CallbackURL)
+	if acceptedBefore(head, one.head) {
+		one.head.Epoch, one.head.Sequence = head.Epoch, head.Sequence
+	}
 	one.head.Failures = max(one.head.Failures, head.Failures)
 	one.head.Age = min(one.head.Age, head.Age)
 }
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -199,3 +199,30 @@
 	wanted, _ := d.planQueues()
 	c.Assert(wanted, qt.DeepEquals, []string{after})
 }
+
+// A message keeps its place in the order of acceptance when a later owner has
+// replaced one of its copies.
+func TestReplacedCopyKeepsItsPlace(t *testing.T) {
+	c := qt.New(t)
+	head := func(id string, epoch, sequence uint64) protocol.Head {
+		return protocol.Head{ID: id, OrderingKey: "k", Epoch: epoch, Sequence: sequence, State: protocol.Queued, Retention: time.Minute}
+	}
+	for range 10 { // the stores are visited in any order
+		d := newTestDispatcher(c)
+		owned := own(d, "ordered/1", 9)
+		d.adopt(owned, map[string][]protocol.Head{
+			"s1": {head("first", 7, 5), head("second", 2, 6)},
+			"s2": {head("first", 2, 5), head("second", 2, 6)},
+		})
+		steps := owned.Advance(d.now())
+		c.Assert(steps, qt.HasLen, 1)
+		c.Assert(steps[0].Entry.Head.ID, qt.Equals, "first")
+	}
+}
+
+func TestCopyIsFencedByTheLeaseOfItsWriter(t *testing.T) {
+	c := qt.New(t)
+	message := protocol.Message{Head: protocol.Head{Epoch: 2}, Lease: 7}
+	c.Assert(message.LeaseEpoch(), qt.Equals, uint64(7))
+	c.Assert((&protocol.Message{Head: protocol.Head{Epoch: 2}}).LeaseEpoch(), qt.Equals, uint64(2))
+}
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -92,10 +92,16 @@
 
 // Message is a head with its body.
 type Message struct {
-	Head Head
-	Body []byte
+	Head  Head
+	Body  []byte
+	Lease uint64 // epoch of the owner that writes this copy; 0: the epoch of the head
 }
 
+// LeaseEpoch returns the epoch under which a copy is written. It differs from
+// that of the head where a later owner replaces a lost copy: the head keeps the
+// epoch of acceptance, because that orders the messages of a queue.
+func (m *Message) LeaseEpoch() uint64 { return max(m.Head.Epoch, m.Lease) }
+
 // Append asks a store to keep a copy of a message.
 type Append struct{ Message Message }
 
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -128,7 +128,7 @@
 	if err := s.checkQueues(m.Head.Queue); err != nil {
 		return 0, nil, err
 	}
-	decision := s.grantor.Write(identity, m.Head.Queue, m.Head.Epoch)
+	decision := s.grantor.Write(identity, m.Head.Queue, m.LeaseEpoch())
 	if !decision.Allowed {
 		return protocol.Fenced, nil, nil
 	}
