Take the agent test's ports from a row that the kernel does not hand out

Cause: TestWholePathOnLoopback failed in the whole test run: the agent listens on several ports in a row, only the first was found free, and other packages' tests took one. Change: a row of free ports below the kernel's own, begun by the process id.

--- a/internal/service/agent/path_test.go
+++ b/internal/service/agent/path_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -53,10 +55,27 @@
 
 // freePort returns the first of a few ports that are free on loopback.
 func freePort(c *qt.C) int {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	const lowest, blocks, size = 20000, 600, 16 // below the ports that the kernel hands out
+	for try := range blocks {
+		first := lowest + (os.Getpid()+try)%blocks*size
+		if allFree(first, protocol.ControlPort+1) {
+			return first
+		}
+	}
+	c.Fatal("no free ports")
+	return 0
+}
+
+// allFree reports whether nothing listens on a row of ports.
+func allFree(first, count int) bool {
+	for port := first; port < first+count; port++ {
+		listener, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
 }
 
 // site is a deployment on loopback: control members on addresses of their own
