--- /dev/null
+++ b/internal/service/dispatcher/adopt.go
@@ -0,0 +1,112 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+)
+
+// adopt merges what the stores hold of a queue and takes it in, in the order of
+// acceptance. The mutex is held.
+func (d *Dispatcher) adopt(owned *ownedQueue, byStore map[string][]protocol.Head) {
+	merged := map[string]*adoptedHead{}
+	for node, heads := range byStore {
+		for _, head := range heads {
+			mergeHead(merged, node, head)
+		}
+	}
+	ordered := make([]*adoptedHead, 0, len(merged))
+	for _, one := range merged {
+		ordered = append(ordered, one)
+	}
+	slices.SortFunc(ordered, func(a, b *adoptedHead) int {
+		return cmp.Or(cmp.Compare(a.head.Epoch, b.head.Epoch), cmp.Compare(a.head.Sequence, b.head.Sequence),
+			cmp.Compare(a.head.ID, b.head.ID))
+	})
+	for _, one := range ordered {
+		entry := owned.Add(d.now(), one.head, nil, one.holders)
+		if one.head.State.Ended() && one.differ {
+			d.recordEnd(owned, entry)
+		}
+		if entry.Phase != queue.Done {
+			d.needsRepair(owned, entry)
+		}
+	}
+}
+
+// adoptedHead is what several stores together tell of a message.
+type adoptedHead struct {
+	head    protocol.Head
+	holders []string
+	differ  bool // one store has not learned its end
+}
+
+// acceptedBefore reports whether a record tells of an earlier acceptance.
+func acceptedBefore(a, b protocol.Head) bool {
+	return a.Epoch < b.Epoch || a.Epoch == b.Epoch && a.Sequence < b.Sequence
+}
+
+func mergeHead(merged map[string]*adoptedHead, node string, head protocol.Head) {
+	one := merged[head.ID]
+	if one == nil {
+		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}}
+		return
+	}
+	one.holders = append(one.holders, node)
+	if one.head.State != head.State || one.head.CallbackDue != head.CallbackDue {
+		one.differ = true
+	}
+	if head.State.Ended() && (!one.head.State.Ended() || !head.CallbackDue) {
+		one.head.State, one.head.Stamp, one.head.CallbackDue = head.State, head.Stamp, head.CallbackDue
+	}
+	one.head.CallbackURL = cmp.Or(one.head.CallbackURL, head.CallbackURL)
+	if acceptedBefore(head, one.head) {
+		one.head.Epoch, one.head.Sequence = head.Epoch, head.Sequence
+	}
+	one.head.Failures = max(one.head.Failures, head.Failures)
+	one.head.Age = min(one.head.Age, head.Age)
+}
+
+// takeLateHead compares what a store holds with what is known of a message.
+func (d *Dispatcher) takeLateHead(owned *ownedQueue, link *storeLink, head protocol.Head) {
+	entry := owned.Get(head.ID)
+	if entry == nil {
+		if !head.State.Ended() && owned.accepting[head.ID] == nil {
+			go d.settleUnknown(owned, link, head)
+		}
+		return
+	}
+	if !slices.Contains(entry.Holders, link.node) {
+		entry.Holders = append(entry.Holders, link.node)
+	}
+	switch {
+	case entry.Phase >= queue.Callback && entry.Head.CallbackDue == head.CallbackDue && entry.Head.State == head.State:
+	case entry.Phase >= queue.Callback:
+		d.recordEnd(owned, entry)
+	case head.State.Ended():
+		d.endEntry(owned, entry, head.State, head.Stamp)
+	}
+}
+
+// settleUnknown finds out about a message that only a store that was away holds
+// as open: it has ended elsewhere, or it was never accepted.
+func (d *Dispatcher) settleUnknown(owned *ownedQueue, link *storeLink, head protocol.Head) {
+	found, complete := d.queryStores(context.Background(), head.ID, false)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if owned.dropped || owned.Get(head.ID) != nil {
+		return
+	}
+	if found.State.Ended() {
+		link.ends[head.ID] = protocol.End{ID: head.ID, Queue: head.Queue, State: found.State, Stamp: found.Stamp, CallbackDue: found.CallbackDue}
+		signal(link.flush)
+		return
+	}
+	if complete {
+		d.needsRepair(owned, owned.Add(d.now(), head, nil, []string{link.node}))
+		d.pump(owned)
+	}
+}
--- /dev/null
+++ b/internal/service/dispatcher/handover.go
@@ -0,0 +1,101 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/transport"
+)
+
+// drop forgets a queue that another dispatcher owns. The mutex is held.
+func (d *Dispatcher) drop(owned *ownedQueue, cause string) {
+	if owned.dropped {
+		return
+	}
+	d.withdrawAll(owned)
+	owned.dropped = true
+	delete(d.queues, owned.Name)
+	d.leases.Drop(owned.Name)
+	d.log.Info("queue lost", "queue", owned.Name, "cause", cause)
+	if owned.Name == d.localQueue {
+		d.renameLocalQueue()
+	}
+}
+
+// startHandOver stops work on a queue and gives it to a successor.
+func (d *Dispatcher) startHandOver(ctx context.Context, name, successor string) {
+	if owned := d.beginLeaving(name); owned != nil {
+		go d.handOver(ctx, owned, successor)
+	}
+}
+
+// beginLeaving stops work on a queue; it returns nil where there is none to stop.
+func (d *Dispatcher) beginLeaving(name string) *ownedQueue {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	owned := d.queues[name]
+	if owned == nil || owned.leaving {
+		return nil
+	}
+	owned.leaving = true
+	d.withdrawAll(owned)
+	return owned
+}
+
+// handOver waits for what is under way, releases the leases and tells the
+// successor.
+func (d *Dispatcher) handOver(ctx context.Context, owned *ownedQueue, successor string) {
+	deadline := time.Now().Add(handOverWait)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		d.mutex.Lock()
+		idle := owned.dropped || owned.Running() == 0 && len(owned.accepting) == 0 && d.flushed()
+		d.mutex.Unlock()
+		if idle {
+			break
+		}
+		pause(ctx, 10*time.Millisecond)
+	}
+	d.mutex.Lock()
+	if owned.dropped {
+		d.mutex.Unlock()
+		return
+	}
+	owned.dropped = true
+	delete(d.queues, owned.Name)
+	d.leases.Drop(owned.Name)
+	links := d.upStores()
+	address := d.table.sessions[successor].Identity.Address
+	d.mutex.Unlock()
+	var calls sync.WaitGroup
+	for _, link := range links {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			d.release(ctx, link, owned.Name, owned.Epoch)
+		}()
+	}
+	calls.Wait()
+	if address != "" {
+		callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
+		defer cancel()
+		_, _ = transport.Call[protocol.OfferReply](callCtx, d.peer(address), protocol.Offer{Queues: []string{owned.Name}})
+	}
+	d.log.V(1).Info("queue handed over", "queue", owned.Name, "to", successor)
+}
+
+// offered asks for queues that another dispatcher has just released.
+func (d *Dispatcher) offered(ctx context.Context, names []string) {
+	d.mutex.Lock()
+	var wanted []string
+	for _, name := range names {
+		if d.queues[name] == nil && d.takesQueues() {
+			wanted = append(wanted, name)
+		}
+	}
+	d.mutex.Unlock()
+	if len(wanted) > 0 {
+		d.acquire(ctx, wanted)
+	}
+}
