--- a/internal/tools/lab/processes/parties.go
+++ b/internal/tools/lab/processes/parties.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"yardwharf/internal/tools/standin/listener"
 )
 
 // The site that the rig plays: what its dispatchers are told, and what its senders are.
@@ -63,7 +65,7 @@
 }
 
 func (s *sender) start() error {
-	l, err := net.Listen("tcp", s.at.String())
+	l, err := listener.Listen(s.at.String())
 	if err != nil {
 		return fmt.Errorf("sender: %w", err)
 	}
@@ -223,7 +225,7 @@
 }
 
 func (a *agent) start(at netip.AddrPort) error {
-	l, err := net.Listen("tcp", at.String())
+	l, err := listener.Listen(at.String())
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/tools/standin/sender/sender.go
+++ b/internal/tools/standin/sender/sender.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"yardwharf/internal/tools/standin/listener"
 )
 
 // Job is one attempt that has reached a sender.
@@ -34,7 +36,7 @@
 
 // Start starts a sender at a loopback address; port 0 is any.
 func Start(name, address string, work time.Duration) (*Sender, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := listener.Listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in sender: %w", err)
 	}
