Deliver to a sender of the own zone first where it has room

Change: within windows, the draw by the shares goes on in search of a worker of the own zone with room, and takes the first of the others where it meets none. On for the service alone (WindowSettings.OwnZoneFirst).

--- a/internal/service/balance/driver.go
+++ b/internal/service/balance/driver.go
@@ -108,7 +108,7 @@
 			MostSamples: mostSamples, StepWait: stepWait, NewcomersAtFloor: true, ShortestService: true,
 		},
 		Window: yardwharf.WindowSettings{
-			Enabled: true, First: unknownWindow, Most: float64(d.connections()),
+			Enabled: true, OwnZoneFirst: true, First: unknownWindow, Most: float64(d.connections()),
 			StrikePause: strikePause, StrikeMost: strikeMost, ProbeEvery: probeEvery,
 		},
 		StartCapacity: 1, OverloadFactor: 1, OverloadFor: time.Second,
--- /dev/null
+++ b/internal/service/balance/zone_test.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// zonedRig is a service with senders of four slots each in three zones, and a dispatcher in the first.
+func zonedRig(t *testing.T, perZone int) (*rig, map[string]string) {
+	zones := []string{"a", "b", "c"}
+	r := newRig(t, 1, 0, 0, Options{Zone: "a", Zones: zones})
+	zoneOf := map[string]string{}
+	for i := range 3 * perZone {
+		id := fmt.Sprintf("s%03d", i)
+		r.add(id, 4)
+		r.list[i].Zone = zones[i%len(zones)]
+		zoneOf[id] = r.list[i].Zone
+	}
+	r.tell()
+	return r, zoneOf
+}
+
+// While senders of the own zone have room, messages go there and cost no bytes between zones; the draw
+// among them is by the shares.
+func TestOwnZoneComesFirst(t *testing.T) {
+	r, zoneOf := zonedRig(t, 3)
+	const draws = 3000
+	own, each := 0, map[string]int{}
+	for range draws {
+		id := r.one(func(string) (Status, time.Duration) { return Succeeded, 0 })
+		each[id]++
+		if zoneOf[id] == "a" {
+			own++
+		}
+	}
+	if own < draws*98/100 {
+		t.Errorf("%d of %d messages went to the own zone", own, draws)
+	}
+	for id, n := range each {
+		if zoneOf[id] == "a" && (n < draws/4 || n > draws*5/12) {
+			t.Errorf("%s had %d of %d", id, n, draws)
+		}
+	}
+}
+
+// Where the own zone is full, messages cross without waiting.
+func TestFullOwnZoneIsLeft(t *testing.T) {
+	r, zoneOf := zonedRig(t, 1)
+	d := r.dispatchers[0]
+	d.manual = true
+	for range 6 {
+		r.submit(d)
+	}
+	elsewhere := 0
+	for _, attempt := range d.sent {
+		if zoneOf[attempt.Instance] != "a" {
+			elsewhere++
+		}
+	}
+	if len(d.sent) != 6 || elsewhere < 2 {
+		t.Errorf("%d were sent, %d of them to other zones", len(d.sent), elsewhere)
+	}
+}
--- a/window.go
+++ b/window.go
@@ -78,14 +78,8 @@
 // tryWithinWindows draws a worker by the shares among those whose windows have room, and sends.
 // Workers that have turned this request away come last. It says whether it sent.
 func (b *Balancer) tryWithinWindows(r *request) bool {
-	for range redraws {
-		m := r.split.draw(b.rng)
-		if m == nil {
-			return false
-		}
-		if b.open(m.w, r.slots()) && !r.tried(m.w) {
-			return b.send(r, m)
-		}
+	if m := b.drawWithinWindows(r); m != nil {
+		return b.send(r, m)
 	}
 	best := b.drawOpen(r, func(w *worker) bool { return b.open(w, r.slots()) && !r.tried(w) })
 	if best == nil {
@@ -97,6 +91,26 @@
 	return best != nil && b.send(r, best)
 }
 
+// drawWithinWindows draws by the shares until it meets a worker whose window has room. Where the own
+// zone comes first, it draws on in search of one there, and takes the first of the others if it meets
+// none: the less the own zone's shares, the more often. Guards against bytes between zones that buy nothing.
+func (b *Balancer) drawWithinWindows(r *request) (elsewhere *member) {
+	for range redraws {
+		m := r.split.draw(b.rng)
+		if m == nil {
+			return nil
+		}
+		if !b.open(m.w, r.slots()) || r.tried(m.w) {
+			continue
+		}
+		if !b.s.Window.OwnZoneFirst || m.w.zone == b.s.Zone {
+			return m
+		}
+		elsewhere = cmp.Or(elsewhere, m)
+	}
+	return elsewhere
+}
+
 // mayReturnTo says whether a request may go again to a worker that has not run it.
 // Guards against repeats in a tight loop where there is one worker.
 func (r *request) mayReturnTo(w *worker, now time.Duration) bool {
