Keep one timer a dispatcher for the decision module, and drop those of messages that are over

Change: SetTimer takes the place of the one asked for before; the dispatcher sets one timer anew, as the service does.

--- a/api.go
+++ b/api.go
@@ -260,7 +260,8 @@
 	Fail(id RequestID)
 	// Cancel calls off an attempt.
 	Cancel(id RequestID, attempt int)
-	// SetTimer asks for one Timer event.
+	// SetTimer asks for a Timer event after so long, in place of the one asked for before: a host needs
+	// one timer, set anew with each call.
 	SetTimer(after time.Duration)
 	// Probe asks a worker for its load report.
 	Probe(worker WorkerID)
--- a/internal/carry/dispatch/dispatch.go
+++ b/internal/carry/dispatch/dispatch.go
@@ -51,7 +51,7 @@
 	ran      time.Duration
 	counter  counter
 	endBy    time.Duration // messages taken now end by then; 0 while there is no end
-	alarms   []*alarm      // spare ones
+	alarm    alarm         // for the Balancer
 	spare    []*Message    // forgotten ones, to be used again
 }
 
@@ -59,6 +59,7 @@
 func New(l *loop.Loop, s yardwharf.Settings, seed uint64) (*Dispatcher, error) {
 	d := &Dispatcher{loop: l, messages: map[yardwharf.RequestID]*Message{}, after: s.MaxRetryAfter, dial: s.DialTimeout,
 		counter: counter{s.Classes, make([]Counts, len(s.Classes))}}
+	d.alarm.d, d.alarm.Task = d, &d.alarm
 	var err error
 	if d.balancer, err = yardwharf.New(s, seed, actions{d}); err != nil {
 		return nil, fmt.Errorf("dispatch: %w", err)
@@ -208,7 +209,7 @@
 	return r
 }
 
-// alarm is a timer of the Balancer's.
+// alarm is the timer of the Balancer.
 type alarm struct {
 	loop.Timer
 	d *Dispatcher
@@ -216,7 +217,6 @@
 
 // Run implements loop.Task.
 func (a *alarm) Run() {
-	a.d.alarms = append(a.d.alarms, a)
 	a.d.balancer.Timer(a.d.loop.Now())
 }
 
@@ -284,14 +284,7 @@
 
 // SetTimer implements yardwharf.Actions.
 func (a actions) SetTimer(after time.Duration) {
-	var t *alarm
-	if n := len(a.d.alarms); n > 0 {
-		t, a.d.alarms = a.d.alarms[n-1], a.d.alarms[:n-1]
-	} else {
-		t = &alarm{d: a.d}
-		t.Task = t
-	}
-	a.d.loop.Set(&t.Timer, a.d.loop.Now()+after)
+	a.d.loop.Set(&a.d.alarm.Timer, a.d.loop.Now()+after)
 }
 
 // Probe implements yardwharf.Actions.
--- a/internal/service/balance/balance.go
+++ b/internal/service/balance/balance.go
@@ -30,7 +30,7 @@
 	// GiveBack says that no sender could be had in time. The Driver has forgotten
 	// the message; it has not run, and is to be submitted again after the wait.
 	GiveBack(message string, wait time.Duration)
-	// SetTimer asks for a call of Timer after so long, beside those asked for before.
+	// SetTimer asks for a call of Timer after so long, in place of the one asked for before.
 	SetTimer(after time.Duration)
 }
 
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -43,9 +43,7 @@
 	a.dispatcher.givenBack(message, wait)
 }
 
-// SetTimer asks for a call of the decision module's timer. The module asks only
-// for moments before the one that it waits for, and asks again after each call,
-// so that one timer, set to the last moment asked for, serves it.
+// SetTimer asks for a call of the decision module's timer.
 func (a *serviceActions) SetTimer(after time.Duration) {
 	if a.service.timer == nil {
 		a.service.timer = time.AfterFunc(after, func() { a.dispatcher.serviceTimer(a.service) })
--- a/internal/tools/hollow/decision_test.go
+++ b/internal/tools/hollow/decision_test.go
@@ -23,7 +23,7 @@
 // hostEvent is the end of a timer or of an attempt.
 type hostEvent struct {
 	at      time.Duration
-	timer   bool
+	timer   int // its number; 0 is the end of an attempt
 	request yardwharf.RequestID
 	worker  yardwharf.WorkerID
 }
@@ -50,6 +50,7 @@
 	events   hostEvents
 	created  yardwharf.RequestID
 	timers   int // that have fired
+	set      int // number of the timer that is set
 	sends    int
 }
 
@@ -59,7 +60,8 @@
 }
 
 func (h *decisionHost) SetTimer(after time.Duration) {
-	heap.Push(&h.events, hostEvent{at: h.now + after, timer: true})
+	h.set++
+	heap.Push(&h.events, hostEvent{at: h.now + after, timer: h.set})
 }
 
 func (h *decisionHost) Refuse(yardwharf.RequestID, time.Duration) {}
@@ -74,7 +76,10 @@
 	for len(h.events) > 0 && h.events[0].at <= end {
 		next := heap.Pop(&h.events).(hostEvent)
 		h.now = next.at
-		if next.timer {
+		if next.timer > 0 {
+			if next.timer != h.set {
+				continue // another was set in its place
+			}
 			h.timers++
 			h.balancer.Timer(h.now)
 			continue
--- a/state.go
+++ b/state.go
@@ -266,6 +266,9 @@
 
 // arm asks the host for a timer where none is set early enough.
 func (b *Balancer) arm() {
+	if b.s.Window.Enabled {
+		b.dropOver()
+	}
 	if len(b.timers) > 0 && b.timers[0].at < b.armed {
 		// Hosts count in whole microseconds: one that cuts off the rest would fire
 		// early, find nothing due and never be asked again.
@@ -275,6 +278,14 @@
 	}
 }
 
+// dropOver drops what is due next for requests that are over: a deadline outlives its message by far. Only
+// with windows, as yet: without them it moves the laboratory's ties, where a cold host is near its bound.
+func (b *Balancer) dropOver() {
+	for len(b.timers) > 0 && b.timers[0].kind.ofRequest() && b.requests[b.timers[0].id] == nil {
+		b.timers.pop()
+	}
+}
+
 // First takes the start of a streamed answer.
 func (b *Balancer) First(now time.Duration, id RequestID, n int) {
 	b.now = now
--- a/timers.go
+++ b/timers.go
@@ -21,6 +21,11 @@
 	timerLate
 )
 
+// ofRequest says whether a timer is of no use without its request.
+func (k timerKind) ofRequest() bool {
+	return k == timerDeadline || k == timerCopy || k == timerLate
+}
+
 // timer is something to do at a time; the host holds one timer for the earliest.
 type timer struct {
 	at   time.Duration
