Take queues over with short answers, and share receivers' connections in a large fleet

Change: grants tell of ends of the last 5 s, and a new owner asks the stores about open messages that they do not list (FindEnds); a round waits 60 ms beyond the answers it needs, and after one that too few answer, asks for a quarter and waits twice as long; what was not answered is given back.

--- a/internal/service/delivery/callback.go
+++ b/internal/service/delivery/callback.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// Callback tells a receiver that a message has ended. It returns the status of the
-// answer, or an error where none came.
-func (c *Client) Callback(ctx context.Context, url, id, state, stamp string) (status int, err error) {
+// Callback tells a receiver that a message has ended; the connection is closed after the last of several.
+// It returns the status of the answer, or an error where none came.
+func (c *Client) Callback(ctx context.Context, url, id, state, stamp string, last bool) (status int, err error) {
 	body, err := json.Marshal(callbackBody{ID: id, State: state, Stamp: stamp})
 	if err != nil {
 		return 0, Class.Wrap(err)
@@ -51,6 +51,7 @@
 		return 0, Class.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Close = last
 	response, err := c.callbacks.Do(request)
 	if err != nil {
 		return 0, Class.Wrap(err)
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -407,15 +407,15 @@
 	client := NewClient()
 	defer client.Close()
 	for _, status = range []int{200, 400, 503, 307} {
-		told, err := client.Callback(background, receiver.URL+"/done", "m1", "completed", "seal.1")
+		told, err := client.Callback(background, receiver.URL+"/done", "m1", "completed", "seal.1", false)
 		c.Assert(err, qt.IsNil)
 		c.Assert(told, qt.Equals, status)
 		c.Assert(got, qt.Equals, callbackBody{ID: "m1", State: "completed", Stamp: "seal.1"})
 	}
 	receiver.Close()
-	_, err := client.Callback(background, receiver.URL, "m1", "completed", "seal.1")
+	_, err := client.Callback(background, receiver.URL, "m1", "completed", "seal.1", false)
 	c.Assert(err, qt.IsNotNil)
-	_, err = client.Callback(background, "::", "m1", "completed", "seal.1")
+	_, err = client.Callback(background, "::", "m1", "completed", "seal.1", false)
 	c.Assert(err, qt.IsNotNil)
 }
 
--- /dev/null
+++ b/internal/service/dispatcher/acquire.go
@@ -0,0 +1,312 @@
+package dispatcher
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/transport"
+)
+
+const (
+	firstBatch         = 64 // queues in one request; a quarter after each round that too few stores answer
+	acquireTimeout     = 600 * time.Millisecond
+	acquireTimeoutMost = 5 * time.Second       // doubles after each round that too few stores answer
+	acquireGrace       = 60 * time.Millisecond // for the other stores once enough have answered
+	slowRoundsMost     = 3
+	releaseTimeout     = 600 * time.Millisecond
+	claimTimeout       = 3 * time.Second
+	findEndsTimeout    = 2 * time.Second
+	findEndsMost       = 10_000 // ids in one question
+	findAllMost        = 1000   // open messages up to which all are asked about
+)
+
+// acquirePace bounds what is asked for at once, and how long answers are awaited. Heads of long queues
+// take their time on a slow link: to ask for all of them again and again would never end.
+type acquirePace struct{ slowRounds int }
+
+func (p *acquirePace) batch() int { return max(1, firstBatch>>(2*p.slowRounds)) }
+
+func (p *acquirePace) timeout() time.Duration {
+	return min(acquireTimeoutMost, acquireTimeout<<p.slowRounds)
+}
+
+// ended notes whether enough stores answered a round in time.
+func (p *acquirePace) ended(enough bool) {
+	if enough {
+		p.slowRounds = 0
+		return
+	}
+	p.slowRounds = min(p.slowRounds+1, slowRoundsMost)
+}
+
+// acquireBatch returns how many queues are asked for at once.
+func (d *Dispatcher) acquireBatch() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pace.batch()
+}
+
+// storeGrant is one store's answer to a request for leases.
+type storeGrant struct {
+	link  *storeLink
+	reply protocol.AcquireReply
+	ok    bool // it answered in time
+}
+
+// acquisition is one request for leases.
+type acquisition struct {
+	names   []string
+	epoch   uint64
+	links   []*storeLink // that are asked; nil where too few are up
+	timeout time.Duration
+}
+
+// acquire asks all stores for queues that have no owner and takes in those that
+// enough stores granted.
+func (d *Dispatcher) acquire(ctx context.Context, names []string) {
+	a := d.beginAcquire(names)
+	defer d.acquired(a.names)
+	if len(a.names) == 0 || a.links == nil {
+		return
+	}
+	sent := d.now()
+	answers := d.askStores(ctx, a.links, protocol.Acquire{Queues: a.names, Epoch: a.epoch}, a.timeout)
+	answered := countAnswers(answers)
+	d.addOldEnds(ctx, answers)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.pace.ended(answered >= d.grantsWanted())
+	for _, name := range a.names {
+		d.takeGrants(ctx, name, a.epoch, sent, answers)
+	}
+	d.pumpAll()
+}
+
+// beginAcquire marks the queues that are neither owned nor asked for, and chooses
+// an epoch above all known ones. Two requests for one queue at once would give each
+// other's grants back.
+func (d *Dispatcher) beginAcquire(names []string) acquisition {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	a := acquisition{timeout: d.pace.timeout()}
+	for _, name := range names {
+		if d.queues[name] == nil && !d.acquiring[name] {
+			d.acquiring[name] = true
+			a.names = append(a.names, name)
+			a.epoch = max(a.epoch, d.epochs[name], d.table.holders[name].Epoch)
+		}
+	}
+	a.epoch++
+	if links := d.upStores(); len(links) >= d.grantsWanted() {
+		a.links = links
+	}
+	return a
+}
+
+// acquired notes that a request for queues has ended.
+func (d *Dispatcher) acquired(names []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range names {
+		delete(d.acquiring, name)
+	}
+}
+
+// askStores sends one request for leases to several stores at once. It waits for all of them, but only
+// shortly for the others once enough have answered. The answers are in the order of the links.
+func (d *Dispatcher) askStores(ctx context.Context, links []*storeLink, request protocol.Acquire, timeout time.Duration) []storeGrant {
+	type numbered struct {
+		number int
+		grant  storeGrant
+	}
+	results := make(chan numbered, len(links))
+	answers := make([]storeGrant, len(links))
+	for i, link := range links {
+		answers[i].link = link
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			reply, err := transport.Call[protocol.AcquireReply](callCtx, link.client, request)
+			results <- numbered{i, storeGrant{link, reply, err == nil}}
+		}()
+	}
+	d.mutex.Lock()
+	needed := d.grantsWanted()
+	d.mutex.Unlock()
+	var grace <-chan time.Time
+	for waiting, answered := len(links), 0; waiting > 0; waiting-- {
+		select {
+		case result := <-results:
+			answers[result.number] = result.grant
+			if result.grant.ok {
+				answered++
+			}
+		case <-grace:
+			return answers
+		}
+		if answered >= needed && grace == nil {
+			timer := time.NewTimer(acquireGrace)
+			defer timer.Stop()
+			grace = timer.C
+		}
+	}
+	return answers
+}
+
+func countAnswers(answers []storeGrant) int {
+	count := 0
+	for _, answer := range answers {
+		if answer.ok {
+			count++
+		}
+	}
+	return count
+}
+
+// addOldEnds completes the heads of grants, which tell only of messages that ended of late: a store may
+// have been away when a message ended, and list it as open. The others are asked about open messages that
+// they do not list. A store that does not answer counts as not having granted.
+func (d *Dispatcher) addOldEnds(ctx context.Context, answers []storeGrant) {
+	open := openHolders(answers)
+	if len(open) > findAllMost {
+		// One that was away listed a message beside fewer stores than hold an accepted one.
+		maps.DeleteFunc(open, func(_ string, holders map[int]bool) bool { return len(holders) >= d.copiesWanted() })
+	}
+	var calls sync.WaitGroup
+	for i := range answers {
+		var ids []string
+		for id, holders := range open {
+			if !holders[i] {
+				ids = append(ids, id)
+			}
+		}
+		if !answers[i].ok || len(ids) == 0 {
+			continue
+		}
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			answers[i].ok = d.addOldEndsOf(ctx, &answers[i], ids)
+		}()
+	}
+	calls.Wait()
+}
+
+// openHolders returns the messages that are open at every store that lists them, with the numbers of the
+// answers that do.
+func openHolders(answers []storeGrant) map[string]map[int]bool {
+	open, ended := map[string]map[int]bool{}, map[string]bool{}
+	for i, answer := range answers {
+		for _, grant := range answer.reply.Grants {
+			for _, head := range grant.Heads {
+				if head.State.Ended() {
+					ended[head.ID] = true
+					continue
+				}
+				if open[head.ID] == nil {
+					open[head.ID] = map[int]bool{}
+				}
+				open[head.ID][i] = true
+			}
+		}
+	}
+	maps.DeleteFunc(open, func(id string, _ map[int]bool) bool { return ended[id] })
+	return open
+}
+
+// addOldEndsOf asks one store which of the messages have ended and adds them to its grants. It reports
+// whether the store answered.
+func (d *Dispatcher) addOldEndsOf(ctx context.Context, answer *storeGrant, ids []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, findEndsTimeout)
+	defer cancel()
+	for len(ids) > 0 {
+		part := ids[:min(findEndsMost, len(ids))]
+		ids = ids[len(part):]
+		reply, err := transport.Call[protocol.FindEndsReply](ctx, answer.link.client, protocol.FindEnds{IDs: part})
+		if err != nil {
+			return false
+		}
+		for _, head := range reply.Heads {
+			addHead(answer.reply.Grants, head)
+		}
+	}
+	return true
+}
+
+// addHead adds a head to the grant of its queue.
+func addHead(grants []protocol.Grant, head protocol.Head) {
+	for i := range grants {
+		if grants[i].Queue == head.Queue && grants[i].Granted {
+			grants[i].Heads = append(grants[i].Heads, head)
+		}
+	}
+}
+
+// takeGrants takes a queue in if enough stores granted it, and gives the grants
+// back otherwise. The mutex is held.
+func (d *Dispatcher) takeGrants(ctx context.Context, name string, epoch uint64, sent time.Duration, answers []storeGrant) {
+	var granted, unanswered []*storeLink
+	counted := 0
+	heads := map[string][]protocol.Head{}
+	for _, answer := range answers {
+		if !answer.ok {
+			unanswered = append(unanswered, answer.link)
+			continue
+		}
+		grant := findGrant(answer, name)
+		d.epochs[name] = max(d.epochs[name], grant.Promised)
+		if !grant.Granted {
+			continue
+		}
+		granted = append(granted, answer.link)
+		heads[answer.link.node] = grant.Heads
+		if !answer.link.mayLack(answer.reply.StoreID, answer.reply.Recovering) {
+			counted++
+		}
+	}
+	if counted < d.grantsWanted() || d.queues[name] != nil {
+		// A store that did not answer may have granted it all the same.
+		d.giveBack(ctx, name, epoch, append(granted, unanswered...))
+		return
+	}
+	owned := &ownedQueue{
+		Queue: queue.New(name, epoch), asked: map[string]bool{}, granted: map[string]time.Duration{},
+		accepting: map[string]chan struct{}{}, outbid: map[string]bool{},
+	}
+	d.queues[name] = owned
+	for _, link := range granted {
+		d.noteGrant(owned, link, sent)
+	}
+	d.adopt(owned, heads)
+	if name != d.localQueue {
+		d.log.V(1).Info("queue acquired", "queue", name, "epoch", epoch, "messages", owned.Open())
+	}
+}
+
+func findGrant(answer storeGrant, name string) protocol.Grant {
+	if answer.ok {
+		for _, grant := range answer.reply.Grants {
+			if grant.Queue == name {
+				return grant
+			}
+		}
+	}
+	return protocol.Grant{}
+}
+
+// giveBack releases grants that were too few.
+func (d *Dispatcher) giveBack(ctx context.Context, name string, epoch uint64, links []*storeLink) {
+	for _, link := range links {
+		go d.release(ctx, link, name, epoch)
+	}
+}
+
+func (d *Dispatcher) release(ctx context.Context, link *storeLink, name string, epoch uint64) {
+	callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, _ = transport.Call[protocol.ReleaseReply](callCtx, link.client, protocol.Release{Queues: []string{name}, Epoch: epoch})
+}
--- /dev/null
+++ b/internal/service/dispatcher/acquire_test.go
@@ -0,0 +1,259 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/simulation/simnet"
+)
+
+// scriptedStore is a store whose answers a test sets.
+type scriptedStore struct {
+	acquire  func(protocol.Acquire) protocol.AcquireReply
+	findEnds func(protocol.FindEnds) protocol.FindEndsReply
+	append   func(protocol.Append) protocol.AppendReply
+	delay    time.Duration // before each answer
+
+	mutex    sync.Mutex
+	released int
+}
+
+// grantAll grants every queue, with heads of its open messages.
+func grantAll(heads ...protocol.Head) func(protocol.Acquire) protocol.AcquireReply {
+	return func(request protocol.Acquire) protocol.AcquireReply {
+		reply := protocol.AcquireReply{StoreID: "disk"}
+		for _, name := range request.Queues {
+			grant := protocol.Grant{Queue: name, Granted: true, Promised: request.Epoch}
+			for _, head := range heads {
+				head.Queue = name
+				grant.Heads = append(grant.Heads, head)
+			}
+			reply.Grants = append(reply.Grants, grant)
+		}
+		return reply
+	}
+}
+
+func (s *scriptedStore) serve(c *qt.C, network *simnet.Network, ip string) (kill func()) {
+	machine := network.Process(ip)
+	server := transport.NewServer(protocol.Identity{Node: ip, Role: "store"}, logr.Discard())
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Acquire) (protocol.AcquireReply, error) {
+		time.Sleep(s.delay)
+		return s.acquire(request), nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.FindEnds) (protocol.FindEndsReply, error) {
+		return s.findEnds(request), nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Append) (protocol.AppendReply, error) {
+		time.Sleep(s.delay)
+		return s.append(request), nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, _ protocol.Release) (protocol.ReleaseReply, error) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.released++
+		return protocol.ReleaseReply{}, nil
+	})
+	listener, err := machine.Listen(ip + ":7783")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = server.Serve(listener) }()
+	return machine.Kill
+}
+
+// withScriptedStores returns a dispatcher with a session at each store. One loss is tolerated.
+func withScriptedStores(c *qt.C, stores []*scriptedStore) (d *Dispatcher, end func()) {
+	network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+	d, endDispatcher := simulated(network)
+	d.settings.FaultTolerance.Machines = 1
+	var kills []func()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for i, store := range stores {
+		ip := fmt.Sprintf("10.2.0.%d", i+1)
+		kills = append(kills, store.serve(c, network, ip))
+		name := fmt.Sprintf("storage-%d", i+1)
+		if known := d.stores[name]; known != nil {
+			known.stop()
+		}
+		link := &storeLink{
+			node: name, zone: name, up: true, storeID: "disk", kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
+			client: transport.NewClientOn(d.settings.Net(), d.identity, ip+":7783"), stop: func() {},
+			ends: map[string]protocol.End{}, failures: map[string]int{}, moved: map[string]bool{}, holders: map[string]protocol.QueueState{},
+		}
+		d.stores[name] = link
+		d.leases.Renewed(name, d.now(), d.now())
+	}
+	return d, func() {
+		for _, kill := range kills {
+			kill()
+		}
+		endDispatcher()
+	}
+}
+
+func acquireStores(n int, heads ...protocol.Head) []*scriptedStore {
+	stores := make([]*scriptedStore, n)
+	for i := range stores {
+		stores[i] = &scriptedStore{
+			acquire:  grantAll(heads...),
+			findEnds: func(protocol.FindEnds) protocol.FindEndsReply { return protocol.FindEndsReply{} },
+			append:   func(protocol.Append) protocol.AppendReply { return protocol.AppendReply{Status: protocol.Stored} },
+		}
+	}
+	return stores
+}
+
+// A message that one store lists as open, because it was away when the message ended, must not run again:
+// the others are asked, also about ends that their grants no longer tell of.
+func TestEndsOfLongAgoAreAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		open := protocol.Head{ID: "m", Epoch: 1, Sequence: 1, State: protocol.Queued, Host: "a.example", Target: "/a/x", Retention: time.Minute}
+		stores := acquireStores(3)
+		stores[0].acquire = grantAll(open)
+		stores[1].findEnds = func(request protocol.FindEnds) protocol.FindEndsReply {
+			c.Check(request.IDs, qt.DeepEquals, []string{"m"})
+			ended := protocol.Head{ID: "m", Queue: "ordered/1", State: protocol.Completed, Stamp: "seal"}
+			return protocol.FindEndsReply{Heads: []protocol.Head{ended}}
+		}
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Assert(owned, qt.IsNotNil)
+		c.Check(owned.Open(), qt.Equals, 0)
+		c.Check(d.stores["storage-1"].ends["m"].Stamp, qt.Equals, "seal")
+		d.mutex.Unlock()
+		end()
+	})
+}
+
+// A store that cannot tell of ends does not count as having granted: the queue is not taken.
+func TestStoreThatCannotTellOfEndsDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(2)
+		stores[0].acquire = grantAll(protocol.Head{ID: "m", State: protocol.Queued, Retention: time.Minute})
+		stores[1].findEnds = func(protocol.FindEnds) protocol.FindEndsReply {
+			time.Sleep(time.Minute)
+			return protocol.FindEndsReply{}
+		}
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{"ordered/1"})
+		time.Sleep(time.Second)
+		d.mutex.Lock()
+		c.Check(d.queues["ordered/1"], qt.IsNil)
+		for _, store := range stores {
+			store.mutex.Lock()
+			c.Check(store.released, qt.Equals, 1)
+			store.mutex.Unlock()
+		}
+		d.mutex.Unlock()
+		time.Sleep(time.Minute)
+		end()
+	})
+}
+
+// One silent store does not hold a takeover up.
+func TestSilentStoreIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		stores[2].delay = time.Minute
+		d, end := withScriptedStores(c, stores)
+		began := time.Now()
+		d.acquire(t.Context(), []string{"ordered/1"})
+		c.Check(time.Since(began) < 2*acquireGrace, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		d.mutex.Lock()
+		c.Check(d.queues["ordered/1"], qt.IsNotNil)
+		d.mutex.Unlock()
+		time.Sleep(time.Minute)
+		end()
+	})
+}
+
+// Stores that take long for long queues are given longer, and asked for fewer queues at once, until a
+// round succeeds.
+func TestSlowRoundsAskForLessAndWaitLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		for _, store := range stores {
+			store.delay = 2 * time.Second
+		}
+		d, end := withScriptedStores(c, stores)
+		for round := 0; d.queues["ordered/1"] == nil && round < slowRoundsMost; round++ {
+			d.acquire(t.Context(), []string{"ordered/1"})
+		}
+		d.mutex.Lock()
+		c.Check(d.queues["ordered/1"], qt.IsNotNil)
+		c.Check(d.pace.slowRounds, qt.Equals, 0)
+		d.mutex.Unlock()
+		end()
+		var pace acquirePace
+		c.Check(pace.batch(), qt.Equals, firstBatch)
+		for range 10 {
+			pace.ended(false)
+		}
+		c.Check(pace.batch(), qt.Equals, 1)
+		c.Check(pace.timeout() <= acquireTimeoutMost && pace.timeout() > acquireTimeout, qt.IsTrue)
+	})
+}
+
+// A message of which one store has acknowledged its copy, and another may have one, is neither accepted
+// nor refused: a 202 needs all copies, and a 503 promises that there is none.
+func TestTooFewCopiesAreUndecided(t *testing.T) {
+	for name, second := range map[string]time.Duration{"silent": time.Minute, "slow": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(2)
+				stores[1].delay = second
+				d, end := withScriptedStores(c, stores)
+				ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+				result := d.writeCopies(ctx, protocol.Message{Head: protocol.Head{ID: "m", Queue: "q", Epoch: 1}})
+				cancel()
+				c.Check(result.status, qt.Equals, protocol.Undecided)
+				time.Sleep(2 * time.Minute)
+				end()
+			})
+		})
+	}
+}
+
+// A store that turns a copy away for want of room has none, so that the message may be refused; where one
+// store has written, it may not.
+func TestRefusedOnlyWithoutAnyCopy(t *testing.T) {
+	full := func(protocol.Append) protocol.AppendReply { return protocol.AppendReply{Status: protocol.Full} }
+	for _, one := range []struct {
+		name string
+		full int
+		want protocol.AcceptStatus
+	}{{"all full", 3, protocol.Refused}, {"one has written", 2, protocol.Undecided}, {"enough have written", 1, protocol.Accepted}} {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(3)
+				for _, store := range stores[:one.full] {
+					store.append = full
+				}
+				d, end := withScriptedStores(c, stores)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				result := d.writeCopies(ctx, protocol.Message{Head: protocol.Head{ID: "m", Queue: "q", Epoch: 1}})
+				c.Check(result.status, qt.Equals, one.want)
+				c.Check(len(result.holders), qt.Equals, 3-one.full)
+				end()
+			})
+		})
+	}
+}
--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -45,7 +45,7 @@
 }
 
 func (d *Dispatcher) claim(link *storeLink, epoch uint64, names []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 	defer cancel()
 	sent := d.now()
 	request := protocol.Acquire{Queues: names, Epoch: epoch, Held: true}
@@ -103,7 +103,7 @@
 	links := d.upStores()
 	d.mutex.Unlock()
 	sent := d.now()
-	answers := d.askStores(context.Background(), links, protocol.Acquire{Queues: []string{owned.Name}, Epoch: epoch})
+	answers := d.askStores(context.Background(), links, protocol.Acquire{Queues: []string{owned.Name}, Epoch: epoch}, acquireTimeoutMost)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	owned.raising = false
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"yardwharf/internal/service/balance"
@@ -12,8 +11,7 @@
 )
 
 const (
-	callbackTimeout = 3 * time.Second
-	idleWake        = 5 * time.Second
+	idleWake = 5 * time.Second
 )
 
 // deliveryState is a message that waits for a sender or is with one.
@@ -53,7 +51,7 @@
 		case queue.Expire:
 			d.endEntry(owned, step.Entry, protocol.DeadLetter, "")
 		case queue.CallBack:
-			go d.callBack(owned, step.Entry)
+			d.callBack(owned, step.Entry)
 		case queue.DropCallback:
 			d.callbackDone(owned, step.Entry)
 		}
@@ -287,31 +285,3 @@
 		}
 	}
 }
-
-// callBack tells the receiver that a message has ended.
-func (d *Dispatcher) callBack(owned *ownedQueue, entry *queue.Entry) {
-	d.mutex.Lock()
-	head := entry.Head
-	d.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), callbackTimeout)
-	status, err := d.client.Callback(ctx, head.CallbackURL, head.ID, head.State.String(), head.Stamp)
-	cancel()
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	taken := err == nil && (status/100 == 2 || status == http.StatusBadRequest)
-	if !taken {
-		owned.RetryCallback(d.now(), entry)
-		if at, some := owned.Wake(); some {
-			d.wakeAt(at)
-		}
-		return
-	}
-	d.counters.callbacks.Add(1)
-	d.callbackDone(owned, entry)
-}
-
-// callbackDone records that nothing is owed any more.
-func (d *Dispatcher) callbackDone(owned *ownedQueue, entry *queue.Entry) {
-	owned.CallbackTaken(d.now(), entry)
-	d.recordEnd(owned, entry)
-}
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -56,6 +56,7 @@
 	members     []string
 	stores      map[string]*storeLink
 	queues      map[string]*ownedQueue
+	pace        acquirePace
 	acquiring   map[string]bool   // queues that the stores are being asked for
 	epochs      map[string]uint64 // highest epoch heard of for queues asked for
 	leases      *lease.Holder
@@ -64,6 +65,7 @@
 	senders     map[string][]view.Sender // by service
 	deliveries  map[string]*deliveryState
 	peers       map[string]*transport.Client
+	receivers   map[string]*receiver // of call-backs, by address
 	repairs     []repairItem
 	bodyBytes   int
 	memoryMb    int           // limit of this process
@@ -143,6 +145,7 @@
 		services:      map[string]*serviceState{},
 		senders:       map[string][]view.Sender{},
 		deliveries:    map[string]*deliveryState{},
+		receivers:     map[string]*receiver{},
 		peers:         map[string]*transport.Client{},
 		memoryMb:      s.Limits.MemoryMb,
 	}
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -78,7 +78,7 @@
 	}
 	calls.Wait()
 	if address != "" {
-		callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		_, _ = transport.Call[protocol.OfferReply](callCtx, d.peer(address), protocol.Offer{Queues: []string{owned.Name}})
 	}
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -7,14 +7,12 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"yardwharf/internal/service/configuration"
 	"yardwharf/internal/service/placement"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
-	"yardwharf/internal/service/transport"
 )
 
 const (
@@ -22,9 +20,7 @@
 	orderedPrefix     = "ordered/"
 	ratedPrefix       = "rated/"
 	localPrefix       = "local/"
-	acquireTimeout    = 600 * time.Millisecond
 	acquirePause      = 150 * time.Millisecond
-	acquireBatch      = 64
 	handOverAfter     = 2 * time.Second // a better owner must have been live for so long
 	handOverWait      = 3 * time.Second // for deliveries under way
 	handOverParallel  = 4
@@ -215,7 +211,7 @@
 		for _, move := range surplus {
 			d.startHandOver(ctx, move.name, move.successor)
 		}
-		for batch := range slices.Chunk(wanted, acquireBatch) {
+		for batch := range slices.Chunk(wanted, d.acquireBatch()) {
 			d.acquire(ctx, batch)
 		}
 		select {
@@ -285,137 +281,6 @@
 	return moves
 }
 
-// storeGrant is one store's answer to a request for leases.
-type storeGrant struct {
-	link  *storeLink
-	reply protocol.AcquireReply
-	ok    bool
-}
-
-// acquire asks all stores for queues that have no owner and takes in those that
-// enough stores granted.
-func (d *Dispatcher) acquire(ctx context.Context, names []string) {
-	names, epoch, links := d.beginAcquire(names)
-	defer d.acquired(names)
-	if len(names) == 0 || links == nil {
-		return
-	}
-	sent := d.now()
-	answers := d.askStores(ctx, links, protocol.Acquire{Queues: names, Epoch: epoch})
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for _, name := range names {
-		d.takeGrants(ctx, name, epoch, sent, answers)
-	}
-	d.pumpAll()
-}
-
-// beginAcquire marks the queues that are neither owned nor asked for, chooses
-// an epoch above all known ones, and returns the stores to ask; nil where too few
-// are up. Two requests for one queue at once would give each other's grants back.
-func (d *Dispatcher) beginAcquire(names []string) (wanted []string, epoch uint64, links []*storeLink) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for _, name := range names {
-		if d.queues[name] == nil && !d.acquiring[name] {
-			d.acquiring[name] = true
-			wanted = append(wanted, name)
-			epoch = max(epoch, d.epochs[name], d.table.holders[name].Epoch)
-		}
-	}
-	if links = d.upStores(); len(links) < d.grantsWanted() {
-		links = nil
-	}
-	return wanted, epoch + 1, links
-}
-
-// acquired notes that a request for queues has ended.
-func (d *Dispatcher) acquired(names []string) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for _, name := range names {
-		delete(d.acquiring, name)
-	}
-}
-
-// askStores sends one request for leases to several stores at once.
-func (d *Dispatcher) askStores(ctx context.Context, links []*storeLink, request protocol.Acquire) []storeGrant {
-	answers := make([]storeGrant, len(links))
-	var calls sync.WaitGroup
-	for i, link := range links {
-		calls.Add(1)
-		go func() {
-			defer calls.Done()
-			callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
-			defer cancel()
-			reply, err := transport.Call[protocol.AcquireReply](callCtx, link.client, request)
-			answers[i] = storeGrant{link, reply, err == nil}
-		}()
-	}
-	calls.Wait()
-	return answers
-}
-
-// takeGrants takes a queue in if enough stores granted it, and gives the grants
-// back otherwise. The mutex is held.
-func (d *Dispatcher) takeGrants(ctx context.Context, name string, epoch uint64, sent time.Duration, answers []storeGrant) {
-	var granted []storeGrant
-	counted := 0
-	heads := map[string][]protocol.Head{}
-	for _, answer := range answers {
-		grant := findGrant(answer, name)
-		d.epochs[name] = max(d.epochs[name], grant.Promised)
-		if !grant.Granted {
-			continue
-		}
-		granted = append(granted, answer)
-		heads[answer.link.node] = grant.Heads
-		if !answer.link.mayLack(answer.reply.StoreID, answer.reply.Recovering) {
-			counted++
-		}
-	}
-	if counted < d.grantsWanted() || d.queues[name] != nil {
-		d.giveBack(ctx, name, epoch, granted)
-		return
-	}
-	owned := &ownedQueue{
-		Queue: queue.New(name, epoch), asked: map[string]bool{}, granted: map[string]time.Duration{},
-		accepting: map[string]chan struct{}{}, outbid: map[string]bool{},
-	}
-	d.queues[name] = owned
-	for _, answer := range granted {
-		d.noteGrant(owned, answer.link, sent)
-	}
-	d.adopt(owned, heads)
-	if name != d.localQueue {
-		d.log.V(1).Info("queue acquired", "queue", name, "epoch", epoch, "messages", owned.Open())
-	}
-}
-
-func findGrant(answer storeGrant, name string) protocol.Grant {
-	if answer.ok {
-		for _, grant := range answer.reply.Grants {
-			if grant.Queue == name {
-				return grant
-			}
-		}
-	}
-	return protocol.Grant{}
-}
-
-// giveBack releases grants that were too few.
-func (d *Dispatcher) giveBack(ctx context.Context, name string, epoch uint64, granted []storeGrant) {
-	for _, answer := range granted {
-		go d.release(ctx, answer.link, name, epoch)
-	}
-}
-
-func (d *Dispatcher) release(ctx context.Context, link *storeLink, name string, epoch uint64) {
-	callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
-	defer cancel()
-	_, _ = transport.Call[protocol.ReleaseReply](callCtx, link.client, protocol.Release{Queues: []string{name}, Epoch: epoch})
-}
-
 func (d *Dispatcher) upStores() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -163,12 +163,12 @@
 	c := qt.New(t)
 	d := newTestDispatcher(c)
 	own(d, "owned", 1)
-	wanted, _, _ := d.beginAcquire([]string{"owned", "free"})
+	wanted := d.beginAcquire([]string{"owned", "free"}).names
 	c.Assert(wanted, qt.DeepEquals, []string{"free"})
-	again, _, _ := d.beginAcquire([]string{"free"})
+	again := d.beginAcquire([]string{"free"}).names
 	c.Assert(again, qt.HasLen, 0)
 	d.acquired(wanted)
-	again, _, _ = d.beginAcquire([]string{"free"})
+	again = d.beginAcquire([]string{"free"}).names
 	c.Assert(again, qt.DeepEquals, []string{"free"})
 }
 
--- a/internal/service/dispatcher/retirement.go
+++ b/internal/service/dispatcher/retirement.go
@@ -63,7 +63,7 @@
 
 // settleUnmoved works through the messages that have not moved.
 func (d *Dispatcher) settleUnmoved(link *storeLink, names []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	reply, err := transport.Call[protocol.ListUnmovedReply](ctx, link.client, protocol.ListUnmoved{Queues: names})
 	d.mutex.Lock()
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -155,9 +155,16 @@
 	Queue    string
 	Granted  bool
 	Promised uint64 // highest epoch that the store knows
-	Heads    []Head // messages that are open or owe a call-back, and those ended of late
+	Heads    []Head // messages that are open or owe a call-back, and those ended in the last seconds
 }
 
+// FindEnds asks a store which of these messages it knows to have ended: a grant tells of those only that
+// ended of late.
+type FindEnds struct{ IDs []string }
+
+// FindEndsReply answers FindEnds with the heads of those that have ended.
+type FindEndsReply struct{ Heads []Head }
+
 // AcquireReply answers Acquire.
 type AcquireReply struct {
 	StoreID    string // changes when the store's disk was replaced
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -4,7 +4,7 @@
 
 func init() {
 	for _, message := range []any{
-		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{},
+		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{}, FindEnds{}, FindEndsReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{},
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, TakeRate{}, TakeRateReply{},
 		ListUnmoved{}, ListUnmovedReply{}, Retire{}, RetireReply{},
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -189,6 +189,9 @@
 		reply, commit, err := s.acquire(peer.Identity, request, catchUp)
 		return reply, settle(commit, err)
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.FindEnds) (protocol.FindEndsReply, error) {
+		return s.findEnds(request), nil
+	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Renew) (protocol.RenewReply, error) {
 		return s.renew(peer.Identity, request, catchUp), nil
 	})
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -24,10 +24,11 @@
 	fieldMost      = 16 << 10
 	queuesMost     = 1 << 16
 	clockEvery     = time.Second
-	endedHeadsMost = 2000    // ended heads in a grant, beside those that owe a call-back
-	replyMost      = 6 << 20 // estimated bytes of the heads in one reply
-	headEstimate   = 300     // bytes of a head in a reply
-	tombstoneShare = 2       // times the memory bound, for ends of unknown messages
+	endedHeadsMost = 2000            // ended heads in a grant, beside those that owe a call-back
+	endedHeadsFor  = 5 * time.Second // and how long ago they have ended; FindEnds tells of the others
+	replyMost      = 6 << 20         // estimated bytes of the heads in one reply
+	headEstimate   = 300             // bytes of a head in a reply
+	tombstoneShare = 2               // times the memory bound, for ends of unknown messages
 	readTries      = 3
 	bufferKept     = 512 << 10
 )
@@ -480,10 +481,10 @@
 }
 
 // heads returns the heads that a new owner of a queue needs: open messages,
-// those that owe a call-back, and a bounded number of the newest other ended ones.
+// those that owe a call-back, and a bounded number of others that ended of late.
 func (s *store) heads(q *queueIndex, endedMost int) []protocol.Head {
 	now := s.clock.now()
-	heads := make([]protocol.Head, 0, q.open.count+min(q.ended.count, endedMost))
+	heads := make([]protocol.Head, 0, q.open.count+q.owed)
 	for e := q.open.first; e != nil; e = e.next {
 		heads = append(heads, e.headAt(now))
 	}
@@ -491,7 +492,7 @@
 	for e := q.ended.last; e != nil; e = e.previous {
 		switch {
 		case e.callbackDue:
-		case others < endedMost:
+		case others < endedMost && now-e.endedAt <= endedHeadsFor:
 			others++
 		default:
 			continue
@@ -501,3 +502,17 @@
 	slices.Reverse(heads[open:])
 	return heads
 }
+
+// findEnds returns the heads of those messages that have ended.
+func (s *store) findEnds(request protocol.FindEnds) protocol.FindEndsReply {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.now()
+	var reply protocol.FindEndsReply
+	for _, id := range request.IDs {
+		if e := s.index.entries[id]; e != nil && e.state.Ended() {
+			reply.Heads = append(reply.Heads, e.headAt(now))
+		}
+	}
+	return reply
+}
