Keep the session of a restarted process when its earlier one ends

Cause: a store ended all sessions without an expiry together with those of a process's earlier life, among them the one it had just opened. The process was listed 0.4 s late, and a lease that it acquired first belonged to a session that never expires: once that process died, nobody could have the queue from that store.

Change: the expiry is set before the earlier sessions are ended.

--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -142,11 +142,11 @@
 func (g *Grantor) open(now time.Time, identity protocol.Identity, connections int) *session {
 	id := SessionOf(identity)
 	s := g.sessions[id]
-	if s == nil {
+	opened := s == nil
+	if opened {
 		s = &session{identity: identity, queues: map[string]*queue{}}
 		g.sessions[id] = s
 		g.version++
-		g.endReplaced(now, id)
 	}
 	s.connections = connections
 	if connections > 0 {
@@ -154,6 +154,9 @@
 	} else if s.expiresAt.IsZero() {
 		g.extend(s, now.Add(ClosedSessionGrace))
 	}
+	if opened { // only now, as a session without an end would be ended as well
+		g.endReplaced(now, id)
+	}
 	return s
 }
 
--- a/internal/service/lease/restart_test.go
+++ b/internal/service/lease/restart_test.go
@@ -46,3 +46,23 @@
 	g.Renew(now, process("a", 1), true, 1)
 	c.Assert(g.Acquire(now, process("b", 1), 1, "q", 2, false).Allowed, qt.IsFalse)
 }
+
+// The session of a process that has started again outlives that of its earlier life, and what it acquires
+// is free once it ends.
+func TestSessionOutlivesTheOneItReplaces(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	g := NewGrantor(now, 1, nil)
+	g.PromisesComplete()
+	earlier := protocol.Identity{Node: "edge-1", Role: "dispatcher", Incarnation: 1}
+	later := protocol.Identity{Node: "edge-1", Role: "dispatcher", Incarnation: 2}
+	g.Renew(now, earlier, true, 1)
+	now = now.Add(time.Millisecond)
+	c.Assert(g.Acquire(now, later, 1, "ordered/1", 1, false).Allowed, qt.IsTrue)
+	sessions := g.Sessions("dispatcher")
+	c.Assert(sessions, qt.HasLen, 1)
+	c.Assert(sessions[0].Identity, qt.Equals, later)
+	g.Expire(now.Add(LeaseDuration + time.Millisecond))
+	holder, _ := g.Lease("ordered/1")
+	c.Assert(holder, qt.Equals, "")
+}
