Send dispatchers what has changed in a store's table of sessions and queues

Cause: each change of a store's table went whole to every dispatcher: at 69 dispatchers about 14 KB to each, 57 times a second from 23 stores while processes restart (docs/CAPACITY.md: 8.4 GB for a restart at the target's size).

--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -149,17 +150,36 @@
 	d.pumpAll()
 }
 
-// takeTable takes in the sessions and the owners that a store knows.
+// takeTable takes in the sessions and the owners that a store knows, or what has changed of them.
 func (d *Dispatcher) takeTable(link *storeLink, reply protocol.RenewReply) {
 	link.version = reply.Version
-	link.sessions = reply.Sessions
-	link.holders = make(map[string]protocol.QueueState, len(reply.Queues))
+	if !reply.Partial {
+		link.sessions, link.holders = nil, make(map[string]protocol.QueueState, len(reply.Queues))
+	}
+	link.takeSessions(reply)
 	for _, state := range reply.Queues {
-		link.holders[state.Queue] = state
+		if state.Wanted() {
+			link.holders[state.Queue] = state
+		} else {
+			delete(link.holders, state.Queue)
+		}
 	}
 	d.refreshTable()
 }
 
+// takeSessions replaces the sessions that have changed and drops those that are no more.
+func (l *storeLink) takeSessions(reply protocol.RenewReply) {
+	replaced := make(map[protocol.SessionName]bool, len(reply.Sessions)+len(reply.Ended))
+	for _, session := range reply.Sessions {
+		replaced[session.Identity.Session()] = true
+	}
+	for _, ended := range reply.Ended {
+		replaced[ended] = true
+	}
+	l.sessions = slices.DeleteFunc(l.sessions, func(known protocol.Session) bool { return replaced[known.Identity.Session()] })
+	l.sessions = append(l.sessions, reply.Sessions...)
+}
+
 // sendEnds sends the records that wait for a store, in batches.
 func (d *Dispatcher) sendEnds(ctx context.Context, link *storeLink) {
 	for {
--- /dev/null
+++ b/internal/service/dispatcher/table_test.go
@@ -0,0 +1,37 @@
+package dispatcher
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+)
+
+// A store's table is kept up by its changes: sessions that end, that are replaced by a later life, and
+// queues that lose their holder and their messages.
+func TestTableIsKeptUpByChanges(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a")
+	link := d.stores["a"]
+	session := func(node string, incarnation uint64) protocol.Session {
+		return protocol.Session{Identity: protocol.Identity{Node: node, Incarnation: incarnation}, Ready: true}
+	}
+	d.takeTable(link, protocol.RenewReply{
+		Version: 1, Sessions: []protocol.Session{session("edge-2", 1), session("edge-3", 1)},
+		Queues: []protocol.QueueState{{Queue: "ordered/1", Epoch: 1, Holder: "edge-2"}, {Queue: "ordered/2", Epoch: 1, Holder: "edge-3"}},
+	})
+	d.takeTable(link, protocol.RenewReply{
+		Version: 2, Partial: true, Sessions: []protocol.Session{session("edge-3", 2)},
+		Ended:  []protocol.SessionName{{Node: "edge-3", Incarnation: 1}, {Node: "edge-2", Incarnation: 1}},
+		Queues: []protocol.QueueState{{Queue: "ordered/1", Epoch: 1, Open: 3}, {Queue: "ordered/2", Epoch: 1}},
+	})
+	c.Assert(link.version, qt.Equals, uint64(2))
+	c.Assert(link.sessions, qt.DeepEquals, []protocol.Session{session("edge-3", 2)})
+	c.Assert(d.table.nodes, qt.DeepEquals, []string{"edge-3"})
+	c.Assert(d.table.holders, qt.DeepEquals, map[string]protocol.QueueState{"ordered/1": {Queue: "ordered/1", Epoch: 1, Open: 3}})
+	c.Assert(d.table.orphans, qt.DeepEquals, []string{"ordered/1"})
+	d.takeTable(link, protocol.RenewReply{Version: 9, Sessions: []protocol.Session{session("edge-4", 1)}})
+	c.Assert(d.table.nodes, qt.DeepEquals, []string{"edge-4"})
+	c.Assert(d.table.holders, qt.HasLen, 0)
+}
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -53,6 +53,7 @@
 	connections int
 	expiresAt   time.Time
 	queues      map[string]*queue
+	changed     uint64 // version of its last change
 }
 
 // queue is what is known of one queue.
@@ -60,6 +61,7 @@
 	promise Promise
 	holder  *session // nil where nobody has the lease
 	epoch   uint64   // of the lease
+	changed uint64   // version of the last change of its lease
 }
 
 // Grantor gives out the leases of one store. It is not safe for concurrent use.
@@ -69,7 +71,9 @@
 	sessions   map[SessionID]*session
 	queues     map[string]*queue
 	version    uint64
-	nextExpiry time.Time // no session expires before it
+	ended      []endedSession // of late, the newest last
+	wholeFrom  uint64         // changes since this version are known
+	nextExpiry time.Time      // no session expires before it
 }
 
 // NewGrantor returns the grantor of a store that started now, with the
@@ -81,6 +85,7 @@
 		sessions:   map[SessionID]*session{},
 		queues:     make(map[string]*queue, len(promises)),
 		version:    version,
+		wholeFrom:  version,
 	}
 	for name, promise := range promises {
 		g.queues[name] = &queue{promise: promise}
@@ -96,8 +101,14 @@
 // Version grows with each change of the sessions and holders.
 func (g *Grantor) Version() uint64 { return g.version }
 
-// Touch makes a new version, for a change that the grantor does not see.
-func (g *Grantor) Touch() { g.version++ }
+// next makes a new version and returns it.
+func (g *Grantor) next() uint64 {
+	g.version++
+	return g.version
+}
+
+// Touch makes a new version for a change of a queue that the grantor does not see.
+func (g *Grantor) Touch(name string) { g.queue(name).changed = g.next() }
 
 // Connected notes a new connection of a session.
 func (g *Grantor) Connected(now time.Time, identity protocol.Identity) {
@@ -134,7 +145,7 @@
 	s := g.open(now, identity, connections)
 	if s.ready != ready {
 		s.ready = ready
-		g.version++
+		s.changed = g.next()
 	}
 }
 
@@ -144,9 +155,8 @@
 	s := g.sessions[id]
 	opened := s == nil
 	if opened {
-		s = &session{identity: identity, queues: map[string]*queue{}}
+		s = &session{identity: identity, queues: map[string]*queue{}, changed: g.next()}
 		g.sessions[id] = s
-		g.version++
 	}
 	s.connections = connections
 	if connections > 0 {
@@ -182,11 +192,12 @@
 			g.noteExpiry(s.expiresAt)
 			continue
 		}
+		version := g.next()
 		for _, q := range s.queues {
-			q.holder = nil
+			q.holder, q.changed = nil, version
 		}
 		delete(g.sessions, id)
-		g.version++
+		g.noteEnded(id, version)
 	}
 }
 
@@ -201,7 +212,7 @@
 	s := g.open(now, identity, connections)
 	raised := q.raise(epoch, SessionOf(identity))
 	if q.holder != s || q.epoch != epoch {
-		g.version++
+		q.changed = g.next()
 	}
 	q.holder, q.epoch = s, epoch
 	s.queues[name] = q
@@ -267,8 +278,7 @@
 		return
 	}
 	delete(q.holder.queues, name)
-	q.holder = nil
-	g.version++
+	q.holder, q.changed = nil, g.next()
 }
 
 func (g *Grantor) queue(name string) *queue {
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -37,6 +37,11 @@
 	Incarnation uint64
 }
 
+// Session returns the name of the process's sessions.
+func (i *Identity) Session() SessionName {
+	return SessionName{Node: i.Node, Incarnation: i.Incarnation}
+}
+
 // State is the state of a message.
 type State uint8
 
@@ -193,14 +198,26 @@
 	Open   int    // messages that have not ended, or owe a call-back
 }
 
+// Wanted reports whether the queue has a holder, or messages that want one.
+func (q *QueueState) Wanted() bool { return q.Holder != "" || q.Open > 0 }
+
+// SessionName names a session of one life of a process.
+type SessionName struct {
+	Node        string
+	Incarnation uint64
+}
+
 // RenewReply answers Renew. Sessions and queues are left out where the caller
-// has this version already.
+// has this version already. With Partial they are those that have changed since the
+// version that the caller knows, and a queue without holder and messages is no more.
 type RenewReply struct {
 	StoreID    string
 	Recovering bool
 	Version    uint64
 	Changed    bool
+	Partial    bool
 	Sessions   []Session
+	Ended      []SessionName // with Partial: sessions that are no more
 	Queues     []QueueState
 	Unmoved    int // of a leaving store: messages that are not known to be kept elsewhere
 }
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -40,26 +40,48 @@
 		reply.Unmoved = s.unmoved(time.Now())
 	}
 	if reply.Version != request.KnownVersion {
-		reply.Changed = true
+		s.addTable(&reply, request.KnownVersion)
+	}
+	return reply
+}
+
+// addTable adds what has changed in the table since the version that the caller knows, or the whole table.
+func (s *store) addTable(reply *protocol.RenewReply, known uint64) {
+	reply.Changed = true
+	changes, some := s.grantor.ChangesSince(known, s.options.role)
+	if !some {
 		reply.Sessions = s.grantor.Sessions(s.options.role)
 		reply.Queues = s.queueStates()
+		return
+	}
+	reply.Partial = true
+	reply.Sessions, reply.Ended = changes.Sessions, changes.Ended
+	for _, name := range changes.Queues {
+		reply.Queues = append(reply.Queues, s.queueState(name))
 	}
-	return reply
 }
 
 // queueStates lists the queues that have a holder, open messages, or call-backs
 // that are owed.
 func (s *store) queueStates() []protocol.QueueState {
 	var states []protocol.QueueState
-	for name, q := range s.index.queues {
-		holder, epoch := s.grantor.Lease(name)
-		if holder != "" || q.open.count+q.owed > 0 {
-			states = append(states, protocol.QueueState{Queue: name, Epoch: epoch, Holder: holder, Open: q.open.count + q.owed})
+	for name := range s.index.queues {
+		if state := s.queueState(name); state.Wanted() {
+			states = append(states, state)
 		}
 	}
 	return states
 }
 
+func (s *store) queueState(name string) protocol.QueueState {
+	holder, epoch := s.grantor.Lease(name)
+	state := protocol.QueueState{Queue: name, Epoch: epoch, Holder: holder}
+	if q := s.index.queues[name]; q != nil {
+		state.Open = q.open.count + q.owed
+	}
+	return state
+}
+
 // acquire asks for leases. The reply holds once the commit has ended.
 func (s *store) acquire(identity protocol.Identity, request protocol.Acquire, catchUp time.Duration) (protocol.AcquireReply, *segment.Commit, error) {
 	s.mutex.Lock()
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -205,7 +205,7 @@
 // openedQueue makes a queue known that has messages but no owner.
 func (s *store) openedQueue(name string) {
 	if holder, _ := s.grantor.Lease(name); holder == "" {
-		s.grantor.Touch()
+		s.grantor.Touch(name)
 	}
 }
 
--- a/internal/tools/hollow/leases.go
+++ b/internal/tools/hollow/leases.go
@@ -48,8 +48,14 @@
 			return
 		}
 		reply.Changed = true
-		reply.Sessions = s.grantor.Sessions("dispatcher")
-		for _, name := range s.queues {
+		names := s.queues
+		if changes, some := s.grantor.ChangesSince(request.KnownVersion, "dispatcher"); some {
+			reply.Partial, names = true, changes.Queues
+			reply.Sessions, reply.Ended = changes.Sessions, changes.Ended
+		} else {
+			reply.Sessions = s.grantor.Sessions("dispatcher")
+		}
+		for _, name := range names {
 			holder, epoch := s.grantor.Lease(name)
 			reply.Queues = append(reply.Queues, protocol.QueueState{Queue: name, Epoch: epoch, Holder: holder, Open: 1})
 		}
