Send configuration, tables and copies over fewer bytes between zones

Each change of stores or members carried the operator's whole configuration, about 25 KB, from three sources to each of 93 processes; dispatchers pulled the members from their agents and used them for nothing.

Change: a register's value with the same configuration travels as a difference; spare sources only tell that something is newer and are asked for it 60 ms later if the first has not brought it; of three copies two stay in the own zone and one goes to another, so that one zone may be lost (fault tolerance asks for machines only); a repair leaves the zone where all copies are in one.

Tests: TestUnchangedConfigurationIsNotSentAgain, TestSpareSourcesSendWhatTheFirstDoesNot, TestZonesAreSpread (more cases), TestRepairLeavesTheZone.

--- a/internal/service/dispatcher/copies.go
+++ b/internal/service/dispatcher/copies.go
@@ -41,8 +41,8 @@
 // copiesWanted returns how many stores must hold each message.
 func (d *Dispatcher) copiesWanted() int { return d.settings.FaultTolerance.Machines + 1 }
 
-// candidates returns the stores that are up and stay, the best first: the own zone, then
-// one store of each other zone, each time those that answer soonest.
+// candidates returns the stores that are up and stay, the best first: one of the own zone, one of another,
+// then as spreadZones says, each time those that answer soonest.
 func (d *Dispatcher) candidates() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
@@ -66,12 +66,33 @@
 		}
 		return 1
 	})
-	return spreadZones(links)
+	return spreadZones(links, d.copiesWanted())
 }
 
-// spreadZones moves the second and later stores of a zone behind the first of
-// every other one.
-func spreadZones(links []*storeLink) []*storeLink {
+// spreadZones moves the first store of another zone than the best one's to the second place, so that
+// two copies or more are never in one zone alone. Further copies stay near, as bytes between zones are
+// dear, and after them each zone's first store comes before the second ones.
+func spreadZones(links []*storeLink, copies int) []*storeLink {
+	if len(links) == 0 {
+		return links
+	}
+	near := links[0].zone
+	other := slices.IndexFunc(links, func(link *storeLink) bool { return link.zone != near })
+	if other < 0 {
+		return links
+	}
+	spread := []*storeLink{links[0], links[other]}
+	rest := slices.Delete(slices.Clone(links), other, other+1)[1:]
+	for len(spread) < copies && len(rest) > 0 {
+		next := max(0, slices.IndexFunc(rest, func(link *storeLink) bool { return link.zone == near }))
+		spread = append(spread, rest[next])
+		rest = slices.Delete(rest, next, next+1)
+	}
+	return append(spread, firstOfEachZone(rest)...)
+}
+
+// firstOfEachZone moves the second and later stores of a zone behind the first of every other one.
+func firstOfEachZone(links []*storeLink) []*storeLink {
 	seen := map[string]bool{}
 	var first, rest []*storeLink
 	for _, link := range links {
@@ -340,14 +361,26 @@
 	return (<-answers).status == protocol.Stored
 }
 
-// repairTarget returns the best store that has no copy of a message.
+// repairTarget returns the best store that has no copy of a message; one of another zone where all copies
+// are in one.
 func (d *Dispatcher) repairTarget(entry *queue.Entry) *storeLink {
+	zones := map[string]bool{}
+	for _, node := range entry.Holders {
+		if link := d.stores[node]; link != nil {
+			zones[link.zone] = true
+		}
+	}
+	var best *storeLink
 	for _, link := range d.candidates() {
-		if !slices.Contains(entry.Holders, link.node) {
+		switch {
+		case slices.Contains(entry.Holders, link.node):
+		case len(zones) > 1 || !zones[link.zone]:
 			return link
+		case best == nil:
+			best = link
 		}
 	}
-	return nil
+	return best
 }
 
 // fetchBody reads a message with its body from the first store that has it. Where
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -96,7 +96,6 @@
 	go agent.Feed(background, s, d.identity, agent.Updates{
 		Configuration: d.takeConfiguration,
 		Senders:       d.takeSenders,
-		Members:       func([]view.NodeState) {},
 	})
 	go settings.Watch(background, settings.LookEvery, d.reload, log)
 	go d.runOwnership(background)
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -108,12 +109,36 @@
 
 func TestZonesAreSpread(t *testing.T) {
 	c := qt.New(t)
-	links := []*storeLink{{node: "a1", zone: "a"}, {node: "a2", zone: "a"}, {node: "b1", zone: "b"}}
-	var order []string
-	for _, link := range spreadZones(links) {
-		order = append(order, link.node)
+	a1, a2, a3 := &storeLink{node: "a1", zone: "a"}, &storeLink{node: "a2", zone: "a"}, &storeLink{node: "a3", zone: "a"}
+	b1, b2, c1 := &storeLink{node: "b1", zone: "b"}, &storeLink{node: "b2", zone: "b"}, &storeLink{node: "c1", zone: "c"}
+	order := func(copies int, links ...*storeLink) string {
+		var names []string
+		for _, link := range spreadZones(links, copies) {
+			names = append(names, link.node)
+		}
+		return strings.Join(names, " ")
 	}
-	c.Assert(order, qt.DeepEquals, []string{"a1", "b1", "a2"})
+	c.Assert(order(2, a1, a2, b1), qt.Equals, "a1 b1 a2")
+	c.Assert(order(2, a1, a2, b1, b2, c1), qt.Equals, "a1 b1 a2 b2 c1")
+	c.Assert(order(3, a1, a2, a3, b1, b2, c1), qt.Equals, "a1 b1 a2 a3 b2 c1")
+	c.Assert(order(3, a1, b1, b2, c1), qt.Equals, "a1 b1 b2 c1")
+	c.Assert(order(3, a1, a2, a3), qt.Equals, "a1 a2 a3")
+	c.Assert(order(2, b1), qt.Equals, "b1")
+	c.Assert(order(2), qt.Equals, "")
+}
+
+// A message whose copies are all in one zone gets the next one in another.
+func TestRepairLeavesTheZone(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c", "d")
+	d.stores["b"].zone = "a"
+	owned := d.own("ordered/1")
+	entry := owned.Add(0, protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}, nil, []string{"a"})
+	d.stores["b"].latency = 0
+	d.stores["c"].latency, d.stores["d"].latency = time.Second, 2*time.Second
+	c.Assert(d.repairTarget(entry).node, qt.Equals, "c")
+	entry.Holders = []string{"a", "c"}
+	c.Assert(d.repairTarget(entry).node, qt.Equals, "b")
 }
 
 func TestPermitsRunOut(t *testing.T) {
--- a/internal/service/distribution/messages.go
+++ b/internal/service/distribution/messages.go
@@ -30,11 +30,13 @@
 	Vector map[string]Version
 	Topics []string      // prefixes of the wanted topics; empty: all
 	Wait   time.Duration // for how long the answer may be held back when nothing is newer
+	Brief  bool          // payloads are left out: the caller gets them from elsewhere, as a rule
 }
 
 // PullReply answers Pull.
 type PullReply struct {
 	Updates       []Update
+	Newer         map[string]Version // with Brief: what is newer than the vector
 	Confirmations map[string]Confirmation
 	Held          time.Duration // for how long the answer was held back
 }
--- a/internal/service/distribution/pull.go
+++ b/internal/service/distribution/pull.go
@@ -13,12 +13,12 @@
 	defer h.stopWaiting(w)
 	h.observe(request.Vector)
 	reply := h.reply(request)
-	if len(reply.Updates) > 0 || request.Wait <= 0 {
+	if reply.news() || request.Wait <= 0 {
 		return reply, nil
 	}
 	timer := time.NewTimer(min(request.Wait, waitMost))
 	defer timer.Stop()
-	for over := false; !over && len(reply.Updates) == 0; {
+	for over := false; !over && !reply.news(); {
 		select {
 		case <-w.changed:
 		case <-timer.C:
@@ -32,6 +32,9 @@
 	return reply, nil
 }
 
+// news reports whether a reply tells of something newer than the vector.
+func (r *PullReply) news() bool { return len(r.Updates)+len(r.Newer) > 0 }
+
 // observe learns from a vector which versions exist. Where one is newer than
 // what this hub's own publisher has made, as after its restart, the payload is
 // published again under a newer one. Two publishers that do not reach each
@@ -62,7 +65,14 @@
 	var reply PullReply
 	for _, name := range h.names(request.Topics) {
 		t := h.topics[name]
-		if held := request.Vector[name]; t.current.version.Newer(held) {
+		switch held := request.Vector[name]; {
+		case !t.current.version.Newer(held):
+		case request.Brief:
+			if reply.Newer == nil {
+				reply.Newer = map[string]Version{}
+			}
+			reply.Newer[name] = t.current.version
+		default:
 			reply.Updates = append(reply.Updates, t.since(name, held, now))
 		}
 		if !t.confirmed.At.IsZero() {
--- a/internal/service/distribution/puller.go
+++ b/internal/service/distribution/puller.go
@@ -19,6 +19,7 @@
 	defaultSilence = 800 * time.Millisecond
 	sourcesEvery   = 2 * time.Second // between looks at the list of sources
 	fruitlessPause = 100 * time.Millisecond
+	otherSource    = 60 * time.Millisecond // until a spare source sends what the first one has not brought
 )
 
 // PullerOptions say from where and what a Puller pulls.
@@ -134,29 +135,54 @@
 	delete(p.running, slot)
 }
 
-// pull makes one long poll.
+// pull makes one long poll. The first source sends what is new; the others tell that there is something
+// new, and are asked for it only where the first has not brought it soon after.
 func (p *Puller) pull(ctx context.Context, slot int, address string) {
 	wait := p.options.Wait
 	if slot > 0 {
 		wait = p.options.SpareWait
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+p.options.Silence)
+	reply, taken := p.call(ctx, slot, address, Pull{Wait: wait, Brief: slot > 0})
+	if reply != nil && p.hub.lacks(reply.Newer) {
+		pause(ctx, otherSource)
+		if p.hub.lacks(reply.Newer) {
+			reply, taken = p.call(ctx, slot, address, Pull{})
+		}
+	}
+	if reply != nil && taken == 0 && reply.Held < wait/2 {
+		pause(ctx, fruitlessPause)
+	}
+}
+
+// call sends one request for all that is newer than what is held, and takes in what it brings. The reply
+// is nil where none came.
+func (p *Puller) call(ctx context.Context, slot int, address string, request Pull) (reply *PullReply, taken int) {
+	callCtx, cancel := context.WithTimeout(ctx, request.Wait+p.options.Silence)
 	defer cancel()
-	request := Pull{Vector: p.hub.Vector(p.options.Topics), Topics: p.options.Topics, Wait: wait}
+	request.Vector, request.Topics = p.hub.Vector(p.options.Topics), p.options.Topics
 	sent := time.Now()
-	reply, err := transport.Call[PullReply](callCtx, p.client(address), request)
+	answer, err := transport.Call[PullReply](callCtx, p.client(address), request)
 	received := time.Now()
 	if ctx.Err() != nil {
-		return
+		return nil, 0
 	}
 	p.note(slot, address, received, err)
 	if err != nil {
-		return
+		return nil, 0
 	}
-	taken := p.hub.takeReply(reply, received, received.Sub(sent)-reply.Held)
-	if taken == 0 && reply.Held < wait/2 {
-		pause(ctx, fruitlessPause)
+	return &answer, p.hub.takeReply(answer, received, received.Sub(sent)-answer.Held)
+}
+
+// lacks reports whether one of the versions is newer than what is held.
+func (h *Hub) lacks(versions map[string]Version) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for name, version := range versions {
+		if t := h.topics[name]; t == nil || version.Newer(t.current.version) {
+			return true
+		}
 	}
+	return false
 }
 
 // note tells the rotation how a long poll ended, and logs the first failure.
--- /dev/null
+++ b/internal/service/distribution/spare_test.go
@@ -0,0 +1,98 @@
+package distribution
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/simulation/simnet"
+)
+
+// source is a scripted control member with a hub, which counts the updates that it sends.
+type source struct {
+	hub     *Hub
+	updates int
+	pulls   int
+}
+
+func (s *source) serve(c *qt.C, network *simnet.Network, ip string) (address string, kill func()) {
+	machine := network.Process(ip)
+	server := transport.NewServer(protocol.Identity{Node: ip}, logr.Discard())
+	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request Pull) (PullReply, error) {
+		s.pulls++
+		reply, err := s.hub.Pull(ctx, request)
+		s.updates += len(reply.Updates)
+		return reply, err
+	})
+	address = ip + ":1"
+	listener, err := machine.Listen(address)
+	c.Assert(err, qt.IsNil)
+	go func() { _ = server.Serve(listener) }()
+	return address, machine.Kill
+}
+
+// A change comes from the first source; the spare ones only tell of it. Where the first does not know it,
+// a spare one sends it soon after.
+func TestSpareSourcesSendWhatTheFirstDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+		sources := []*source{{hub: NewHub(logr.Discard())}, {hub: NewHub(logr.Discard())}, {hub: NewHub(logr.Discard())}}
+		var addresses []string
+		var kills []func()
+		for i, s := range sources {
+			address, kill := s.serve(c, network, "10.0.0."+string(rune('1'+i)))
+			addresses, kills = append(addresses, address), append(kills, kill)
+		}
+		client := network.Process("10.0.1.1")
+		hub := NewHub(logr.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		puller := NewPuller(hub, PullerOptions{
+			Network: client, Sources: func() []string { return addresses }, Wait: time.Second, SpareWait: 4 * time.Second,
+		}, logr.Discard())
+		ended := make(chan struct{})
+		go func() {
+			puller.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(3 * time.Second)
+
+		const changes = 10
+		for n := 1; n <= changes; n++ {
+			for _, s := range sources {
+				s.hub.Publish(numbersTopic, Version{1, uint64(n)}, numbers{make([]int, n)})
+			}
+			time.Sleep(20 * time.Millisecond)
+			c.Check(held(c, hub), qt.HasLen, n)
+			time.Sleep(500 * time.Millisecond)
+		}
+		sent, pulls := 0, 0
+		var spare *source
+		for _, s := range sources {
+			sent, pulls = sent+s.updates, pulls+s.pulls
+			if s.updates == 0 {
+				spare = s
+			}
+		}
+		c.Check(sent, qt.Equals, changes)
+		c.Check(pulls < 6*changes, qt.IsTrue, qt.Commentf("%d pulls", pulls))
+
+		spare.hub.Publish(numbersTopic, Version{1, 100}, numbers{make([]int, 100)})
+		time.Sleep(otherSource + 50*time.Millisecond)
+		c.Check(held(c, hub), qt.HasLen, 100)
+		c.Check(spare.updates, qt.Equals, 1)
+		cancel()
+		for _, kill := range kills {
+			kill()
+		}
+		client.Kill()
+		<-ended
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -77,7 +77,7 @@
 }
 
 func init() {
-	for _, payload := range []any{Configuration{}, Senders{}, SendersDifference{}, Members{}, MembersDifference{}} {
+	for _, payload := range []any{Configuration{}, ConfigurationDifference{}, Senders{}, SendersDifference{}, Members{}, MembersDifference{}} {
 		gob.Register(payload)
 	}
 }
--- a/internal/service/view/view_test.go
+++ b/internal/service/view/view_test.go
@@ -97,3 +97,21 @@
 	_, ok = MembersDifference{}.Apply(Senders{}, 0)
 	c.Assert(ok, qt.IsFalse)
 }
+
+func TestUnchangedConfigurationIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	earlier := Configuration{Sequence: 4, Revision: 2, Raw: []byte("{}"), Stores: []Node{{Name: "a"}}}
+	later := Configuration{Sequence: 5, Revision: 2, Raw: []byte("{}"), Stores: []Node{{Name: "a"}, {Name: "b"}}, Members: []Node{{Name: "a"}}}
+	difference, ok := later.Difference(earlier, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(difference, qt.DeepEquals, any(ConfigurationDifference{Sequence: 5, Stores: later.Stores, Members: later.Members}))
+	applied, ok := difference.(ConfigurationDifference).Apply(earlier, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(applied, qt.DeepEquals, any(later))
+	changed := later
+	changed.Raw = []byte("{ }")
+	_, ok = changed.Difference(later, 0)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = difference.(ConfigurationDifference).Apply(Members{}, 0)
+	c.Assert(ok, qt.IsFalse)
+}
