--- a/internal/service/dispatcher/callbacks.go
+++ b/internal/service/dispatcher/callbacks.go
@@ -12,10 +12,10 @@
 
 const (
 	callbackTimeout   = 3 * time.Second
-	callbackWorkers   = 2  // calls at once to one receiver
-	callbackBacklog   = 4  // call-backs that wait for a worker before another is started
-	keepAliveFleet    = 16 // dispatchers up to which connections to receivers are kept
-	callbackGather    = 300 * time.Millisecond
+	callbackWorkers   = 2                      // calls at once to one receiver
+	callbackBacklog   = 4                      // call-backs that wait for a worker before another is started
+	keepAliveFleet    = 16                     // dispatchers up to which connections to receivers are kept
+	callbackGather    = time.Second            // well under the time in which a call-back is wanted
 	receiverPause     = 200 * time.Millisecond // after a call without an answer; doubles
 	receiverPauseMost = 1600 * time.Millisecond
 )
