--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -24,12 +23,7 @@
 	fieldMost      = 16 << 10
 	queuesMost     = 1 << 16
 	clockEvery     = time.Second
-	endedHeadsMost = 2000            // ended heads in a grant, beside those that owe a call-back
-	endedHeadsFor  = 5 * time.Second // and how long ago they have ended; FindEnds tells of the others
-	replyMost      = 6 << 20         // estimated bytes of the heads in one reply
-	headEstimate   = 300             // bytes of a head in a reply
-	tombstoneShare = 2               // times the memory bound, for ends of unknown messages
-	readTries      = 3
+	tombstoneShare = 2 // times the memory bound, for ends of unknown messages
 	bufferKept     = 512 << 10
 )
 
@@ -406,47 +400,6 @@
 	return nil
 }
 
-// query returns what is known of a message.
-func (s *store) query(q protocol.Query) (protocol.QueryReply, error) {
-	for try := 0; ; try++ {
-		reply, position := s.lookUp(q.ID)
-		if !q.WithBody || position.Generation == 0 {
-			return reply, nil
-		}
-		payload, err := s.log.Read(position)
-		if err != nil {
-			if try+1 < readTries && s.log.Failed() == nil {
-				continue // the record was moved meanwhile
-			}
-			return protocol.QueryReply{}, err
-		}
-		return withBody(reply, payload)
-	}
-}
-
-func (s *store) lookUp(id string) (protocol.QueryReply, segment.Position) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	e := s.index.entries[id]
-	if e == nil {
-		return protocol.QueryReply{}, segment.Position{}
-	}
-	return protocol.QueryReply{Head: e.headAt(s.clock.now()), Held: true}, e.message
-}
-
-// withBody adds the body, and the fields of the head that are on disk only.
-func withBody(reply protocol.QueryReply, payload []byte) (protocol.QueryReply, error) {
-	content, err := decodeMessage(payload)
-	if err != nil {
-		return protocol.QueryReply{}, err
-	}
-	head := content.message.Head
-	known := reply.Head
-	head.Queue, head.Age, head.Failures = known.Queue, known.Age, known.Failures
-	head.State, head.Stamp, head.CallbackDue = known.State, known.Stamp, known.CallbackDue
-	return protocol.QueryReply{Head: head, Body: content.message.Body, Held: true}, nil
-}
-
 // tick drops what nobody may ask for any more.
 func (s *store) tick(all bool) {
 	s.mutex.Lock()
@@ -479,40 +432,3 @@
 	s.log.Drop(e.failuresRecord)
 	s.index.remove(e)
 }
-
-// heads returns the heads that a new owner of a queue needs: open messages,
-// those that owe a call-back, and a bounded number of others that ended of late.
-func (s *store) heads(q *queueIndex, endedMost int) []protocol.Head {
-	now := s.clock.now()
-	heads := make([]protocol.Head, 0, q.open.count+q.owed)
-	for e := q.open.first; e != nil; e = e.next {
-		heads = append(heads, e.headAt(now))
-	}
-	open, others := len(heads), 0
-	for e := q.ended.last; e != nil; e = e.previous {
-		switch {
-		case e.callbackDue:
-		case others < endedMost && now-e.endedAt <= endedHeadsFor:
-			others++
-		default:
-			continue
-		}
-		heads = append(heads, e.headAt(now))
-	}
-	slices.Reverse(heads[open:])
-	return heads
-}
-
-// findEnds returns the heads of those messages that have ended.
-func (s *store) findEnds(request protocol.FindEnds) protocol.FindEndsReply {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := s.clock.now()
-	var reply protocol.FindEndsReply
-	for _, id := range request.IDs {
-		if e := s.index.entries[id]; e != nil && e.state.Ended() {
-			reply.Heads = append(reply.Heads, e.headAt(now))
-		}
-	}
-	return reply
-}
