Let a standby of the control members ask only for a place that is free

Found by reading, for a deployment with control on more machines.

Test: TestStandbyAsksOnlyForAFreePlace.

--- a/internal/service/control/join.go
+++ b/internal/service/control/join.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// placeFor reports whether a value has a place for one more member: asking again and again for one that is
+// not to be had would cost the members a round each time.
+func (r *replica) placeFor(value *register.Value) bool {
+	self := r.member()
+	earlierLife := func(m register.Member) bool { return m.Address == self.Address }
+	return len(value.Members) < membersMost || len(r.silent(value, replaceAfter)) > 0 ||
+		slices.ContainsFunc(value.Members, earlierLife)
+}
+
 // isMember reports whether this process, with its present disk, is a member.
 func (r *replica) isMember() bool {
 	known, self := r.known(), r.member()
--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -309,6 +309,40 @@
 	})
 }
 
+// TestStandbyAsksOnlyForAFreePlace starts one process more than there may be members: it asks for no place
+// while none is free, and takes that of a member that falls silent.
+func TestStandbyAsksOnlyForAFreePlace(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		for index := 4; index <= membersMost; index++ {
+			core = append(core, n.start(c, index, true))
+			newUpkeep(core[index]).tick(context.Background())
+		}
+		asked := 0
+		n.drop(func(_ string, request any) bool {
+			if _, join := request.(joinRequest); join {
+				asked++
+			}
+			return false
+		})
+		standby := n.start(c, membersMost+1, true)
+		upkeep := newUpkeep(standby)
+		for range 10 {
+			upkeep.tick(context.Background())
+			time.Sleep(joinEvery)
+		}
+		c.Assert(standby.isMember(), qt.IsFalse)
+		c.Assert(asked, qt.Equals, 0)
+		n.stop(2)
+		for range 20 {
+			upkeep.tick(context.Background())
+			newUpkeep(core[1]).tick(context.Background())
+			time.Sleep(joinEvery)
+		}
+		c.Assert(standby.isMember(), qt.IsTrue)
+		c.Assert(standby.known().Value.Members, qt.HasLen, membersMost)
+	})
+}
+
 // TestLossAfterAReplacement loses a second member once the successor of the
 // first has had its time.
 func TestLossAfterAReplacement(t *testing.T) {
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -60,7 +60,9 @@
 	}
 	u.unsettled = 0
 	if !u.replica.isMember() {
-		u.replica.join(ctx, decided.Value)
+		if u.replica.placeFor(decided.Value) {
+			u.replica.join(ctx, decided.Value)
+		}
 		return
 	}
 	if !u.first(decided.Value) {
