Wait for stores that count when queues are taken over

Cause: a round ended 60 ms after enough answers, also where one of them was of a store that is recovering and counts for nothing: with a slow third store no round would have enough. Found by reading.

Change: only answers that can make up a lease end the wait.

Test: TestRecoveringStoreDoesNotEndTheWait, which fails without it.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -117,7 +117,7 @@
 }
 
 // askStores sends one request for leases to several stores at once. It waits for all of them, but only
-// shortly for the others once enough have answered. The answers are in the order of the links.
+// shortly for the others once enough of those that count have answered. The answers are in the order of the links.
 func (d *Dispatcher) askStores(ctx context.Context, links []*storeLink, request protocol.Acquire, timeout time.Duration) []storeGrant {
 	type numbered struct {
 		number int
@@ -142,7 +142,7 @@
 		select {
 		case result := <-results:
 			answers[result.number] = result.grant
-			if result.grant.ok {
+			if d.counts(result.grant) {
 				answered++
 			}
 		case <-grace:
@@ -157,6 +157,13 @@
 	return answers
 }
 
+// counts reports whether an answer can make up a lease: that of a store which may lack messages cannot.
+func (d *Dispatcher) counts(answer storeGrant) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return answer.ok && !answer.link.mayLack(answer.reply.StoreID, answer.reply.Recovering)
+}
+
 func countAnswers(answers []storeGrant) int {
 	count := 0
 	for _, answer := range answers {
--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -181,6 +181,27 @@
 	})
 }
 
+// A store that is recovering does not count, so that a slower one is waited for.
+func TestRecoveringStoreDoesNotEndTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		granted := stores[0].acquire
+		stores[0].acquire = func(request protocol.Acquire) protocol.AcquireReply {
+			reply := granted(request)
+			reply.Recovering = true
+			return reply
+		}
+		stores[2].delay = 3 * acquireGrace
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		c.Check(d.queues["ordered/1"], qt.IsNotNil)
+		d.mutex.Unlock()
+		end()
+	})
+}
+
 // Stores that take long for long queues are given longer, and asked for fewer queues at once, until a
 // round succeeds.
 func TestSlowRoundsAskForLessAndWaitLonger(t *testing.T) {
