--- a/internal/tools/hollow/leases.go
+++ b/internal/tools/hollow/leases.go
@@ -14,19 +14,21 @@
 
 // leaseCost is what the sessions between dispatchers and stores take.
 type leaseCost struct {
-	Stores         int
-	RenewalBytes   int           // request and answer, where nothing has changed
-	StoreRenewal   time.Duration // at the store, without the socket
-	HolderRenewal  time.Duration // at the dispatcher, without the socket
-	TableBytes     int           // answer with the whole table
-	StoreTable     time.Duration // to make and encode it
-	HolderTable    time.Duration // to decode it
-	TableMemory    int64         // of one store's table at a dispatcher
-	TableFold      time.Duration // of one store's table, when all are folded
-	StoreMemory    int64         // of one store's sessions and leases
-	HolderMemory   int64         // of one dispatcher's grants of all stores
-	ValidityCheck  time.Duration // of one queue at the dispatcher
-	VersionsPerEnd int           // new versions of the table when one dispatcher restarts
+	Stores        int
+	RenewalBytes  int           // request and answer, where nothing has changed
+	StoreRenewal  time.Duration // at the store, without the socket
+	HolderRenewal time.Duration // at the dispatcher, without the socket
+	TableBytes    int           // answer with the whole table
+	StoreTable    time.Duration // to make and encode it
+	HolderTable   time.Duration // to decode it
+	TableMemory   int64         // of one store's table at a dispatcher
+	TableFold     time.Duration // of one store's table, when all are folded
+	StoreMemory   int64         // of one store's sessions and leases
+	HolderMemory  int64         // of one dispatcher's grants of all stores
+	ValidityCheck time.Duration // of one queue at the dispatcher
+	RestartSteps  int           // new versions of the table, each told apart, when one dispatcher restarts
+	RestartBytes  int           // of the changes that one other dispatcher is told then
+	RestartStore  time.Duration // to make and encode them
 }
 
 // renewalsPerSecond is how many renewals a session makes in a second.
@@ -84,7 +86,7 @@
 	result.measureTable(store, now)
 	result.measureHeldTables(store, now)
 	result.measureHolder(size)
-	result.VersionsPerEnd = versionsOfRestart(store, now)
+	result.measureRestart(store, now)
 	return result
 }
 
@@ -168,18 +170,36 @@
 	r.ValidityCheck = load.Processor / rounds
 }
 
-// versionsOfRestart counts the versions of a store's table when one dispatcher
-// ends in order, starts again and takes its queue.
-func versionsOfRestart(store *storeCore, now time.Time) int {
-	before := store.grantor.Version()
+// measureRestart lets one dispatcher end in order, start again and take its queue, and tells another one of
+// each change apart, which is the most that a session hears of it.
+func (r *leaseCost) measureRestart(store *storeCore, now time.Time) {
 	old, next := dispatcherIdentity(1), dispatcherIdentity(1)
 	next.Incarnation++
-	store.grantor.Renew(now, old, false, 1)
-	store.grantor.Release(now, old, localQueue(1), 1)
-	store.grantor.Closed(now, old)
-	now = now.Add(lease.ClosedSessionGrace + time.Millisecond)
-	store.grantor.Renew(now, next, false, 1)
-	store.grantor.Acquire(now, next, 1, localQueue(1)+"b", 1, false)
-	store.grantor.Renew(now, next, true, 1)
-	return int(store.grantor.Version() - before)
+	local, fresh := localQueue(1), localQueue(1)+"b"
+	later := now.Add(lease.ClosedSessionGrace + time.Millisecond)
+	steps := []func(){
+		func() { store.grantor.Renew(now, old, false, 1) },
+		func() { store.grantor.Release(now, old, local, 1) },
+		func() { store.grantor.Closed(now, old) },
+		func() { store.grantor.Renew(later, next, false, 1) },
+		func() { store.grantor.Acquire(later, next, 1, fresh, 1, false) },
+		func() { store.grantor.Renew(later, next, true, 1) },
+	}
+	var dispatcher Load
+	c := newCodec()
+	known := store.grantor.Version()
+	c.carry(&store.load, &dispatcher, store.renew(now, dispatcherIdentity(0), protocol.Renew{Ready: true}))
+	store.load = Load{}
+	for _, step := range steps {
+		step()
+		if store.grantor.Version() == known {
+			continue
+		}
+		reply := store.renew(later, dispatcherIdentity(0), protocol.Renew{Ready: true, KnownVersion: known})
+		known = reply.Version
+		_, size := c.carry(&store.load, &dispatcher, reply)
+		r.RestartSteps++
+		r.RestartBytes += size
+	}
+	r.RestartStore = store.load.Processor
 }
--- a/internal/tools/hollow/table.go
+++ b/internal/tools/hollow/table.go
@@ -100,7 +100,7 @@
 	{"table: fold of all at a dispatcher", func(r *Report) string {
 		return timeText(r.Leases.TableFold * time.Duration(r.Leases.Stores))
 	}},
-	{"one restart: new versions of the table", func(r *Report) string { return fmt.Sprint(r.Leases.VersionsPerEnd) }},
+	{"one restart: new versions of the table", func(r *Report) string { return fmt.Sprint(r.Leases.RestartSteps) }},
 	{"one restart: bytes at a store", func(r *Report) string { return bytesText(r.Leases.restartBytes(r.Size)) }},
 	{"one restart: processor of a store", func(r *Report) string { return timeText(r.Leases.restartTime(r.Size)) }},
 	{"check of one lease", func(r *Report) string { return timeText(r.Leases.ValidityCheck) }},
@@ -143,15 +143,15 @@
 	return renewalsPerSecond() * float64(size.Dispatchers) * (l.StoreRenewal + callCost/2).Seconds()
 }
 
-// restartBytes returns what a store sends when one dispatcher restarts: its
-// table to every dispatcher, for each new version.
+// restartBytes returns what a store sends when one dispatcher restarts: the changes of its table to every
+// dispatcher.
 func (l leaseCost) restartBytes(size Size) float64 {
-	return float64(l.VersionsPerEnd) * float64(size.Dispatchers) * float64(l.TableBytes)
+	return float64(size.Dispatchers) * float64(l.RestartBytes)
 }
 
 // restartTime returns the processor time of a store for that.
 func (l leaseCost) restartTime(size Size) time.Duration {
-	return time.Duration(l.VersionsPerEnd*size.Dispatchers) * l.StoreTable
+	return time.Duration(size.Dispatchers) * l.RestartStore
 }
 
 // WriteTable prints a column for each report.
