Accept messages while a queue is handed over, and tell clients honestly when to come back

Change: a queue that is handed over takes messages until it is released; the successor reads them from the stores. A refusal says 0 where stores suffice, or have been too few for 2 s at most, as after a start; 1 else.

--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -76,7 +76,7 @@
 	for {
 		d.mutex.Lock()
 		owned := d.queues[message.Head.Queue]
-		if owned == nil || owned.leaving {
+		if owned == nil || owned.closed {
 			d.mutex.Unlock()
 			return protocol.AcceptReply{Status: protocol.NotOwner}
 		}
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -51,7 +51,8 @@
 	localQueue  string // of this process's own messages
 	localQueues int    // how many of those were lost
 	closing     bool
-	ended       bool // the role has left; timers that are still set do nothing
+	enoughAt    time.Duration // when enough stores were last seen up
+	ended       bool          // the role has left; timers that are still set do nothing
 	haveList    bool
 	members     []string
 	stores      map[string]*storeLink
@@ -174,7 +175,11 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.haveList && d.queues[d.localQueue] != nil && len(d.candidates()) >= d.copiesWanted()
+	enough := len(d.candidates()) >= d.copiesWanted()
+	if enough {
+		d.enoughAt = d.now()
+	}
+	return d.haveList && d.queues[d.localQueue] != nil && enough
 }
 
 func (d *Dispatcher) readinessHandler() http.Handler {
--- a/internal/service/dispatcher/front.go
+++ b/internal/service/dispatcher/front.go
@@ -26,11 +26,13 @@
 )
 
 const (
-	defaultPatience   = 2 * time.Second
-	patienceMargin    = 30 * time.Millisecond // kept of the client's time for the answer
-	patienceMost      = 10 * time.Second
-	requestIDMost     = 200
-	retryAfterSeconds = "1"
+	defaultPatience = 2 * time.Second
+	patienceMargin  = 30 * time.Millisecond // kept of the client's time for the answer
+	patienceMost    = 10 * time.Second
+	requestIDMost   = 200
+	retryAtOnce     = "0"
+	retryLater      = "1"
+	shortageMost    = 2 * time.Second // without enough stores, after which clients are told to come back later
 
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
@@ -86,7 +88,7 @@
 func (d *Dispatcher) serveMessage(w http.ResponseWriter, r *http.Request) {
 	current := d.configuration.Load()
 	if current == nil {
-		refuse(w)
+		d.refuse(w)
 		return
 	}
 	route, service, found := current.Match(r.Host, r.URL.EscapedPath())
@@ -114,16 +116,27 @@
 		http.Error(w, "the message may or may not have been kept", http.StatusGatewayTimeout)
 	default:
 		d.counters.refused.Add(1)
-		refuse(w)
+		d.refuse(w)
 	}
 }
 
 // refuse answers that the message was not taken and will never run.
-func refuse(w http.ResponseWriter) {
-	w.Header().Set(headerRetryAfter, retryAfterSeconds)
+func (d *Dispatcher) refuse(w http.ResponseWriter) {
+	w.Header().Set(headerRetryAfter, d.comeBack())
 	http.Error(w, "the message was not taken", http.StatusServiceUnavailable)
 }
 
+// comeBack returns in how many seconds a client should try again: at once where another dispatcher may take
+// the message, as while this one starts or a queue changes hands; later while stores are missing for long.
+func (d *Dispatcher) comeBack() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(d.candidates()) >= d.copiesWanted() || d.now()-d.enoughAt <= shortageMost {
+		return retryAtOnce
+	}
+	return retryLater
+}
+
 func answerUnread(w http.ResponseWriter, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -44,19 +44,14 @@
 	return owned
 }
 
-// handOver waits for what is under way, releases the leases and tells the
-// successor.
+// handOver waits for deliveries under way, while messages are still accepted, then closes the queue,
+// releases its leases and tells the successor, which finds in the stores what was accepted meanwhile.
 func (d *Dispatcher) handOver(ctx context.Context, owned *ownedQueue, successor string) {
-	deadline := time.Now().Add(handOverWait)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		d.mutex.Lock()
-		idle := owned.dropped || owned.Running() == 0 && len(owned.accepting) == 0 && d.flushed()
-		d.mutex.Unlock()
-		if idle {
-			break
-		}
-		pause(ctx, 10*time.Millisecond)
-	}
+	d.awaitQueue(ctx, owned, handOverWait, func() bool { return owned.Running() == 0 && d.flushed() })
+	d.mutex.Lock()
+	owned.closed = true
+	d.mutex.Unlock()
+	d.awaitQueue(ctx, owned, closeWait, func() bool { return len(owned.accepting) == 0 })
 	d.mutex.Lock()
 	if owned.dropped {
 		d.mutex.Unlock()
@@ -85,6 +80,20 @@
 	d.log.V(1).Info("queue handed over", "queue", owned.Name, "to", successor)
 }
 
+// awaitQueue waits until a queue is in some state, or lost, or the time is over.
+func (d *Dispatcher) awaitQueue(ctx context.Context, owned *ownedQueue, most time.Duration, reached func() bool) {
+	deadline := time.Now().Add(most)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		d.mutex.Lock()
+		over := owned.dropped || reached()
+		d.mutex.Unlock()
+		if over {
+			return
+		}
+		pause(ctx, handOverPause)
+	}
+}
+
 // offered asks for queues that another dispatcher has just released.
 func (d *Dispatcher) offered(ctx context.Context, names []string) {
 	d.mutex.Lock()
--- /dev/null
+++ b/internal/service/dispatcher/handover_test.go
@@ -0,0 +1,110 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+)
+
+// A queue that is handed over takes messages while a delivery of it is under way, begins no other, and is
+// released once that has ended.
+func TestQueueTakesMessagesWhileItIsHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Assert(owned, qt.IsNotNil)
+		running := owned.Add(d.now(), protocol.Head{ID: "running", Queue: owned.Name, Retention: time.Minute}, nil, nil)
+		owned.Advance(d.now())
+		d.mutex.Unlock()
+		d.startHandOver(t.Context(), owned.Name, "edge-2")
+
+		time.Sleep(500 * time.Millisecond)
+		accept := func(id string) protocol.AcceptStatus {
+			head := protocol.Head{ID: id, Queue: owned.Name, Retention: time.Minute}
+			return d.acceptHere(t.Context(), protocol.Message{Head: head}).Status
+		}
+		c.Check(accept("meanwhile"), qt.Equals, protocol.Accepted)
+		d.mutex.Lock()
+		c.Check(owned.Running(), qt.Equals, 1)
+		c.Check(owned.dropped, qt.IsFalse)
+		owned.End(d.now(), running, protocol.Completed, "seal")
+		d.mutex.Unlock()
+
+		time.Sleep(100 * time.Millisecond)
+		c.Check(accept("after"), qt.Equals, protocol.NotOwner)
+		for _, store := range stores {
+			store.mutex.Lock()
+			c.Check(store.released, qt.Equals, 1)
+			store.mutex.Unlock()
+		}
+		end()
+	})
+}
+
+// A message that is being accepted as its queue closes is awaited; one that takes too long is neither
+// accepted nor refused.
+func TestMessageThatIsBeingAcceptedIsAwaited(t *testing.T) {
+	for name, one := range map[string]struct {
+		delay time.Duration
+		want  protocol.AcceptStatus
+	}{"soon": {100 * time.Millisecond, protocol.Accepted}, "late": {2 * time.Second, protocol.Undecided}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(3)
+				d, end := withScriptedStores(c, stores)
+				d.acquire(t.Context(), []string{"ordered/1"})
+				for _, store := range stores {
+					store.delay = one.delay
+				}
+				status := make(chan protocol.AcceptStatus, 1)
+				go func() {
+					head := protocol.Head{ID: "m", Queue: "ordered/1", Retention: time.Minute}
+					status <- d.acceptHere(context.Background(), protocol.Message{Head: head}).Status
+				}()
+				time.Sleep(10 * time.Millisecond)
+				d.startHandOver(context.Background(), "ordered/1", "edge-2")
+				c.Check(<-status, qt.Equals, one.want)
+				time.Sleep(10 * time.Second)
+				end()
+			})
+		})
+	}
+}
+
+// Clients are told to come back at once while another dispatcher may do better, and later when stores have
+// been missing for long.
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		refusal := func() string {
+			answer := httptest.NewRecorder()
+			d.refuse(answer)
+			return answer.Header().Get(headerRetryAfter)
+		}
+		time.Sleep(10 * time.Second)
+		d.ready()
+		c.Check(refusal(), qt.Equals, retryAtOnce)
+		d.mutex.Lock()
+		for _, link := range d.stores {
+			link.up = false
+		}
+		d.mutex.Unlock()
+		time.Sleep(shortageMost / 2)
+		c.Check(refusal(), qt.Equals, retryAtOnce)
+		time.Sleep(shortageMost)
+		c.Check(refusal(), qt.Equals, retryLater)
+		end()
+	})
+}
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -21,8 +21,10 @@
 	ratedPrefix       = "rated/"
 	localPrefix       = "local/"
 	acquirePause      = 150 * time.Millisecond
-	handOverAfter     = 2 * time.Second // a better owner must have been live for so long
-	handOverWait      = 3 * time.Second // for deliveries under way
+	handOverAfter     = 2 * time.Second        // a better owner must have been live for so long
+	handOverWait      = 3 * time.Second        // for deliveries under way
+	closeWait         = 500 * time.Millisecond // for messages that are being accepted
+	handOverPause     = 10 * time.Millisecond  // between two looks
 	handOverParallel  = 4
 )
 
@@ -33,7 +35,8 @@
 	asked     map[string]bool          // stores that a claim is under way at
 	outbid    map[string]bool          // stores that have promised a higher epoch
 	accepting map[string]chan struct{} // messages that are being accepted
-	leaving   bool                     // it is handed over
+	leaving   bool                     // it is handed over: no delivery begins
+	closed    bool                     // it is about to be released: nothing is accepted any more
 	raising   bool                     // a higher epoch is asked for
 	dropped   bool                     // another dispatcher owns it
 }
