Ask for a dispatcher's own queue as soon as enough stores are up

Cause: after a start, each look at the queues was followed by a pause of 150 ms, also the one that found too few stores: messages were refused for up to that long after the last store was found.

Change: there is no pause while the own queue is missing and no store was asked.

Test: TestQueueIsAskedForOnceStoresAreUp.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -66,12 +66,12 @@
 }
 
 // acquire asks all stores for queues that have no owner and takes in those that
-// enough stores granted.
-func (d *Dispatcher) acquire(ctx context.Context, names []string) {
+// enough stores granted. It reports whether any was asked.
+func (d *Dispatcher) acquire(ctx context.Context, names []string) bool {
 	a := d.beginAcquire(names)
 	defer d.acquired(a.names)
 	if len(a.names) == 0 || a.links == nil {
-		return
+		return false
 	}
 	sent := d.now()
 	answers := d.askStores(ctx, a.links, protocol.Acquire{Queues: a.names, Epoch: a.epoch}, a.timeout)
@@ -84,6 +84,7 @@
 		d.takeGrants(ctx, name, a.epoch, sent, answers)
 	}
 	d.pumpAll()
+	return true
 }
 
 // beginAcquire marks the queues that are neither owned nor asked for, and chooses
--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -278,3 +278,32 @@
 		})
 	}
 }
+
+// A dispatcher whose stores come up one after the other asks for its queue as soon as there are enough: a
+// look at too few costs no pause.
+func TestQueueIsAskedForOnceStoresAreUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		setUp := func(up bool) {
+			d.mutex.Lock()
+			defer d.mutex.Unlock()
+			for _, link := range d.stores {
+				link.up = up
+			}
+			d.considerQueues()
+		}
+		setUp(false)
+		ctx, stop := context.WithCancel(t.Context())
+		go d.runOwnership(ctx)
+		time.Sleep(10 * time.Millisecond)
+		setUp(true)
+		time.Sleep(acquirePause / 5)
+		d.mutex.Lock()
+		c.Check(d.queues[d.localQueue], qt.IsNotNil)
+		d.mutex.Unlock()
+		stop()
+		time.Sleep(time.Second)
+		end()
+	})
+}
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -214,17 +214,23 @@
 		for _, move := range surplus {
 			d.startHandOver(ctx, move.name, move.successor)
 		}
+		asked := len(surplus) > 0
 		for batch := range slices.Chunk(wanted, d.acquireBatch()) {
-			d.acquire(ctx, batch)
+			asked = d.acquire(ctx, batch) || asked
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(acquirePause):
+		if asked || d.ownsLocalQueue() { // without its own queue it waits for nothing but stores
+			pause(ctx, acquirePause)
 		}
 	}
 }
 
+// ownsLocalQueue reports whether this dispatcher can accept messages of its own.
+func (d *Dispatcher) ownsLocalQueue() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.queues[d.localQueue] != nil
+}
+
 // queueMove is a queue that another dispatcher should own.
 type queueMove struct{ name, successor string }
 
