Release a queue once its own ends are at the stores

Found by reading.

Change: only the queue's own ends are waited for.

Test: TestReleaseWaitsForTheEndsOfItsQueueOnly.

--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -47,7 +47,7 @@
 // handOver waits for deliveries under way, while messages are still accepted, then closes the queue,
 // releases its leases and tells the successor, which finds in the stores what was accepted meanwhile.
 func (d *Dispatcher) handOver(ctx context.Context, owned *ownedQueue, successor string) {
-	d.awaitQueue(ctx, owned, handOverWait, func() bool { return owned.Running() == 0 && d.flushed() })
+	d.awaitQueue(ctx, owned, handOverWait, func() bool { return owned.Running() == 0 && d.flushedOf(owned.Name) })
 	d.mutex.Lock()
 	owned.closed = true
 	d.mutex.Unlock()
--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -108,3 +108,15 @@
 		end()
 	})
 }
+
+// A queue is released once its own ends are at the stores, whatever other queues still have to tell.
+func TestReleaseWaitsForTheEndsOfItsQueueOnly(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	d.stores["a"].ends["m"] = protocol.End{ID: "m", Queue: "ordered/1"}
+	d.stores["b"].ends["n"] = protocol.End{ID: "n", Queue: "local/edge-1/1"}
+	c.Assert(d.flushedOf("ordered/1"), qt.IsFalse)
+	c.Assert(d.flushedOf("ordered/2"), qt.IsTrue)
+	d.stores["a"].up = false
+	c.Assert(d.flushedOf("ordered/1"), qt.IsTrue)
+}
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -256,6 +256,22 @@
 	return true
 }
 
+// flushedOf reports whether the stores that are up have all ends of one queue. Those of others, which go on,
+// must not hold up its release. The mutex is held.
+func (d *Dispatcher) flushedOf(name string) bool {
+	for _, link := range d.stores {
+		if !link.up {
+			continue
+		}
+		for _, end := range link.ends {
+			if end.Queue == name {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // signal wakes a goroutine that waits for a channel with room for one.
 func signal(wake chan struct{}) {
 	select {
