Test acceptance over stalled disks, cuts and frozen stores

Change: scripted stores on the simulated network: a stalled disk is passed over, one cut of three stores costs nothing, two leave messages undecided and never refused or accepted, a frozen store changes nothing that was accepted meanwhile.

--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -71,7 +71,10 @@
 
 // withScriptedStores returns a dispatcher with a session at each store. One loss is tolerated.
 func withScriptedStores(c *qt.C, stores []*scriptedStore) (d *Dispatcher, end func()) {
-	network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+	return withScriptedStoresOn(c, simnet.New(func(_, _ string) time.Duration { return time.Millisecond }), stores)
+}
+
+func withScriptedStoresOn(c *qt.C, network *simnet.Network, stores []*scriptedStore) (d *Dispatcher, end func()) {
 	d, endDispatcher := simulated(network)
 	d.settings.FaultTolerance.Machines = 1
 	var kills []func()
--- /dev/null
+++ b/internal/service/dispatcher/storage_faults_test.go
@@ -0,0 +1,136 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/simulation/simnet"
+)
+
+const (
+	edgeIP         = "10.1.0.1" // of the dispatcher that simulated returns
+	acceptPatience = 500 * time.Millisecond
+)
+
+// acceptOne has one message accepted, and tells how long that took.
+func acceptOne(d *Dispatcher, id string) (protocol.AcceptStatus, time.Duration) {
+	began := time.Now()
+	head := protocol.Head{ID: id, Queue: "ordered/1", Retention: time.Minute, Delay: time.Minute}
+	status := d.accept(context.Background(), protocol.Message{Head: head}, acceptPatience)
+	return status, time.Since(began)
+}
+
+// owningAt returns a dispatcher that owns a queue at three scripted stores.
+func owningAt(t *testing.T, c *qt.C, network *simnet.Network, stores []*scriptedStore) (*Dispatcher, func()) {
+	d, end := withScriptedStoresOn(c, network, stores)
+	d.acquire(t.Context(), []string{"ordered/1"})
+	c.Assert(d.queues["ordered/1"], qt.IsNotNil)
+	return d, end
+}
+
+func millisecondNetwork() *simnet.Network {
+	return simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
+}
+
+// A disk that stalls costs the first messages a further copy, and the later ones nothing: the store is
+// passed over until it answers again.
+func TestStalledDiskIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		d, end := owningAt(t, c, millisecondNetwork(), stores)
+		d.mutex.Lock()
+		for i, node := range []string{"storage-1", "storage-2", "storage-3"} {
+			d.stores[node].latency = time.Duration(i) * time.Millisecond // the first is preferred
+		}
+		d.mutex.Unlock()
+		stores[0].delay = 2 * time.Second
+		status, took := acceptOne(d, "first")
+		c.Check(status, qt.Equals, protocol.Accepted)
+		c.Check(took <= 2*hedgeMost, qt.IsTrue, qt.Commentf("%v", took))
+		time.Sleep(silentAfter)
+		for n := range 5 {
+			status, took := acceptOne(d, fmt.Sprint("later-", n))
+			c.Check(status, qt.Equals, protocol.Accepted)
+			c.Check(took < hedgeLeast, qt.IsTrue, qt.Commentf("%v", took))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		d.mutex.Lock()
+		c.Check(d.candidates(), qt.HasLen, 3)
+		d.mutex.Unlock()
+		end()
+	})
+}
+
+// Cut off from one of three stores, a dispatcher accepts; cut off from two, it accepts nothing, and says
+// of no message that may have a copy that it has none.
+func TestCutsBetweenDispatcherAndStores(t *testing.T) {
+	for _, one := range []struct {
+		name   string
+		oneWay bool
+		cut    int
+		want   protocol.AcceptStatus
+	}{
+		{"one", false, 1, protocol.Accepted}, {"one, one way", true, 1, protocol.Accepted},
+		{"two", false, 2, protocol.Undecided}, {"two, one way", true, 2, protocol.Undecided},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := millisecondNetwork()
+				d, end := owningAt(t, c, network, acquireStores(3))
+				for n := range one.cut {
+					store := fmt.Sprintf("10.2.0.%d", n+1)
+					network.Cut(store, edgeIP, true)
+					if !one.oneWay {
+						network.Cut(edgeIP, store, true)
+					}
+				}
+				status, took := acceptOne(d, "m")
+				c.Check(status, qt.Equals, one.want)
+				c.Check(took < acceptPatience, qt.IsTrue, qt.Commentf("%v", took))
+				for n := range one.cut {
+					store := fmt.Sprintf("10.2.0.%d", n+1)
+					network.Cut(store, edgeIP, false)
+					network.Cut(edgeIP, store, false)
+				}
+				time.Sleep(10 * time.Second)
+				end()
+			})
+		})
+	}
+}
+
+// A frozen store neither holds up acceptance nor, once it is back, changes what was accepted meanwhile.
+func TestFrozenStoreHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := millisecondNetwork()
+		d, end := owningAt(t, c, network, acquireStores(3))
+		network.Freeze("10.2.0.1", true)
+		for n := range 10 {
+			status, took := acceptOne(d, fmt.Sprint(n))
+			c.Check(status, qt.Equals, protocol.Accepted)
+			c.Check(took <= 2*hedgeMost, qt.IsTrue, qt.Commentf("%v", took))
+			time.Sleep(50 * time.Millisecond)
+		}
+		network.Freeze("10.2.0.1", false)
+		time.Sleep(time.Second)
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Check(owned.Open(), qt.Equals, 10)
+		for n := range 10 {
+			c.Check(len(owned.Get(fmt.Sprint(n)).Holders) >= 2, qt.IsTrue)
+		}
+		d.mutex.Unlock()
+		time.Sleep(10 * time.Second)
+		end()
+	})
+}
