Read the platform's list sooner after a start

Cause: after a loss of all power nothing is delivered until a list is there; the first control member waited 250 ms for the others, and looked each 200 ms, so that it began 400 ms after its start.

Change: 100 ms and 50 ms. Two members may read at once for a moment; versions decide as before.

--- a/internal/service/coordination/election.go
+++ b/internal/service/coordination/election.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	startupPause  = 250 * time.Millisecond // in which a member that starts hears from the others first
+	startupPause  = 100 * time.Millisecond // in which a member that starts hears from the others first
 	takeoverAfter = 700 * time.Millisecond // after the next confirmation was due
 	takeoverStep  = 600 * time.Millisecond // more for each live member that is before in the order
 )
--- a/internal/service/discovery/reader.go
+++ b/internal/service/discovery/reader.go
@@ -13,7 +13,7 @@
 )
 
 // standbyPause is the time between two looks of a member that does not read.
-const standbyPause = 200 * time.Millisecond
+const standbyPause = 50 * time.Millisecond
 
 // RunReader reads the platform's list into a hub whenever isLeader reports
 // true, until the context ends. The publisher's name must be another one in
