Try connections again after 20 ms at first

Cause: after a start of all machines the configuration came to dispatchers within 0.13 s of one another: those whose first connections met a process that did not listen yet waited 50 and 100 ms.

Change: the first pause is 20 ms (sources of updates, connections), a lost store is tried each 40 ms; the most is as it was.

--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -12,7 +12,7 @@
 
 const (
 	renewInterval     = 400 * time.Millisecond
-	reconnectInterval = 100 * time.Millisecond
+	reconnectInterval = 40 * time.Millisecond
 	renewTimeout      = 700 * time.Millisecond
 	endFlushDelay     = 20 * time.Millisecond
 	endBatchMost      = 256
--- a/internal/service/distribution/rotation.go
+++ b/internal/service/distribution/rotation.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	retryLeast = 50 * time.Millisecond
+	retryLeast = 20 * time.Millisecond
 	retryMost  = 2 * time.Second
 	idlePause  = time.Second // between looks for a source where there is none
 )
--- a/internal/service/transport/client.go
+++ b/internal/service/transport/client.go
@@ -15,7 +15,7 @@
 
 const (
 	dialTimeout  = 250 * time.Millisecond // a host that is starting drops the first packet; the next try finds it
-	backoffLeast = 50 * time.Millisecond
+	backoffLeast = 20 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
 	silenceMost  = 2 * time.Second // a connection with calls open and nothing received for so long is given up
 	callQueue    = 256
