Fold the stores' tables together while many change

While processes start, each of 20 stores tells each of 66 dispatchers of each of them, and each answer had all tables folded anew, some 6,000 entries: 50 times a second.

Change: folds are at least 2 ms a store apart; changes in between wait for the next one. Three stores: 6 ms.

--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -62,6 +62,8 @@
 	epochs      map[string]uint64 // highest epoch heard of for queues asked for
 	leases      *lease.Holder
 	table       sessionTable
+	tableFolded time.Duration // when the table was folded last
+	tableStale  bool          // it is folded again soon
 	services    map[string]*serviceState
 	senders     map[string][]view.Sender // by service
 	deliveries  map[string]*deliveryState
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -120,6 +120,7 @@
 
 // refreshTable folds what all stores tell into one table. The mutex is held.
 func (d *Dispatcher) refreshTable() {
+	d.tableStale, d.tableFolded = false, d.now()
 	table := sessionTable{
 		sessions: map[string]protocol.Session{}, since: map[string]time.Duration{},
 		holders: map[string]protocol.QueueState{},
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -19,6 +19,7 @@
 	endBatchTimeout   = 2 * time.Second
 	absentAfter       = 2500 * time.Millisecond // a store unheard for so long no longer counts as holding copies
 	latencyWeight     = 0.1
+	tableGapPerStore  = 2 * time.Millisecond // between two folds of all tables
 )
 
 // storeLink is the link to one store. The fields below the client are guarded
@@ -164,7 +165,28 @@
 			delete(link.holders, state.Queue)
 		}
 	}
-	d.refreshTable()
+	d.considerTable()
+}
+
+// considerTable folds the tables of all stores anew, now or, where that was done just before, a little later:
+// while processes start, each of many stores tells of each of them. The mutex is held.
+func (d *Dispatcher) considerTable() {
+	gap := time.Duration(len(d.stores)) * tableGapPerStore
+	wait := d.tableFolded + gap - d.now()
+	switch {
+	case d.tableStale:
+	case wait <= 0:
+		d.refreshTable()
+	default:
+		d.tableStale = true
+		time.AfterFunc(wait, func() {
+			d.mutex.Lock()
+			defer d.mutex.Unlock()
+			if !d.ended {
+				d.refreshTable()
+			}
+		})
+	}
 }
 
 // takeSessions replaces the sessions that have changed and drops those that are no more.
