Limit the heap of a role to a part of its memory

What filled the memory is not found.

Change: the limit of the heap is 0.7 of memoryMb.

Test: TestHeapIsLimited.

--- /dev/null
+++ b/internal/service/commands/memory_test.go
@@ -0,0 +1,19 @@
+package commands
+
+import (
+	"runtime/debug"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The heap's limit follows the memory of the settings, and stays as it is where they give none.
+func TestHeapIsLimited(t *testing.T) {
+	c := qt.New(t)
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	limitHeap(0)
+	c.Assert(debug.SetMemoryLimit(-1), qt.Equals, before)
+	limitHeap(200)
+	c.Assert(debug.SetMemoryLimit(-1), qt.Equals, int64(140<<20))
+}
--- a/internal/service/commands/roles.go
+++ b/internal/service/commands/roles.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -23,6 +24,10 @@
 // signal to end, so that the dispatcher beside it keeps its link.
 const agentLinger = 0.85
 
+// heapPart is the part of a process's memory that the heap may take: stacks, buffers of sockets and what has
+// arrived and is not read yet need the rest.
+const heapPart = 0.7
+
 // role is a long-running part of the service.
 type role struct {
 	name, description string
@@ -62,6 +67,7 @@
 		fmt.Fprintln(errors, err)
 		return exitUsage
 	}
+	limitHeap(loaded.Limits.MemoryMb)
 	log := logging.New(errors, loaded.Node+"/"+r.name, verbose)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -73,6 +79,14 @@
 	return exitSuccess
 }
 
+// limitHeap makes the garbage collector work harder as the heap nears the memory that the process may use:
+// beyond it the process is ended. Without a limit the settings leave it as it is.
+func limitHeap(memoryMb int) {
+	if memoryMb > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(memoryMb) * (1 << 20)))
+	}
+}
+
 // awaitSignals cancels the context some time after a signal to end.
 func awaitSignals(cancel context.CancelFunc, log logr.Logger, linger time.Duration) {
 	signals := make(chan os.Signal, 4)
