--- a/internal/service/dispatcher/table_test.go
+++ b/internal/service/dispatcher/table_test.go
@@ -19,6 +19,7 @@
 func keepTableUp(c *qt.C) {
 	d := withStores("a")
 	link := d.stores["a"]
+	time.Sleep(10 * tableGapPerStore) // the next change is folded at once
 	session := func(node string, incarnation uint64) protocol.Session {
 		return protocol.Session{Identity: protocol.Identity{Node: node, Incarnation: incarnation}, Ready: true}
 	}
@@ -26,7 +27,7 @@
 		Version: 1, Sessions: []protocol.Session{session("edge-2", 1), session("edge-3", 1)},
 		Queues: []protocol.QueueState{{Queue: "ordered/1", Epoch: 1, Holder: "edge-2"}, {Queue: "ordered/2", Epoch: 1, Holder: "edge-3"}},
 	})
-	time.Sleep(tableGapPerStore)
+	time.Sleep(10 * tableGapPerStore)
 	d.takeTable(link, protocol.RenewReply{
 		Version: 2, Partial: true, Sessions: []protocol.Session{session("edge-3", 2)},
 		Ended:  []protocol.SessionName{{Node: "edge-3", Incarnation: 1}, {Node: "edge-2", Incarnation: 1}},
@@ -37,7 +38,7 @@
 	c.Assert(d.table.nodes, qt.DeepEquals, []string{"edge-3"})
 	c.Assert(d.table.holders, qt.DeepEquals, map[string]protocol.QueueState{"ordered/1": {Queue: "ordered/1", Epoch: 1, Open: 3}})
 	c.Assert(d.table.orphans, qt.DeepEquals, []string{"ordered/1"})
-	time.Sleep(tableGapPerStore)
+	time.Sleep(10 * tableGapPerStore)
 	d.takeTable(link, protocol.RenewReply{Version: 9, Sessions: []protocol.Session{session("edge-4", 1)}})
 	c.Assert(d.table.nodes, qt.DeepEquals, []string{"edge-4"})
 	c.Assert(d.table.holders, qt.HasLen, 0)
