--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -102,12 +102,24 @@
 		}
 	}
 	a.epoch++
-	if links := d.upStores(); len(links) >= d.grantsWanted() {
+	if links := d.upStores(); wholeStores(links) >= d.grantsWanted() {
 		a.links = links
 	}
 	return a
 }
 
+// wholeStores counts the stores that can make up a lease. A round that must fail would leave promises that
+// keep stores from granting for a while after their start.
+func wholeStores(links []*storeLink) int {
+	count := 0
+	for _, link := range links {
+		if !link.recovering {
+			count++
+		}
+	}
+	return count
+}
+
 // acquired notes that a request for queues has ended.
 func (d *Dispatcher) acquired(names []string) {
 	d.mutex.Lock()
--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -310,3 +310,23 @@
 		end()
 	})
 }
+
+// While too few stores are up that can make up a lease, none is asked: a promise that a failed round leaves
+// would keep a store that has just started from granting.
+func TestNoRoundThatMustFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		d.mutex.Lock()
+		d.stores["storage-1"].recovering = true
+		d.stores["storage-3"].up = false
+		d.mutex.Unlock()
+		c.Check(d.acquire(t.Context(), []string{"ordered/1"}), qt.IsFalse)
+		d.mutex.Lock()
+		d.stores["storage-3"].up = true
+		d.mutex.Unlock()
+		c.Check(d.acquire(t.Context(), []string{"ordered/1"}), qt.IsTrue)
+		c.Check(d.queues["ordered/1"], qt.IsNotNil)
+		end()
+	})
+}
