Ask a store that is back for the ends of open messages

Cause: a claim brings ends of the last 5 s only, and unlike a takeover the owner asked for no others: an end that only the returned store has would be missed and its message run again. Found by reading.

Change: a claim asks FindEnds for the open messages that the answer does not list; without an answer it does not count.

Test: TestClaimAsksForEndsOfLongAgo.

--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -330,3 +330,36 @@
 		end()
 	})
 }
+
+// A store that comes back knows that a message ended long ago, which its owner holds as open: it is asked,
+// and the message does not run again.
+func TestClaimAsksForEndsOfLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		stores[2].findEnds = func(request protocol.FindEnds) protocol.FindEndsReply {
+			c.Check(request.IDs, qt.DeepEquals, []string{"m"})
+			ended := protocol.Head{ID: "m", Queue: "ordered/1", State: protocol.Completed, Stamp: "seal"}
+			return protocol.FindEndsReply{Heads: []protocol.Head{ended}}
+		}
+		d, end := withScriptedStores(c, stores)
+		d.mutex.Lock()
+		d.stores["storage-3"].up = false
+		d.mutex.Unlock()
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Assert(owned, qt.IsNotNil)
+		head := protocol.Head{ID: "m", Queue: owned.Name, Retention: time.Minute, Delay: time.Minute}
+		entry := owned.Add(d.now(), head, nil, []string{"storage-1", "storage-2"})
+		link := d.stores["storage-3"]
+		link.up = true
+		d.mutex.Unlock()
+		d.claim(link, owned.Epoch, []string{"ordered/1"})
+		d.mutex.Lock()
+		c.Check(entry.Head.State, qt.Equals, protocol.Completed)
+		c.Check(entry.Head.Stamp, qt.Equals, "seal")
+		d.mutex.Unlock()
+		end()
+	})
+}
--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
 	"yardwharf/internal/service/transport"
 )
 
@@ -50,6 +51,11 @@
 	sent := d.now()
 	request := protocol.Acquire{Queues: names, Epoch: epoch, Held: true}
 	reply, err := transport.Call[protocol.AcquireReply](ctx, link.client, request)
+	if ids := d.openUnlisted(names, reply); err == nil && len(ids) > 0 {
+		if !d.addOldEndsOf(ctx, &storeGrant{link: link, reply: reply, ok: true}, ids) {
+			err = errEndsUnknown
+		}
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, name := range names {
@@ -66,6 +72,35 @@
 	d.pumpAll()
 }
 
+// errEndsUnknown says that a store which granted a claim did not tell which messages have ended.
+var errEndsUnknown = Class.New("the store did not tell of ends")
+
+// openUnlisted returns the messages that are open in queues and that a store's answer does not list: it may
+// know the end of one, from an owner before.
+func (d *Dispatcher) openUnlisted(names []string, reply protocol.AcquireReply) []string {
+	listed := map[string]bool{}
+	for _, grant := range reply.Grants {
+		for _, head := range grant.Heads {
+			listed[head.ID] = true
+		}
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var ids []string
+	for _, name := range names {
+		owned := d.queues[name]
+		if owned == nil {
+			continue
+		}
+		owned.Each(func(entry *queue.Entry) {
+			if entry.Phase < queue.Callback && !listed[entry.Head.ID] {
+				ids = append(ids, entry.Head.ID)
+			}
+		})
+	}
+	return ids
+}
+
 // takeClaim takes in a store's answer for a queue that is owned already.
 func (d *Dispatcher) takeClaim(owned *ownedQueue, link *storeLink, sent time.Duration, grant protocol.Grant) {
 	if !grant.Granted {
