--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -77,10 +77,7 @@
 	started := time.Now()
 	status.Serve(server, started, func(report *status.Report) { fillStatus(report, replica, hub, coordination) })
 	retirement := &retirement{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
-	upkeep := &upkeep{
-		replica: replica, retirement: retirement, stores: coordination.Stores,
-		tolerated: s.FaultTolerance.Machines, catchUp: settings.Seconds(s.Bounds.CatchUpS),
-	}
+	upkeep := newUpkeep(replica, retirement, coordination.Stores, s.FaultTolerance.Machines)
 	api := newAPIServer(replica, retirement, log)
 
 	var group sync.WaitGroup
--- a/internal/service/control/publish.go
+++ b/internal/service/control/publish.go
@@ -50,7 +50,7 @@
 	for _, store := range value.Stores {
 		result.Stores = append(result.Stores, view.Node{
 			Name: store.Node, Zone: store.Zone, Address: store.Address, StoreID: store.StoreID,
-			FirstDisk: store.FirstStoreID != "" && store.FirstStoreID == store.StoreID, Leaving: value.IsLeaving(store.Node),
+			FullStoreID: store.FullStoreID, Leaving: value.IsLeaving(store.Node) || value.IsMissing(store.Node),
 		})
 	}
 	for _, member := range value.Members {
--- a/internal/service/control/retire.go
+++ b/internal/service/control/retire.go
@@ -55,35 +55,28 @@
 	return !value.HasMember(node) || len(value.Members) > 2*r.tolerated+1
 }
 
-// advance takes the leaving stores that are empty out of the known ones.
-func (r *retirement) advance(ctx context.Context, value *register.Value) {
-	for _, node := range value.Leaving {
-		store, known := value.Store(node)
-		if !known || !r.emptied(ctx, store) {
-			continue
-		}
-		if value.HasMember(node) {
-			r.replica.order(ctx, register.RemoveNode(node))
-			continue
-		}
-		if len(value.Previous) > 0 {
-			continue // until the next round its vote may still be needed
-		}
-		outcome := r.replica.order(ctx, register.CompleteRetirement(node, store.StoreID)).Outcome
-		r.replica.log.Info("store has been emptied", "node", node, "outcome", outcome.String())
+// complete takes a leaving store of which all is kept elsewhere out of the known
+// ones, and before that its machine out of the register's members.
+func (r *retirement) complete(ctx context.Context, value *register.Value, store register.StoreMember, proof register.Reconciled) {
+	if value.HasMember(store.Node) {
+		r.replica.order(ctx, register.RemoveNode(store.Node))
+		return
 	}
+	if len(value.Previous) > 0 {
+		return // until the next round its vote may still be needed
+	}
+	outcome := r.replica.order(ctx, register.CompleteRetirement(store.Node, store.StoreID, proof)).Outcome
+	r.replica.log.Info("store has been emptied", "node", store.Node, "outcome", outcome.String())
 }
 
-// emptied asks a leaving store whether all its messages are kept elsewhere.
-func (r *retirement) emptied(ctx context.Context, store register.StoreMember) bool {
+// acknowledged tells a leaving store that it leaves, and asks whether all
+// dispatchers in touch with it know: they count on no copy there any more.
+func (r *retirement) acknowledged(ctx context.Context, store register.StoreMember) bool {
 	callCtx, cancel := context.WithTimeout(ctx, retireTimeout)
 	defer cancel()
 	answer, err := r.replica.peers.call(callCtx, store.Address, protocol.Retire{})
 	reply, whole := answer.(protocol.RetireReply)
-	if err != nil || !whole || reply.StoreID != store.StoreID || reply.Recovering {
-		return false
-	}
-	return reply.Unmoved == 0 && reply.Unaware == 0
+	return err == nil && whole && reply.StoreID == store.StoreID && reply.Unaware == 0
 }
 
 // retireOrder is the body of POST /Retire.Begin/NODE.
--- a/internal/service/control/storage.go
+++ b/internal/service/control/storage.go
@@ -18,7 +18,7 @@
 // that the newest whole save survives a loss of power during the next one.
 const (
 	slotCount  = 2
-	slotFormat = 1
+	slotFormat = 2
 	// Magic, format, generation, length and checksum.
 	slotHeaderSize = 4 + 4 + 8 + 8 + 4
 )
@@ -29,7 +29,7 @@
 )
 
 // errOtherFormat is returned where a file was not written in this format.
-var errOtherFormat = errors.New("not a register file of format 1")
+var errOtherFormat = errors.New("not a register file of format 2")
 
 // slotStorage keeps an acceptor's state in two slot files.
 type slotStorage struct {
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -18,8 +18,8 @@
 	unknownEvery   = 100 * time.Millisecond // while no majority has told the decided value
 	behindPause    = 20 * time.Millisecond
 	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins, or leaves an even number
-	retireEvery    = 200 * time.Millisecond // while a store is being emptied
-	repairTime     = 2 * time.Second        // after the monitors have noted a loss: its copies are written again by then
+	storesEvery    = 200 * time.Millisecond // while stores are being emptied or filled
+	giveUpAfter    = 2 * time.Second        // after the monitors have noted a loss, a store is given up
 	standstill     = 3 * time.Second        // between two rounds: this process was stopped itself
 	unsettledTicks = 2                      // rounds of upkeep after which an undecided value is finished
 )
@@ -27,15 +27,21 @@
 // upkeep learns decided values that were missed, and keeps the members and the
 // known stores in order.
 type upkeep struct {
-	replica    *replica
-	retirement *retirement
-	stores     func() []view.NodeState
-	tolerated  int           // machines that may be lost at once
-	catchUp    time.Duration // until a store that was empty counts in full
-	unsettled  int
-	ticked     time.Time
-	gone       map[string]time.Time               // known stores that do not live, since when
-	present    map[register.StoreMember]time.Time // known stores that live, each with its disk, since when
+	replica        *replica
+	reconciliation *reconciliation
+	stores         func() []view.NodeState
+	tolerated      int // machines that may be lost at once
+	unsettled      int
+	ticked         time.Time
+	gone           map[string]time.Time // known stores that do not live, since when
+}
+
+// newUpkeep returns the upkeep of a member.
+func newUpkeep(replica *replica, retirement *retirement, stores func() []view.NodeState, tolerated int) *upkeep {
+	return &upkeep{
+		replica: replica, stores: stores, tolerated: tolerated,
+		reconciliation: &reconciliation{replica: replica, retirement: retirement, stores: stores, tolerated: tolerated},
+	}
 }
 
 // run works until the context ends.
@@ -71,14 +77,14 @@
 	for _, change := range u.due(decided.Value, time.Now()) {
 		u.replica.order(ctx, change)
 	}
-	u.retirement.advance(ctx, decided.Value)
+	u.reconciliation.advance(ctx, decided.Value)
 }
 
 // noteTime excuses the silence of others when this process has stood still.
 func (u *upkeep) noteTime(now time.Time) {
 	if !u.ticked.IsZero() && now.Sub(u.ticked) > standstill {
 		u.replica.forgiveSilence()
-		u.gone, u.present = nil, nil
+		u.gone = nil
 	}
 	u.ticked = now
 }
@@ -89,23 +95,44 @@
 	if !u.replica.isMember() {
 		pause = joinEvery
 	}
-	if known := u.replica.known().Value; known != nil && len(known.Leaving) > 0 {
-		pause = retireEvery
+	if known := u.replica.known().Value; known != nil && u.first(known) && (u.reconciliation.pending(known) || u.storesDiffer(known)) {
+		pause = storesEvery
 	}
 	if u.unsettled > 0 {
 		pause = unknownEvery
 	}
-	timer := time.NewTimer(pause*3/4 + mathrand.N(pause/2))
+	if u.pause(ctx, pause*3/4+mathrand.N(pause/2)) {
+		time.Sleep(behindPause)
+	}
+}
+
+// pause waits, less if the stores that live are others than the known ones. It
+// reports whether it ended early because a value is known to be missing.
+func (u *upkeep) pause(ctx context.Context, whole time.Duration) bool {
+	timer := time.NewTimer(whole)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return
-	case <-ctx.Done():
-		return
-	case <-u.replica.behind:
+	look := time.NewTicker(storesEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-u.replica.behind:
+			return true
+		case <-look.C:
+			if known := u.replica.known().Value; known != nil && u.storesDiffer(known) && u.first(known) {
+				return false
+			}
+		}
 	}
-	timer.Reset(behindPause)
-	<-timer.C
+}
+
+// storesDiffer reports whether a store lives that a value does not have, or has
+// with another disk.
+func (u *upkeep) storesDiffer(value *register.Value) bool {
+	return anyUnknown(value, slices.Collect(maps.Values(liveStores(u.stores()))))
 }
 
 // first reports whether all members before this one are silent: one member acts
@@ -140,9 +167,8 @@
 	if stores := slices.Collect(maps.Values(live)); anyUnknown(value, stores) {
 		changes = append(changes, register.SetStores(stores))
 	}
-	if node, replaced := u.replacedStore(value, live, now); replaced {
-		u.replica.log.Info("store is removed", "node", node)
-		changes = append(changes, register.RemoveStore(node))
+	if missing := register.SetMissing(u.missingStores(value, live, now)); changesAnything(missing, value) {
+		changes = append(changes, missing)
 	}
 	return changes
 }
@@ -156,7 +182,12 @@
 
 // anyUnknown reports whether the value lacks a store or has an outdated entry.
 func anyUnknown(value *register.Value, stores []register.StoreMember) bool {
-	_, outcome := register.SetStores(stores)(value)
+	return changesAnything(register.SetStores(stores), value)
+}
+
+// changesAnything reports whether a change would change a value.
+func changesAnything(change register.Change, value *register.Value) bool {
+	_, outcome := change(value)
 	return outcome == register.Taken
 }
 
@@ -174,52 +205,43 @@
 	return live
 }
 
-// replacedStore returns a known store that has been gone for so long that its
-// messages have been copied again, while enough others have lived for as long as
-// a new one needs. Until it is removed it counts among the stores whose grants
-// may be missing, and so takes the place of the next loss.
-func (u *upkeep) replacedStore(value *register.Value, live map[string]register.StoreMember, now time.Time) (string, bool) {
-	u.notePresence(value, live, now)
-	whole := 0
-	for _, store := range value.RemainingStores("") {
-		if since, present := u.present[store]; present && now.Sub(since) >= u.catchUp {
-			whole++
+// missingStores returns the known stores that are given up: those that have been
+// gone for a while, where enough others live to go on without them. Until one is
+// removed it counts among the stores whose grants may be missing, and so takes the
+// place of the next loss. The time only paces this: what lets a store be removed is
+// a reconciliation.
+func (u *upkeep) missingStores(value *register.Value, live map[string]register.StoreMember, now time.Time) []string {
+	u.noteGone(value, live, now)
+	living := 0
+	for _, store := range value.Stores {
+		if _, lives := live[store.Node]; lives && !value.IsLeaving(store.Node) {
+			living++
 		}
 	}
-	if whole < 2*u.tolerated+1 {
-		return "", false
+	if living < 2*u.tolerated+1 {
+		return nil
 	}
+	var missing []string
 	for node, since := range u.gone {
-		if now.Sub(since) > repairTime {
-			return node, true
+		if now.Sub(since) > giveUpAfter || value.IsMissing(node) {
+			missing = append(missing, node)
 		}
 	}
-	return "", false
+	slices.Sort(missing)
+	return missing
 }
 
-// notePresence notes since when the known stores have lived or been gone. Those
-// that live when this process first looks have lived for long: it cannot know
-// better, and most of them have.
-func (u *upkeep) notePresence(value *register.Value, live map[string]register.StoreMember, now time.Time) {
-	begun := now
-	if u.present == nil {
-		begun = time.Time{}
-	}
-	present, gone := map[register.StoreMember]time.Time{}, map[string]time.Time{}
+// noteGone notes since when the known stores that do not live have been gone.
+func (u *upkeep) noteGone(value *register.Value, live map[string]register.StoreMember, now time.Time) {
+	gone := map[string]time.Time{}
 	for _, store := range value.Stores {
 		if _, lives := live[store.Node]; lives {
-			present[store] = noteSince(u.present, store, begun)
-		} else {
-			gone[store.Node] = noteSince(u.gone, store.Node, now)
+			continue
+		}
+		gone[store.Node] = now
+		if since, noted := u.gone[store.Node]; noted {
+			gone[store.Node] = since
 		}
 	}
-	u.present, u.gone = present, gone
-}
-
-// noteSince returns when a key was first noted, which is now if it was not.
-func noteSince[Key comparable](known map[Key]time.Time, key Key, now time.Time) time.Time {
-	if since, noted := known[key]; noted {
-		return since
-	}
-	return now
+	u.gone = gone
 }
--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"yardwharf/internal/service/protocol"
@@ -137,10 +138,11 @@
 	if result.status != protocol.Accepted {
 		return result.status
 	}
-	if owned.dropped {
+	holders := d.holdersLeft(result)
+	if owned.dropped || len(holders) < d.copiesWanted() {
 		return protocol.Undecided
 	}
-	entry := owned.Add(d.now(), message.Head, message.Body, result.holders)
+	entry := owned.Add(d.now(), message.Head, message.Body, holders)
 	entry.Touched = result.touched
 	d.needsRepair(owned, entry)
 	d.keepBody(entry)
@@ -148,6 +150,15 @@
 	return protocol.Accepted
 }
 
+// holdersLeft returns the holders of a message that has just been written: without
+// those that have lost that disk meanwhile, or that are to be emptied. The mutex
+// is held.
+func (d *Dispatcher) holdersLeft(result copyResult) []string {
+	return slices.DeleteFunc(slices.Clone(result.holders), func(node string) bool {
+		return !d.stillHas(node, result.disks[node]) || d.stores[node].leaving
+	})
+}
+
 // keepBody keeps the body in memory while there is room for it.
 func (d *Dispatcher) keepBody(entry *queue.Entry) {
 	budget := int(bodyBudget * float64(d.memoryMb) * (1 << 20))
--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -113,7 +113,7 @@
 func wholeStores(links []*storeLink) int {
 	count := 0
 	for _, link := range links {
-		if !link.recovering {
+		if link.countsNow() {
 			count++
 		}
 	}
@@ -170,11 +170,11 @@
 	return answers
 }
 
-// counts reports whether an answer can make up a lease: that of a store which may lack messages cannot.
+// counts reports whether an answer can make up a lease: that of a store whose disk may lack messages cannot.
 func (d *Dispatcher) counts(answer storeGrant) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return answer.ok && !answer.link.mayLack(answer.reply.StoreID, answer.reply.Recovering)
+	return answer.ok && answer.link.counts(answer.reply.StoreID)
 }
 
 func countAnswers(answers []storeGrant) int {
@@ -273,8 +273,8 @@
 	counted := 0
 	heads := map[string][]protocol.Head{}
 	for _, answer := range answers {
-		if !answer.ok {
-			unanswered = append(unanswered, answer.link)
+		if !answer.ok || answer.reply.StoreID != answer.link.storeID {
+			unanswered = append(unanswered, answer.link) // it has lost the disk that answered
 			continue
 		}
 		grant := findGrant(answer, name)
@@ -284,7 +284,7 @@
 		}
 		granted = append(granted, answer.link)
 		heads[answer.link.node] = grant.Heads
-		if !answer.link.mayLack(answer.reply.StoreID, answer.reply.Recovering) {
+		if answer.link.countsNow() {
 			counted++
 		}
 	}
--- a/internal/service/dispatcher/adopt.go
+++ b/internal/service/dispatcher/adopt.go
@@ -28,8 +28,11 @@
 	})
 	for _, one := range ordered {
 		entry := owned.Add(d.now(), one.head, nil, one.holders)
-		if one.head.State.Ended() && one.differ {
-			d.recordEnd(owned, entry)
+		if one.head.State.Ended() {
+			entry.EndKept = one.endKept()
+			if one.differ || !d.endIsSafe(entry) {
+				d.recordEnd(owned, entry)
+			}
 		}
 		if entry.Phase != queue.Done {
 			d.needsRepair(owned, entry)
@@ -41,7 +44,19 @@
 type adoptedHead struct {
 	head    protocol.Head
 	holders []string
-	differ  bool // one store has not learned its end
+	states  []protocol.State // at the holders
+	differ  bool             // one store has not learned its end
+}
+
+// endKept returns the holders that have recorded the end.
+func (a *adoptedHead) endKept() []string {
+	var kept []string
+	for i, node := range a.holders {
+		if a.states[i] == a.head.State {
+			addNode(&kept, node)
+		}
+	}
+	return kept
 }
 
 // acceptedBefore reports whether a record tells of an earlier acceptance.
@@ -52,10 +67,10 @@
 func mergeHead(merged map[string]*adoptedHead, node string, head protocol.Head) {
 	one := merged[head.ID]
 	if one == nil {
-		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}}
+		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}, states: []protocol.State{head.State}}
 		return
 	}
-	one.holders = append(one.holders, node)
+	one.holders, one.states = append(one.holders, node), append(one.states, head.State)
 	if one.head.State != head.State || one.head.CallbackDue != head.CallbackDue {
 		one.differ = true
 	}
@@ -79,8 +94,9 @@
 		}
 		return
 	}
-	if !slices.Contains(entry.Holders, link.node) {
-		entry.Holders = append(entry.Holders, link.node)
+	addNode(&entry.Holders, link.node)
+	if entry.Head.State.Ended() && entry.Head.State == head.State {
+		addNode(&entry.EndKept, link.node)
 	}
 	switch {
 	case entry.Phase >= queue.Callback && entry.Head.CallbackDue == head.CallbackDue && entry.Head.State == head.State:
@@ -88,13 +104,17 @@
 		d.recordEnd(owned, entry)
 	case head.State.Ended():
 		d.endEntry(owned, entry, head.State, head.Stamp)
+		addNode(&entry.EndKept, link.node)
 	}
 }
 
 // settleUnknown finds out about a message that only a store that was away holds
 // as open: it has ended elsewhere, or it was never accepted.
 func (d *Dispatcher) settleUnknown(owned *ownedQueue, link *storeLink, head protocol.Head) {
-	found, complete := d.queryStores(context.Background(), head.ID, false)
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	answer := d.queryStores(ctx, head.ID, false)
+	found := answer.best.Head
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if owned.dropped || owned.Get(head.ID) != nil {
@@ -105,7 +125,7 @@
 		signal(link.flush)
 		return
 	}
-	if complete {
+	if answer.complete {
 		d.needsRepair(owned, owned.Add(d.now(), head, nil, []string{link.node}))
 		d.pump(owned)
 	}
--- a/internal/service/dispatcher/callbacks.go
+++ b/internal/service/dispatcher/callbacks.go
@@ -35,8 +35,14 @@
 	failures int  // calls in a row without an answer
 }
 
-// callBack hands a call-back to its receiver's workers. The mutex is held.
+// callBack hands a call-back to its receiver's workers, once the end can no longer
+// be lost. The mutex is held.
 func (d *Dispatcher) callBack(owned *ownedQueue, entry *queue.Entry) {
+	if !d.endIsSafe(entry) {
+		d.recordEnd(owned, entry)
+		owned.PostponeCallback(d.now(), entry, endPause)
+		return
+	}
 	host := receiverOf(entry.Head.CallbackURL)
 	r := d.receivers[host]
 	if r == nil {
--- a/internal/service/dispatcher/callbacks_test.go
+++ b/internal/service/dispatcher/callbacks_test.go
@@ -84,6 +84,7 @@
 	defer d.mutex.Unlock()
 	entry := owned.Add(d.now(), protocol.Head{ID: id, Retention: time.Minute, CallbackURL: "http://10.6.0.1/" + id}, nil, nil)
 	owned.Advance(d.now())
+	entry.EndKept = []string{"storage-1"}
 	d.endEntry(owned, entry, protocol.Completed, "seal")
 }
 
--- a/internal/service/dispatcher/candidates.go
+++ b/internal/service/dispatcher/candidates.go
@@ -2,12 +2,12 @@
 
 import "slices"
 
-// candidates returns the stores that are up and stay, the best first: one of the own zone, one of another,
+// candidates returns the stores that are up, whose disk is known, and that stay, the best first: one of the own zone, one of another,
 // then as spreadZones says, each time those that answer soonest.
 func (d *Dispatcher) candidates() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
-		if link.up && !link.leaving && !link.silent(d.now()) {
+		if link.up && link.storeID != "" && !link.leaving && !link.silent(d.now()) {
 			links = append(links, link)
 		}
 	}
--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		delete(owned.asked, link.node)
-		if err != nil {
+		if err != nil || reply.StoreID != link.storeID {
 			continue
 		}
 		d.takeClaim(owned, link, sent, findGrant(storeGrant{link, reply, true}, name))
@@ -143,12 +143,17 @@
 	defer d.mutex.Unlock()
 	owned.raising = false
 	var granted []storeGrant
+	counted := 0
 	for _, answer := range answers {
-		if findGrant(answer, owned.Name).Granted {
-			granted = append(granted, answer)
+		if !findGrant(answer, owned.Name).Granted || answer.reply.StoreID != answer.link.storeID {
+			continue
+		}
+		granted = append(granted, answer)
+		if answer.link.countsNow() {
+			counted++
 		}
 	}
-	if owned.dropped || len(granted) < d.grantsWanted() {
+	if owned.dropped || counted < d.grantsWanted() {
 		return
 	}
 	owned.Epoch = epoch
--- a/internal/service/dispatcher/copies.go
+++ b/internal/service/dispatcher/copies.go
@@ -22,14 +22,16 @@
 type copyResult struct {
 	status  protocol.AcceptStatus
 	fenced  bool
-	holders []string // stores that acknowledged their copy
-	touched []string // stores that may have one
+	holders []string          // stores that acknowledged their copy
+	touched []string          // stores that may have one
+	disks   map[string]string // those of the holders
 }
 
 // copyAnswer is what came of one copy.
 type copyAnswer struct {
 	link    *storeLink
 	status  protocol.AppendStatus
+	storeID string
 	verdict verdict.Verdict
 	took    time.Duration
 }
@@ -52,7 +54,7 @@
 		return copyResult{status: protocol.Refused}
 	}
 	answers := make(chan copyAnswer, len(links))
-	result := copyResult{}
+	result := copyResult{disks: map[string]string{}}
 	open := 0
 	launch := func() {
 		link := links[0]
@@ -135,6 +137,7 @@
 	node := answer.link.node
 	if answer.status == protocol.Stored {
 		result.holders = append(result.holders, node)
+		result.disks[node] = answer.storeID
 		return
 	}
 	if answer.status == protocol.Fenced {
@@ -156,7 +159,7 @@
 	}
 	d.mutex.Unlock()
 	reply, err := transport.Call[protocol.AppendReply](ctx, link.client, protocol.Append{Message: message})
-	answer := copyAnswer{link: link, status: reply.Status, took: d.now() - begun}
+	answer := copyAnswer{link: link, status: reply.Status, storeID: reply.StoreID, took: d.now() - begun}
 	switch {
 	case err != nil:
 		answer.verdict = verdict.Of(err)
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -253,35 +253,3 @@
 	d.recordEnd(owned, entry)
 	d.pump(owned)
 }
-
-// endOf returns the record of a message's end.
-func endOf(owned *ownedQueue, entry *queue.Entry) protocol.End {
-	return protocol.End{
-		ID: entry.Head.ID, Queue: owned.Name, State: entry.Head.State,
-		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue,
-	}
-}
-
-// recordEnd has the stores of a message record its end. The mutex is held.
-func (d *Dispatcher) recordEnd(owned *ownedQueue, entry *queue.Entry) {
-	end := endOf(owned, entry)
-	for _, nodes := range [][]string{entry.Holders, entry.Touched} {
-		for _, node := range nodes {
-			if link := d.stores[node]; link != nil {
-				link.ends[end.ID] = end
-				delete(link.failures, end.ID)
-				signal(link.flush)
-			}
-		}
-	}
-}
-
-// recordFailures has the stores of a message record its failed attempts.
-func (d *Dispatcher) recordFailures(entry *queue.Entry) {
-	for _, node := range entry.Holders {
-		if link := d.stores[node]; link != nil {
-			link.failures[entry.Head.ID] = entry.Head.Failures
-			signal(link.flush)
-		}
-	}
-}
--- /dev/null
+++ b/internal/service/dispatcher/disks.go
@@ -0,0 +1,55 @@
+package dispatcher
+
+import "yardwharf/internal/service/protocol"
+
+// counts reports whether a store that told of this disk makes up leases, and
+// whether what it does not have is not there: the register says that this disk
+// holds all that it must. Of another disk nobody knows what it lacks, however old
+// it is.
+func (l *storeLink) counts(storeID string) bool { return storeID != "" && storeID == l.fullDisk }
+
+// countsNow reports whether the store counts with the disk that it told last.
+func (l *storeLink) countsNow() bool { return l.counts(l.storeID) }
+
+// grantsCount reports whether the grants of a store make up leases. The mutex is
+// held.
+func (d *Dispatcher) grantsCount(node string) bool {
+	link := d.stores[node]
+	return link != nil && link.countsNow()
+}
+
+// noteDisk notes the disk that a store has now. All copies on the one before are
+// lost. The mutex is held.
+func (d *Dispatcher) noteDisk(link *storeLink, storeID string) {
+	if link.storeID == storeID {
+		return
+	}
+	if link.storeID != "" {
+		d.diskLost(link)
+	}
+	link.storeID = storeID
+}
+
+// diskLost takes the disk of a store for lost. Until the store tells its new one,
+// none is known. The mutex is held.
+func (d *Dispatcher) diskLost(link *storeLink) {
+	d.log.Info("store has a new disk", "store", link.node)
+	link.ends, link.failures = map[string]protocol.End{}, map[string]int{}
+	link.formerDisks[link.storeID] = true
+	link.storeID = ""
+	d.leases.Lost(link.node)
+	for _, owned := range d.queues {
+		delete(owned.granted, link.node)
+	}
+	d.copiesLost(link)
+}
+
+// noteListed takes in what the register says of a store's disks. A disk that the
+// store itself has not told yet replaces the one that is known: that one is lost
+// by then. The mutex is held.
+func (d *Dispatcher) noteListed(link *storeLink, storeID, fullDisk string) {
+	if storeID != "" && link.storeID != "" && link.storeID != storeID && !link.formerDisks[storeID] {
+		d.diskLost(link)
+	}
+	link.fullDisk = fullDisk
+}
--- /dev/null
+++ b/internal/service/dispatcher/disks_test.go
@@ -0,0 +1,160 @@
+package dispatcher
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/view"
+)
+
+// A disk counts when the register says that it holds all that it must, not when
+// it is old enough.
+func TestDisksCountByEvidence(t *testing.T) {
+	c := qt.New(t)
+	link := &storeLink{fullDisk: "first"}
+	c.Assert(link.counts("first"), qt.IsTrue)
+	c.Assert(link.counts("second"), qt.IsFalse)
+	c.Assert((&storeLink{}).counts(""), qt.IsFalse, qt.Commentf("nothing is known of it"))
+}
+
+// Grants of a store whose disk may lack messages make up no lease beside one that
+// was behind, however long they last.
+func TestNoLeaseFromADiskThatMayLack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		d.mutex.Lock()
+		d.stores["storage-1"].storeID = "new disk"
+		d.stores["storage-2"].up = false
+		d.mutex.Unlock()
+		for range 20 {
+			d.acquire(t.Context(), []string{"ordered/1"})
+			time.Sleep(time.Second)
+		}
+		d.mutex.Lock()
+		c.Check(d.queues["ordered/1"], qt.IsNil)
+		owned := own(d, "ordered/1", 3)
+		for _, node := range []string{"storage-1", "storage-3"} {
+			d.leases.Renewed(node, d.now(), d.now())
+			d.noteGrant(owned, d.stores[node], d.now())
+		}
+		c.Check(d.mayAct(owned), qt.IsFalse)
+		d.stores["storage-1"].fullDisk = "new disk"
+		c.Check(d.mayAct(owned), qt.IsTrue)
+		d.mutex.Unlock()
+		end()
+	})
+}
+
+// A store loses its disk after it has acknowledged a copy, and before the other
+// store acknowledges its own: what is left is one copy, which is no 202.
+func TestCopyOnADiskThatIsLostMeanwhile(t *testing.T) {
+	for _, how := range []string{"told by the store", "told by the register", "the store leaves"} {
+		t.Run(how, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(2)
+				stores[1].append = func(protocol.Append) protocol.AppendReply {
+					time.Sleep(100 * time.Millisecond)
+					return protocol.AppendReply{Status: protocol.Stored, StoreID: "disk"}
+				}
+				d, end := withScriptedStores(c, stores)
+				d.mutex.Lock()
+				owned := own(d, "ordered/1", 1)
+				d.mutex.Unlock()
+				time.AfterFunc(50*time.Millisecond, func() {
+					d.mutex.Lock()
+					defer d.mutex.Unlock()
+					link := d.stores["storage-1"]
+					switch how {
+					case "told by the store":
+						d.noteDisk(link, "new disk")
+					case "told by the register":
+						d.noteListed(link, "new disk", "disk")
+					default:
+						d.noteLeaving(link, true)
+					}
+				})
+				head := protocol.Head{ID: "m", Queue: "ordered/1", Retention: time.Minute}
+				d.mutex.Lock()
+				status := d.acceptInto(t.Context(), owned, protocol.Message{Head: head})
+				c.Check(status, qt.Equals, protocol.Undecided)
+				end()
+			})
+		})
+	}
+}
+
+// What the register says of disks may be older than what a store tells itself.
+func TestOlderWordOfADiskChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b")
+	link := d.stores["a"]
+	d.noteDisk(link, "second")
+	d.noteListed(link, "disk-a", "disk-a")
+	c.Assert(link.storeID, qt.Equals, "second")
+	c.Assert(link.countsNow(), qt.IsFalse)
+	d.noteListed(link, "second", "second")
+	c.Assert(link.countsNow(), qt.IsTrue)
+	d.noteListed(link, "third", "second")
+	c.Assert(link.storeID, qt.Equals, "", qt.Commentf("the store has not told its disk yet"))
+	c.Assert(link.countsNow(), qt.IsFalse)
+}
+
+// An older view of the stores does not come back.
+func TestOlderViewOfStoresIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	d := withStores()
+	stores := func(sequence uint64, full string) view.Configuration {
+		node := view.Node{Name: "a", Address: "10.2.0.1:7783", StoreID: full, FullStoreID: full}
+		return view.Configuration{Sequence: sequence, Stores: []view.Node{node}}
+	}
+	d.takeConfiguration(stores(5, "second"))
+	d.takeConfiguration(stores(4, "first"))
+	defer d.end()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	c.Assert(d.stores["a"].fullDisk, qt.Equals, "second")
+	c.Assert(d.storesKnown, qt.Equals, uint64(5))
+}
+
+// Ends of which a store had one of two records are recorded again when its disk
+// is lost, and are not when it is only away.
+func TestEndsAreRecordedAgainAfterALostDisk(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	owned := d.own("ordered/1")
+	entry := owned.Add(0, protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}, nil, []string{"a", "b"})
+	owned.Advance(0)
+	d.endEntry(owned, entry, protocol.Completed, "seal")
+	for _, node := range []string{"a", "b"} {
+		d.noteEndKept(d.stores[node], d.stores[node].ends["m"])
+		clear(d.stores[node].ends)
+	}
+	c.Assert(entry.Phase, qt.Equals, queue.Done)
+	c.Assert(d.endIsSafe(entry), qt.IsTrue)
+	d.copiesAway(d.stores["a"])
+	c.Assert(d.stores["c"].ends, qt.HasLen, 0)
+	d.noteDisk(d.stores["a"], "second")
+	c.Assert(d.endIsSafe(entry), qt.IsFalse)
+	c.Assert(d.stores["c"].ends["m"].Stamp, qt.Equals, "seal")
+}
+
+// An end goes to another store where one of the message's is away.
+func TestEndIsRecordedElsewhereWhileAStoreIsAway(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	owned := d.own("ordered/1")
+	entry := owned.Add(0, protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}, nil, []string{"a", "b"})
+	owned.Advance(0)
+	d.stores["b"].up = false
+	d.endEntry(owned, entry, protocol.Completed, "seal")
+	c.Assert(d.stores["a"].ends["m"].Stamp, qt.Equals, "seal")
+	c.Assert(d.stores["b"].ends["m"].Stamp, qt.Equals, "seal", qt.Commentf("it is told when it is back"))
+	c.Assert(d.stores["c"].ends["m"].Stamp, qt.Equals, "seal")
+}
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -56,6 +56,7 @@
 	haveList    bool
 	members     []string
 	stores      map[string]*storeLink
+	storesKnown uint64 // sequence of the register's value that told of the stores
 	queues      map[string]*ownedQueue
 	pace        acquirePace
 	acquiring   map[string]bool   // queues that the stores are being asked for
@@ -215,7 +216,10 @@
 func (d *Dispatcher) takeConfiguration(update view.Configuration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.takeStores(update.Stores)
+	if update.Sequence >= d.storesKnown {
+		d.takeStores(update.Stores)
+		d.storesKnown = update.Sequence
+	}
 	current := d.configuration.Load()
 	if len(update.Raw) == 0 || current != nil && update.Revision <= current.Revision() {
 		return
@@ -252,10 +256,7 @@
 		if known == nil {
 			known = d.addStore(node)
 		}
-		known.firstDisk = ""
-		if node.FirstDisk {
-			known.firstDisk = node.StoreID
-		}
+		d.noteListed(known, node.StoreID, node.FullStoreID)
 		d.noteLeaving(known, node.Leaving)
 	}
 	for name, link := range d.stores {
@@ -271,7 +272,7 @@
 		node: node.Name, zone: node.Zone,
 		client: transport.NewClientOn(d.settings.Net(), d.identity, node.Address),
 		kick:   make(chan struct{}, 1), flush: make(chan struct{}, 1),
-		ends: map[string]protocol.End{}, failures: map[string]int{}, moved: map[string]bool{},
+		ends: map[string]protocol.End{}, failures: map[string]int{}, formerDisks: map[string]bool{},
 		holders: map[string]protocol.QueueState{}, stop: cancel,
 	}
 	d.stores[node.Name] = link
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -188,7 +188,13 @@
 	if owned.Name == d.localQueue {
 		return true // the messages are this process's own; ends are what decides
 	}
-	_, valid := d.leases.ValidUntil(owned.Name, d.now(), d.knownStores(), d.knownStores()-d.grantsWanted())
+	return d.leaseValid(owned)
+}
+
+// leaseValid reports whether stores that count have granted a queue, so many that
+// nobody else can have it now. The mutex is held.
+func (d *Dispatcher) leaseValid(owned *ownedQueue) bool {
+	_, valid := d.leases.ValidUntil(owned.Name, d.now(), d.grantsWanted(), d.grantsCount)
 	return valid
 }
 
--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
-	"sync"
+	"slices"
 	"time"
 
 	"yardwharf/internal/service/protocol"
@@ -61,102 +62,124 @@
 	}
 }
 
-// lookUp finds a message here or in the stores. Not found is an answer only
-// when every store that may have the message has said so.
+// lookUp finds a message here or in the stores. What it tells is never taken back:
+// an open message is told by an owner whose lease is valid, or where every store
+// that may know more has answered; an end once enough stores have recorded it; not
+// found where every store that may have the message has said so.
 func (d *Dispatcher) lookUp(ctx context.Context, id string, withBody bool) (protocol.Head, []byte, int) {
-	if head, body, found := d.lookUpHere(id); found && (!withBody || len(body) == head.BodySize) {
+	head, body, sure := d.lookUpHere(id)
+	if sure && (!withBody || len(body) == head.BodySize) {
 		return head, body, http.StatusOK
 	}
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	reply, complete := d.queryStoresWithBody(callCtx, id, withBody)
+	found := d.queryStores(callCtx, id, withBody)
+	state := found.best.Head.State
 	switch {
-	case reply.Held && reply.Head.State != protocol.Unknown && reply.Head.State != protocol.Discarded:
-		return reply.Head, reply.Body, http.StatusOK
-	case complete:
+	case !found.best.Held && found.complete:
 		return protocol.Head{}, nil, http.StatusNotFound
+	case state.Ended() && d.keepEnd(callCtx, endOfHead(&found.best.Head), found.kept),
+		state == protocol.Queued && found.complete && len(found.kept) >= d.copiesWanted():
+		return found.best.Head, found.best.Body, http.StatusOK
 	default:
 		return protocol.Head{}, nil, http.StatusServiceUnavailable
 	}
 }
 
+// endOfHead returns the record of the end that a head tells.
+func endOfHead(head *protocol.Head) protocol.End {
+	return protocol.End{
+		ID: head.ID, Queue: head.Queue, State: head.State, Stamp: head.Stamp, CallbackDue: head.CallbackDue,
+	}
+}
+
+// lookUpHere finds a message in the queues that this dispatcher owns. It reports
+// whether it can be told: a queue's owner may have been replaced unless its lease
+// is valid, and what too few stores have may be lost with them.
 func (d *Dispatcher) lookUpHere(id string) (protocol.Head, []byte, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, owned := range d.queues {
-		if entry := owned.Get(id); entry != nil && entry.Head.State != protocol.Discarded {
-			return entry.Head, entry.Body, true
+		entry := owned.Get(id)
+		switch {
+		case entry == nil:
+		case entry.Head.State.Ended():
+			return entry.Head, entry.Body, d.endIsSafe(entry)
+		default:
+			return entry.Head, entry.Body, d.leaseValid(owned) && len(entry.Holders) >= d.copiesWanted()
 		}
 	}
 	return protocol.Head{}, nil, false
 }
 
-// queryStores asks all stores for a message; complete tells whether all but the
-// tolerated number answered.
-func (d *Dispatcher) queryStores(ctx context.Context, id string, withBody bool) (protocol.Head, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
-	reply, complete := d.queryStoresWithBody(callCtx, id, withBody)
-	return reply.Head, complete
+// foundMessage is what the stores together tell of a message.
+type foundMessage struct {
+	best     protocol.QueryReply
+	kept     []string // stores that tell the state of the best reply
+	complete bool     // so many stores that count have answered that none can know more
 }
 
-func (d *Dispatcher) queryStoresWithBody(ctx context.Context, id string, withBody bool) (protocol.QueryReply, bool) {
+// queryStores asks all stores for a message.
+func (d *Dispatcher) queryStores(ctx context.Context, id string, withBody bool) foundMessage {
 	d.mutex.Lock()
-	links := make([]*storeLink, 0, len(d.stores))
-	for _, link := range d.stores {
-		links = append(links, link)
-	}
+	links := slices.Collect(maps.Values(d.stores))
 	wanted := d.grantsWanted()
 	d.mutex.Unlock()
-	var mutex sync.Mutex
-	var best protocol.QueryReply
-	answered := 0
-	enough := make(chan struct{})
-	var calls sync.WaitGroup
+	answers := make(chan storeReply, len(links))
 	for _, link := range links {
-		calls.Add(1)
 		go func() {
-			defer calls.Done()
 			reply, err := transport.Call[protocol.QueryReply](ctx, link.client, protocol.Query{ID: id, WithBody: withBody})
-			if err != nil {
-				return
-			}
-			recovering := d.isRecovering(link)
-			mutex.Lock()
-			defer mutex.Unlock()
-			best = betterReply(best, reply)
-			if recovering && !reply.Held {
-				return
-			}
-			answered++
-			if answered == wanted {
-				close(enough)
-			}
+			answers <- storeReply{link, reply, err}
 		}()
 	}
-	all := make(chan struct{})
-	go func() {
-		calls.Wait()
-		close(all)
-	}()
-	select {
-	case <-all:
-	case <-enough:
+	replies := make([]storeReply, 0, len(links))
+	counted := 0
+	var grace <-chan time.Time
+	for waiting := len(links); waiting > 0; waiting-- {
 		select {
-		case <-all:
-		case <-time.After(queryGrace):
+		case answer := <-answers:
+			replies = append(replies, answer)
+			if d.answerCounts(answer) {
+				counted++
+			}
+		case <-grace:
+			waiting = 1
+		}
+		if counted >= wanted && grace == nil {
+			grace = time.After(queryGrace)
 		}
 	}
-	mutex.Lock()
-	defer mutex.Unlock()
-	return best, answered >= wanted
+	return joinReplies(replies, counted >= wanted)
 }
 
-// isRecovering reports whether a store may lack messages that it once had.
-func (d *Dispatcher) isRecovering(link *storeLink) bool {
+// storeReply is what one store answered.
+type storeReply struct {
+	link  *storeLink
+	reply protocol.QueryReply
+	err   error
+}
+
+// answerCounts reports whether the store that answered has all that it must.
+func (d *Dispatcher) answerCounts(answer storeReply) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return link.recovering
+	return answer.err == nil && answer.link.counts(answer.reply.StoreID)
+}
+
+// joinReplies joins what the stores tell.
+func joinReplies(replies []storeReply, complete bool) foundMessage {
+	found := foundMessage{complete: complete}
+	for _, answer := range replies {
+		if answer.err == nil {
+			found.best = betterReply(found.best, answer.reply)
+		}
+	}
+	for _, answer := range replies {
+		if answer.err == nil && answer.reply.Held && answer.reply.Head.State == found.best.Head.State {
+			found.kept = append(found.kept, answer.link.node)
+		}
+	}
+	return found
 }
 
 // queryGrace is how long a question waits for the last stores.
@@ -173,11 +196,16 @@
 	case a.Head.Target == "" && b.Head.Target != "":
 		a, b = b, a
 	}
-	if b.Head.State.Ended() && !a.Head.State.Ended() {
-		a.Head.State, a.Head.Stamp = b.Head.State, b.Head.Stamp
+	if rankOf(&b.Head) > rankOf(&a.Head) {
+		a.Head.State, a.Head.Stamp, a.Head.CallbackDue = b.Head.State, b.Head.Stamp, b.Head.CallbackDue
 	}
 	if len(a.Body) < len(b.Body) && b.Head.Target != "" {
 		a.Body, a.Head.BodySize = b.Body, b.Head.BodySize
 	}
 	return a
 }
+
+// rankOf orders what is told of a message: what supersedes comes later.
+func rankOf(head *protocol.Head) protocol.EntryRank {
+	return protocol.RankOf(head.State, head.CallbackDue, false).Progress()
+}
--- a/internal/service/dispatcher/query_test.go
+++ b/internal/service/dispatcher/query_test.go
@@ -1,8 +1,11 @@
 package dispatcher
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -32,3 +35,179 @@
 	c.Assert(betterReply(protocol.QueryReply{}, open).Held, qt.IsTrue)
 	c.Assert(betterReply(open, protocol.QueryReply{}).Held, qt.IsTrue)
 }
+
+// holding answers questions with one state of a message.
+func holding(state protocol.State) func(protocol.Query) protocol.QueryReply {
+	return func(query protocol.Query) protocol.QueryReply {
+		head := protocol.Head{ID: query.ID, Queue: "ordered/1", Target: "/x", State: state}
+		if state == protocol.Completed {
+			head.Stamp = "seal"
+		}
+		return protocol.QueryReply{StoreID: "disk", Held: true, Head: head}
+	}
+}
+
+// recording takes ends and notes them.
+func recording(ends map[string]protocol.End) func(protocol.EndBatch) protocol.EndBatchReply {
+	return func(batch protocol.EndBatch) protocol.EndBatchReply {
+		for _, end := range batch.Ends {
+			ends[end.ID] = end
+		}
+		return protocol.EndBatchReply{StoreID: "disk"}
+	}
+}
+
+// What is told of a message is never taken back: see lookUp.
+func TestWhatIsToldOfAMessage(t *testing.T) {
+	unknown := func(protocol.Query) protocol.QueryReply { return protocol.QueryReply{StoreID: "disk"} }
+	newDisk := func(answer func(protocol.Query) protocol.QueryReply) func(protocol.Query) protocol.QueryReply {
+		return func(query protocol.Query) protocol.QueryReply {
+			reply := answer(query)
+			reply.StoreID = "new disk"
+			return reply
+		}
+	}
+	silent := func(protocol.Query) protocol.QueryReply {
+		time.Sleep(time.Minute)
+		return protocol.QueryReply{}
+	}
+	queued, done := holding(protocol.Queued), holding(protocol.Completed)
+	type answer = func(protocol.Query) protocol.QueryReply
+	for _, one := range []struct {
+		name   string
+		stores [3]answer
+		status int
+		state  protocol.State
+	}{
+		{"open at two", [3]answer{queued, queued, unknown}, http.StatusOK, protocol.Queued},
+		{"open at one, which another reader may not meet", [3]answer{queued, unknown, unknown}, http.StatusServiceUnavailable, 0},
+		{"open at one that was behind, the others silent", [3]answer{queued, silent, silent}, http.StatusServiceUnavailable, 0},
+		{"open at one that was behind, ended at another", [3]answer{queued, done, silent}, http.StatusOK, protocol.Completed},
+		{"ended at one alone", [3]answer{unknown, done, silent}, http.StatusOK, protocol.Completed},
+		{"unknown at two", [3]answer{unknown, unknown, silent}, http.StatusNotFound, 0},
+		{"unknown at one", [3]answer{unknown, silent, silent}, http.StatusServiceUnavailable, 0},
+		{"unknown at one and at a new disk", [3]answer{unknown, newDisk(unknown), silent}, http.StatusServiceUnavailable, 0},
+		{"open at one and at a new disk", [3]answer{queued, newDisk(queued), silent}, http.StatusServiceUnavailable, 0},
+		{"open at two and at a new disk", [3]answer{queued, newDisk(queued), queued}, http.StatusOK, protocol.Queued},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(3)
+				kept := map[string]protocol.End{}
+				for i, answer := range one.stores {
+					stores[i].query = answer
+				}
+				stores[0].ends = recording(kept)
+				stores[2].ends = func(protocol.EndBatch) protocol.EndBatchReply {
+					time.Sleep(time.Minute)
+					return protocol.EndBatchReply{}
+				}
+				d, end := withScriptedStores(c, stores)
+				head, _, status := d.lookUp(t.Context(), "m", false)
+				c.Check(status, qt.Equals, one.status)
+				c.Check(head.State, qt.Equals, one.state)
+				if one.state == protocol.Completed {
+					c.Check(kept["m"].Stamp, qt.Equals, "seal", qt.Commentf("a second store has it before it is told"))
+				}
+				time.Sleep(2 * time.Minute)
+				end()
+			})
+		})
+	}
+}
+
+// An end that stands at one store alone is not told while no second takes it.
+func TestEndAtOneStoreIsNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		stores[0].query = holding(protocol.Completed)
+		for _, store := range stores[1:] {
+			store.ends = func(protocol.EndBatch) protocol.EndBatchReply {
+				time.Sleep(time.Minute)
+				return protocol.EndBatchReply{}
+			}
+		}
+		d, end := withScriptedStores(c, stores)
+		_, _, status := d.lookUp(t.Context(), "m", false)
+		c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+		time.Sleep(2 * time.Minute)
+		end()
+	})
+}
+
+// An owner without a valid lease may have been replaced: it tells nothing of its
+// own. Nor does one tell of an end that too few stores have recorded.
+func TestOwnerTellsOnlyWhatNobodyCanKnowBetter(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	owned := d.own(d.localQueue)
+	owned.granted = map[string]time.Duration{}
+	entry := owned.Add(d.now(), protocol.Head{ID: "m", Queue: owned.Name, Retention: time.Minute}, nil, []string{"a", "b"})
+	_, _, sure := d.lookUpHere("m")
+	c.Assert(sure, qt.IsFalse, qt.Commentf("no lease"))
+	for _, node := range []string{"a", "b"} {
+		d.leases.Renewed(node, d.now(), d.now())
+		d.noteGrant(owned, d.stores[node], d.now())
+	}
+	_, _, sure = d.lookUpHere("m")
+	c.Assert(sure, qt.IsTrue)
+	entry.Holders = []string{"a"}
+	_, _, sure = d.lookUpHere("m")
+	c.Assert(sure, qt.IsFalse, qt.Commentf("one copy"))
+	owned.Advance(d.now())
+	d.endEntry(owned, entry, protocol.Completed, "seal")
+	entry.EndKept = []string{"a"}
+	_, _, sure = d.lookUpHere("m")
+	c.Assert(sure, qt.IsFalse)
+	d.noteEndKept(d.stores["b"], endOf(owned, entry))
+	head, _, sure := d.lookUpHere("m")
+	c.Assert(sure, qt.IsTrue)
+	c.Assert(head.Stamp, qt.Equals, "seal")
+}
+
+// A receiver of call-backs hears of an end once two stores have recorded it.
+func TestCallBackWaitsForItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		kept := map[string]protocol.End{}
+		stores[0].ends = recording(kept)
+		for _, store := range stores[1:] {
+			store.ends = func(protocol.EndBatch) protocol.EndBatchReply {
+				time.Sleep(time.Second)
+				return protocol.EndBatchReply{StoreID: "disk"}
+			}
+		}
+		network := millisecondNetwork()
+		receiver := &scriptedReceiver{}
+		kill := receiver.serve(c, network)
+		d, end := withScriptedStoresOn(c, network, stores)
+		ctx, stop := context.WithCancel(t.Context())
+		go d.runPump(ctx)
+		for _, link := range d.stores {
+			go d.sendEnds(ctx, link)
+		}
+		d.mutex.Lock()
+		owned := own(d, d.localQueue, 1)
+		head := protocol.Head{ID: "m", Queue: owned.Name, Retention: time.Minute, CallbackURL: "http://10.6.0.1/m"}
+		entry := owned.Add(d.now(), head, nil, []string{"storage-1", "storage-2"})
+		owned.Advance(d.now())
+		d.endEntry(owned, entry, protocol.Completed, "seal")
+		d.mutex.Unlock()
+		time.Sleep(900 * time.Millisecond)
+		receiver.mutex.Lock()
+		c.Check(receiver.calls, qt.Equals, 0)
+		receiver.mutex.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		receiver.mutex.Lock()
+		c.Check(receiver.taken, qt.DeepEquals, []string{"/m"})
+		receiver.mutex.Unlock()
+		c.Check(kept["m"].Stamp, qt.Equals, "seal")
+		stop()
+		time.Sleep(5 * time.Second)
+		kill()
+		end()
+	})
+}
--- a/internal/service/dispatcher/repair.go
+++ b/internal/service/dispatcher/repair.go
@@ -16,23 +16,44 @@
 	repairParallel = 8
 )
 
-// copiesLost takes the copies of a store for lost and has them written again
-// elsewhere. The mutex is held.
-func (d *Dispatcher) copiesLost(link *storeLink) {
+// copiesAway has the open messages of a store that is away written elsewhere.
+// What has ended stays: its disk still has it. The mutex is held.
+func (d *Dispatcher) copiesAway(link *storeLink) {
 	for _, owned := range d.queues {
 		owned.Each(func(entry *queue.Entry) {
 			if entry.Phase == queue.Done || !slices.Contains(entry.Holders, link.node) {
 				return
 			}
-			entry.Holders = slices.DeleteFunc(slices.Clone(entry.Holders), func(node string) bool { return node == link.node })
-			if !slices.Contains(entry.Touched, link.node) {
-				entry.Touched = append(entry.Touched, link.node)
-			}
+			entry.Holders = without(entry.Holders, link.node)
+			addNode(&entry.Touched, link.node)
 			d.needsRepair(owned, entry)
 		})
 	}
 }
 
+// copiesLost takes all that a store had for lost: messages are written elsewhere,
+// and ends are recorded again. The mutex is held.
+func (d *Dispatcher) copiesLost(link *storeLink) {
+	d.copiesAway(link)
+	for _, owned := range d.queues {
+		owned.Each(func(entry *queue.Entry) {
+			if !slices.Contains(entry.EndKept, link.node) {
+				return
+			}
+			entry.EndKept = without(entry.EndKept, link.node)
+			if !d.endIsSafe(entry) {
+				entry.Holders, entry.Touched = without(entry.Holders, link.node), without(entry.Touched, link.node)
+				d.recordEnd(owned, entry)
+			}
+		})
+	}
+}
+
+// without returns the nodes but one.
+func without(nodes []string, left string) []string {
+	return slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == left })
+}
+
 // repairItem is a message that has too few copies.
 type repairItem struct {
 	owned *ownedQueue
@@ -104,35 +125,46 @@
 	if target == nil {
 		return false
 	}
-	if !d.copyTo(ctx, target, message, end, holders) {
+	disk, copied := d.copyTo(ctx, target, message, end, holders)
+	if !copied {
 		return false
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if !slices.Contains(entry.Holders, target.node) {
-		entry.Holders = append(entry.Holders, target.node)
+	if !d.stillHas(target.node, disk) {
+		return false
 	}
+	addNode(&entry.Holders, target.node)
 	if entry.Phase >= queue.Callback {
 		d.recordEnd(item.owned, entry)
 	}
 	return d.enoughCopies(entry)
 }
 
+// stillHas reports whether a store has the disk that acknowledged a copy. The
+// mutex is held.
+func (d *Dispatcher) stillHas(node, storeID string) bool {
+	link := d.stores[node]
+	return link != nil && link.storeID == storeID
+}
+
 // copyTo writes one more copy of a message, whose body may have to be read first.
-func (d *Dispatcher) copyTo(ctx context.Context, target *storeLink, message protocol.Message, end protocol.End, holders []string) bool {
+// It returns the disk that has it.
+func (d *Dispatcher) copyTo(ctx context.Context, target *storeLink, message protocol.Message, end protocol.End, holders []string) (string, bool) {
 	if end.State == protocol.Completed {
 		return d.copyOwed(ctx, target, message, end)
 	}
 	if message.Body == nil && message.Head.BodySize > 0 {
 		fetched, found := d.fetchBody(ctx, message.Head.ID, holders)
 		if !found {
-			return false
+			return "", false
 		}
 		message.Body = fetched.Body
 	}
 	answers := make(chan copyAnswer, 1)
 	d.writeCopy(target, message, answers)
-	return (<-answers).status == protocol.Stored
+	answer := <-answers
+	return answer.storeID, answer.status == protocol.Stored
 }
 
 // repairTarget returns the best store that has no copy of a message; one of another zone where all copies
--- a/internal/service/dispatcher/status.go
+++ b/internal/service/dispatcher/status.go
@@ -29,7 +29,7 @@
 	}
 	for _, link := range d.stores {
 		report.Stores = append(report.Stores, status.Store{
-			Node: link.node, Zone: link.zone, Address: link.client.Address(), Up: link.up, Recovering: link.recovering,
+			Node: link.node, Zone: link.zone, Address: link.client.Address(), Up: link.up, Recovering: link.up && !link.countsNow(),
 		})
 	}
 	for name, owned := range d.queues {
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -31,15 +31,14 @@
 	kick       chan struct{} // asks for a renewal at once
 	flush      chan struct{} // asks for pending ends to be sent
 
-	up         bool
-	heard      time.Duration // when its last reply came
-	absent     bool          // its copies have been taken for lost
-	storeID    string
-	recovering bool
-	version    uint64
-	sessions   []protocol.Session
-	holders    map[string]protocol.QueueState
-	latency    time.Duration // of acknowledgements, of late
+	up       bool
+	heard    time.Duration // when its last reply came
+	absent   bool          // its copies have been taken for lost
+	storeID  string        // of the disk that it told last
+	version  uint64
+	sessions []protocol.Session
+	holders  map[string]protocol.QueueState
+	latency  time.Duration // of acknowledgements, of late
 
 	unanswered      int           // appends under way
 	unansweredSince time.Duration // when the first of them was sent
@@ -48,10 +47,9 @@
 	ends     map[string]protocol.End
 	failures map[string]int
 
-	leaving   bool            // it is being emptied
-	firstDisk string          // its store identity when it became known; empty where that disk was replaced
-	moved     map[string]bool // messages that enough other stores keep, to be told to a leaving one
-	listing   bool            // it is asked for messages that have not moved
+	leaving     bool            // it is being emptied, or given up
+	formerDisks map[string]bool // store identities of disks that it has lost
+	fullDisk    string          // store identity of the disk that holds all that it must, as the register says
 }
 
 // run renews the session and sends ends until the context ends.
@@ -81,7 +79,9 @@
 // whether the store is up.
 func (d *Dispatcher) renew(ctx context.Context, link *storeLink) bool {
 	d.mutex.Lock()
-	request := protocol.Renew{Ready: d.takesQueues(), KnownVersion: link.version, Leaving: link.leaving}
+	request := protocol.Renew{
+		Ready: d.takesQueues(), KnownVersion: link.version, Leaving: link.leaving, StoresKnown: d.storesKnown,
+	}
 	d.mutex.Unlock()
 	sent := d.now()
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -119,7 +119,7 @@
 	}
 	if !link.absent && link.storeID != "" && d.now()-link.heard > absentAfter {
 		link.absent = true
-		d.copiesLost(link)
+		d.copiesAway(link)
 	}
 }
 
@@ -129,13 +129,7 @@
 	}
 	link.up = true
 	link.heard = d.now()
-	link.recovering = link.mayLack(reply.StoreID, reply.Recovering)
-	if link.storeID != "" && link.storeID != reply.StoreID {
-		d.log.Info("store has a new disk", "store", link.node)
-		link.ends, link.failures = map[string]protocol.End{}, map[string]int{}
-		d.copiesLost(link)
-	}
-	link.storeID = reply.StoreID
+	d.noteDisk(link, reply.StoreID)
 	link.absent = false
 	d.leases.Renewed(link.node, sent, d.now())
 	if reply.Changed {
@@ -143,7 +137,6 @@
 		d.revokeUnlisted(link, sent)
 	}
 	d.claimMissing(link)
-	d.considerUnmoved(link, reply.Unmoved)
 	d.considerQueues()
 	if len(link.ends)+len(link.failures) > 0 {
 		signal(link.flush)
@@ -236,36 +229,34 @@
 		}
 		batch.Failures = append(batch.Failures, protocol.Failures{ID: id, Count: count})
 	}
-	batch.Moved = link.movedBatch()
 	up, storeID := link.up, link.storeID
 	d.mutex.Unlock()
-	if !up || len(batch.Ends)+len(batch.Failures)+len(batch.Moved) == 0 {
+	if !up || len(batch.Ends)+len(batch.Failures) == 0 {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, endBatchTimeout)
 	defer cancel()
-	if _, err := transport.Call[protocol.EndBatchReply](callCtx, link.client, batch); err != nil {
+	reply, err := transport.Call[protocol.EndBatchReply](callCtx, link.client, batch)
+	if err != nil {
 		return false
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if link.storeID != storeID {
+	if link.storeID != storeID || reply.StoreID != storeID {
 		return true
 	}
 	for _, end := range batch.Ends {
 		if link.ends[end.ID] == end {
 			delete(link.ends, end.ID)
 		}
+		d.noteEndKept(link, end)
 	}
 	for _, failed := range batch.Failures {
 		if link.failures[failed.ID] == failed.Count {
 			delete(link.failures, failed.ID)
 		}
 	}
-	for _, id := range batch.Moved {
-		delete(link.moved, id)
-	}
-	return len(link.ends)+len(link.failures)+len(link.moved) > 0
+	return len(link.ends)+len(link.failures) > 0
 }
 
 // flushed reports whether the stores that are up have all ends.
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -269,6 +269,12 @@
 	return Decision{Allowed: true, Promise: q.promise, Raised: raised}
 }
 
+// InTouch reports whether a process has an open session.
+func (g *Grantor) InTouch(now time.Time, identity protocol.Identity) bool {
+	g.Expire(now)
+	return g.sessions[SessionOf(identity)] != nil
+}
+
 // Release gives a lease back that was granted under an epoch. A release that
 // comes after the same process has acquired the queue again changes nothing.
 func (g *Grantor) Release(now time.Time, identity protocol.Identity, name string, epoch uint64) {
--- a/internal/service/lease/holder.go
+++ b/internal/service/lease/holder.go
@@ -95,19 +95,18 @@
 	return missing
 }
 
-// ValidUntil returns until when the lease on a queue is valid, if all known
-// stores but the tolerated number must have granted it under one epoch. It
-// reports false where too few have, or where the time is over.
-func (h *Holder) ValidUntil(queue string, now time.Duration, storeCount, tolerated int) (time.Duration, bool) {
-	needed := storeCount - tolerated
+// ValidUntil returns until when the lease on a queue is valid, if so many of the
+// stores that count must have granted it under one epoch. It reports false where
+// too few have, or where the time is over.
+func (h *Holder) ValidUntil(queue string, now time.Duration, needed int, counts func(store string) bool) (time.Duration, bool) {
 	epoch := h.Epoch(queue)
 	if needed <= 0 || epoch == 0 {
 		return 0, false
 	}
 	var buffer [16]time.Duration
 	renewals := buffer[:0]
-	for _, s := range h.stores {
-		if s.grants[queue].epoch == epoch {
+	for name, s := range h.stores {
+		if s.grants[queue].epoch == epoch && counts(name) {
 			renewals = append(renewals, s.renewedAt)
 		}
 	}
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -11,7 +11,7 @@
 
 // Version is the version of the internal protocol. Peers of another version
 // are refused when they connect.
-const Version = 1
+const Version = 2
 
 // Offsets of the internal listeners from the first internal port.
 const (
@@ -93,6 +93,8 @@
 	State       State
 	Stamp       string // seal of the successful run
 	CallbackDue bool   // ended, and its call-back has not been taken
+
+	SinceEnd time.Duration // since it ended, at the moment of encoding
 }
 
 // Message is a head with its body.
@@ -121,7 +123,10 @@
 )
 
 // AppendReply is sent after the copy has been synced.
-type AppendReply struct{ Status AppendStatus }
+type AppendReply struct {
+	Status  AppendStatus
+	StoreID string // of the disk that has the copy
+}
 
 // End records that a message has ended, or that its call-back has been taken.
 type End struct {
@@ -142,11 +147,10 @@
 type EndBatch struct {
 	Ends     []End
 	Failures []Failures
-	Moved    []string // ids of messages that enough other stores keep: a leaving store may forget them
 }
 
 // EndBatchReply is sent after the batch has been synced.
-type EndBatchReply struct{}
+type EndBatchReply struct{ StoreID string }
 
 // Acquire asks for leases on queues.
 type Acquire struct {
@@ -172,9 +176,8 @@
 
 // AcquireReply answers Acquire.
 type AcquireReply struct {
-	StoreID    string // changes when the store's disk was replaced
-	Recovering bool   // its disk was empty a short time ago
-	Grants     []Grant
+	StoreID string // changes when the store's disk was replaced
+	Grants  []Grant
 }
 
 // Renew renews the caller's session, and with it all its leases.
@@ -182,6 +185,7 @@
 	Ready        bool   // it takes queues
 	Leaving      bool   // it knows that this store is being emptied
 	KnownVersion uint64 // of the session table that it has from this store
+	StoresKnown  uint64 // sequence of the register's value whose stores it goes by
 }
 
 // Session is a dispatcher that is in touch with a store.
@@ -211,15 +215,13 @@
 // has this version already. With Partial they are those that have changed since the
 // version that the caller knows, and a queue without holder and messages is no more.
 type RenewReply struct {
-	StoreID    string
-	Recovering bool
-	Version    uint64
-	Changed    bool
-	Partial    bool
-	Sessions   []Session
-	Ended      []SessionName // with Partial: sessions that are no more
-	Queues     []QueueState
-	Unmoved    int // of a leaving store: messages that are not known to be kept elsewhere
+	StoreID  string
+	Version  uint64
+	Changed  bool
+	Partial  bool
+	Sessions []Session
+	Ended    []SessionName // with Partial: sessions that are no more
+	Queues   []QueueState
 }
 
 // Release gives leases back that were granted under one epoch. It is ignored
@@ -240,9 +242,10 @@
 
 // QueryReply answers Query. The state is Unknown where the store has no record.
 type QueryReply struct {
-	Head Head
-	Body []byte
-	Held bool // the store has the record
+	StoreID string
+	Head    Head
+	Body    []byte
+	Held    bool // the store has the record
 }
 
 // Accept asks the owner of a queue to accept a message.
@@ -284,21 +287,11 @@
 	Wait    time.Duration // until it is worth asking again
 }
 
-// ListUnmoved asks a leaving store for messages of these queues that are not
-// known to be kept elsewhere.
-type ListUnmoved struct{ Queues []string }
-
-// ListUnmovedReply answers ListUnmoved; it may not be complete.
-type ListUnmovedReply struct{ Heads []Head }
-
 // Retire tells a store that it is being emptied, and asks how far it is.
 type Retire struct{}
 
-// RetireReply answers Retire. The store is empty when it is not recovering and
-// both numbers are zero.
+// RetireReply answers Retire.
 type RetireReply struct {
-	StoreID    string
-	Recovering bool // its disk was empty a short time ago: lost copies are being replaced
-	Unmoved    int  // messages that are not known to be kept elsewhere
-	Unaware    int  // open sessions of dispatchers that do not know yet that it leaves
+	StoreID string
+	Unaware int // open sessions of dispatchers that do not know yet that it leaves
 }
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -7,7 +7,7 @@
 		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{}, FindEnds{}, FindEndsReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{},
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, TakeRate{}, TakeRateReply{},
-		ListUnmoved{}, ListUnmovedReply{}, Retire{}, RetireReply{},
+		Retire{}, RetireReply{}, Reconcile{}, ReconcileReply{}, ListEntries{}, ListEntriesReply{},
 	} {
 		gob.Register(message)
 	}
--- a/internal/service/queue/queue.go
+++ b/internal/service/queue/queue.go
@@ -41,6 +41,7 @@
 	Body     []byte   // nil where it is on disk only
 	Holders  []string // stores that have a copy
 	Touched  []string // further stores that may have one
+	EndKept  []string // stores that have recorded its end
 	Phase    Phase
 	accepted time.Duration
 	due      time.Duration // earliest moment of the next delivery
@@ -317,6 +318,13 @@
 	q.schedule(entry, now+wait)
 }
 
+// PostponeCallback puts off a call-back that may not be made yet.
+func (q *Queue) PostponeCallback(now time.Duration, entry *Entry, wait time.Duration) {
+	if entry.Phase == Callback {
+		q.schedule(entry, now+wait)
+	}
+}
+
 // CallbackTaken records that the call-back has been taken.
 func (q *Queue) CallbackTaken(now time.Duration, entry *Entry) {
 	if entry.Phase == Callback {
--- a/internal/service/register/change.go
+++ b/internal/service/register/change.go
@@ -147,6 +147,9 @@
 	if !equalMembers(current.Members, next.Members) {
 		next.Previous = current.Members
 	}
+	if !sameStores(current, next) {
+		next.StoresChanged = next.Sequence
+	}
 	return next
 }
 
--- a/internal/service/register/stores.go
+++ b/internal/service/register/stores.go
@@ -20,6 +20,14 @@
 // IsLeaving reports whether a store is being emptied.
 func (v *Value) IsLeaving(node string) bool { return slices.Contains(v.Leaving, node) }
 
+// IsMissing reports whether a store is given up.
+func (v *Value) IsMissing(node string) bool { return slices.Contains(v.Missing, node) }
+
+// sameStores reports whether two values have the same stores, of which the same stay.
+func sameStores(a, b *Value) bool {
+	return slices.Equal(a.Stores, b.Stores) && slices.Equal(a.Leaving, b.Leaving) && slices.Equal(a.Missing, b.Missing)
+}
+
 // WasRetired reports whether a store was emptied and taken out.
 func (v *Value) WasRetired(node string) bool {
 	return slices.ContainsFunc(v.Retired, func(r RetiredStore) bool { return r.Node == node })
@@ -52,7 +60,7 @@
 // those that are leaving already.
 func (v *Value) RemainingStores(without string) []StoreMember {
 	return slices.DeleteFunc(slices.Clone(v.Stores), func(s StoreMember) bool {
-		return s.Node == without || v.IsLeaving(s.Node)
+		return s.Node == without || v.IsLeaving(s.Node) || v.IsMissing(s.Node)
 	})
 }
 
@@ -79,20 +87,21 @@
 func (v *Value) setStore(store StoreMember) {
 	index := slices.IndexFunc(v.Stores, func(s StoreMember) bool { return s.Node == store.Node })
 	if index < 0 {
-		store.FirstStoreID = store.StoreID
+		store.FullStoreID = store.StoreID // nothing was ever entrusted to it
 		v.Stores = append(v.Stores, store)
 		return
 	}
-	store.FirstStoreID = v.Stores[index].FirstStoreID
+	store.FullStoreID = v.Stores[index].FullStoreID
 	v.Stores[index] = store
 }
 
 // RemoveStore removes a store by its node. One that was leaving counts as
-// emptied: its messages are elsewhere.
-func RemoveStore(node string) Change {
+// emptied: its messages are elsewhere. The proof is that of a reconciliation
+// which did not count this store.
+func RemoveStore(node string, proof Reconciled) Change {
 	return func(current *Value) (*Value, Outcome) {
 		store, known := current.Store(node)
-		if !known {
+		if !known || !proof.removes(current, node) {
 			return nil, Settled
 		}
 		next := *current
@@ -100,6 +109,7 @@
 		if current.IsLeaving(node) {
 			next.noteRetired(store)
 		}
+		next.Missing = slices.DeleteFunc(slices.Clone(current.Missing), func(missing string) bool { return missing == node })
 		return &next, Taken
 	}
 }
@@ -113,6 +123,25 @@
 	}
 }
 
+// SetMissing gives up stores that have been silent for long, or takes back that
+// they are. Dispatchers then count on no copies there, which comes before their
+// messages are seen to and they are removed.
+func SetMissing(nodes []string) Change {
+	return func(current *Value) (*Value, Outcome) {
+		next := *current
+		next.Missing = nil
+		for _, store := range current.Stores {
+			if slices.Contains(nodes, store.Node) && !current.IsLeaving(store.Node) {
+				next.Missing = append(next.Missing, store.Node)
+			}
+		}
+		if slices.Equal(next.Missing, current.Missing) {
+			return nil, Settled
+		}
+		return &next, Taken
+	}
+}
+
 // BeginRetirement marks a store as leaving. The outcome is Unknown for a node
 // that the register has never had, and Invalid where the others are not enough.
 func BeginRetirement(node string, enough func(*Value) bool) Change {
@@ -128,18 +157,19 @@
 		}
 		next := *current
 		next.Leaving = append(slices.Clone(current.Leaving), node)
+		next.Missing = slices.DeleteFunc(slices.Clone(current.Missing), func(missing string) bool { return missing == node })
 		return &next, Taken
 	}
 }
 
 // CompleteRetirement takes a store that has been emptied out of the known ones,
 // unless its disk has been replaced since.
-func CompleteRetirement(node, storeID string) Change {
+func CompleteRetirement(node, storeID string, proof Reconciled) Change {
 	return func(current *Value) (*Value, Outcome) {
 		store, known := current.Store(node)
 		if !known || !current.IsLeaving(node) || store.StoreID != storeID {
 			return nil, Settled
 		}
-		return RemoveStore(node)(current)
+		return RemoveStore(node, proof)(current)
 	}
 }
--- a/internal/service/register/value.go
+++ b/internal/service/register/value.go
@@ -61,9 +61,15 @@
 	Address string
 	StoreID string // changes when its disk was replaced
 
-	FirstStoreID string // of the disk with which it became known
+	// FullStoreID is the identity of the disk that is known to hold all that
+	// it must. A store with another disk counts neither in a lease nor in
+	// "not found" until MarkFull has made that disk the full one.
+	FullStoreID string
 }
 
+// Full reports whether the store has the disk that holds all that it must.
+func (s *StoreMember) Full() bool { return s.StoreID != "" && s.StoreID == s.FullStoreID }
+
 // RetiredStore is a store that was emptied and taken out of the known ones.
 type RetiredStore struct {
 	Node    string
@@ -79,8 +85,10 @@
 	Members       []Member
 	Previous      []Member // the members before this change, where it changes them
 	Stores        []StoreMember
-	Leaving       []string       // nodes of the stores that are being emptied
+	Leaving       []string       // nodes of the stores that are being emptied, as the operator ordered
+	Missing       []string       // nodes of the stores that are given up, because they have been silent for long
 	Retired       []RetiredStore // stores that were emptied, newest last
+	StoresChanged uint64         // sequence of the last change of the stores, or of which of them stay
 }
 
 // InitialValue is the value that the members of the first start begin with.
@@ -129,6 +137,7 @@
 		bytes.Equal(v.Configuration, other.Configuration) &&
 		slices.Equal(v.Members, other.Members) && slices.Equal(v.Previous, other.Previous) &&
 		slices.Equal(v.Stores, other.Stores) && slices.Equal(v.Leaving, other.Leaving) &&
+		slices.Equal(v.Missing, other.Missing) && v.StoresChanged == other.StoresChanged &&
 		slices.Equal(v.Retired, other.Retired) && slices.Equal(v.History, other.History)
 }
 
--- a/internal/service/store/bench_test.go
+++ b/internal/service/store/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sys/unix"
 
+	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
 )
 
@@ -73,6 +74,8 @@
 		b.Fatal(err)
 	}
 	defer s.close()
+	s.connected(dispatcher("edge-1"))
+	s.renew(dispatcher("edge-1"), protocol.Renew{Ready: true})
 	body := make([]byte, benchBody)
 	var next atomic.Int64
 	var callers sync.WaitGroup
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"time"
 
 	"yardwharf/internal/service/protocol"
@@ -26,7 +27,6 @@
 	callbackDue bool
 	stamp       string
 	callbackURL string
-	moved       bool // enough other stores keep it
 	epoch       uint64
 	sequence    uint64
 	bodySize    int
@@ -186,6 +186,7 @@
 	if !e.state.Ended() {
 		whole.endedAt = end.endedAt
 	}
+	whole.callbackURL = cmp.Or(whole.callbackURL, end.callbackURL)
 	if !whole.callbackDue {
 		whole.callbackURL = ""
 	}
@@ -237,6 +238,9 @@
 	head.Age = max(now-e.bornAt, 0)
 	head.Failures = e.failures
 	head.State, head.Stamp, head.CallbackDue = e.state, e.stamp, e.callbackDue
+	if e.state.Ended() {
+		head.SinceEnd = max(now-e.endedAt, 0)
+	}
 	if head.CallbackURL == "" {
 		head.CallbackURL = e.callbackURL
 	}
--- a/internal/service/store/query.go
+++ b/internal/service/store/query.go
@@ -39,9 +39,9 @@
 	defer s.mutex.Unlock()
 	e := s.index.entries[id]
 	if e == nil {
-		return protocol.QueryReply{}, segment.Position{}
+		return protocol.QueryReply{StoreID: s.log.StoreID()}, segment.Position{}
 	}
-	return protocol.QueryReply{Head: e.headAt(s.clock.now()), Held: true}, e.message
+	return protocol.QueryReply{StoreID: s.log.StoreID(), Head: e.headAt(s.clock.now()), Held: true}, e.message
 }
 
 // withBody adds the body, and the fields of the head that are on disk only.
@@ -53,8 +53,8 @@
 	head := content.message.Head
 	known := reply.Head
 	head.Queue, head.Age, head.Failures = known.Queue, known.Age, known.Failures
-	head.State, head.Stamp, head.CallbackDue = known.State, known.Stamp, known.CallbackDue
-	return protocol.QueryReply{Head: head, Body: content.message.Body, Held: true}, nil
+	head.State, head.Stamp, head.CallbackDue, head.SinceEnd = known.State, known.Stamp, known.CallbackDue, known.SinceEnd
+	return protocol.QueryReply{StoreID: reply.StoreID, Head: head, Body: content.message.Body, Held: true}, nil
 }
 
 // heads returns the heads that a new owner of a queue needs: open messages,
--- /dev/null
+++ b/internal/service/store/reconcile_test.go
@@ -0,0 +1,277 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/settings"
+	"yardwharf/internal/service/transport"
+	"yardwharf/internal/simulation/simnet"
+)
+
+// storesRig runs stores on a simulated network.
+type storesRig struct {
+	c       *qt.C
+	network *simnet.Network
+	stores  map[string]*store
+	rec     map[string]*reconciler
+	clients map[string]*transport.Client
+	ends    []func()
+}
+
+func rigAddress(name string) string { return "10.2.0." + name + ":7783" }
+
+func rigIdentity(name string) protocol.Identity {
+	return protocol.Identity{Node: "storage-" + name, Role: Role, Address: rigAddress(name), Incarnation: 1}
+}
+
+func newStoresRig(c *qt.C, names ...string) *storesRig {
+	g := &storesRig{
+		c: c, network: simnet.New(func(_, _ string) time.Duration { return time.Millisecond }),
+		stores: map[string]*store{}, rec: map[string]*reconciler{}, clients: map[string]*transport.Client{},
+	}
+	for _, name := range names {
+		g.start(name)
+	}
+	return g
+}
+
+// start starts a store with an empty disk.
+func (g *storesRig) start(name string) {
+	disk := settings.Settings{DataDir: g.c.TempDir()}
+	s, err := openStore(options{
+		files: disk.Files(disk.DataDir), storeID: newStoreID(), segmentSize: segmentLeast, maxSegments: 16,
+		memoryMost: 1 << 24, statusTime: time.Hour, bootstrap: true, role: DispatcherRole, log: logr.Discard(),
+	})
+	g.c.Assert(err, qt.IsNil)
+	machine := g.network.Process("10.2.0." + name)
+	listener, err := machine.Listen(rigAddress(name))
+	g.c.Assert(err, qt.IsNil)
+	g.stores[name] = s
+	g.rec[name] = newReconciler(s, machine, rigIdentity(name), logr.Discard())
+	server := newServer(s, g.rec[name], rigIdentity(name), logr.Discard())
+	go func() { _ = server.Serve(listener) }()
+	edge := g.network.Process("10.1.0.1")
+	g.clients[name] = transport.NewClientOn(edge, dispatcher("edge-1"), rigAddress(name))
+	g.renew(name, 1)
+	rec := g.rec[name]
+	g.ends = append(g.ends, func() {
+		rec.close()
+		server.Close()
+		machine.Kill()
+		_ = s.close()
+	})
+}
+
+// renew has the dispatcher say which stores it goes by.
+func (g *storesRig) renew(name string, known uint64) {
+	callOn[protocol.RenewReply](g.c, g.clients[name], protocol.Renew{Ready: true, StoresKnown: known})
+}
+
+func callOn[Reply any](c *qt.C, client *transport.Client, request any) Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	reply, err := transport.Call[Reply](ctx, client, request)
+	c.Assert(err, qt.IsNil)
+	return reply
+}
+
+func (g *storesRig) append(name, id string) {
+	reply := callOn[protocol.AppendReply](g.c, g.clients[name], protocol.Append{Message: message(id, "ordered/1", 1)})
+	g.c.Assert(reply.Status, qt.Equals, protocol.Stored)
+}
+
+func (g *storesRig) end(name, id string, state protocol.State) {
+	end := protocol.End{ID: id, Queue: "ordered/1", State: state, Stamp: "seal"}
+	callOn[protocol.EndBatchReply](g.c, g.clients[name], protocol.EndBatch{Ends: []protocol.End{end}})
+}
+
+func (g *storesRig) query(name, id string) protocol.QueryReply {
+	reply, err := g.stores[name].query(protocol.Query{ID: id, WithBody: true})
+	g.c.Assert(err, qt.IsNil)
+	return reply
+}
+
+// order is the order to reconcile whose sources are some stores; those after a
+// dash do not count.
+func (g *storesRig) order(copies, reads int, sources ...string) protocol.Reconcile {
+	order := protocol.Reconcile{Sequence: 1, Copies: copies, Reads: reads}
+	counts := true
+	for _, name := range sources {
+		if name == "-" {
+			counts = false
+			continue
+		}
+		order.Sources = append(order.Sources, protocol.ReconcileSource{
+			Node: "storage-" + name, Address: rigAddress(name), StoreID: g.stores[name].log.StoreID(), Counts: counts,
+		})
+	}
+	return order
+}
+
+// reconcile gives an order and returns what came of it within some time.
+func (g *storesRig) reconcile(name string, order protocol.Reconcile) protocol.ReconcileReply {
+	var reply protocol.ReconcileReply
+	for range 10 {
+		var err error
+		reply, err = g.rec[name].take(order)
+		g.c.Assert(err, qt.IsNil)
+		if reply.Done {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return reply
+}
+
+func (g *storesRig) stop() {
+	for _, client := range g.clients {
+		client.Close()
+	}
+	for _, end := range g.ends {
+		end()
+	}
+	time.Sleep(10 * time.Second)
+}
+
+// inRig runs a test on stores in simulated time.
+func inRig(t *testing.T, names []string, test func(c *qt.C, g *storesRig)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := newStoresRig(c, names...)
+		defer g.stop()
+		test(c, g)
+	})
+}
+
+// A store with an empty disk copies what stands at one of the two others alone:
+// open messages and dead letters with their bytes, ends with their seals. What
+// stands at both it leaves.
+func TestEmptyDiskCopiesWhatStandsAtTooFew(t *testing.T) {
+	inRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		for _, id := range []string{"open", "done", "dead", "both"} {
+			g.append("2", id)
+		}
+		g.append("3", "both")
+		g.append("3", "late") // open here, ended at the other
+		g.append("2", "late")
+		g.end("2", "late", protocol.Completed)
+		g.end("2", "done", protocol.Completed)
+		g.end("2", "dead", protocol.DeadLetter)
+		reply := g.reconcile("1", g.order(2, 2, "2", "3"))
+		c.Assert(reply.Done, qt.IsTrue, qt.Commentf("%+v", reply))
+		c.Assert(reply.Read, qt.DeepEquals, []string{"storage-2", "storage-3"})
+		c.Assert(reply.Missing, qt.Equals, 0)
+		want := map[string]protocol.State{
+			"open": protocol.Queued, "done": protocol.Completed, "dead": protocol.DeadLetter, "late": protocol.Completed,
+		}
+		for id, state := range want {
+			got := g.query("1", id)
+			c.Check(got.Held, qt.IsTrue, qt.Commentf(id))
+			c.Check(got.Head.State, qt.Equals, state, qt.Commentf(id))
+			if state.Ended() && state != protocol.DeadLetter {
+				c.Check(got.Head.Stamp, qt.Equals, "seal")
+			} else {
+				c.Check(string(got.Body), qt.Equals, "body of "+id)
+			}
+		}
+		c.Check(g.query("1", "both").Held, qt.IsFalse, qt.Commentf("it stands at two already"))
+	})
+}
+
+// Before a machine goes, each message must stand at two of the others. A store
+// cannot make up what it holds alone: the next one does, and then none is missing.
+func TestStoresTakeTurnsToCopyWhatALeavingOneHolds(t *testing.T) {
+	inRig(t, []string{"1", "2", "3", "4"}, func(c *qt.C, g *storesRig) {
+		g.append("1", "only")
+		g.append("1", "second")
+		g.append("2", "second")
+		g.append("1", "ended")
+		g.append("2", "ended")
+		g.end("1", "ended", protocol.Completed) // the other was away
+		order := g.order(2, 3, "2", "3", "4", "-", "1")
+		reply := g.reconcile("2", order)
+		c.Assert(reply.Done, qt.IsTrue, qt.Commentf("%+v", reply))
+		c.Assert(reply.Missing, qt.Equals, 3)
+		reply = g.reconcile("3", order)
+		c.Assert(reply.Missing, qt.Equals, 0, qt.Commentf("%+v", reply))
+		reply = g.reconcile("4", order)
+		c.Assert(reply.Missing, qt.Equals, 0)
+		c.Assert(reply.Copied, qt.Equals, 0)
+		for _, name := range []string{"2", "3"} {
+			c.Check(string(g.query(name, "only").Body), qt.Equals, "body of only")
+			c.Check(string(g.query(name, "second").Body), qt.Equals, "body of second")
+			c.Check(g.query(name, "ended").Head.State, qt.Equals, protocol.Completed)
+		}
+	})
+}
+
+// While a dispatcher in touch with a source goes by older stores, or too few of
+// the sources can be read, or one has another disk, nothing is proved, however
+// long that takes.
+func TestReconciliationWaitsForEvidence(t *testing.T) {
+	inRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		g.append("2", "m")
+		order := g.order(2, 2, "2", "3")
+		order.Sequence = 7
+		waits := func(cause string) {
+			reply := g.reconcile("1", order)
+			c.Assert(reply.Done, qt.IsFalse, qt.Commentf("wanted: %s", cause))
+			c.Assert(reply.Cause, qt.Matches, cause)
+		}
+		waits(".*go by older stores.*")
+		g.renew("2", 7)
+		g.renew("3", 6)
+		waits(".*go by older stores.*")
+		g.renew("2", 7)
+		g.renew("3", 7)
+		c.Assert(g.reconcile("1", order).Done, qt.IsTrue)
+
+		other := g.order(2, 2, "2", "3")
+		other.Sources[0].StoreID = "lost"
+		order = other
+		waits(".*another disk.*")
+		g.network.Power("10.2.0.3", false)
+		order = g.order(2, 2, "2", "3")
+		waits(".*1 of 2 sources.*")
+	})
+}
+
+// Many messages are compared slice by slice.
+func TestReconciliationOfManyMessages(t *testing.T) {
+	inRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		const count = 3*sliceEntries + 17
+		for from := 0; from < count; from += fetchBatch {
+			var batch protocol.EndBatch
+			for i := from; i < min(from+fetchBatch, count); i++ {
+				batch.Ends = append(batch.Ends, protocol.End{ID: fmt.Sprint("m", i), Queue: "q", State: protocol.Completed, Stamp: "seal"})
+			}
+			callOn[protocol.EndBatchReply](c, g.clients["2"], batch)
+		}
+		reply := g.reconcile("1", g.order(2, 2, "2", "3"))
+		c.Assert(reply.Done, qt.IsTrue, qt.Commentf("%+v", reply))
+		c.Assert(reply.Copied, qt.Equals, count)
+		c.Assert(g.stores["1"].messages(), qt.Equals, count)
+	})
+}
+
+// The time of an end goes with it: what is copied is kept no longer than it would be.
+func TestCopiedEndKeepsItsTime(t *testing.T) {
+	inRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		g.append("2", "m")
+		g.end("2", "m", protocol.Completed)
+		time.Sleep(50 * time.Second)
+		for _, name := range []string{"2", "3"} {
+			g.renew(name, 1)
+		}
+		c.Assert(g.reconcile("1", g.order(2, 2, "2", "3")).Done, qt.IsTrue)
+		c.Assert(g.query("1", "m").Head.SinceEnd >= 50*time.Second, qt.IsTrue)
+	})
+}
--- a/internal/service/store/retirement.go
+++ b/internal/service/store/retirement.go
@@ -7,117 +7,55 @@
 	"yardwharf/internal/service/protocol"
 )
 
-const (
-	unmovedHeadsMost = 512                    // heads in one ListUnmovedReply
-	recountInterval  = 200 * time.Millisecond // between two counts of all messages
-)
-
 // retirement is what a store knows of its own leaving. It is kept in memory
-// only: after a restart the store is told again, and told again what has moved.
+// only: after a restart the store is told again.
 type retirement struct {
-	leaving   bool
-	aware     map[lease.SessionID]bool // dispatchers that know of it
-	count     int                      // messages that have not moved, when last counted
-	countedAt time.Time
+	leaving bool
+	since   uint64 // sequence of the register's value that told so; 0: not known
+}
+
+// knowledge is what a dispatcher in touch has said that it goes by.
+type knowledge struct {
+	leaving bool   // this store is leaving
+	stores  uint64 // sequence of the register's value that told it of the stores
 }
 
 // retire notes that the store is leaving and tells how far it is.
-func (s *store) retire(catchUp time.Duration) protocol.RetireReply {
+func (s *store) retire() protocol.RetireReply {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.retirement.leaving = true
-	s.retirement.countedAt = time.Time{}
-	now := time.Now()
-	return protocol.RetireReply{
-		StoreID: s.log.StoreID(), Recovering: s.recovering(catchUp),
-		Unmoved: s.unmoved(now), Unaware: s.unaware(now),
-	}
+	unaware := s.countSessions(func(k knowledge) bool { return !k.leaving })
+	return protocol.RetireReply{StoreID: s.log.StoreID(), Unaware: unaware}
 }
 
-// noteAware notes whether a dispatcher knows that the store is leaving. The
-// mutex is held.
-func (s *store) noteAware(identity protocol.Identity, aware bool) {
-	if !aware {
-		delete(s.retirement.aware, lease.SessionOf(identity))
-		return
+// noteKnowledge notes what a dispatcher goes by. One that knows a later value of
+// the register, in which this store stays, ends its leaving: a store that was
+// silent for long is given up, and kept when it is back in time. The mutex is held.
+func (s *store) noteKnowledge(identity protocol.Identity, request protocol.Renew) {
+	s.known[lease.SessionOf(identity)] = knowledge{leaving: request.Leaving, stores: request.StoresKnown}
+	switch {
+	case request.Leaving:
+		s.retirement.leaving = true
+		s.retirement.since = max(s.retirement.since, request.StoresKnown)
+	case s.retirement.leaving && s.retirement.since > 0 && request.StoresKnown > s.retirement.since:
+		s.retirement = retirement{}
 	}
-	s.retirement.leaving = true
-	s.retirement.aware[lease.SessionOf(identity)] = true
 }
 
-// unaware counts the dispatchers in touch that do not know that the store is
-// leaving: they may count on leases and copies here. The mutex is held.
-func (s *store) unaware(now time.Time) int {
-	s.grantor.Expire(now)
+// countSessions counts the dispatchers in touch of whose knowledge a function
+// reports true, and forgets that of those which are not. The mutex is held.
+func (s *store) countSessions(matches func(knowledge) bool) int {
+	s.grantor.Expire(time.Now())
+	open := make(map[lease.SessionID]knowledge, len(s.known))
 	count := 0
 	for _, session := range s.grantor.Sessions(s.options.role) {
-		if !s.retirement.aware[lease.SessionOf(session.Identity)] {
+		id := lease.SessionOf(session.Identity)
+		open[id] = s.known[id]
+		if matches(open[id]) {
 			count++
 		}
 	}
+	s.known = open
 	return count
 }
-
-// unmoved counts the messages that are not known to be kept elsewhere. The mutex
-// is held.
-func (s *store) unmoved(now time.Time) int {
-	if now.Sub(s.retirement.countedAt) < recountInterval {
-		return s.retirement.count
-	}
-	count := 0
-	for _, q := range s.index.queues {
-		q.eachUnmoved(func(*entry) bool {
-			count++
-			return true
-		})
-	}
-	s.retirement.count, s.retirement.countedAt = count, now
-	return count
-}
-
-// eachUnmoved calls a function for each message that is open or owes a
-// call-back and is not known to be kept elsewhere, until it reports false.
-func (q *queueIndex) eachUnmoved(call func(*entry) bool) {
-	for e := q.open.first; e != nil; e = e.next {
-		if !e.moved && !call(e) {
-			return
-		}
-	}
-	for e := q.ended.first; e != nil && q.owed > 0; e = e.next {
-		if e.callbackDue && !e.moved && !call(e) {
-			return
-		}
-	}
-}
-
-// listUnmoved returns messages that are not known to be kept elsewhere.
-func (s *store) listUnmoved(request protocol.ListUnmoved) protocol.ListUnmovedReply {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var reply protocol.ListUnmovedReply
-	now := s.clock.now()
-	for _, name := range request.Queues {
-		q := s.index.queues[name]
-		if q == nil {
-			continue
-		}
-		q.eachUnmoved(func(e *entry) bool {
-			reply.Heads = append(reply.Heads, e.headAt(now))
-			return len(reply.Heads) < unmovedHeadsMost
-		})
-		if len(reply.Heads) >= unmovedHeadsMost {
-			break
-		}
-	}
-	return reply
-}
-
-// noteMoved notes that enough other stores keep these messages. The mutex is
-// held.
-func (s *store) noteMoved(ids []string) {
-	for _, id := range ids {
-		if e := s.index.entries[id]; e != nil {
-			e.moved = true
-		}
-	}
-}
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -57,7 +57,9 @@
 		return Class.Wrap(err)
 	}
 	log.Info("store ready", "id", opened.log.StoreID(), "formatted", opened.log.Formatted(), "messages", opened.messages())
-	server := newServer(opened, identity, settings.Seconds(s.Bounds.CatchUpS), log)
+	reconciler := newReconciler(opened, s.Net(), identity, log)
+	defer reconciler.close()
+	server := newServer(opened, reconciler, identity, log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	beats := membership.StartHeartbeats(ctx, s, identity, details(s, opened), log)
@@ -173,43 +175,46 @@
 }
 
 // newServer returns the server with the handlers of the role.
-func newServer(s *store, identity protocol.Identity, catchUp time.Duration, log logr.Logger) *transport.Server {
+func newServer(s *store, reconciler *reconciler, identity protocol.Identity, log logr.Logger) *transport.Server {
 	server := transport.NewServer(identity, log)
 	server.OnConnect(func(peer *transport.Peer) { s.connected(peer.Identity) })
 	server.OnClose(func(peer *transport.Peer) { s.disconnected(peer.Identity) })
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Append) (protocol.AppendReply, error) {
 		status, commit, err := s.append(peer.Identity, &request.Message)
-		return protocol.AppendReply{Status: status}, settle(commit, err)
+		return protocol.AppendReply{Status: status, StoreID: s.log.StoreID()}, settle(commit, err)
 	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.EndBatch) (protocol.EndBatchReply, error) {
 		commit, err := s.endBatch(&request)
-		return protocol.EndBatchReply{}, settle(commit, err)
+		return protocol.EndBatchReply{StoreID: s.log.StoreID()}, settle(commit, err)
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Acquire) (protocol.AcquireReply, error) {
-		reply, commit, err := s.acquire(peer.Identity, request, catchUp)
+		reply, commit, err := s.acquire(peer.Identity, request)
 		return reply, settle(commit, err)
 	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.FindEnds) (protocol.FindEndsReply, error) {
 		return s.findEnds(request), nil
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Renew) (protocol.RenewReply, error) {
-		return s.renew(peer.Identity, request, catchUp), nil
+		return s.renew(peer.Identity, request), nil
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Release) (protocol.ReleaseReply, error) {
 		s.release(peer.Identity, request)
 		return protocol.ReleaseReply{}, nil
 	})
-	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ListUnmoved) (protocol.ListUnmovedReply, error) {
-		return s.listUnmoved(request), nil
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ListEntries) (protocol.ListEntriesReply, error) {
+		return s.listEntries(request), nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Reconcile) (protocol.ReconcileReply, error) {
+		return reconciler.take(request)
 	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, _ protocol.Retire) (protocol.RetireReply, error) {
-		return s.retire(catchUp), nil
+		return s.retire(), nil
 	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Query) (protocol.QueryReply, error) {
 		return s.query(request)
 	})
 	started := time.Now()
-	status.Serve(server, started, func(report *status.Report) { s.fillStatus(report, identity, catchUp) })
+	status.Serve(server, started, func(report *status.Report) { s.fillStatus(report, identity) })
 	status.ServeMessages(server, s.messageAnswers(identity.Node))
 	return server
 }
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -28,17 +28,12 @@
 }
 
 // renew renews a session and returns the table where the caller lacks it.
-func (s *store) renew(identity protocol.Identity, request protocol.Renew, catchUp time.Duration) protocol.RenewReply {
+func (s *store) renew(identity protocol.Identity, request protocol.Renew) protocol.RenewReply {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.grantor.Renew(time.Now(), identity, request.Ready, s.connections[lease.SessionOf(identity)])
-	reply := protocol.RenewReply{
-		StoreID: s.log.StoreID(), Recovering: s.recovering(catchUp), Version: s.grantor.Version(),
-	}
-	s.noteAware(identity, request.Leaving)
-	if s.retirement.leaving {
-		reply.Unmoved = s.unmoved(time.Now())
-	}
+	reply := protocol.RenewReply{StoreID: s.log.StoreID(), Version: s.grantor.Version()}
+	s.noteKnowledge(identity, request)
 	if reply.Version != request.KnownVersion {
 		s.addTable(&reply, request.KnownVersion)
 	}
@@ -83,10 +78,10 @@
 }
 
 // acquire asks for leases. The reply holds once the commit has ended.
-func (s *store) acquire(identity protocol.Identity, request protocol.Acquire, catchUp time.Duration) (protocol.AcquireReply, *segment.Commit, error) {
+func (s *store) acquire(identity protocol.Identity, request protocol.Acquire) (protocol.AcquireReply, *segment.Commit, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	reply := protocol.AcquireReply{StoreID: s.log.StoreID(), Recovering: s.recovering(catchUp)}
+	reply := protocol.AcquireReply{StoreID: s.log.StoreID()}
 	now, size := time.Now(), 0
 	for _, name := range request.Queues {
 		if err := checkName("queue", name); err != nil {
--- a/internal/service/store/status.go
+++ b/internal/service/store/status.go
@@ -4,21 +4,19 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/status"
 )
 
 // fillStatus adds what the store knows to a report.
-func (s *store) fillStatus(report *status.Report, identity protocol.Identity, catchUp time.Duration) {
+func (s *store) fillStatus(report *status.Report, identity protocol.Identity) {
 	own := status.Store{Node: identity.Node, Zone: identity.Zone, Address: identity.Address, Up: s.log.Failed() == nil}
 	own.Segments, own.SegmentMax = s.log.Segments()
 	own.LiveBytes, own.FileBytes = s.log.Usage()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	own.Messages = len(s.index.entries)
-	own.Recovering = s.recovering(catchUp)
 	report.Stores = []status.Store{own}
 	for _, session := range s.grantor.Sessions(s.options.role) {
 		report.Sessions = append(report.Sessions, status.Session{
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -58,7 +58,8 @@
 	format      segment.Position
 	lastClock   segment.Position
 	retirement  retirement
-	clockAt     time.Duration // store time of the last clock record
+	known       map[lease.SessionID]knowledge // what dispatchers go by
+	clockAt     time.Duration                 // store time of the last clock record
 
 	replayed *replayState // during recovery
 }
@@ -67,7 +68,7 @@
 func openStore(o options) (*store, error) {
 	s := &store{
 		options: o, clock: newClock(o.steady), index: newIndex(),
-		connections: map[lease.SessionID]int{}, retirement: retirement{aware: map[lease.SessionID]bool{}},
+		connections: map[lease.SessionID]int{}, known: map[lease.SessionID]knowledge{},
 		replayed: &replayState{promises: map[string]lease.Promise{}},
 	}
 	s.buffers.New = func() any { return new([]byte) }
@@ -97,11 +98,6 @@
 
 func (s *store) close() error { return s.log.Close() }
 
-// recovering reports whether the disk was empty a short time ago.
-func (s *store) recovering(catchUp time.Duration) bool {
-	return !s.bootstrap && s.clock.now() < catchUp
-}
-
 // write appends a record made by encode. The mutex is held.
 func (s *store) write(kind byte, priority segment.Priority, encode func([]byte) []byte) (segment.Position, *segment.Commit, error) {
 	buffer := s.buffers.Get().(*[]byte)
@@ -124,7 +120,7 @@
 		return 0, nil, err
 	}
 	decision := s.grantor.Write(identity, m.Head.Queue, m.LeaseEpoch())
-	if !decision.Allowed {
+	if !decision.Allowed || !s.grantor.InTouch(time.Now(), identity) {
 		return protocol.Fenced, nil, nil
 	}
 	if _, err := s.keepPromise(m.Head.Queue, decision.Promise); err != nil {
@@ -296,7 +292,6 @@
 			return nil, err
 		}
 	}
-	s.noteMoved(batch.Moved)
 	return s.log.Barrier(), nil
 }
 
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -27,8 +27,8 @@
 	Address string // internal address
 	StoreID string // of stores: changes when the disk was replaced
 
-	FirstDisk bool // of stores: it has the disk with which it became known
-	Leaving   bool // of stores: it is being emptied
+	FullStoreID string // of stores: the disk that is known to hold all that it must
+	Leaving     bool   // of stores: it is being emptied, or given up
 }
 
 // Configuration is the value of the configuration register.
--- a/internal/tools/hollow/backlog.go
+++ b/internal/tools/hollow/backlog.go
@@ -166,6 +166,10 @@
 	deadline := time.Now().Add(storeStartMost)
 	for {
 		reply, err := transport.Call[protocol.AppendReply](ctx, r.client, request)
+		if err == nil && reply.Status == protocol.Fenced && time.Now().Before(deadline) {
+			_, _ = transport.Call[protocol.RenewReply](ctx, r.client, protocol.Renew{Ready: true}) // the session is over
+			continue
+		}
 		if err == nil && reply.Status != protocol.Stored {
 			return Class.New("message %d was answered with status %d", number, reply.Status)
 		}
--- a/internal/tools/hollow/leases.go
+++ b/internal/tools/hollow/leases.go
@@ -164,7 +164,7 @@
 	var load Load
 	load.work(func() {
 		for _, holder := range holders {
-			holder.ValidUntil(queue, time.Millisecond, r.Stores, size.Tolerated)
+			holder.ValidUntil(queue, time.Millisecond, r.Stores-size.Tolerated, func(string) bool { return true })
 		}
 	})
 	r.ValidityCheck = load.Processor / rounds
