Never send one message twice on one connection

Cause: a connection remembered the last message only; a second answer to the first attempt that came after another message was taken for that of the second attempt (TestLateAnswerOfAnEarlierAttempt: seal of the late answer with one message in between, before this change). Change: a connection remembers hashes of all messages that it carried, 256 at most, and is closed after them.

--- a/internal/service/delivery/client.go
+++ b/internal/service/delivery/client.go
@@ -136,6 +136,7 @@
 	}
 	left := max(leastDeadline, until.Sub(c.now()))
 	_ = conn.raw.SetDeadline(time.Now().Add(left + answerSlack))
+	conn.noteCarried(request.Head.ID)
 	written, writeErr := conn.write(request, left)
 	if written == 0 && writeErr != nil {
 		result.Verdict, result.Err = verdict.NotRun, Class.Wrap(writeErr)
@@ -149,7 +150,7 @@
 		return result, false
 	}
 	reusable = answer.reusable && writeErr == nil
-	conn.lastID, conn.idleFor = request.Head.ID, answer.idleFor
+	conn.idleFor = answer.idleFor
 	answer.judge(&result)
 	return result, false
 }
--- a/internal/service/delivery/connection.go
+++ b/internal/service/delivery/connection.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +24,7 @@
 	copyBody         = 32 << 10 // smaller bodies are written together with the head
 	answerMost       = 1 << 20  // bytes of an answer's body
 	interimMost      = 5        // answers 1xx before the final one
+	carriedMost      = 256      // messages on one connection
 	unackedMost      = 3 * time.Second
 	defaultIdle      = 4 * time.Second // where the sender tells no Keep-Alive
 	idlePart         = 0.8             // of the time after which the sender closes
@@ -48,7 +51,7 @@
 	address string
 	reader  *bufio.Reader
 	reused  bool
-	lastID  string // of the message that it carried last
+	carried []uint64 // hashes of the messages that it carried
 	idleFor time.Duration
 	expires time.Time // when it has been idle for too long
 }
@@ -59,6 +62,19 @@
 
 func (c *connection) close() { _ = c.raw.Close() }
 
+var hashSeed = maphash.MakeSeed()
+
+// hasCarried reports whether the connection carried a message before: a late
+// second answer to that attempt would pass for that to another one.
+func (c *connection) hasCarried(id string) bool {
+	return slices.Contains(c.carried, maphash.String(hashSeed, id))
+}
+
+// noteCarried notes that the connection carries a message.
+func (c *connection) noteCarried(id string) {
+	c.carried = append(c.carried, maphash.String(hashSeed, id))
+}
+
 // quiet reports whether an idle connection is open and nothing came on it.
 func (c *connection) quiet() bool {
 	if c.reader.Buffered() > 0 {
@@ -179,7 +195,7 @@
 		return a, nil
 	}
 	a.idleFor = idleTime(response.Header.Get(headerKeepAlive))
-	a.reusable = !response.Close && c.reader.Buffered() == 0 && a.idleFor > 0
+	a.reusable = !response.Close && c.reader.Buffered() == 0 && a.idleFor > 0 && len(c.carried) < carriedMost
 	return a, nil
 }
 
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -366,7 +366,7 @@
 	first := <-ended
 	p.c.Assert(first.Succeeded(), qt.IsTrue)
 	client.mutex.Lock()
-	client.pools["sender:1"].idle[0].lastID = "m3" // may not be used for it
+	client.pools["sender:1"].idle[0].noteCarried("m3") // may not be used for it
 	client.mutex.Unlock()
 	third := message("m3")
 	third.MaxConnections = 1
@@ -455,3 +455,49 @@
 		}
 	}
 }
+
+// A sender answers the first attempt of a message a second time, as the second
+// attempt of the same message is under way, and another message was delivered in
+// between. The late answer must not end the second attempt: it comes on a connection
+// that never carries this message again.
+func TestLateAnswerOfAnEarlierAttempt(t *testing.T) {
+	for between := range 3 {
+		first := []string{failed}
+		for n := range between {
+			first = append(first, as(fmt.Sprint("other-", n), success))
+		}
+		first = append(first, strings.Replace(success, "seal.1", "seal.late", 1))
+		p, client := newPeer(t, answersAndStays(first...), answersAndStays(success))
+		succeeds := func(id string) {
+			result := client.Deliver(background, message(id))
+			p.c.Assert(result.Succeeded(), qt.IsTrue)
+		}
+		result := client.Deliver(background, message("m1"))
+		p.c.Assert(result.Failed(), qt.IsTrue)
+		for n := range between {
+			succeeds(fmt.Sprint("other-", n))
+		}
+		result = client.Deliver(background, message("m1"))
+		p.c.Assert(result.Seal, qt.Equals, "seal.1", qt.Commentf("%d in between", between))
+		p.c.Assert(p.dials, qt.Equals, 2)
+		client.Close()
+	}
+}
+
+// A connection forgets no message that it carried: it is closed before it has to.
+func TestConnectionCarriesABoundedNumberOfMessages(t *testing.T) {
+	var texts []string
+	for n := range carriedMost {
+		texts = append(texts, as(fmt.Sprint("m", n), success))
+	}
+	last := as("last", success)
+	p, client := newPeer(t, answersAndStays(texts...), answersAndStays(last))
+	for n := range carriedMost {
+		result := client.Deliver(background, message(fmt.Sprint("m", n)))
+		p.c.Assert(result.Succeeded(), qt.IsTrue)
+	}
+	p.c.Assert(client.Idle(), qt.Equals, 0)
+	result := client.Deliver(background, message("last"))
+	p.c.Assert(result.Succeeded(), qt.IsTrue)
+	p.c.Assert(p.dials, qt.Equals, 2)
+}
--- a/internal/service/delivery/pool.go
+++ b/internal/service/delivery/pool.go
@@ -12,8 +12,8 @@
 }
 
 // takeIdle takes the connection that was used last, or books a new one and returns
-// nil. A connection is not used for two deliveries of one message in a row: a second
-// answer to the first would pass for that to the second.
+// nil. A connection is never used for two deliveries of one message: a second answer
+// to the first, however late, would pass for that to the second.
 func (c *Client) takeIdle(request *Request) (*connection, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -24,7 +24,7 @@
 	}
 	p.closeExpired(c.now())
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if conn := p.idle[i]; conn.lastID != request.Head.ID {
+		if conn := p.idle[i]; !conn.hasCarried(request.Head.ID) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			conn.reused = true
 			return conn, nil
