Replace register members in one change, and refuse no order that is forgotten

Cause: a process that joined while a member was lost came in addition: four members of which one is lost bear no further loss until it is removed 3 s later, as seen by the first live member, whose restart began that time anew. An order older than the history of 512 changes got 412 though it may have been taken. A call-back's answer to another message counted.

Change: one in addition is admitted only while every member answers, else the process takes a silent member's place by one change; any member admits it; a process that ends leaves an even number at once; another member removes a silent one a second later if the first has not. Forgotten orders get 503 with a clear line. Answers to call-backs that name another id are errors.

--- a/internal/service/control/api.go
+++ b/internal/service/control/api.go
@@ -116,6 +116,8 @@
 	case register.Invalid:
 		answer(w, http.StatusBadRequest, problem{"/revision: is not above the current revision " +
 			strconv.FormatInt(result.Decided.Value.Revision, 10)})
+	case register.Forgotten:
+		unavailable(w, "whether this order was taken is not remembered: read the configuration")
 	default:
 		unavailable(w, "no majority has decided")
 	}
--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -94,6 +94,7 @@
 	case err = <-failures:
 	}
 	finishOrders(api)
+	replica.leave()
 	stop()
 	server.Close()
 	group.Wait()
--- a/internal/service/control/join.go
+++ b/internal/service/control/join.go
@@ -33,17 +33,24 @@
 	})
 }
 
-// admit makes a process a member.
+// admit makes a process a member: in the place of an earlier life of it or of a
+// member that has been silent for long, by one change, or in addition. One in
+// addition raises the majority, so it waits while any member does not answer: the
+// loss of that one would not be replaced, but come on top.
 func (r *replica) admit(parent context.Context, member register.Member) bool {
 	ctx, cancel := context.WithTimeout(parent, joinTimeout)
 	defer cancel()
-	replaced := ""
+	replaced, most := "", 0
 	if known := r.known(); known.Value != nil {
-		if silent := r.silent(known.Value, replaceAfter); len(silent) > 0 {
+		answered := r.askAll(ctx, known)
+		switch silent := r.silent(known.Value, replaceAfter); {
+		case len(silent) > 0:
 			replaced = silent[0]
+		case answered:
+			most = membersMost
 		}
 	}
-	outcome := r.propose(ctx, register.Join(member, replaced, membersMost)).Outcome
+	outcome := r.propose(ctx, register.Join(member, replaced, most)).Outcome
 	if outcome != register.Taken && outcome != register.Settled {
 		return false
 	}
@@ -52,6 +59,38 @@
 	return true
 }
 
+// askAll asks all members of a value, and reports whether all answer.
+func (r *replica) askAll(parent context.Context, known register.Versioned) bool {
+	ctx, cancel := context.WithTimeout(parent, surveyTimeout)
+	defer cancel()
+	round := r.newRound(surveyTimeout)
+	defer round.close()
+	for waiting := r.ask(round, known, map[string]bool{}); waiting > 0; waiting-- {
+		select {
+		case answer := <-round.answers:
+			if answer.err != nil {
+				return false
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// leave takes this process out of an even number of members as it ends: the
+// others then need no vote of its any more. It comes back by joining.
+func (r *replica) leave() {
+	known := r.known()
+	if known.Value == nil || !r.isMember() || !register.MayRemove(known.Value) {
+		return
+	}
+	ctx := context.Background()
+	if r.order(ctx, register.Remove(r.identity.Address)).Outcome == register.Taken {
+		r.order(ctx, register.Seal)
+	}
+}
+
 // join asks the members, one after the other, to admit this process.
 func (r *replica) join(ctx context.Context, value *register.Value) {
 	self := r.member()
--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -345,22 +345,75 @@
 }
 
 // TestLossAfterAReplacement loses a second member once the successor of the
-// first has had its time.
+// first has had its time. At no moment are there four members of which one is lost.
 func TestLossAfterAReplacement(t *testing.T) {
 	inBubble(t, func(c *qt.C, n *network, core []*replica) {
 		n.stop(1)
 		time.Sleep(100 * time.Millisecond)
 		fourth := n.start(c, 4, false)
 		testUpkeep(fourth).tick(context.Background())
-		c.Assert(fourth.known().Value.Members, qt.HasLen, 4)
+		c.Assert(fourth.isMember(), qt.IsFalse)
+		c.Assert(fourth.known().Value.Members, qt.HasLen, 3, qt.Commentf("four of which one is lost bear no further loss"))
 		time.Sleep(replaceAfter)
-		for range 2 {
-			testUpkeep(core[2]).tick(context.Background())
-			testUpkeep(core[3]).tick(context.Background())
+		testUpkeep(fourth).tick(context.Background())
+		c.Assert(fourth.isMember(), qt.IsTrue)
+		c.Assert(fourth.known().Value.Members, qt.HasLen, 3)
+		n.stop(2)
+		c.Assert(replace(core[3], 0, 3), qt.Equals, register.Taken)
+	})
+}
+
+// The member that acts for all restarts just after the loss: another admits the
+// successor all the same.
+func TestReplacementWhileTheFirstMemberRestarts(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		n.stop(2)
+		fourth := n.start(c, 4, false)
+		for range 4 { // the first begins to count anew each time
+			time.Sleep(replaceAfter/3 - time.Millisecond)
+			n.stop(1)
+			core[1] = n.start(c, 1, false)
+			testUpkeep(fourth).tick(context.Background())
 		}
-		c.Assert(core[2].known().Value.Members, qt.HasLen, 3)
+		c.Assert(fourth.isMember(), qt.IsTrue)
+		c.Assert(fourth.known().Value.Members, qt.HasLen, 3)
+	})
+}
+
+// A planned replacement: the new one joins first, then the old one ends. From then
+// on there are three members again, at once, and one more may be lost.
+func TestMemberThatEndsLeavesAnEvenNumber(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		fourth := n.start(c, 4, false)
+		testUpkeep(fourth).tick(context.Background())
+		c.Assert(fourth.known().Value.Members, qt.HasLen, 4)
+		core[1].leave()
+		n.stop(1)
 		n.stop(2)
 		c.Assert(replace(core[3], 0, 3), qt.Equals, register.Taken)
+		c.Assert(core[3].known().Value.Members, qt.HasLen, 3)
+		core[3].leave() // three stay: one that starts again comes back as it was
+		c.Assert(core[3].known().Value.Members, qt.HasLen, 3)
+	})
+}
+
+// Of four members one is lost, and the first one starts anew just then: the next
+// one removes the lost one.
+func TestSilentMemberIsRemovedByAnother(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		fourth := n.start(c, 4, false)
+		testUpkeep(fourth).tick(context.Background())
+		n.stop(4)
+		second := testUpkeep(core[2])
+		for range 6 {
+			time.Sleep(upkeepEvery)
+			n.stop(1)
+			core[1] = n.start(c, 1, false)
+			testUpkeep(core[1]).tick(context.Background())
+			second.tick(context.Background())
+		}
+		c.Assert(core[2].known().Value.Members, qt.HasLen, 3)
+		c.Assert(core[2].known().Value.HasMember("core-4"), qt.IsFalse)
 	})
 }
 
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -72,6 +72,7 @@
 		return
 	}
 	if !u.first(decided.Value) {
+		u.removeSilent(ctx, decided.Value)
 		return
 	}
 	for _, change := range u.due(decided.Value, time.Now()) {
@@ -150,6 +151,19 @@
 	return false
 }
 
+// removeSilent takes a silent member out of an even number of them, where the
+// member that acts for all has not: it may have started a moment ago, and begun to
+// count the silence anew.
+func (u *upkeep) removeSilent(ctx context.Context, value *register.Value) {
+	if !register.MayRemove(value) {
+		return
+	}
+	if silent := u.replica.silent(value, replaceAfter+upkeepEvery); len(silent) > 0 {
+		u.replica.log.Info("member is removed", "address", silent[0])
+		u.replica.order(ctx, register.Remove(silent[0]))
+	}
+}
+
 // due lists the changes that a value needs.
 func (u *upkeep) due(value *register.Value, now time.Time) []register.Change {
 	var changes []register.Change
--- a/internal/service/delivery/callback.go
+++ b/internal/service/delivery/callback.go
@@ -40,7 +40,7 @@
 }
 
 // Callback tells a receiver that a message has ended; the connection is closed after the last of several.
-// It returns the status of the answer, or an error where none came.
+// It returns the status of the answer, or an error where none came, or that to another message.
 func (c *Client) Callback(ctx context.Context, url, id, state, stamp string, last bool) (status int, err error) {
 	body, err := json.Marshal(callbackBody{ID: id, State: state, Stamp: stamp})
 	if err != nil {
@@ -57,6 +57,10 @@
 		return 0, Class.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if told := response.Header.Get(headerRequestID); told != "" && told != id {
+		c.callbacks.CloseIdleConnections()
+		return 0, ErrForeign
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, callbackAnswerMost))
 	return response.StatusCode, nil
 }
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -501,3 +501,19 @@
 	p.c.Assert(result.Succeeded(), qt.IsTrue)
 	p.c.Assert(p.dials, qt.Equals, 2)
 }
+
+// An answer that names another message does not count for a call-back.
+func TestCallbackAnsweredForAnother(t *testing.T) {
+	c := qt.New(t)
+	receiver := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", strings.TrimPrefix(r.URL.Path, "/"))
+	}))
+	defer receiver.Close()
+	client := NewClient()
+	defer client.Close()
+	_, err := client.Callback(background, receiver.URL+"/other", "m1", "completed", "seal.1", false)
+	c.Assert(errors.Is(err, ErrForeign), qt.IsTrue)
+	status, err := client.Callback(background, receiver.URL+"/m1", "m1", "completed", "seal.1", false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+}
--- a/internal/service/register/change.go
+++ b/internal/service/register/change.go
@@ -16,6 +16,7 @@
 	Invalid                  // it can follow no value like the current one
 	Settled                  // nothing was to be changed; the value is decided
 	Unknown                  // it names what the register does not have
+	Forgotten                // it is older than the history: nobody knows whether it was taken
 )
 
 // Change makes the next value from a decided one. It returns nil where nothing
@@ -31,13 +32,16 @@
 // Settle changes nothing; it decides what is undecided.
 func Settle(*Value) (*Value, Outcome) { return nil, Settled }
 
-// Replace is the operator's change of the configuration.
+// Replace is the operator's change of the configuration. One that was taken is
+// never refused: where the history does not reach back to it, it is Forgotten.
 func Replace(base, revision int64, raw []byte) Change {
 	digest := Digest(raw)
 	return func(current *Value) (*Value, Outcome) {
 		switch {
 		case current.Holds(revision, digest):
 			return nil, Taken
+		case current.forgets(revision):
+			return nil, Forgotten
 		case base != current.Revision:
 			return nil, Stale
 		case revision <= current.Revision:
@@ -166,6 +170,8 @@
 		return "settled"
 	case Unknown:
 		return "unknown"
+	case Forgotten:
+		return "forgotten"
 	default:
 		return "undecided"
 	}
--- a/internal/service/register/value.go
+++ b/internal/service/register/value.go
@@ -126,6 +126,12 @@
 	})
 }
 
+// forgets reports whether a change with this revision may have been taken, and
+// have left the history since. Revisions only grow.
+func (v *Value) forgets(revision int64) bool {
+	return len(v.History) >= HistoryLimit && revision < v.History[0].Revision
+}
+
 // equalMembers reports whether two lists have the same voters.
 func equalMembers(a, b []Member) bool {
 	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.Address == y.Address && x.Disk == y.Disk })
