Keep ends longer than any open copy of their message

Cause: an end was forgotten statusS after it, an open copy at a store that was away statusS after its retention: up to 90 s later a takeover would have found that copy alone, and run the message again. Change: ends carry the retention, and are kept until the open copies are dropped, 10 s more; heads of copies whose time is over are not told. Files of earlier builds are read. Result: TestEndOutlivesOpenCopies; package tests green.

--- a/internal/service/dispatcher/adopt.go
+++ b/internal/service/dispatcher/adopt.go
@@ -121,7 +121,7 @@
 		return
 	}
 	if found.State.Ended() {
-		link.ends[head.ID] = protocol.End{ID: head.ID, Queue: head.Queue, State: found.State, Stamp: found.Stamp, CallbackDue: found.CallbackDue}
+		link.ends[head.ID] = endOfHead(&found)
 		signal(link.flush)
 		return
 	}
--- a/internal/service/dispatcher/ends.go
+++ b/internal/service/dispatcher/ends.go
@@ -18,7 +18,7 @@
 func endOf(owned *ownedQueue, entry *queue.Entry) protocol.End {
 	return protocol.End{
 		ID: entry.Head.ID, Queue: owned.Name, State: entry.Head.State,
-		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue,
+		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue, Retention: entry.Head.Retention,
 	}
 }
 
--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -90,6 +90,7 @@
 func endOfHead(head *protocol.Head) protocol.End {
 	return protocol.End{
 		ID: head.ID, Queue: head.Queue, State: head.State, Stamp: head.Stamp, CallbackDue: head.CallbackDue,
+		Retention: head.Retention,
 	}
 }
 
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -135,6 +135,7 @@
 	State       State
 	Stamp       string
 	CallbackDue bool
+	Retention   time.Duration // of the message
 }
 
 // Failures records how many attempts of a message have failed.
--- a/internal/service/store/entries.go
+++ b/internal/service/store/entries.go
@@ -102,7 +102,7 @@
 	end := &endState{
 		id: head.ID, queue: head.Queue, state: head.State, stamp: head.Stamp, callbackDue: head.CallbackDue,
 		epoch: head.Epoch, sequence: head.Sequence, bodySize: head.BodySize,
-		bornAt: now - head.Age, endedAt: now - head.SinceEnd,
+		bornAt: now - head.Age, endedAt: now - head.SinceEnd, retention: head.Retention,
 	}
 	if head.CallbackDue {
 		end.callbackURL = head.CallbackURL
--- a/internal/service/store/heads_test.go
+++ b/internal/service/store/heads_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment/segmenttest"
@@ -46,3 +49,49 @@
 	c.Assert(found.Heads[0].ID, qt.Equals, "old")
 	c.Assert(found.Heads[0].Stamp, qt.Equals, "seal")
 }
+
+// An end outlives every open copy of its message: a store that was away while the
+// message ended, and is back when that is long ago, must not make it run again.
+func TestEndOutlivesOpenCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var now time.Duration
+		s, err := openStore(options{
+			files: segmenttest.NewDisk(), storeID: "disk", segmentSize: 1 << 20, maxSegments: 4, memoryMost: 1 << 20,
+			steady: func() time.Duration { return now }, statusTime: 120 * time.Second, bootstrap: true, log: logr.Discard(),
+		})
+		c.Assert(err, qt.IsNil)
+		defer func() { c.Assert(s.close(), qt.IsNil) }()
+		owner := dispatcher("edge-1")
+		s.connected(owner)
+		s.renew(owner, protocol.Renew{Ready: true})
+		ended, open := message("ended", "q", 1), message("open", "q", 1)
+		for _, m := range []*protocol.Message{&ended, &open} {
+			_, commit, err := s.append(owner, m)
+			c.Assert(settle(commit, err), qt.IsNil)
+		}
+		commit, err := s.endBatch(&protocol.EndBatch{Ends: []protocol.End{
+			{ID: "ended", Queue: "q", State: protocol.Completed}, {ID: "told", Queue: "q", State: protocol.Completed, Retention: 90 * time.Second},
+			{ID: "bare", Queue: "q", State: protocol.Completed},
+		}})
+		c.Assert(settle(commit, err), qt.IsNil)
+		held := func() (ids []string) {
+			s.tick(true)
+			for _, id := range []string{"ended", "told", "bare", "open"} {
+				if reply, _ := s.lookUp(id); reply.Held {
+					ids = append(ids, id)
+				}
+			}
+			return ids
+		}
+		time.Sleep(119 * time.Second)
+		c.Check(held(), qt.DeepEquals, []string{"ended", "told", "bare", "open"})
+		time.Sleep(89 * time.Second)
+		c.Check(held(), qt.DeepEquals, []string{"ended", "told", "open"})
+		time.Sleep(5 * time.Second)
+		c.Check(s.heads(s.index.queue("q"), 0), qt.HasLen, 0)
+		c.Check(held(), qt.DeepEquals, []string{"ended", "told"})
+		time.Sleep(10 * time.Second)
+		c.Check(held(), qt.HasLen, 0)
+	})
+}
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -33,6 +33,7 @@
 	failures    int
 	bornAt      time.Duration // store time
 	endedAt     time.Duration // store time
+	retention   time.Duration // 0 where it is not known
 
 	message         segment.Position
 	end             segment.Position
@@ -153,6 +154,7 @@
 	e.head = &kept
 	e.bornAt = bornAt
 	e.epoch, e.sequence, e.bodySize = kept.Epoch, kept.Sequence, kept.BodySize
+	e.retention = max(e.retention, kept.Retention)
 	e.callbackURL = kept.CallbackURL
 	e.failures = max(e.failures, kept.Failures)
 }
@@ -175,6 +177,7 @@
 	e.queue.countOwed(e.callbackDue, end.callbackDue)
 	e.state, e.stamp, e.callbackDue, e.callbackURL = end.state, end.stamp, end.callbackDue, end.callbackURL
 	e.epoch, e.sequence, e.bodySize = end.epoch, end.sequence, end.bodySize
+	e.retention = max(e.retention, end.retention)
 	e.head = nil
 	x.account(e)
 }
@@ -186,6 +189,7 @@
 	if !e.state.Ended() {
 		whole.endedAt = end.endedAt
 	}
+	whole.retention = max(whole.retention, end.retention)
 	whole.callbackURL = cmp.Or(whole.callbackURL, end.callbackURL)
 	if !whole.callbackDue {
 		whole.callbackURL = ""
@@ -217,7 +221,7 @@
 		id: e.id, queue: e.queue.name, state: e.state, stamp: e.stamp,
 		callbackURL: e.callbackURL, callbackDue: e.callbackDue,
 		epoch: e.epoch, sequence: e.sequence, bodySize: e.bodySize,
-		bornAt: e.bornAt, endedAt: e.endedAt,
+		bornAt: e.bornAt, endedAt: e.endedAt, retention: e.retention,
 	}
 }
 
@@ -239,7 +243,7 @@
 	head.Failures = e.failures
 	head.State, head.Stamp, head.CallbackDue = e.state, e.stamp, e.callbackDue
 	if e.state.Ended() {
-		head.SinceEnd = max(now-e.endedAt, 0)
+		head.SinceEnd, head.Retention = max(now-e.endedAt, 0), e.retention
 	}
 	if head.CallbackURL == "" {
 		head.CallbackURL = e.callbackURL
@@ -253,9 +257,16 @@
 
 // over reports whether an open message is past all that may be asked of it.
 func (e *entry) over(now, statusTime time.Duration) bool {
-	retention := defaultRetention
-	if e.head != nil && e.head.Retention > 0 {
-		retention = e.head.Retention
-	}
-	return now-e.bornAt > retention+statusTime
+	return now-e.bornAt > cmp.Or(e.retention, defaultRetention)+statusTime
+}
+
+// endKeptLonger is how much longer an end is kept than an open copy elsewhere,
+// whose age may be less by the time that it took to get there.
+const endKeptLonger = 10 * time.Second
+
+// forgettable reports whether an ended message may be forgotten: nobody may ask
+// for it, and a store that was away when it ended has dropped its open copy too.
+// That one would else be taken for a message that still has to run.
+func (e *entry) forgettable(now, statusTime time.Duration) bool {
+	return now-e.endedAt > statusTime && (e.retention == 0 || now-e.bornAt > e.retention+statusTime+endKeptLonger)
 }
--- a/internal/service/store/query.go
+++ b/internal/service/store/query.go
@@ -63,7 +63,9 @@
 	now := s.clock.now()
 	heads := make([]protocol.Head, 0, q.open.count+q.owed)
 	for e := q.open.first; e != nil; e = e.next {
-		heads = append(heads, e.headAt(now))
+		if !e.over(now, s.options.statusTime) {
+			heads = append(heads, e.headAt(now))
+		}
 	}
 	open, others := len(heads), 0
 	for e := q.ended.last; e != nil; e = e.previous {
--- a/internal/service/store/record.go
+++ b/internal/service/store/record.go
@@ -31,6 +31,7 @@
 	bodySize    int
 	bornAt      time.Duration
 	endedAt     time.Duration
+	retention   time.Duration // of the message; 0 where it is not known
 }
 
 func appendString(b []byte, s string) []byte {
@@ -178,6 +179,7 @@
 	head.Failures = int(d.uint())
 	if d.bool() {
 		end := d.end()
+		end.retention = head.Retention
 		content.end = &end
 	}
 	content.message.Body = d.bytes()
@@ -200,9 +202,18 @@
 	return appendDuration(b, e.endedAt)
 }
 
+// encodeEndRecord makes an end record. The end within a message record goes
+// without the retention, which the message has.
+func encodeEndRecord(b []byte, e *endState) []byte {
+	return appendDuration(encodeEnd(b, e), e.retention)
+}
+
 func decodeEnd(payload []byte) (endState, error) {
 	d := decoder{rest: payload}
 	e := d.end()
+	if len(d.rest) > 0 { // records of earlier builds end here
+		e.retention = d.duration()
+	}
 	return e, d.err("end")
 }
 
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -300,7 +300,7 @@
 	e := s.index.entries[end.ID]
 	state := &endState{
 		id: end.ID, queue: end.Queue, state: end.State, stamp: end.Stamp,
-		callbackDue: end.CallbackDue, bornAt: s.clock.now(), endedAt: s.clock.now(),
+		callbackDue: end.CallbackDue, bornAt: s.clock.now(), endedAt: s.clock.now(), retention: end.Retention,
 	}
 	switch {
 	case e == nil && s.index.memory > tombstoneShare*s.options.memoryMost:
@@ -354,7 +354,7 @@
 // writeEnd writes an end, applies it to its entry, which it makes if need be,
 // and drops what it makes needless.
 func (s *store) writeEnd(e *entry, end *endState, priority segment.Priority) (*segment.Commit, error) {
-	position, commit, err := s.write(endRecord, priority, func(b []byte) []byte { return encodeEnd(b, end) })
+	position, commit, err := s.write(endRecord, priority, func(b []byte) []byte { return encodeEndRecord(b, end) })
 	if err != nil {
 		return nil, err
 	}
@@ -401,8 +401,12 @@
 	defer s.mutex.Unlock()
 	now := s.clock.now()
 	for _, q := range s.index.queues {
-		for e := q.ended.first; e != nil && now-e.endedAt > s.options.statusTime; e = q.ended.first {
-			s.forget(e)
+		for e := q.ended.first; e != nil && now-e.endedAt > s.options.statusTime; {
+			next := e.next
+			if e.forgettable(now, s.options.statusTime) {
+				s.forget(e)
+			}
+			e = next
 		}
 		if all {
 			s.forgetOver(q, now)
