--- a/internal/service/control/publish.go
+++ b/internal/service/control/publish.go
@@ -46,11 +46,12 @@
 
 // configurationView is the payload that agents and other processes pull.
 func configurationView(value *register.Value) view.Configuration {
-	result := view.Configuration{Sequence: value.Sequence, Revision: value.Revision, Raw: value.Configuration}
+	result := view.Configuration{Sequence: value.Sequence, StoresChanged: value.StoresChanged, Revision: value.Revision, Raw: value.Configuration}
 	for _, store := range value.Stores {
 		result.Stores = append(result.Stores, view.Node{
 			Name: store.Node, Zone: store.Zone, Address: store.Address, StoreID: store.StoreID,
 			FullStoreID: store.FullStoreID, Leaving: value.IsLeaving(store.Node) || value.IsMissing(store.Node),
+			Since: store.Since,
 		})
 	}
 	for _, member := range value.Members {
--- a/internal/service/control/reconcile.go
+++ b/internal/service/control/reconcile.go
@@ -36,7 +36,7 @@
 		r.turns = nil
 		return
 	}
-	live := liveStores(r.stores())
+	live := answeringStores(r.stores())
 	for _, store := range value.Stores {
 		if !store.Full() && live[store.Node].StoreID == store.StoreID {
 			r.fill(ctx, value, store)
--- a/internal/service/control/replica.go
+++ b/internal/service/control/replica.go
@@ -29,8 +29,8 @@
 	onChange func(*register.Value) // called with each newer decided value
 	behind   chan struct{}         // receives when a decided value is known to be missing
 
-	acceptorMutex sync.Mutex
-	acceptor      *register.Acceptor
+	acceptorTurn chan struct{} // held by the call that uses the acceptor; a save takes the disk's time
+	acceptor     *register.Acceptor
 
 	turn     chan struct{} // held by the order that is proposing
 	proposer *register.Proposer
@@ -52,7 +52,7 @@
 	r := &replica{
 		identity: identity, seeds: seeds, log: log, peers: peers,
 		onChange: func(*register.Value) {}, behind: make(chan struct{}, 1),
-		turn: make(chan struct{}, 1), proposer: register.NewProposer(identity.Address, randomNumber()),
+		acceptorTurn: make(chan struct{}, 1), turn: make(chan struct{}, 1), proposer: register.NewProposer(identity.Address, randomNumber()),
 		names: map[string]register.Member{}, heard: map[string]time.Time{}, started: time.Now(),
 	}
 	initial := register.InitialValue(seeds)
@@ -107,22 +107,26 @@
 	})
 }
 
+// useAcceptor waits for the acceptor. The returned function frees it.
+func (r *replica) useAcceptor() (release func()) {
+	r.acceptorTurn <- struct{}{}
+	return func() { <-r.acceptorTurn }
+}
+
 func (r *replica) prepare(request register.Prepare) (register.Promise, error) {
-	r.acceptorMutex.Lock()
-	defer r.acceptorMutex.Unlock()
+	defer r.useAcceptor()()
 	return r.acceptor.Prepare(request)
 }
 
 func (r *replica) accept(request register.Accept) (register.Accepted, error) {
-	r.acceptorMutex.Lock()
-	defer r.acceptorMutex.Unlock()
+	defer r.useAcceptor()()
 	return r.acceptor.Accept(request)
 }
 
 func (r *replica) read(request register.Read) register.ReadReply {
-	r.acceptorMutex.Lock()
+	release := r.useAcceptor()
 	reply := r.acceptor.Read(request)
-	r.acceptorMutex.Unlock()
+	release()
 	reply.Node, reply.Zone = r.identity.Node, r.identity.Zone
 	return reply
 }
@@ -130,9 +134,9 @@
 // learn takes note that a value is decided. One that this member missed is
 // fetched by the catch-up loop.
 func (r *replica) learn(request register.Learn) register.LearnReply {
-	r.acceptorMutex.Lock()
+	release := r.useAcceptor()
 	state := r.acceptor.State()
-	r.acceptorMutex.Unlock()
+	release()
 	if state.Value == nil || state.Accepted != request.Ballot {
 		if r.known().Ballot.Less(request.Ballot) {
 			signal(r.behind)
@@ -199,9 +203,9 @@
 
 // adopt notes a decided value and gives the acceptor a copy.
 func (r *replica) adopt(decided register.Versioned) {
-	r.acceptorMutex.Lock()
+	release := r.useAcceptor()
 	r.acceptor.Adopt(decided)
-	r.acceptorMutex.Unlock()
+	release()
 	r.note(decided)
 }
 
@@ -230,9 +234,9 @@
 
 // member returns this process as a member.
 func (r *replica) member() register.Member {
-	r.acceptorMutex.Lock()
+	release := r.useAcceptor()
 	disk := r.acceptor.State().Disk
-	r.acceptorMutex.Unlock()
+	release()
 	return register.Member{Node: r.identity.Node, Zone: r.identity.Zone, Address: r.identity.Address, Disk: disk}
 }
 
--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -208,8 +208,8 @@
 
 // storageFails makes the acceptor's accepted values fail to be saved.
 func (r *replica) storageFails(fails bool) {
-	r.acceptorMutex.Lock()
-	defer r.acceptorMutex.Unlock()
+	release := r.useAcceptor()
+	defer release()
 	state := r.acceptor.State()
 	var storage register.Storage = &memoryStorage{}
 	if fails {
@@ -446,7 +446,7 @@
 			time.Sleep(upkeepEvery)
 		}
 		value := core[1].known().Value
-		c.Assert(value.Stores, qt.DeepEquals, []register.StoreMember{{Node: "store-1", Zone: "z", Address: "10.0.0.9:7783", StoreID: "a", FullStoreID: "a"}})
+		c.Assert(value.Stores, qt.DeepEquals, []register.StoreMember{{Node: "store-1", Zone: "z", Address: "10.0.0.9:7783", StoreID: "a", FullStoreID: "a", Since: 2}})
 		for _, member := range value.Members {
 			c.Assert(member.Node, qt.Not(qt.Equals), "")
 		}
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -19,7 +19,8 @@
 	behindPause    = 20 * time.Millisecond
 	replaceAfter   = 3 * time.Second        // a silent member gives its place to one that joins, or leaves an even number
 	storesEvery    = 200 * time.Millisecond // while stores are being emptied or filled
-	giveUpAfter    = 2 * time.Second        // after the monitors have noted a loss, a store is given up
+	giveUpAfter    = 2 * time.Second        // after the monitors suspect a store, it is given up
+	giveUpSoon     = 300 * time.Millisecond // the same, where no further loss could be borne until then
 	standstill     = 3 * time.Second        // between two rounds: this process was stopped itself
 	unsettledTicks = 2                      // rounds of upkeep after which an undecided value is finished
 )
@@ -131,9 +132,10 @@
 }
 
 // storesDiffer reports whether a store lives that a value does not have, or has
-// with another disk.
+// with another disk, or whether one does not answer.
 func (u *upkeep) storesDiffer(value *register.Value) bool {
-	return anyUnknown(value, slices.Collect(maps.Values(liveStores(u.stores()))))
+	return anyUnknown(value, slices.Collect(maps.Values(liveStores(u.stores())))) ||
+		len(answeringStores(u.stores())) < len(value.Stores)
 }
 
 // first reports whether all members before this one are silent: one member acts
@@ -181,7 +183,7 @@
 	if stores := slices.Collect(maps.Values(live)); anyUnknown(value, stores) {
 		changes = append(changes, register.SetStores(stores))
 	}
-	if missing := register.SetMissing(u.missingStores(value, live, now)); changesAnything(missing, value) {
+	if missing := register.SetMissing(u.missingStores(value, answeringStores(u.stores()), now)); changesAnything(missing, value) {
 		changes = append(changes, missing)
 	}
 	return changes
@@ -205,6 +207,11 @@
 	return outcome == register.Taken
 }
 
+// answeringStores returns the stores that live and are not suspected to be lost.
+func answeringStores(states []view.NodeState) map[string]register.StoreMember {
+	return liveStores(slices.DeleteFunc(slices.Clone(states), func(state view.NodeState) bool { return state.Suspect }))
+}
+
 // liveStores returns the stores that live, by node.
 func liveStores(states []view.NodeState) map[string]register.StoreMember {
 	live := map[string]register.StoreMember{}
@@ -222,22 +229,29 @@
 // missingStores returns the known stores that are given up: those that have been
 // gone for a while, where enough others live to go on without them. Until one is
 // removed it counts among the stores whose grants may be missing, and so takes the
-// place of the next loss. The time only paces this: what lets a store be removed is
-// a reconciliation.
-func (u *upkeep) missingStores(value *register.Value, live map[string]register.StoreMember, now time.Time) []string {
-	u.noteGone(value, live, now)
-	living := 0
+// place of the next loss. The time only paces this, and one that is back is taken
+// back: what lets a store be removed is a reconciliation.
+func (u *upkeep) missingStores(value *register.Value, answering map[string]register.StoreMember, now time.Time) []string {
+	u.noteGone(value, answering, now)
+	living, staying := 0, 0
 	for _, store := range value.Stores {
-		if _, lives := live[store.Node]; lives && !value.IsLeaving(store.Node) {
+		if _, answers := answering[store.Node]; answers {
 			living++
+			if !value.IsLeaving(store.Node) {
+				staying++
+			}
 		}
 	}
-	if living < 2*u.tolerated+1 {
+	if staying < 2*u.tolerated+1 {
 		return nil
 	}
+	after := giveUpAfter
+	if living <= len(value.Stores)-u.tolerated {
+		after = giveUpSoon
+	}
 	var missing []string
 	for node, since := range u.gone {
-		if now.Sub(since) > giveUpAfter || value.IsMissing(node) {
+		if now.Sub(since) > after || value.IsMissing(node) {
 			missing = append(missing, node)
 		}
 	}
@@ -245,11 +259,11 @@
 	return missing
 }
 
-// noteGone notes since when the known stores that do not live have been gone.
-func (u *upkeep) noteGone(value *register.Value, live map[string]register.StoreMember, now time.Time) {
+// noteGone notes since when the known stores that do not answer have been gone.
+func (u *upkeep) noteGone(value *register.Value, answering map[string]register.StoreMember, now time.Time) {
 	gone := map[string]time.Time{}
 	for _, store := range value.Stores {
-		if _, lives := live[store.Node]; lives {
+		if _, answers := answering[store.Node]; answers {
 			continue
 		}
 		gone[store.Node] = now
--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -106,7 +106,7 @@
 	switch state := entry.Head.State; {
 	case state == protocol.Discarded:
 		return protocol.Undecided
-	case state.Ended() || len(entry.Holders) >= d.copiesWanted():
+	case state.Ended() || d.enoughCopies(entry):
 		return protocol.Accepted
 	default:
 		return protocol.Undecided
--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -174,7 +174,7 @@
 func (d *Dispatcher) counts(answer storeGrant) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return answer.ok && answer.link.counts(answer.reply.StoreID)
+	return answer.ok && answer.link.counts(answer.reply.StoreID) && !d.listIsOld(answer.reply.StoresKnown)
 }
 
 func countAnswers(answers []storeGrant) int {
@@ -284,7 +284,7 @@
 		}
 		granted = append(granted, answer.link)
 		heads[answer.link.node] = grant.Heads
-		if answer.link.countsNow() {
+		if answer.link.countsNow() && !d.listIsOld(answer.reply.StoresKnown) {
 			counted++
 		}
 	}
--- a/internal/service/dispatcher/adopt.go
+++ b/internal/service/dispatcher/adopt.go
@@ -44,15 +44,15 @@
 type adoptedHead struct {
 	head    protocol.Head
 	holders []string
-	states  []protocol.State // at the holders
-	differ  bool             // one store has not learned its end
+	told    []protocol.Head // by the holders
+	differ  bool            // one store has not learned its end
 }
 
 // endKept returns the holders that have recorded the end.
 func (a *adoptedHead) endKept() []string {
 	var kept []string
 	for i, node := range a.holders {
-		if a.states[i] == a.head.State {
+		if sameEnd(&a.told[i], &a.head) {
 			addNode(&kept, node)
 		}
 	}
@@ -67,15 +67,16 @@
 func mergeHead(merged map[string]*adoptedHead, node string, head protocol.Head) {
 	one := merged[head.ID]
 	if one == nil {
-		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}, states: []protocol.State{head.State}}
+		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}, told: []protocol.Head{head}}
 		return
 	}
-	one.holders, one.states = append(one.holders, node), append(one.states, head.State)
-	if one.head.State != head.State || one.head.CallbackDue != head.CallbackDue {
+	one.holders, one.told = append(one.holders, node), append(one.told, head)
+	if !sameEnd(&one.head, &head) || one.head.CallbackDue != head.CallbackDue {
 		one.differ = true
 	}
-	if head.State.Ended() && (!one.head.State.Ended() || !head.CallbackDue) {
+	if endSupersedes(&head, &one.head) {
 		one.head.State, one.head.Stamp, one.head.CallbackDue = head.State, head.Stamp, head.CallbackDue
+		one.head.EndEpoch = head.EndEpoch
 	}
 	one.head.CallbackURL = cmp.Or(one.head.CallbackURL, head.CallbackURL)
 	if acceptedBefore(head, one.head) {
@@ -95,11 +96,11 @@
 		return
 	}
 	addNode(&entry.Holders, link.node)
-	if entry.Head.State.Ended() && entry.Head.State == head.State {
+	if entry.Head.State.Ended() && sameEnd(&entry.Head, &head) {
 		addNode(&entry.EndKept, link.node)
 	}
 	switch {
-	case entry.Phase >= queue.Callback && entry.Head.CallbackDue == head.CallbackDue && entry.Head.State == head.State:
+	case entry.Phase >= queue.Callback && entry.Head.CallbackDue == head.CallbackDue && sameEnd(&entry.Head, &head):
 	case entry.Phase >= queue.Callback:
 		d.recordEnd(owned, entry)
 	case head.State.Ended():
@@ -113,7 +114,7 @@
 func (d *Dispatcher) settleUnknown(owned *ownedQueue, link *storeLink, head protocol.Head) {
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	answer := d.queryStores(ctx, head.ID, false)
+	answer := d.queryStores(ctx, protocol.Query{ID: head.ID})
 	found := answer.best.Head
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/service/dispatcher/candidates.go
+++ b/internal/service/dispatcher/candidates.go
@@ -2,12 +2,13 @@
 
 import "slices"
 
-// candidates returns the stores that are up, whose disk is known, and that stay, the best first: one of the own zone, one of another,
-// then as spreadZones says, each time those that answer soonest.
+// candidates returns the stores that are up and stay, whose disk is known, and of which later readers
+// hear, the best first: one of the own zone, one of another, then as spreadZones says, each time those
+// that answer soonest.
 func (d *Dispatcher) candidates() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
-		if link.up && link.storeID != "" && !link.leaving && !link.silent(d.now()) {
+		if link.up && link.storeID != "" && !link.leaving && !link.silent(d.now()) && d.known(link) {
 			links = append(links, link)
 		}
 	}
--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		granted = append(granted, answer)
-		if answer.link.countsNow() {
+		if answer.link.countsNow() && !d.listIsOld(answer.reply.StoresKnown) {
 			counted++
 		}
 	}
@@ -158,6 +158,7 @@
 	}
 	owned.Epoch = epoch
 	clear(owned.outbid)
+	d.recordUnsafeEnds(owned)
 	for _, answer := range granted {
 		d.noteGrant(owned, answer.link, sent)
 		for _, head := range findGrant(answer, owned.Name).Heads {
--- a/internal/service/dispatcher/disks.go
+++ b/internal/service/dispatcher/disks.go
@@ -8,6 +8,24 @@
 // it is.
 func (l *storeLink) counts(storeID string) bool { return storeID != "" && storeID == l.fullDisk }
 
+// known reports whether copies at a store count: so many others have on disk that it
+// is there that every later reader hears of it, however old the list of stores is
+// that it goes by. The mutex is held.
+func (d *Dispatcher) known(link *storeLink) bool {
+	told := 0
+	for _, other := range d.stores {
+		if other.countsNow() && other.told >= link.since {
+			told++
+		}
+	}
+	return told >= d.grantsWanted()
+}
+
+// listIsOld reports whether a store has heard of a later list of stores than the one
+// that this dispatcher goes by. What it does not find may be at a store that it does
+// not know. The mutex is held.
+func (d *Dispatcher) listIsOld(storesKnown uint64) bool { return storesKnown > d.storesKnown }
+
 // countsNow reports whether the store counts with the disk that it told last.
 func (l *storeLink) countsNow() bool { return l.counts(l.storeID) }
 
@@ -36,7 +54,7 @@
 	d.log.Info("store has a new disk", "store", link.node)
 	link.ends, link.failures = map[string]protocol.End{}, map[string]int{}
 	link.formerDisks[link.storeID] = true
-	link.storeID = ""
+	link.storeID, link.told = "", 0
 	d.leases.Lost(link.node)
 	for _, owned := range d.queues {
 		delete(owned.granted, link.node)
--- a/internal/service/dispatcher/disks_test.go
+++ b/internal/service/dispatcher/disks_test.go
@@ -112,7 +112,7 @@
 	d := withStores()
 	stores := func(sequence uint64, full string) view.Configuration {
 		node := view.Node{Name: "a", Address: "10.2.0.1:7783", StoreID: full, FullStoreID: full}
-		return view.Configuration{Sequence: sequence, Stores: []view.Node{node}}
+		return view.Configuration{Sequence: 9, StoresChanged: sequence, Stores: []view.Node{node}}
 	}
 	d.takeConfiguration(stores(5, "second"))
 	d.takeConfiguration(stores(4, "first"))
@@ -133,7 +133,7 @@
 	owned.Advance(0)
 	d.endEntry(owned, entry, protocol.Completed, "seal")
 	for _, node := range []string{"a", "b"} {
-		d.noteEndKept(d.stores[node], d.stores[node].ends["m"])
+		d.noteEndKept(d.stores[node], d.stores[node].ends["m"], nil)
 		clear(d.stores[node].ends)
 	}
 	c.Assert(entry.Phase, qt.Equals, queue.Done)
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -56,7 +56,7 @@
 	haveList    bool
 	members     []string
 	stores      map[string]*storeLink
-	storesKnown uint64 // sequence of the register's value that told of the stores
+	storesKnown uint64 // sequence of the register's last change of the stores
 	queues      map[string]*ownedQueue
 	pace        acquirePace
 	acquiring   map[string]bool   // queues that the stores are being asked for
@@ -204,6 +204,9 @@
 		d.offered(ctx, request.Queues)
 		return protocol.OfferReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.AskOwner) (protocol.AskOwnerReply, error) {
+		return d.answerOwner(request), nil
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.TakeRate) (protocol.TakeRateReply, error) {
 		return d.grantPermits(request), nil
 	})
@@ -216,9 +219,9 @@
 func (d *Dispatcher) takeConfiguration(update view.Configuration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if update.Sequence >= d.storesKnown {
+	if update.StoresChanged >= d.storesKnown {
 		d.takeStores(update.Stores)
-		d.storesKnown = update.Sequence
+		d.storesKnown = update.StoresChanged
 	}
 	current := d.configuration.Load()
 	if len(update.Raw) == 0 || current != nil && update.Revision <= current.Revision() {
@@ -256,7 +259,9 @@
 		if known == nil {
 			known = d.addStore(node)
 		}
+		known.since = node.Since
 		d.noteListed(known, node.StoreID, node.FullStoreID)
+		signal(known.kick)
 		d.noteLeaving(known, node.Leaving)
 	}
 	for name, link := range d.stores {
--- a/internal/service/dispatcher/ends.go
+++ b/internal/service/dispatcher/ends.go
@@ -18,7 +18,7 @@
 func endOf(owned *ownedQueue, entry *queue.Entry) protocol.End {
 	return protocol.End{
 		ID: entry.Head.ID, Queue: owned.Name, State: entry.Head.State,
-		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue, Retention: entry.Head.Retention,
+		Stamp: entry.Head.Stamp, CallbackDue: entry.Head.CallbackDue, Retention: entry.Head.Retention, Epoch: owned.Epoch,
 	}
 }
 
@@ -63,17 +63,39 @@
 	return targets
 }
 
-// noteEndKept notes that a store has recorded an end. The mutex is held.
-func (d *Dispatcher) noteEndKept(link *storeLink, end protocol.End) {
+// noteEndKept notes that a store has recorded an end, unless it has refused it. The
+// mutex is held.
+func (d *Dispatcher) noteEndKept(link *storeLink, end protocol.End, refused []protocol.RefusedEnd) {
 	owned := d.queues[end.Queue]
-	if owned == nil {
+	if owned == nil || slices.ContainsFunc(refused, func(r protocol.RefusedEnd) bool { return r.ID == end.ID }) {
 		return
 	}
-	if entry := owned.Get(end.ID); entry != nil && entry.Head.State == end.State {
+	if entry := owned.Get(end.ID); entry != nil && entry.Head.State == end.State && entry.Head.Stamp == end.Stamp {
 		addNode(&entry.EndKept, link.node)
 	}
 }
 
+// endsRefused takes in that a store has promised queues to newer owners than this
+// one. The mutex is held.
+func (d *Dispatcher) endsRefused(link *storeLink, refused []protocol.RefusedEnd) {
+	for _, end := range refused {
+		d.epochs[end.Queue] = max(d.epochs[end.Queue], end.Promised)
+		if owned := d.queues[end.Queue]; owned != nil && end.Promised > owned.Epoch {
+			d.wasOutbid(owned, link)
+		}
+	}
+}
+
+// recordUnsafeEnds has the ends recorded again that too few stores have. The mutex
+// is held.
+func (d *Dispatcher) recordUnsafeEnds(owned *ownedQueue) {
+	owned.Each(func(entry *queue.Entry) {
+		if entry.Head.State.Ended() && !d.endIsSafe(entry) {
+			d.recordEnd(owned, entry)
+		}
+	})
+}
+
 // addNode adds a node to a list unless it is there.
 func addNode(nodes *[]string, node string) {
 	if !slices.Contains(*nodes, node) {
@@ -87,6 +109,58 @@
 	return len(entry.EndKept) >= d.copiesWanted()
 }
 
+// endStands reports whether an end that stores tell of can be told on: enough of them
+// have it, or record it now, and the queue's newest owner, who may have taken over
+// before they had, does not have the message open.
+func (d *Dispatcher) endStands(ctx context.Context, found foundMessage) bool {
+	end := endOfHead(&found.best.Head)
+	if found.promised <= end.Epoch && len(found.kept) >= d.copiesWanted() {
+		return true
+	}
+	owner := d.queryStores(ctx, protocol.Query{ID: end.ID, Queue: end.Queue})
+	end.AsOf = max(end.Epoch, owner.promised)
+	if !owner.complete || end.AsOf > end.Epoch && !d.notOpenAt(ctx, owner.holders, end) {
+		return false
+	}
+	return d.keepEnd(ctx, end, found.kept)
+}
+
+// notOpenAt asks the owners that stores know of whether they have a message open.
+// Without any, the stores that answered have given nobody a lease that lasts.
+func (d *Dispatcher) notOpenAt(ctx context.Context, holders []string, end protocol.End) bool {
+	for _, node := range holders {
+		if node == d.identity.Node {
+			if d.answerOwner(protocol.AskOwner{ID: end.ID, Queue: end.Queue}).Open {
+				return false
+			}
+			continue
+		}
+		d.mutex.Lock()
+		address := d.table.sessions[node].Identity.Address
+		d.mutex.Unlock()
+		if address == "" {
+			return false
+		}
+		reply, err := transport.Call[protocol.AskOwnerReply](ctx, d.peer(address), protocol.AskOwner{ID: end.ID, Queue: end.Queue})
+		if err != nil || !reply.Owner || reply.Open {
+			return false
+		}
+	}
+	return true
+}
+
+// answerOwner tells whether a message is open in a queue that this dispatcher owns.
+func (d *Dispatcher) answerOwner(ask protocol.AskOwner) protocol.AskOwnerReply {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	owned := d.queues[ask.Queue]
+	if owned == nil || !d.leaseValid(owned) {
+		return protocol.AskOwnerReply{}
+	}
+	entry := owned.Get(ask.ID)
+	return protocol.AskOwnerReply{Owner: true, Open: entry != nil && !entry.Head.State.Ended()}
+}
+
 // keepEnd has an end recorded at stores beside those that have it, until enough
 // have. It reports whether that is so.
 func (d *Dispatcher) keepEnd(ctx context.Context, end protocol.End, have []string) bool {
@@ -106,8 +180,8 @@
 	var calls sync.WaitGroup
 	for _, link := range links {
 		calls.Go(func() {
-			_, err := transport.Call[protocol.EndBatchReply](ctx, link.client, protocol.EndBatch{Ends: []protocol.End{end}})
-			kept <- err == nil
+			reply, err := transport.Call[protocol.EndBatchReply](ctx, link.client, protocol.EndBatch{Ends: []protocol.End{end}})
+			kept <- err == nil && len(reply.Refused) == 0
 		})
 	}
 	for range links {
--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -73,12 +73,12 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	found := d.queryStores(callCtx, id, withBody)
+	found := d.queryStores(callCtx, protocol.Query{ID: id, WithBody: withBody})
 	state := found.best.Head.State
 	switch {
 	case !found.best.Held && found.complete:
 		return protocol.Head{}, nil, http.StatusNotFound
-	case state.Ended() && d.keepEnd(callCtx, endOfHead(&found.best.Head), found.kept),
+	case state.Ended() && d.endStands(callCtx, found),
 		state == protocol.Queued && found.complete && len(found.kept) >= d.copiesWanted():
 		return found.best.Head, found.best.Body, http.StatusOK
 	default:
@@ -90,7 +90,7 @@
 func endOfHead(head *protocol.Head) protocol.End {
 	return protocol.End{
 		ID: head.ID, Queue: head.Queue, State: head.State, Stamp: head.Stamp, CallbackDue: head.CallbackDue,
-		Retention: head.Retention,
+		Retention: head.Retention, Epoch: head.EndEpoch,
 	}
 }
 
@@ -118,10 +118,12 @@
 	best     protocol.QueryReply
 	kept     []string // stores that tell the state of the best reply
 	complete bool     // so many stores that count have answered that none can know more
+	promised uint64   // epoch of the queue's newest owner that a store knows of
+	holders  []string // nodes that have its lease at some store
 }
 
-// queryStores asks all stores for a message.
-func (d *Dispatcher) queryStores(ctx context.Context, id string, withBody bool) foundMessage {
+// queryStores asks all stores for a message, or for the owner of a queue.
+func (d *Dispatcher) queryStores(ctx context.Context, query protocol.Query) foundMessage {
 	d.mutex.Lock()
 	links := slices.Collect(maps.Values(d.stores))
 	wanted := d.grantsWanted()
@@ -129,7 +131,7 @@
 	answers := make(chan storeReply, len(links))
 	for _, link := range links {
 		go func() {
-			reply, err := transport.Call[protocol.QueryReply](ctx, link.client, protocol.Query{ID: id, WithBody: withBody})
+			reply, err := transport.Call[protocol.QueryReply](ctx, link.client, query)
 			answers <- storeReply{link, reply, err}
 		}()
 	}
@@ -164,7 +166,7 @@
 func (d *Dispatcher) answerCounts(answer storeReply) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return answer.err == nil && answer.link.counts(answer.reply.StoreID)
+	return answer.err == nil && answer.link.counts(answer.reply.StoreID) && !d.listIsOld(answer.reply.StoresKnown)
 }
 
 // joinReplies joins what the stores tell.
@@ -173,10 +175,14 @@
 	for _, answer := range replies {
 		if answer.err == nil {
 			found.best = betterReply(found.best, answer.reply)
+			found.promised = max(found.promised, answer.reply.Promised)
+			if answer.reply.Holder != "" {
+				addNode(&found.holders, answer.reply.Holder)
+			}
 		}
 	}
 	for _, answer := range replies {
-		if answer.err == nil && answer.reply.Held && answer.reply.Head.State == found.best.Head.State {
+		if answer.err == nil && answer.reply.Held && sameEnd(&answer.reply.Head, &found.best.Head) {
 			found.kept = append(found.kept, answer.link.node)
 		}
 	}
@@ -197,8 +203,9 @@
 	case a.Head.Target == "" && b.Head.Target != "":
 		a, b = b, a
 	}
-	if rankOf(&b.Head) > rankOf(&a.Head) {
+	if endSupersedes(&b.Head, &a.Head) {
 		a.Head.State, a.Head.Stamp, a.Head.CallbackDue = b.Head.State, b.Head.Stamp, b.Head.CallbackDue
+		a.Head.EndEpoch, a.Head.SinceEnd = b.Head.EndEpoch, b.Head.SinceEnd
 	}
 	if len(a.Body) < len(b.Body) && b.Head.Target != "" {
 		a.Body, a.Head.BodySize = b.Body, b.Head.BodySize
@@ -206,7 +213,20 @@
 	return a
 }
 
-// rankOf orders what is told of a message: what supersedes comes later.
-func rankOf(head *protocol.Head) protocol.EntryRank {
-	return protocol.RankOf(head.State, head.CallbackDue, false).Progress()
+// endSupersedes reports whether what is told of a message comes after something else
+// that is: an end after none, that of a newer owner, or what the same owner told later.
+func endSupersedes(head, known *protocol.Head) bool {
+	if head.State.Ended() != known.State.Ended() {
+		return head.State.Ended()
+	}
+	if head.EndEpoch != known.EndEpoch {
+		return head.EndEpoch > known.EndEpoch
+	}
+	rank := func(h *protocol.Head) protocol.EntryRank {
+		return protocol.RankOf(h.State, h.CallbackDue, false).Progress()
+	}
+	return rank(head) > rank(known)
 }
+
+// sameEnd reports whether two stores tell the same of a message, but for its call-back.
+func sameEnd(a, b *protocol.Head) bool { return a.State == b.State && a.Stamp == b.Stamp }
--- a/internal/service/dispatcher/query_test.go
+++ b/internal/service/dispatcher/query_test.go
@@ -161,7 +161,7 @@
 	entry.EndKept = []string{"a"}
 	_, _, sure = d.lookUpHere("m")
 	c.Assert(sure, qt.IsFalse)
-	d.noteEndKept(d.stores["b"], endOf(owned, entry))
+	d.noteEndKept(d.stores["b"], endOf(owned, entry), nil)
 	head, _, sure := d.lookUpHere("m")
 	c.Assert(sure, qt.IsTrue)
 	c.Assert(head.Stamp, qt.Equals, "seal")
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -48,6 +48,8 @@
 	failures map[string]int
 
 	leaving     bool            // it is being emptied, or given up
+	since       uint64          // sequence of the register's value with which it became known
+	told        uint64          // the list of stores that it has been told, and has on disk
 	formerDisks map[string]bool // store identities of disks that it has lost
 	fullDisk    string          // store identity of the disk that holds all that it must, as the register says
 }
@@ -130,6 +132,7 @@
 	link.up = true
 	link.heard = d.now()
 	d.noteDisk(link, reply.StoreID)
+	link.told = reply.Told
 	link.absent = false
 	d.leases.Renewed(link.node, sent, d.now())
 	if reply.Changed {
@@ -249,8 +252,9 @@
 		if link.ends[end.ID] == end {
 			delete(link.ends, end.ID)
 		}
-		d.noteEndKept(link, end)
+		d.noteEndKept(link, end, reply.Refused)
 	}
+	d.endsRefused(link, reply.Refused)
 	for _, failed := range batch.Failures {
 		if link.failures[failed.ID] == failed.Count {
 			delete(link.failures, failed.ID)
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -269,6 +269,31 @@
 	return Decision{Allowed: true, Promise: q.promise, Raised: raised}
 }
 
+// Outbids reports whether a queue is promised under a later epoch to another
+// process, and that epoch.
+func (g *Grantor) Outbids(identity protocol.Identity, name string, epoch uint64) (promised uint64, newer bool) {
+	q := g.queues[name]
+	if q == nil {
+		return 0, false
+	}
+	return q.promise.Epoch, q.promise.Epoch > epoch && q.promise.By != SessionOf(identity)
+}
+
+// Newest returns the highest epoch of a queue that this store has promised, and the
+// node that has its lease.
+func (g *Grantor) Newest(now time.Time, name string) (promised uint64, holder string) {
+	g.Expire(now)
+	q := g.queues[name]
+	switch {
+	case q == nil:
+		return 0, ""
+	case q.holder == nil:
+		return q.promise.Epoch, ""
+	default:
+		return q.promise.Epoch, q.holder.identity.Node
+	}
+}
+
 // InTouch reports whether a process has an open session.
 func (g *Grantor) InTouch(now time.Time, identity protocol.Identity) bool {
 	g.Expire(now)
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -95,6 +95,7 @@
 	CallbackDue bool   // ended, and its call-back has not been taken
 
 	SinceEnd time.Duration // since it ended, at the moment of encoding
+	EndEpoch uint64        // of the owner that ended it
 }
 
 // Message is a head with its body.
@@ -136,6 +137,8 @@
 	Stamp       string
 	CallbackDue bool
 	Retention   time.Duration // of the message
+	Epoch       uint64        // of the owner that ended it
+	AsOf        uint64        // newest owner of whom it is known that it does not have the message open; 0: Epoch
 }
 
 // Failures records how many attempts of a message have failed.
@@ -151,7 +154,18 @@
 }
 
 // EndBatchReply is sent after the batch has been synced.
-type EndBatchReply struct{ StoreID string }
+type EndBatchReply struct {
+	StoreID string
+	Refused []RefusedEnd
+}
+
+// RefusedEnd names a message whose end was not recorded, because its queue has a
+// newer owner: that one decides how it ends.
+type RefusedEnd struct {
+	ID       string
+	Queue    string
+	Promised uint64 // the newer owner's epoch
+}
 
 // Acquire asks for leases on queues.
 type Acquire struct {
@@ -177,8 +191,9 @@
 
 // AcquireReply answers Acquire.
 type AcquireReply struct {
-	StoreID string // changes when the store's disk was replaced
-	Grants  []Grant
+	StoreID     string // changes when the store's disk was replaced
+	StoresKnown uint64 // newest that any dispatcher has told this store
+	Grants      []Grant
 }
 
 // Renew renews the caller's session, and with it all its leases.
@@ -186,7 +201,7 @@
 	Ready        bool   // it takes queues
 	Leaving      bool   // it knows that this store is being emptied
 	KnownVersion uint64 // of the session table that it has from this store
-	StoresKnown  uint64 // sequence of the register's value whose stores it goes by
+	StoresKnown  uint64 // sequence of the register's last change of the stores that it goes by
 }
 
 // Session is a dispatcher that is in touch with a store.
@@ -217,6 +232,7 @@
 // version that the caller knows, and a queue without holder and messages is no more.
 type RenewReply struct {
 	StoreID  string
+	Told     uint64 // the StoresKnown of the request: it is on the store's disk
 	Version  uint64
 	Changed  bool
 	Partial  bool
@@ -239,14 +255,31 @@
 type Query struct {
 	ID       string
 	WithBody bool
+	Queue    string // whose owner is asked for; empty: that of the message
 }
 
 // QueryReply answers Query. The state is Unknown where the store has no record.
 type QueryReply struct {
-	StoreID string
-	Head    Head
-	Body    []byte
-	Held    bool // the store has the record
+	StoreID     string
+	StoresKnown uint64 // newest that any dispatcher has told this store
+	Head        Head
+	Body        []byte
+	Held        bool // the store has the record
+
+	Promised uint64 // epoch of the queue's newest owner, as far as this store knows
+	Holder   string // node that has the queue's lease here
+}
+
+// AskOwner asks a dispatcher whether it owns a queue and has a message open there.
+type AskOwner struct {
+	ID    string
+	Queue string
+}
+
+// AskOwnerReply answers AskOwner.
+type AskOwnerReply struct {
+	Owner bool // it owns the queue under a valid lease
+	Open  bool // the message has not ended there
 }
 
 // Accept asks the owner of a queue to accept a message.
--- a/internal/service/register/stores.go
+++ b/internal/service/register/stores.go
@@ -88,10 +88,11 @@
 	index := slices.IndexFunc(v.Stores, func(s StoreMember) bool { return s.Node == store.Node })
 	if index < 0 {
 		store.FullStoreID = store.StoreID // nothing was ever entrusted to it
+		store.Since = v.Sequence + 1
 		v.Stores = append(v.Stores, store)
 		return
 	}
-	store.FullStoreID = v.Stores[index].FullStoreID
+	store.FullStoreID, store.Since = v.Stores[index].FullStoreID, v.Stores[index].Since
 	v.Stores[index] = store
 }
 
--- a/internal/service/register/value.go
+++ b/internal/service/register/value.go
@@ -65,6 +65,8 @@
 	// it must. A store with another disk counts neither in a lease nor in
 	// "not found" until MarkFull has made that disk the full one.
 	FullStoreID string
+
+	Since uint64 // sequence of the value with which it became known
 }
 
 // Full reports whether the store has the disk that holds all that it must.
--- a/internal/service/store/crash_test.go
+++ b/internal/service/store/crash_test.go
@@ -129,7 +129,7 @@
 	for i := range ended {
 		x.messages[i].doubt = true
 	}
-	if err := settle(s.endBatch(&batch)); err != nil {
+	if err := settleEnds(s.endBatch(dispatcher("edge-1"), &batch)); err != nil {
 		return err
 	}
 	for i, state := range ended {
@@ -148,7 +148,7 @@
 func (x *storeScript) fail(s *store) error {
 	i := x.any()
 	count := x.messages[i].failures + 1
-	if err := settle(s.endBatch(&protocol.EndBatch{Failures: []protocol.Failures{{ID: x.id(i), Count: count}}})); err != nil {
+	if err := settleEnds(s.endBatch(dispatcher("edge-1"), &protocol.EndBatch{Failures: []protocol.Failures{{ID: x.id(i), Count: count}}})); err != nil {
 		return err
 	}
 	if x.messages[i].stored && x.messages[i].ended == protocol.Unknown {
@@ -185,7 +185,7 @@
 	// What was passed over is kept by the next clock record only, which is written
 	// at once as the last one is old. A shorter time would be lost with each
 	// restart: a real clock counts it, this one does not.
-	if err := settle(s.endBatch(&protocol.EndBatch{})); err != nil {
+	if err := settleEnds(s.endBatch(dispatcher("edge-1"), &protocol.EndBatch{})); err != nil {
 		return err
 	}
 	x.passed += passed
@@ -309,3 +309,11 @@
 		}
 	}
 }
+
+// settleEnds waits for a batch of ends, none of which may be refused.
+func settleEnds(refused []protocol.RefusedEnd, commit *segment.Commit, err error) error {
+	if len(refused) > 0 {
+		return fmt.Errorf("%d ends are refused", len(refused))
+	}
+	return settle(commit, err)
+}
--- a/internal/service/store/entries.go
+++ b/internal/service/store/entries.go
@@ -103,12 +103,13 @@
 		id: head.ID, queue: head.Queue, state: head.State, stamp: head.Stamp, callbackDue: head.CallbackDue,
 		epoch: head.Epoch, sequence: head.Sequence, bodySize: head.BodySize,
 		bornAt: now - head.Age, endedAt: now - head.SinceEnd, retention: head.Retention,
+		endEpoch: head.EndEpoch,
 	}
 	if head.CallbackDue {
 		end.callbackURL = head.CallbackURL
 	}
 	e := s.index.entries[head.ID]
-	told := protocol.End{ID: head.ID, State: head.State, CallbackDue: head.CallbackDue}
+	told := protocol.End{ID: head.ID, State: head.State, CallbackDue: head.CallbackDue, Epoch: head.EndEpoch}
 	switch {
 	case e == nil:
 	case supersedes(&told, e):
--- a/internal/service/store/heads_test.go
+++ b/internal/service/store/heads_test.go
@@ -37,7 +37,7 @@
 	}
 	end := func(id string, owed bool) {
 		ended := protocol.End{ID: id, Queue: crashQueue, State: protocol.Completed, Stamp: "seal", CallbackDue: owed}
-		c.Assert(settle(s.endBatch(&protocol.EndBatch{Ends: []protocol.End{ended}})), qt.IsNil)
+		c.Assert(settleEnds(s.endBatch(owner, &protocol.EndBatch{Ends: []protocol.End{ended}})), qt.IsNil)
 	}
 	end("old", false)
 	end("owed", true)
@@ -70,15 +70,15 @@
 			_, commit, err := s.append(owner, m)
 			c.Assert(settle(commit, err), qt.IsNil)
 		}
-		commit, err := s.endBatch(&protocol.EndBatch{Ends: []protocol.End{
+		refused, commit, err := s.endBatch(owner, &protocol.EndBatch{Ends: []protocol.End{
 			{ID: "ended", Queue: "q", State: protocol.Completed}, {ID: "told", Queue: "q", State: protocol.Completed, Retention: 90 * time.Second},
 			{ID: "bare", Queue: "q", State: protocol.Completed},
 		}})
-		c.Assert(settle(commit, err), qt.IsNil)
+		c.Assert(settleEnds(refused, commit, err), qt.IsNil)
 		held := func() (ids []string) {
 			s.tick(true)
 			for _, id := range []string{"ended", "told", "bare", "open"} {
-				if reply, _ := s.lookUp(id); reply.Held {
+				if reply, _ := s.lookUp(id, ""); reply.Held {
 					ids = append(ids, id)
 				}
 			}
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -34,6 +34,7 @@
 	bornAt      time.Duration // store time
 	endedAt     time.Duration // store time
 	retention   time.Duration // 0 where it is not known
+	endEpoch    uint64        // of the owner that ended it
 
 	message         segment.Position
 	end             segment.Position
@@ -177,7 +178,7 @@
 	e.queue.countOwed(e.callbackDue, end.callbackDue)
 	e.state, e.stamp, e.callbackDue, e.callbackURL = end.state, end.stamp, end.callbackDue, end.callbackURL
 	e.epoch, e.sequence, e.bodySize = end.epoch, end.sequence, end.bodySize
-	e.retention = max(e.retention, end.retention)
+	e.retention, e.endEpoch = max(e.retention, end.retention), max(e.endEpoch, end.endEpoch)
 	e.head = nil
 	x.account(e)
 }
@@ -189,7 +190,7 @@
 	if !e.state.Ended() {
 		whole.endedAt = end.endedAt
 	}
-	whole.retention = max(whole.retention, end.retention)
+	whole.retention, whole.endEpoch = max(whole.retention, end.retention), end.endEpoch
 	whole.callbackURL = cmp.Or(whole.callbackURL, end.callbackURL)
 	if !whole.callbackDue {
 		whole.callbackURL = ""
@@ -221,7 +222,7 @@
 		id: e.id, queue: e.queue.name, state: e.state, stamp: e.stamp,
 		callbackURL: e.callbackURL, callbackDue: e.callbackDue,
 		epoch: e.epoch, sequence: e.sequence, bodySize: e.bodySize,
-		bornAt: e.bornAt, endedAt: e.endedAt, retention: e.retention,
+		bornAt: e.bornAt, endedAt: e.endedAt, retention: e.retention, endEpoch: e.endEpoch,
 	}
 }
 
@@ -243,7 +244,7 @@
 	head.Failures = e.failures
 	head.State, head.Stamp, head.CallbackDue = e.state, e.stamp, e.callbackDue
 	if e.state.Ended() {
-		head.SinceEnd, head.Retention = max(now-e.endedAt, 0), e.retention
+		head.SinceEnd, head.Retention, head.EndEpoch = max(now-e.endedAt, 0), e.retention, e.endEpoch
 	}
 	if head.CallbackURL == "" {
 		head.CallbackURL = e.callbackURL
--- a/internal/service/store/query.go
+++ b/internal/service/store/query.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,7 +20,7 @@
 // query returns what is known of a message.
 func (s *store) query(q protocol.Query) (protocol.QueryReply, error) {
 	for try := 0; ; try++ {
-		reply, position := s.lookUp(q.ID)
+		reply, position := s.lookUp(q.ID, q.Queue)
 		if !q.WithBody || position.Generation == 0 {
 			return reply, nil
 		}
@@ -34,14 +35,17 @@
 	}
 }
 
-func (s *store) lookUp(id string) (protocol.QueryReply, segment.Position) {
+func (s *store) lookUp(id, queue string) (protocol.QueryReply, segment.Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	e := s.index.entries[id]
-	if e == nil {
-		return protocol.QueryReply{StoreID: s.log.StoreID()}, segment.Position{}
+	reply := protocol.QueryReply{StoreID: s.log.StoreID(), StoresKnown: s.storesKnown}
+	var position segment.Position
+	if e := s.index.entries[id]; e != nil {
+		reply.Head, reply.Held, position = e.headAt(s.clock.now()), true, e.message
+		queue = cmp.Or(queue, e.queue.name)
 	}
-	return protocol.QueryReply{StoreID: s.log.StoreID(), Head: e.headAt(s.clock.now()), Held: true}, e.message
+	reply.Promised, reply.Holder = s.grantor.Newest(time.Now(), queue)
+	return reply, position
 }
 
 // withBody adds the body, and the fields of the head that are on disk only.
@@ -53,8 +57,10 @@
 	head := content.message.Head
 	known := reply.Head
 	head.Queue, head.Age, head.Failures = known.Queue, known.Age, known.Failures
-	head.State, head.Stamp, head.CallbackDue, head.SinceEnd = known.State, known.Stamp, known.CallbackDue, known.SinceEnd
-	return protocol.QueryReply{StoreID: reply.StoreID, Head: head, Body: content.message.Body, Held: true}, nil
+	head.State, head.Stamp, head.CallbackDue = known.State, known.Stamp, known.CallbackDue
+	head.SinceEnd, head.EndEpoch = known.SinceEnd, known.EndEpoch
+	reply.Head, reply.Body = head, content.message.Body
+	return reply, nil
 }
 
 // heads returns the heads that a new owner of a queue needs: open messages,
--- a/internal/service/store/reconcile_test.go
+++ b/internal/service/store/reconcile_test.go
@@ -89,7 +89,7 @@
 }
 
 func (g *storesRig) end(name, id string, state protocol.State) {
-	end := protocol.End{ID: id, Queue: "ordered/1", State: state, Stamp: "seal"}
+	end := protocol.End{ID: id, Queue: "ordered/1", State: state, Stamp: "seal", Epoch: 1}
 	callOn[protocol.EndBatchReply](g.c, g.clients[name], protocol.EndBatch{Ends: []protocol.End{end}})
 }
 
--- a/internal/service/store/record.go
+++ b/internal/service/store/record.go
@@ -16,6 +16,7 @@
 	messageRecord
 	endRecord
 	failuresRecord
+	storesRecord // newest list of stores that a dispatcher has told
 )
 
 // endState is the content of an end record: all that is kept of a message
@@ -32,6 +33,7 @@
 	bornAt      time.Duration
 	endedAt     time.Duration
 	retention   time.Duration // of the message; 0 where it is not known
+	endEpoch    uint64        // of the owner that ended it
 }
 
 func appendString(b []byte, s string) []byte {
@@ -149,7 +151,11 @@
 		b = encodeEnd(b, end)
 	}
 	b = binary.AppendUvarint(b, uint64(len(m.Body)))
-	return append(b, m.Body...)
+	b = append(b, m.Body...)
+	if end != nil {
+		b = binary.AppendUvarint(b, end.endEpoch)
+	}
+	return b
 }
 
 // messageContent is the content of a message record.
@@ -183,6 +189,9 @@
 		content.end = &end
 	}
 	content.message.Body = d.bytes()
+	if content.end != nil && len(d.rest) > 0 { // records of earlier builds end here
+		content.end.endEpoch = d.uint()
+	}
 	head.BodySize = len(content.message.Body)
 	head.State = protocol.Queued
 	return content, d.err("message")
@@ -203,9 +212,10 @@
 }
 
 // encodeEndRecord makes an end record. The end within a message record goes
-// without the retention, which the message has.
+// without the retention, which the message has; its epoch follows the body.
 func encodeEndRecord(b []byte, e *endState) []byte {
-	return appendDuration(encodeEnd(b, e), e.retention)
+	b = appendDuration(encodeEnd(b, e), e.retention)
+	return binary.AppendUvarint(b, e.endEpoch)
 }
 
 func decodeEnd(payload []byte) (endState, error) {
@@ -214,6 +224,9 @@
 	if len(d.rest) > 0 { // records of earlier builds end here
 		e.retention = d.duration()
 	}
+	if len(d.rest) > 0 {
+		e.endEpoch = d.uint()
+	}
 	return e, d.err("end")
 }
 
@@ -225,6 +238,14 @@
 	}
 }
 
+func encodeStores(b []byte, known uint64) []byte { return binary.AppendUvarint(b, known) }
+
+func decodeStores(payload []byte) (uint64, error) {
+	d := decoder{rest: payload}
+	known := d.uint()
+	return known, d.err("stores")
+}
+
 func encodeFailures(b []byte, id string, count int) []byte {
 	b = appendString(b, id)
 	return binary.AppendUvarint(b, uint64(count))
--- a/internal/service/store/recovery.go
+++ b/internal/service/store/recovery.go
@@ -37,6 +37,11 @@
 		return s.replayEnd(payload, position)
 	case failuresRecord:
 		return s.replayFailures(payload, position)
+	case storesRecord:
+		known, err := decodeStores(payload)
+		s.storesKnown = max(s.storesKnown, known)
+		s.replace(&s.storesAt, position)
+		return err
 	default:
 		return Class.New("record of kind %d", kind)
 	}
@@ -213,6 +218,8 @@
 		return &s.format, nil
 	case clockRecord:
 		return &s.lastClock, nil
+	case storesRecord:
+		return &s.storesAt, nil
 	case promiseRecord:
 		if q := s.index.queues[string(recordID(payload))]; q != nil {
 			return &q.promise, nil
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -183,9 +183,9 @@
 		status, commit, err := s.append(peer.Identity, &request.Message)
 		return protocol.AppendReply{Status: status, StoreID: s.log.StoreID()}, settle(commit, err)
 	})
-	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.EndBatch) (protocol.EndBatchReply, error) {
-		commit, err := s.endBatch(&request)
-		return protocol.EndBatchReply{StoreID: s.log.StoreID()}, settle(commit, err)
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.EndBatch) (protocol.EndBatchReply, error) {
+		refused, commit, err := s.endBatch(peer.Identity, &request)
+		return protocol.EndBatchReply{StoreID: s.log.StoreID(), Refused: refused}, settle(commit, err)
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Acquire) (protocol.AcquireReply, error) {
 		reply, commit, err := s.acquire(peer.Identity, request)
@@ -195,7 +195,8 @@
 		return s.findEnds(request), nil
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Renew) (protocol.RenewReply, error) {
-		return s.renew(peer.Identity, request), nil
+		reply, commit, err := s.renew(peer.Identity, request)
+		return reply, settle(commit, err)
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Release) (protocol.ReleaseReply, error) {
 		s.release(peer.Identity, request)
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -28,16 +28,33 @@
 }
 
 // renew renews a session and returns the table where the caller lacks it.
-func (s *store) renew(identity protocol.Identity, request protocol.Renew) protocol.RenewReply {
+func (s *store) renew(identity protocol.Identity, request protocol.Renew) (protocol.RenewReply, *segment.Commit, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.grantor.Renew(time.Now(), identity, request.Ready, s.connections[lease.SessionOf(identity)])
-	reply := protocol.RenewReply{StoreID: s.log.StoreID(), Version: s.grantor.Version()}
+	reply := protocol.RenewReply{StoreID: s.log.StoreID(), Told: request.StoresKnown, Version: s.grantor.Version()}
 	s.noteKnowledge(identity, request)
+	commit, err := s.keepStores(request.StoresKnown)
 	if reply.Version != request.KnownVersion {
 		s.addTable(&reply, request.KnownVersion)
 	}
-	return reply
+	return reply, commit, err
+}
+
+// keepStores writes the newest list of stores that a dispatcher goes by. It is told
+// to all who ask, so that one who goes by an older list concludes nothing from what
+// it does not find here. The mutex is held.
+func (s *store) keepStores(known uint64) (*segment.Commit, error) {
+	if known <= s.storesKnown {
+		return nil, nil
+	}
+	position, commit, err := s.write(storesRecord, segment.Vital, func(b []byte) []byte { return encodeStores(b, known) })
+	if err != nil {
+		return nil, err
+	}
+	s.replace(&s.storesAt, position)
+	s.storesKnown = known
+	return commit, nil
 }
 
 // addTable adds what has changed in the table since the version that the caller knows, or the whole table.
@@ -81,7 +98,7 @@
 func (s *store) acquire(identity protocol.Identity, request protocol.Acquire) (protocol.AcquireReply, *segment.Commit, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	reply := protocol.AcquireReply{StoreID: s.log.StoreID()}
+	reply := protocol.AcquireReply{StoreID: s.log.StoreID(), StoresKnown: s.storesKnown}
 	now, size := time.Now(), 0
 	for _, name := range request.Queues {
 		if err := checkName("queue", name); err != nil {
--- a/internal/service/store/status.go
+++ b/internal/service/store/status.go
@@ -34,7 +34,7 @@
 
 // messageReport tells what this store alone knows of a message.
 func (s *store) messageReport(node, id string) status.MessageReport {
-	reply, _ := s.lookUp(id)
+	reply, _ := s.lookUp(id, "")
 	report, holder := status.MessageReport{ID: id}, status.Holder{Store: node, Answered: true}
 	if reply.Held {
 		report = status.MessageReportOf(reply.Head)
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -56,6 +56,8 @@
 	connections map[lease.SessionID]int
 	bootstrap   bool // the disk was formatted when the whole system began
 	format      segment.Position
+	storesAt    segment.Position
+	storesKnown uint64 // newest list of stores that a dispatcher has told; on disk
 	lastClock   segment.Position
 	retirement  retirement
 	known       map[lease.SessionID]knowledge // what dispatchers go by
@@ -271,28 +273,40 @@
 }
 
 // endBatch records ends and failures. The reply holds once the commit has ended.
-func (s *store) endBatch(batch *protocol.EndBatch) (*segment.Commit, error) {
+// It names the ends of queues that have a newer owner than the one who ended the
+// message: if both could record ends, two could be told.
+func (s *store) endBatch(identity protocol.Identity, batch *protocol.EndBatch) ([]protocol.RefusedEnd, *segment.Commit, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for i := range batch.Ends {
 		if err := checkEnd(&batch.Ends[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	if err := s.keepClock(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	var refused []protocol.RefusedEnd
 	for i := range batch.Ends {
-		if err := s.end(&batch.Ends[i]); err != nil {
-			return nil, err
+		end := &batch.Ends[i]
+		if promised, newer := s.grantor.Outbids(identity, end.Queue, max(end.Epoch, end.AsOf)); newer {
+			refused = append(refused, protocol.RefusedEnd{ID: end.ID, Queue: end.Queue, Promised: promised})
+			continue
+		}
+		if e := s.index.entries[end.ID]; e != nil && e.endedByNewer(end) {
+			refused = append(refused, protocol.RefusedEnd{ID: end.ID, Queue: end.Queue, Promised: e.endEpoch})
+			continue
+		}
+		if err := s.end(end); err != nil {
+			return nil, nil, err
 		}
 	}
 	for _, failures := range batch.Failures {
 		if err := s.countFailures(failures); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	return s.log.Barrier(), nil
+	return refused, s.log.Barrier(), nil
 }
 
 // end records that a message has ended.
@@ -301,6 +315,7 @@
 	state := &endState{
 		id: end.ID, queue: end.Queue, state: end.State, stamp: end.Stamp,
 		callbackDue: end.CallbackDue, bornAt: s.clock.now(), endedAt: s.clock.now(), retention: end.Retention,
+		endEpoch: end.Epoch,
 	}
 	switch {
 	case e == nil && s.index.memory > tombstoneShare*s.options.memoryMost:
@@ -342,15 +357,25 @@
 	}
 }
 
-// supersedes reports whether an end says more than what is known: a higher
-// state, or that the call-back has been taken.
+// supersedes reports whether an end says more than what is known: it is that of a
+// newer owner, who has read all that was told before, or says a higher state, or that
+// the call-back has been taken.
 func supersedes(end *protocol.End, e *entry) bool {
+	if e.state.Ended() && end.Epoch != e.endEpoch {
+		return end.Epoch > e.endEpoch
+	}
 	if rank, known := endRank(end.State), endRank(e.state); rank != known {
 		return rank > known
 	}
 	return e.callbackDue && !end.CallbackDue
 }
 
+// endedByNewer reports whether a newer owner than that of an end has ended the
+// message in another way.
+func (e *entry) endedByNewer(end *protocol.End) bool {
+	return e.state.Ended() && e.endEpoch > end.Epoch && (e.state != end.State || e.stamp != end.Stamp)
+}
+
 // writeEnd writes an end, applies it to its entry, which it makes if need be,
 // and drops what it makes needless.
 func (s *store) writeEnd(e *entry, end *endState, priority segment.Priority) (*segment.Commit, error) {
--- a/internal/service/view/configuration.go
+++ b/internal/service/view/configuration.go
@@ -9,8 +9,11 @@
 // which is most of its bytes: stores and members have changed.
 type ConfigurationDifference struct {
 	Sequence uint64
-	Stores   []Node
-	Members  []Node
+
+	StoresChanged uint64
+
+	Stores  []Node
+	Members []Node
 }
 
 // Difference returns what leads from an earlier value to this one, or false where the operator's
@@ -20,7 +23,7 @@
 	if !ok || base.Revision != c.Revision || !bytes.Equal(base.Raw, c.Raw) {
 		return nil, false
 	}
-	return ConfigurationDifference{c.Sequence, c.Stores, c.Members}, true
+	return ConfigurationDifference{c.Sequence, c.StoresChanged, c.Stores, c.Members}, true
 }
 
 // Apply returns the value that follows from an earlier one.
@@ -29,6 +32,6 @@
 	if !ok {
 		return nil, false
 	}
-	base.Sequence, base.Stores, base.Members = d.Sequence, d.Stores, d.Members
+	base.Sequence, base.StoresChanged, base.Stores, base.Members = d.Sequence, d.StoresChanged, d.Stores, d.Members
 	return base, true
 }
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -29,11 +29,15 @@
 
 	FullStoreID string // of stores: the disk that is known to hold all that it must
 	Leaving     bool   // of stores: it is being emptied, or given up
+	Since       uint64 // of stores: sequence of the value with which it became known
 }
 
 // Configuration is the value of the configuration register.
 type Configuration struct {
 	Sequence uint64 // grows with each change of the register
+
+	StoresChanged uint64 // sequence of the last change of the stores
+
 	Revision int64  // of the operator
 	Raw      []byte // as the operator sent it
 	Stores   []Node
--- a/internal/simulation/check.go
+++ b/internal/simulation/check.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -44,6 +45,8 @@
 	c.checkCeiling()
 	c.checkConfiguration(final)
 	c.checkRegress()
+	c.checkReads()
+	c.checkHistories()
 	if len(report.Breaks) > breaksMost {
 		report.Breaks = append(report.Breaks[:breaksMost], fmt.Sprintf("and %d more", len(report.Breaks)-breaksMost))
 	}
@@ -302,41 +305,57 @@
 	return kind, found && err == nil
 }
 
-// checkRegress judges whether a dispatcher went back to an older version
-// within one life.
+// effect is a run that a version of the configuration led to.
+type effect struct {
+	message  *message
+	at       time.Duration
+	kind     int64
+	revision int64 // the oldest that can have had the effect
+}
+
+// checkRegress judges whether a dispatcher went back to an older version within one
+// life. Several versions may have had an effect: the runs are given the oldest ones
+// that are no regress, and one for which there is none is a regress for certain.
 func (c *checker) checkRegress() {
-	type effect struct {
-		message  *message
-		at       time.Duration
-		revision int64 // the newest that can have had the effect
-	}
-	byMachine := map[string][]effect{}
+	byMachine := map[string][]*effect{}
 	for _, m := range c.journal.list {
 		for _, a := range m.attempts {
 			if kind, changed := changedKind(a.service); changed {
-				byMachine[a.dispatcher] = append(byMachine[a.dispatcher], effect{m, a.begun, c.newestOf(kind, a.begun)})
+				byMachine[a.dispatcher] = append(byMachine[a.dispatcher], &effect{message: m, at: a.begun, kind: kind})
 			}
 		}
 	}
 	for machine, effects := range byMachine {
-		for _, old := range effects {
-			for _, seen := range effects {
-				if seen.at+rollback < old.message.sent && old.revision < seen.revision && c.oneLife(machine, seen.at, old.at) {
-					c.broken("CONFIG", "%s went back from revision %d at %v to %d for %s", machine, seen.revision, seen.at, old.revision, old.message.id)
+		slices.SortFunc(effects, func(a, b *effect) int { return cmp.Compare(a.at, b.at) })
+		for i, e := range effects {
+			var floor *effect
+			for _, seen := range effects[:i] {
+				if seen.at+rollback < e.message.sent && (floor == nil || seen.revision > floor.revision) && c.oneLife(machine, seen.at, e.at) {
+					floor = seen
 				}
 			}
+			var found bool
+			if e.revision, found = c.oldestOf(e.kind, floor, e.at); !found {
+				c.broken("CONFIG", "%s went back from revision %d or later at %v for %s%s", machine, floor.revision, floor.at, e.message.id, c.storyOf(e.message.id))
+				return
+			}
 		}
 	}
 }
 
-func (c *checker) newestOf(kind int64, at time.Duration) int64 {
-	newest := int64(0)
+// oldestOf returns the oldest revision of a kind that was sent before a moment, and
+// is not older than one whose effect was seen.
+func (c *checker) oldestOf(kind int64, floor *effect, at time.Duration) (int64, bool) {
+	oldest, found := int64(0), false
 	for _, o := range c.journal.orders {
-		if o.revision%changedKinds == kind && o.sent < at {
-			newest = max(newest, o.revision)
+		if o.revision%changedKinds != kind || o.sent >= at || floor != nil && o.revision < floor.revision {
+			continue
+		}
+		if !found || o.revision < oldest {
+			oldest, found = o.revision, true
 		}
 	}
-	return newest
+	return oldest, found
 }
 
 // oneLife reports whether a machine's processes ran on between two moments.
--- a/internal/simulation/clients.go
+++ b/internal/simulation/clients.go
@@ -27,6 +27,9 @@
 	delayMost    = 800                   // milliseconds
 	questionTime = 2 * time.Second
 	questions    = 20 // tries to learn a message's state at the end
+
+	recentMessages = 60 // of which one is asked about
+	askEvery       = 25 * time.Millisecond
 )
 
 // routes of messages, and how often each is drawn.
@@ -229,9 +232,49 @@
 	}
 }
 
+// watchStates asks any dispatcher, in touch or not, for the states of messages
+// that were sent.
+func (c *clients) watchStates(ctx context.Context, random *rand.Rand) {
+	j := c.world.journal
+	var asking sync.WaitGroup
+	for ctx.Err() == nil {
+		var m *message
+		j.with(func() {
+			if len(j.list) > 0 {
+				recent := min(len(j.list), recentMessages)
+				m = j.list[len(j.list)-1-random.IntN(recent)]
+			}
+		})
+		machine := edgeMachine(random.IntN(machinesEach))
+		if m != nil {
+			asking.Go(func() { c.observe(m.id, machine) })
+		}
+		pause(ctx, time.Duration(random.ExpFloat64()*float64(askEvery)))
+	}
+	asking.Wait()
+}
+
+// observe asks one dispatcher for the state of a message and notes the answer.
+func (c *clients) observe(id, machine string) {
+	j := c.world.journal
+	asked := j.now()
+	status, content := c.getFrom(machine, "/message/"+id)
+	var state told
+	_ = json.Unmarshal(content, &state)
+	if rank, tells := rankOfAnswer(status, state.State); tells {
+		j.with(func() {
+			j.observations = append(j.observations, observation{id, asked, j.now(), rank, state.Stamp, machine})
+		})
+	}
+}
+
 func (c *clients) get(path string, random *rand.Rand) (status int, content []byte) {
+	return c.getFrom(c.pick(random), path)
+}
+
+func (c *clients) getFrom(machine, path string) (status int, content []byte) {
 	client := httpClient(c.network, questionTime)
-	request, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", c.pick(random), frontPort, path), nil)
+	request, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", machine, frontPort, path), nil)
 	request.Host = host
 	response, err := client.Do(request)
 	if err != nil {
@@ -280,6 +323,10 @@
 		return
 	}
 	m.callbacks = append(m.callbacks, body.told)
+	if rank, tells := rankOfAnswer(http.StatusOK, body.State); tells {
+		now := j.now()
+		j.observations = append(j.observations, observation{body.ID, now, now, rank, body.Stamp, machineOf(request.RemoteAddr)})
+	}
 }
 
 // pause waits for a time or the context's end.
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -22,12 +22,12 @@
 }
 
 var faults = []fault{
-	{name: "killStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killStore", choose(r, w.stores), r, false, false) }},
-	{name: "powerStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerStore", choose(r, w.stores), r, true, false) }},
-	{name: "wipeStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeStore", choose(r, w.stores), r, true, true) }},
-	{name: "freezeStore", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeStore", choose(r, w.stores).machine, r) }},
-	{name: "stallStore", loss: true, play: func(w *world, r *rand.Rand) { w.stall(choose(r, w.stores), r) }},
-	{name: "cutStore", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutStore", choose(r, w.stores).machine, r, false) }},
+	{name: "killStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killStore", choose(r, w.liveStores()), r, false, false) }},
+	{name: "powerStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerStore", choose(r, w.liveStores()), r, true, false) }},
+	{name: "wipeStore", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeStore", choose(r, w.liveStores()), r, true, true) }},
+	{name: "freezeStore", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeStore", choose(r, w.liveStores()).machine, r) }},
+	{name: "stallStore", loss: true, play: func(w *world, r *rand.Rand) { w.stall(choose(r, w.liveStores()), r) }},
+	{name: "cutStore", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutStore", choose(r, w.liveStores()).machine, r, false) }},
 	{name: "killControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killControl", choose(r, w.controls), r, false, false) }},
 	{name: "powerControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerControl", choose(r, w.controls), r, true, false) }},
 	{name: "wipeControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeControl", choose(r, w.controls), r, true, true) }},
@@ -64,7 +64,7 @@
 func (w *world) injectFaults(random *rand.Rand) {
 	losses, others := w.chosenFaults(true), w.chosenFaults(false)
 	inLoss := rand.New(rand.NewPCG(random.Uint64(), 6))
-	w.parties.Go(func() {
+	w.losses.Go(func() {
 		for len(losses) > 0 && w.loaded() {
 			time.Sleep(time.Duration(inLoss.IntN(3000)) * time.Millisecond)
 			losses[inLoss.IntN(len(losses))].play(w, inLoss)
@@ -198,15 +198,13 @@
 }
 
 func (w *world) cutAll(machine string, cut, oneWay bool) {
-	for i := range machinesEach {
-		for _, other := range []string{edgeMachine(i), storageMachine(i), coreMachine(i)} {
-			if other == machine {
-				continue
-			}
-			w.network.Cut(machine, other, cut)
-			if !oneWay {
-				w.network.Cut(other, machine, cut)
-			}
+	for _, p := range w.processes() {
+		if p.machine == machine {
+			continue
+		}
+		w.network.Cut(machine, p.machine, cut)
+		if !oneWay {
+			w.network.Cut(p.machine, machine, cut)
 		}
 	}
 }
@@ -216,7 +214,7 @@
 	edge := choose(random, w.dispatchers).machine
 	t := w.journal.begin("reset", edge)
 	defer w.journal.end(t)
-	w.network.Reset(edge, choose(random, w.stores).machine)
+	w.network.Reset(edge, choose(random, w.liveStores()).machine)
 }
 
 func (w *world) replaceSender(random *rand.Rand, crash bool) {
--- a/internal/simulation/journal.go
+++ b/internal/simulation/journal.go
@@ -45,6 +45,8 @@
 	sent           time.Duration
 	acknowledged   time.Duration // 0: never
 	refused        bool
+	invalid        bool          // refused as no valid order
+	answered       time.Duration // with a clear answer; 0: never
 }
 
 // trouble is a fault and the time that it lasts.
@@ -67,6 +69,9 @@
 	drained  map[string]time.Duration // by sender: when the list showed it
 	arrivals map[string][]time.Duration
 	breaks   []string // seen at once by a party
+
+	observations []observation       // what was told of messages
+	reads        []configurationRead // that were answered
 }
 
 func newJournal() *journal {
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -31,7 +31,11 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	lives   int
-	turn    sync.Mutex // held by TryLock only: one fault at a time ends and starts it
+	added   bool // after the start of the system
+
+	diskSince time.Duration // when its disk was empty
+
+	turn sync.Mutex // held by TryLock only: one fault at a time ends and starts it
 }
 
 // start begins a life of the process.
@@ -40,7 +44,7 @@
 	p.network, p.cancel, p.done = p.world.network.Process(p.machine), cancel, make(chan struct{})
 	p.lives++
 	s := p.settings
-	s.Bootstrap = p.lives == 1
+	s.Bootstrap = p.lives == 1 && !p.added
 	s.Network = p.network
 	s.SteadyClock = p.world.journal.now
 	if p.disk != nil {
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -94,11 +95,14 @@
 	return string(content)
 }
 
-// change sends the next configuration until it has a clear answer.
-func (o *operator) change(variant int, random *rand.Rand) {
+// change sends the next configuration until it has a clear answer. No two orders
+// have the same content.
+func (o *operator) change(random *rand.Rand) {
 	j := o.world.journal
 	entry := &order{}
+	variant := 0
 	j.with(func() {
+		variant = len(j.orders)
 		entry.base, entry.sent = o.newest, j.now()
 		entry.revision = o.newest + 1
 		j.orders = append(j.orders, entry)
@@ -110,11 +114,15 @@
 		case http.StatusOK:
 			j.with(func() {
 				entry.acknowledged = j.now()
+				entry.answered = j.now()
 				o.newest = max(o.newest, entry.revision)
 			})
 			return
 		case http.StatusPreconditionFailed, http.StatusBadRequest, http.StatusConflict:
-			j.with(func() { entry.refused = true })
+			j.with(func() {
+				entry.refused, entry.invalid = true, status == http.StatusBadRequest
+				entry.answered = j.now()
+			})
 			return
 		}
 		time.Sleep(time.Duration(50+random.IntN(200)) * time.Millisecond)
@@ -127,9 +135,9 @@
 	seed := random.Uint64()
 	go func() {
 		defer close(done)
-		o.change(1, rand.New(rand.NewPCG(seed, 5)))
+		o.change(rand.New(rand.NewPCG(seed, 5)))
 	}()
-	o.change(2, random)
+	o.change(random)
 	<-done
 }
 
@@ -171,3 +179,16 @@
 	}
 	return ""
 }
+
+// watchReads reads the configuration at any control member, in touch or not.
+func (o *operator) watchReads(ctx context.Context, random *rand.Rand) {
+	j := o.world.journal
+	for ctx.Err() == nil {
+		request, _ := http.NewRequest(http.MethodGet, o.url("/Config.Read", random), nil)
+		asked := j.now()
+		if status, content := o.call(request); status == http.StatusOK {
+			j.with(func() { j.reads = append(j.reads, configurationRead{asked, j.now(), content}) })
+		}
+		pause(ctx, between(random, 50, 400))
+	}
+}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -38,14 +38,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.startAll()
 	load, orders, faults := w.stream(10), w.stream(11), w.stream(12)
-	w.operator.change(0, orders)
+	w.operator.change(orders)
 	w.parties.Go(func() { w.clients.watchReadiness(ctx) })
 	time.Sleep(max(0, startTime-w.journal.now()))
 	w.parties.Go(func() { w.changeConfigurations(orders) })
 	if !options.Quiet {
 		w.parties.Go(func() { w.injectFaults(faults) })
 	}
+	w.parties.Go(func() { w.clients.watchStates(ctx, w.stream(13)) })
+	w.parties.Go(func() { w.operator.watchReads(ctx, w.stream(14)) })
 	w.clients.run(loadTime, load)
+	w.losses.Wait()
 	time.Sleep(finishTime)
 	w.clients.askAll(load)
 	final := w.operator.read(orders)
@@ -68,7 +71,7 @@
 		if random.IntN(3) == 0 {
 			w.operator.race(random)
 		} else {
-			w.operator.change(0, random)
+			w.operator.change(random)
 		}
 	}
 }
--- a/internal/simulation/senders.go
+++ b/internal/simulation/senders.go
@@ -251,7 +251,9 @@
 	case <-r.Context().Done():
 		return // it drops a message when its connection closes
 	}
-	s.answer(w, id, number)
+	if !s.spoil(w, r, id, number) {
+		s.answer(w, id, number)
+	}
 }
 
 // begin notes that work on a message has begun and returns the attempt's number.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -5,9 +5,11 @@
 package simulation
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -57,8 +59,20 @@
 	operator *operator
 	receiver *receiver
 
-	dispatchers, agents, stores, controls []*process
-	parties                               sync.WaitGroup
+	dispatchers, agents, controls []*process
+	parties                       sync.WaitGroup
+	losses                        sync.WaitGroup // troubles of machines that count
+	garbling                      atomic.Bool    // senders spoil answers
+
+	storesMutex sync.Mutex
+	stores      []*process // that are not gone for good
+	gone        []*process
+	storesAdded int
+}
+
+// storeRun runs the role of a store.
+func storeRun(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	return store.Run(ctx, s, log)
 }
 
 func edgeMachine(i int) string    { return fmt.Sprintf("10.1.0.%d", i+1) }
@@ -96,13 +110,10 @@
 	core := w.settings("core", coreMachine(i), i)
 	core.Listen.Control = fmt.Sprintf("%s:%d", core.IP, controlPort)
 	core.DataDir = "/data"
-	storage := w.settings("storage", storageMachine(i), i)
-	storage.DataDir = "/data"
 	w.dispatchers = append(w.dispatchers, w.process(edge, dispatcher.Role, dispatcher.Run, nil))
 	w.agents = append(w.agents, w.process(edge, agent.Role, agent.Run, nil))
-	w.stores = append(w.stores, w.process(storage, store.Role, store.Run, newDisk(syncTime)))
-	// The register saves under a mutex, which a bubble does not count as blocked: no time may pass there.
-	w.controls = append(w.controls, w.process(core, "control", control.Run, newDisk(0)))
+	w.stores = append(w.stores, w.storeProcess(i))
+	w.controls = append(w.controls, w.process(core, "control", control.Run, newDisk(syncTime)))
 }
 
 func (w *world) process(s settings.Settings, role string, run runFunc, d *disk) *process {
@@ -127,7 +138,7 @@
 
 func (w *world) processes() []*process {
 	all := append([]*process{}, w.controls...)
-	all = append(all, w.stores...)
+	all = append(all, w.liveStores()...)
 	all = append(all, w.agents...)
 	return append(all, w.dispatchers...)
 }
@@ -149,7 +160,10 @@
 	}
 	w.platform.stop()
 	w.receiver.stop()
-	for _, p := range w.processes() {
+	w.storesMutex.Lock()
+	gone := w.gone
+	w.storesMutex.Unlock()
+	for _, p := range append(w.processes(), gone...) {
 		<-p.done
 	}
 	time.Sleep(endTime) // calls that were cut off end
