--- a/internal/service/dispatcher/accept.go
+++ b/internal/service/dispatcher/accept.go
@@ -139,7 +139,7 @@
 		return result.status
 	}
 	holders := d.holdersLeft(result)
-	if owned.dropped || len(holders) < d.copiesWanted() {
+	if owned.dropped || d.countCopies(holders) < d.copiesWanted() {
 		return protocol.Undecided
 	}
 	entry := owned.Add(d.now(), message.Head, message.Body, holders)
@@ -151,11 +151,10 @@
 }
 
 // holdersLeft returns the holders of a message that has just been written: without
-// those that have lost that disk meanwhile, or that are to be emptied. The mutex
-// is held.
+// those that have lost that disk meanwhile. The mutex is held.
 func (d *Dispatcher) holdersLeft(result copyResult) []string {
 	return slices.DeleteFunc(slices.Clone(result.holders), func(node string) bool {
-		return !d.stillHas(node, result.disks[node]) || d.stores[node].leaving
+		return !d.stillHas(node, result.disks[node])
 	})
 }
 
--- a/internal/service/dispatcher/adopt.go
+++ b/internal/service/dispatcher/adopt.go
@@ -29,10 +29,7 @@
 	for _, one := range ordered {
 		entry := owned.Add(d.now(), one.head, nil, one.holders)
 		if one.head.State.Ended() {
-			entry.EndKept = one.endKept()
-			if one.differ || !d.endIsSafe(entry) {
-				d.recordEnd(owned, entry)
-			}
+			d.recordEnd(owned, entry) // under this owner's epoch, over which no older one's counts
 		}
 		if entry.Phase != queue.Done {
 			d.needsRepair(owned, entry)
@@ -44,19 +41,6 @@
 type adoptedHead struct {
 	head    protocol.Head
 	holders []string
-	told    []protocol.Head // by the holders
-	differ  bool            // one store has not learned its end
-}
-
-// endKept returns the holders that have recorded the end.
-func (a *adoptedHead) endKept() []string {
-	var kept []string
-	for i, node := range a.holders {
-		if sameEnd(&a.told[i], &a.head) {
-			addNode(&kept, node)
-		}
-	}
-	return kept
 }
 
 // acceptedBefore reports whether a record tells of an earlier acceptance.
@@ -67,13 +51,10 @@
 func mergeHead(merged map[string]*adoptedHead, node string, head protocol.Head) {
 	one := merged[head.ID]
 	if one == nil {
-		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}, told: []protocol.Head{head}}
+		merged[head.ID] = &adoptedHead{head: head, holders: []string{node}}
 		return
 	}
-	one.holders, one.told = append(one.holders, node), append(one.told, head)
-	if !sameEnd(&one.head, &head) || one.head.CallbackDue != head.CallbackDue {
-		one.differ = true
-	}
+	one.holders = append(one.holders, node)
 	if endSupersedes(&head, &one.head) {
 		one.head.State, one.head.Stamp, one.head.CallbackDue = head.State, head.Stamp, head.CallbackDue
 		one.head.EndEpoch = head.EndEpoch
@@ -96,7 +77,7 @@
 		return
 	}
 	addNode(&entry.Holders, link.node)
-	if entry.Head.State.Ended() && sameEnd(&entry.Head, &head) {
+	if entry.Head.State.Ended() && sameEnd(&entry.Head, &head) && head.EndEpoch >= owned.Epoch {
 		addNode(&entry.EndKept, link.node)
 	}
 	switch {
--- a/internal/service/dispatcher/disks.go
+++ b/internal/service/dispatcher/disks.go
@@ -21,6 +21,25 @@
 	return told >= d.grantsWanted()
 }
 
+// countCopies counts the stores of which later readers hear, and which stay. The mutex
+// is held.
+func (d *Dispatcher) countCopies(nodes []string) int {
+	count := 0
+	for _, node := range nodes {
+		if link := d.stores[node]; link != nil && !link.leaving && d.known(link) {
+			count++
+		}
+	}
+	return count
+}
+
+// enough reports whether so many stores count that a message, or its end, is kept.
+func (d *Dispatcher) enough(nodes []string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.countCopies(nodes) >= d.copiesWanted()
+}
+
 // listIsOld reports whether a store has heard of a later list of stores than the one
 // that this dispatcher goes by. What it does not find may be at a store that it does
 // not know. The mutex is held.
--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -115,8 +115,7 @@
 func TestKnownMessageWithTooFewCopiesIsNotAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d, end := simulated(simnet.New(func(_, _ string) time.Duration { return time.Millisecond }))
-		d.settings.FaultTolerance.Machines = 1
+		d, end := withScriptedStores(c, acquireStores(3))
 		_, entry := adoptOne(d, []byte("12345"), []string{"storage-2"})
 		again := protocol.Message{Head: protocol.Head{ID: "m", Queue: d.localQueue}, Body: []byte("12345")}
 		c.Check(d.acceptHere(t.Context(), again).Status, qt.Equals, protocol.Undecided)
@@ -161,8 +160,11 @@
 		InternalPorts: []int{7780, 7795}, Network: edge,
 	}, logr.Discard())
 	d.takeConfiguration(view.Configuration{
-		Revision: 1, Raw: []byte(oneRoute), Stores: []view.Node{{Name: "storage-1", Zone: "z", Address: "10.2.0.1:7783"}},
+		Revision: 1, Raw: []byte(oneRoute), Stores: []view.Node{{Name: "storage-1", Zone: "z", Address: "10.2.0.1:7783", FullStoreID: "disk"}},
 	})
+	d.mutex.Lock()
+	d.stores["storage-1"].storeID = "disk"
+	d.mutex.Unlock()
 	d.takeSenders(view.Senders{List: []view.Sender{{ID: "i", Service: "s", Address: "10.5.0.1:80", Zone: "z", Slots: 1}}})
 	return d, func() {
 		d.end()
--- a/internal/service/dispatcher/query.go
+++ b/internal/service/dispatcher/query.go
@@ -79,7 +79,7 @@
 	case !found.best.Held && found.complete:
 		return protocol.Head{}, nil, http.StatusNotFound
 	case state.Ended() && d.endStands(callCtx, found),
-		state == protocol.Queued && found.complete && len(found.kept) >= d.copiesWanted():
+		state == protocol.Queued && found.complete && d.enough(found.kept):
 		return found.best.Head, found.best.Body, http.StatusOK
 	default:
 		return protocol.Head{}, nil, http.StatusServiceUnavailable
@@ -107,7 +107,7 @@
 		case entry.Head.State.Ended():
 			return entry.Head, entry.Body, d.endIsSafe(entry)
 		default:
-			return entry.Head, entry.Body, d.leaseValid(owned) && len(entry.Holders) >= d.copiesWanted()
+			return entry.Head, entry.Body, d.leaseValid(owned) && d.enoughCopies(entry)
 		}
 	}
 	return protocol.Head{}, nil, false
@@ -116,7 +116,7 @@
 // foundMessage is what the stores together tell of a message.
 type foundMessage struct {
 	best     protocol.QueryReply
-	kept     []string // stores that tell the state of the best reply
+	kept     []string // stores that tell the state of the best reply, under its epoch
 	complete bool     // so many stores that count have answered that none can know more
 	promised uint64   // epoch of the queue's newest owner that a store knows of
 	holders  []string // nodes that have its lease at some store
@@ -182,7 +182,8 @@
 		}
 	}
 	for _, answer := range replies {
-		if answer.err == nil && answer.reply.Held && sameEnd(&answer.reply.Head, &found.best.Head) {
+		if answer.err == nil && answer.reply.Held && sameEnd(&answer.reply.Head, &found.best.Head) &&
+			answer.reply.Head.EndEpoch == found.best.Head.EndEpoch {
 			found.kept = append(found.kept, answer.link.node)
 		}
 	}
--- a/internal/service/dispatcher/retirement.go
+++ b/internal/service/dispatcher/retirement.go
@@ -8,16 +8,10 @@
 	"yardwharf/internal/service/transport"
 )
 
-// safeCopies counts the copies of a message in stores that stay. The mutex is
+// safeCopies counts the copies of a message that later readers find. The mutex is
 // held.
 func (d *Dispatcher) safeCopies(entry *queue.Entry) int {
-	count := 0
-	for _, node := range entry.Holders {
-		if link := d.stores[node]; link == nil || !link.leaving {
-			count++
-		}
-	}
-	return count
+	return d.countCopies(entry.Holders)
 }
 
 // enoughCopies reports whether enough stores that stay keep a message. The
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -137,8 +137,7 @@
 	Stamp       string
 	CallbackDue bool
 	Retention   time.Duration // of the message
-	Epoch       uint64        // of the owner that ended it
-	AsOf        uint64        // newest owner of whom it is known that it does not have the message open; 0: Epoch
+	Epoch       uint64        // of the owner that ended it, or of the newest one that agrees
 }
 
 // Failures records how many attempts of a message have failed.
@@ -270,16 +269,19 @@
 	Holder   string // node that has the queue's lease here
 }
 
-// AskOwner asks a dispatcher whether it owns a queue and has a message open there.
+// AskOwner asks a dispatcher whether it owns a queue, and whether it knows better how
+// a message there has ended.
 type AskOwner struct {
 	ID    string
 	Queue string
+	State State // that a store tells
+	Stamp string
 }
 
 // AskOwnerReply answers AskOwner.
 type AskOwnerReply struct {
-	Owner bool // it owns the queue under a valid lease
-	Open  bool // the message has not ended there
+	Owner   bool // it owns the queue under a valid lease
+	Differs bool // the message is open there, or has ended in another way
 }
 
 // Accept asks the owner of a queue to accept a message.
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -289,7 +289,7 @@
 	var refused []protocol.RefusedEnd
 	for i := range batch.Ends {
 		end := &batch.Ends[i]
-		if promised, newer := s.grantor.Outbids(identity, end.Queue, max(end.Epoch, end.AsOf)); newer {
+		if promised, newer := s.grantor.Outbids(identity, end.Queue, end.Epoch); newer {
 			refused = append(refused, protocol.RefusedEnd{ID: end.ID, Queue: end.Queue, Promised: promised})
 			continue
 		}
