--- a/internal/service/control/api_test.go
+++ b/internal/service/control/api_test.go
@@ -4,6 +4,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -71,3 +72,32 @@
 		}
 	})
 }
+
+// A read at a member that no majority answers is 503 within its time, also when it
+// knows a configuration; joined again it tells the newest.
+func TestReadNeedsAMajority(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		c.Assert(replace(core[1], 0, 3), qt.Equals, register.Taken)
+		read := func(r *replica) (int, string) {
+			recorder := httptest.NewRecorder()
+			newAPIServer(r, newRetirement(r), r.log).Handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/Config.Read", nil))
+			return recorder.Code, recorder.Body.String()
+		}
+		for _, r := range core[1:] {
+			status, body := read(r)
+			c.Assert(status, qt.Equals, 200)
+			c.Assert(body, qt.Equals, "3")
+		}
+		n.setCut(true, 1)
+		c.Assert(replace(core[2], 3, 4), qt.Equals, register.Taken)
+		began := time.Now()
+		status, body := read(core[1])
+		c.Assert(status, qt.Equals, 503)
+		c.Assert(strings.Count(body, "\n"), qt.Equals, 1)
+		c.Assert(time.Since(began) <= orderTimeout, qt.IsTrue)
+		n.setCut(false, 1)
+		status, body = read(core[1])
+		c.Assert(status, qt.Equals, 200)
+		c.Assert(body, qt.Equals, "4")
+	})
+}
--- /dev/null
+++ b/internal/service/dispatcher/rules_test.go
@@ -0,0 +1,76 @@
+package dispatcher
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/delivery"
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/verdict"
+)
+
+// From SIGTERM on a dispatcher is not ready, whatever else it could do.
+func TestNotReadyFromSIGTERMOn(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	d.configuration.Store(newTestDispatcher(c).configuration.Load())
+	d.haveList = true
+	d.own(d.localQueue)
+	status := func() int {
+		recorder := httptest.NewRecorder()
+		d.readinessHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/readiness", nil))
+		return recorder.Code
+	}
+	c.Assert(status(), qt.Equals, http.StatusOK)
+	d.draining.Store(true)
+	c.Assert(status(), qt.Equals, http.StatusServiceUnavailable)
+}
+
+// A message that fails at each run is tried as often as its route says, over all
+// owners: the most failures that any store has recorded count.
+func TestFailuresCountThroughTakeovers(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	runs := 0
+	failures := map[string]int{}
+	for epoch := uint64(1); runs < 20; epoch++ {
+		owned := own(d, "ordered/1", epoch)
+		head := func(store string) protocol.Head {
+			return protocol.Head{ID: "m", Epoch: 1, Sequence: 1, State: protocol.Queued, Retention: time.Minute, Failures: failures[store]}
+		}
+		d.adopt(owned, map[string][]protocol.Head{"s1": {head("s1")}, "s2": {head("s2")}})
+		entry := owned.Get("m")
+		if steps := owned.Advance(d.now()); len(steps) == 0 || steps[0].Kind != queue.Deliver {
+			break
+		}
+		runs++
+		state := &deliveryState{key: "m", owned: owned, entry: entry, service: d.services["outside"], retries: 3}
+		d.settle(state, delivery.Result{Verdict: verdict.Ran, Status: http.StatusInternalServerError})
+		failures[[]string{"s1", "s2"}[runs%2]] = entry.Head.Failures // the other one was away
+		if entry.Head.State == protocol.DeadLetter {
+			break
+		}
+		delete(d.queues, "ordered/1")
+	}
+	c.Assert(runs, qt.Equals, 3)
+}
+
+// A delay counts from when the message was sent, also at a new owner: it is not over
+// sooner there.
+func TestDelaySurvivesATakeover(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	owned := own(d, "ordered/1", 2)
+	now := d.now()
+	head := func(age time.Duration) protocol.Head {
+		return protocol.Head{ID: "m", Epoch: 1, Sequence: 1, State: protocol.Queued, Delay: 2 * time.Second, Age: age, Retention: time.Minute}
+	}
+	d.adopt(owned, map[string][]protocol.Head{"s1": {head(600 * time.Millisecond)}, "s2": {head(500 * time.Millisecond)}})
+	c.Assert(owned.Advance(now+1400*time.Millisecond), qt.HasLen, 0)
+	c.Assert(owned.Advance(now+1600*time.Millisecond), qt.HasLen, 1)
+}
--- a/internal/service/store/store_test.go
+++ b/internal/service/store/store_test.go
@@ -122,50 +122,52 @@
 	c.Assert(call[protocol.QueryReply](t, owner, protocol.Query{ID: "unknown"}).Held, qt.IsFalse)
 }
 
-// What an owner may do and what a second one may not, over the wire.
+// What an owner may do and what a second one may not, over the wire. Time is
+// simulated: sessions last for as long on a busy machine.
 func TestRoleGrantsLeases(t *testing.T) {
-	c := qt.New(t)
-	s := testSettings(t, "127.0.31.2")
-	s.Bootstrap = false
-	startedAt := time.Now()
-	defer start(t, s)()
-	first, second := client(t, s, "edge-1"), client(t, s, "edge-2")
-	acquire := func(who *transport.Client, epoch uint64, held bool) protocol.Grant {
-		return call[protocol.AcquireReply](t, who, protocol.Acquire{Queues: []string{"rated/x"}, Epoch: epoch, Held: held}).Grants[0]
-	}
-	status := func(who *transport.Client, id string, epoch uint64) protocol.AppendStatus {
-		return call[protocol.AppendReply](t, who, protocol.Append{Message: message(id, "rated/x", epoch)}).Status
-	}
-
-	renewed := call[protocol.RenewReply](t, first, protocol.Renew{Ready: true})
-	call[protocol.RenewReply](t, second, protocol.Renew{Ready: true})
-	early := acquire(first, 4, false)
-	if time.Since(startedAt) < lease.LeaseDuration { // a busy machine may take longer; package lease holds the wait itself
-		c.Assert(early.Granted, qt.IsFalse, qt.Commentf("right after the start"))
-	}
-	c.Assert(acquire(first, 4, true).Granted, qt.IsTrue, qt.Commentf("it still holds the queue"))
-	c.Assert(status(first, "m1", 4), qt.Equals, protocol.Stored)
-	c.Assert(status(second, "m2", 3), qt.Equals, protocol.Fenced)
-	c.Assert(acquire(second, 5, false), qt.DeepEquals, protocol.Grant{Queue: "rated/x", Promised: 4})
-
-	table := call[protocol.RenewReply](t, second, protocol.Renew{KnownVersion: renewed.Version})
-	c.Assert(table.Changed, qt.IsTrue)
-	c.Assert(table.Queues, qt.DeepEquals, []protocol.QueueState{{Queue: "rated/x", Epoch: 4, Holder: "edge-1", Open: 1}})
-	c.Assert(call[protocol.RenewReply](t, second, protocol.Renew{KnownVersion: table.Version}).Changed, qt.IsFalse)
-
-	closedAt := time.Now()
-	first.Close()
-	granted := acquire(second, 5, false)
-	for ; !granted.Granted; granted = acquire(second, 5, false) {
-		c.Assert(time.Since(closedAt) < callWithin, qt.IsTrue)
-		time.Sleep(20 * time.Millisecond)
-	}
-	c.Assert(time.Since(closedAt) >= 250*time.Millisecond, qt.IsTrue)
-	c.Assert(granted.Heads, qt.HasLen, 1)
-	c.Assert(granted.Heads[0].ID, qt.Equals, "m1")
-	c.Assert(granted.Heads[0].Age > 100*time.Millisecond, qt.IsTrue)
-	call[protocol.ReleaseReply](t, second, protocol.Release{Queues: []string{"rated/x"}, Epoch: 5})
-	c.Assert(acquire(client(t, s, "edge-3"), 6, false).Granted, qt.IsTrue)
+	inRig(t, []string{"1"}, func(c *qt.C, g *storesRig) {
+		edge := func(node string) *transport.Client {
+			client := transport.NewClientOn(g.network.Process("10.1.0.2"), dispatcher(node), rigAddress("1"))
+			g.clients[node] = client
+			return client
+		}
+		first, second := edge("edge-2"), edge("edge-3")
+		acquire := func(who *transport.Client, epoch uint64, held bool) protocol.Grant {
+			return callOn[protocol.AcquireReply](c, who, protocol.Acquire{Queues: []string{"rated/x"}, Epoch: epoch, Held: held}).Grants[0]
+		}
+		status := func(who *transport.Client, id string, epoch uint64) protocol.AppendStatus {
+			return callOn[protocol.AppendReply](c, who, protocol.Append{Message: message(id, "rated/x", epoch)}).Status
+		}
+		g.stores["1"].grantor = lease.NewGrantor(time.Now(), 1, nil) // as after a start without all promises
+
+		renewed := callOn[protocol.RenewReply](c, first, protocol.Renew{Ready: true})
+		callOn[protocol.RenewReply](c, second, protocol.Renew{Ready: true})
+		c.Assert(acquire(first, 4, false).Granted, qt.IsFalse, qt.Commentf("right after the start"))
+		c.Assert(acquire(first, 4, true).Granted, qt.IsTrue, qt.Commentf("it still holds the queue"))
+		c.Assert(status(first, "m1", 4), qt.Equals, protocol.Stored)
+		c.Assert(status(second, "m2", 3), qt.Equals, protocol.Fenced)
+		c.Assert(acquire(second, 5, false), qt.DeepEquals, protocol.Grant{Queue: "rated/x", Promised: 4})
+
+		table := callOn[protocol.RenewReply](c, second, protocol.Renew{KnownVersion: renewed.Version})
+		c.Assert(table.Changed, qt.IsTrue)
+		c.Assert(table.Queues, qt.DeepEquals, []protocol.QueueState{{Queue: "rated/x", Epoch: 4, Holder: "edge-2", Open: 1}})
+		c.Assert(callOn[protocol.RenewReply](c, second, protocol.Renew{KnownVersion: table.Version}).Changed, qt.IsFalse)
+
+		closedAt := time.Now()
+		first.Close()
+		granted := acquire(second, 5, false)
+		for ; !granted.Granted; granted = acquire(second, 5, false) {
+			c.Assert(time.Since(closedAt) <= lease.LeaseDuration, qt.IsTrue, qt.Commentf("it grants again so long after its start"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		c.Assert(time.Since(closedAt) >= lease.ClosedSessionGrace, qt.IsTrue)
+		c.Assert(granted.Heads, qt.HasLen, 1)
+		c.Assert(granted.Heads[0].ID, qt.Equals, "m1")
+		c.Assert(granted.Heads[0].Age > 100*time.Millisecond, qt.IsTrue)
+		callOn[protocol.ReleaseReply](c, second, protocol.Release{Queues: []string{"rated/x"}, Epoch: 5})
+		time.Sleep(lease.LeaseDuration)
+		c.Assert(acquire(edge("edge-4"), 6, false).Granted, qt.IsTrue)
+	})
 }
 
 // Ends that come first, twice or in another order lead to the same state, and
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The project's tests: formatting, vet, build, unit tests. Needs only Go.
+# The project's tests: formatting, modules, vet, build, unit tests. Needs Go and a C compiler.
 set -eu
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -7,6 +7,7 @@
 	echo "gofmt needed: $unformatted" >&2
 	exit 1
 fi
+go mod tidy -diff
 go vet ./...
 go build ./...
 exec sh .ci/tests.sh
