--- a/internal/service/control/reconcile_test.go
+++ b/internal/service/control/reconcile_test.go
@@ -116,3 +116,23 @@
 		c.Assert(value.Stores, qt.HasLen, 3)
 	})
 }
+
+// The member that noted a loss ends: the next one gives the store up and removes it.
+func TestNewDirectorRemovesALostStore(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		g := newRig(c, n, core, "a", "b", "c", "d")
+		g.state("a").Alive = false
+		g.tick(1)
+		n.stop(1)
+		g.reconciled(true)
+		for range 40 {
+			g.upkeeps[2].tick(context.Background())
+			time.Sleep(storesEvery)
+		}
+		value := core[2].known().Value
+		c.Assert(value.Stores, qt.HasLen, 3)
+		c.Assert(value.Missing, qt.HasLen, 0)
+		_, known := value.Store("a")
+		c.Assert(known, qt.IsFalse)
+	})
+}
--- a/internal/service/dispatcher/disks_test.go
+++ b/internal/service/dispatcher/disks_test.go
@@ -158,3 +158,24 @@
 	c.Assert(d.stores["b"].ends["m"].Stamp, qt.Equals, "seal", qt.Commentf("it is told when it is back"))
 	c.Assert(d.stores["c"].ends["m"].Stamp, qt.Equals, "seal")
 }
+
+// A store that lists a message as open which has ended, a leaving one as well, is told
+// of the end; so is one that tells an older owner's word of it.
+func TestStoreThatWasAwayLearnsOfEnds(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c", "d")
+	owned := d.own("ordered/1")
+	head := protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued}
+	entry := owned.Add(0, head, nil, []string{"b", "c"})
+	d.noteLeaving(d.stores["a"], true)
+	owned.End(0, entry, protocol.Completed, "seal")
+	d.takeLateHead(owned, d.stores["a"], head)
+	c.Assert(d.stores["a"].ends["m"].Stamp, qt.Equals, "seal")
+	c.Assert(d.stores["a"].ends["m"].Epoch, qt.Equals, owned.Epoch)
+	c.Assert(entry.EndKept, qt.HasLen, 0)
+	older := head
+	older.State, older.Stamp = protocol.Completed, "other"
+	d.takeLateHead(owned, d.stores["d"], older)
+	c.Assert(d.stores["d"].ends["m"].Stamp, qt.Equals, "seal")
+	c.Assert(entry.Head.Stamp, qt.Equals, "seal")
+}
