Log who vouches for a store, and why leases and reconciliations wait

Change: control names the monitors that hear a store which it enters, what it gives up and why a reconciliation waits; dispatchers tell when too few stores count for leases, and which stores a queue lacks.

--- a/internal/service/control/control.go
+++ b/internal/service/control/control.go
@@ -77,7 +77,7 @@
 	started := time.Now()
 	status.Serve(server, started, func(report *status.Report) { fillStatus(report, replica, hub, coordination) })
 	retirement := &retirement{replica: replica, stores: coordination.Stores, tolerated: s.FaultTolerance.Machines}
-	upkeep := newUpkeep(replica, retirement, coordination.Stores, s.FaultTolerance.Machines)
+	upkeep := newUpkeep(replica, retirement, coordination.Stores, coordination.HeardBy, s.FaultTolerance.Machines)
 	api := newAPIServer(replica, retirement, log)
 
 	var group sync.WaitGroup
--- a/internal/service/control/reconcile.go
+++ b/internal/service/control/reconcile.go
@@ -21,8 +21,9 @@
 	replica    *replica
 	retirement *retirement
 	stores     func() []view.NodeState
-	tolerated  int            // machines that may be lost at once
-	turns      map[string]int // which store copies what a store has that goes, by its node
+	tolerated  int               // machines that may be lost at once
+	turns      map[string]int    // which store copies what a store has that goes, by its node
+	causes     map[string]string // why a store cannot end its reconciliation, as logged last
 }
 
 // pending reports whether a value has stores that are to be seen to.
@@ -33,7 +34,7 @@
 // advance goes on with all that a value has to be done.
 func (r *reconciliation) advance(ctx context.Context, value *register.Value) {
 	if !r.pending(value) {
-		r.turns = nil
+		r.turns, r.causes = nil, nil
 		return
 	}
 	live := answeringStores(r.stores())
@@ -100,11 +101,16 @@
 	r.turns[node]++
 }
 
-// noteCause logs why a store cannot end its reconciliation.
+// noteCause logs why a store cannot end its reconciliation, once for each cause.
 func (r *reconciliation) noteCause(node string, reply protocol.ReconcileReply) {
-	if reply.Cause != "" {
-		r.replica.log.V(1).Info("reconciliation waits", "node", node, "cause", reply.Cause)
+	if reply.Cause == "" || reply.Cause == r.causes[node] {
+		return
+	}
+	if r.causes == nil {
+		r.causes = map[string]string{}
 	}
+	r.causes[node] = reply.Cause
+	r.replica.log.Info("reconciliation waits", "node", node, "cause", reply.Cause)
 }
 
 // ask gives an order to a store, or asks how far it is.
--- a/internal/service/control/replica_test.go
+++ b/internal/service/control/replica_test.go
@@ -157,7 +157,7 @@
 
 // testUpkeep returns the upkeep of a member that sees no store live.
 func testUpkeep(r *replica) *upkeep {
-	return newUpkeep(r, newRetirement(r), func() []view.NodeState { return nil }, 1)
+	return newUpkeep(r, newRetirement(r), func() []view.NodeState { return nil }, heardByNobody, 1)
 }
 
 func TestOrdersAreTakenAndRefused(t *testing.T) {
@@ -481,3 +481,6 @@
 		c.Assert(decided.Value.Revision, qt.Equals, int64(3))
 	})
 }
+
+// heardByNobody stands in for the monitors' words, which only logs show.
+func heardByNobody(string) []string { return nil }
--- a/internal/service/control/retire_test.go
+++ b/internal/service/control/retire_test.go
@@ -90,7 +90,7 @@
 		retirement := newRetirement(r)
 		retirement.stores = func() []view.NodeState { return g.states }
 		g.retirements = append(g.retirements, retirement)
-		g.upkeeps = append(g.upkeeps, newUpkeep(r, retirement, retirement.stores, 1))
+		g.upkeeps = append(g.upkeeps, newUpkeep(r, retirement, retirement.stores, heardByNobody, 1))
 	}
 	c.Assert(core[1].order(c.Context(), register.SetStores(members)).Outcome, qt.Equals, register.Taken)
 	return g
--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -31,16 +31,19 @@
 	replica        *replica
 	reconciliation *reconciliation
 	stores         func() []view.NodeState
-	tolerated      int // machines that may be lost at once
+	heardBy        func(node string) []string // the monitors that say of a store that it lives
+	tolerated      int                        // machines that may be lost at once
 	unsettled      int
 	ticked         time.Time
 	gone           map[string]time.Time // known stores that do not live, since when
 }
 
 // newUpkeep returns the upkeep of a member.
-func newUpkeep(replica *replica, retirement *retirement, stores func() []view.NodeState, tolerated int) *upkeep {
+func newUpkeep(
+	replica *replica, retirement *retirement, stores func() []view.NodeState, heardBy func(string) []string, tolerated int,
+) *upkeep {
 	return &upkeep{
-		replica: replica, stores: stores, tolerated: tolerated,
+		replica: replica, stores: stores, heardBy: heardBy, tolerated: tolerated,
 		reconciliation: &reconciliation{replica: replica, retirement: retirement, stores: stores, tolerated: tolerated},
 	}
 }
@@ -181,14 +184,26 @@
 	}
 	live := liveStores(u.stores())
 	if stores := slices.Collect(maps.Values(live)); anyUnknown(value, stores) {
+		u.logUnknown(value, stores)
 		changes = append(changes, register.SetStores(stores))
 	}
-	if missing := register.SetMissing(u.missingStores(value, answeringStores(u.stores()), now)); changesAnything(missing, value) {
-		changes = append(changes, missing)
+	missing := u.missingStores(value, answeringStores(u.stores()), now)
+	if change := register.SetMissing(missing); changesAnything(change, value) {
+		u.replica.log.Info("stores are given up", "stores", missing, "before", value.Missing)
+		changes = append(changes, change)
 	}
 	return changes
 }
 
+// logUnknown logs the stores that are to become known, and who says that they live.
+func (u *upkeep) logUnknown(value *register.Value, stores []register.StoreMember) {
+	for _, store := range stores {
+		if anyUnknown(value, []register.StoreMember{store}) {
+			u.replica.log.Info("store becomes known", "node", store.Node, "disk", store.StoreID, "heardBy", u.heardBy(store.Node))
+		}
+	}
+}
+
 // anyUnnamed reports whether a member lacks a name that is known.
 func anyUnnamed(value *register.Value, names map[string]register.Member) bool {
 	return slices.ContainsFunc(value.Members, func(m register.Member) bool {
--- a/internal/service/coordination/coordination.go
+++ b/internal/service/coordination/coordination.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -106,6 +107,20 @@
 	return stores
 }
 
+// HeardBy returns the monitors that say of a store that it lives.
+func (c *Coordination) HeardBy(node string) []string {
+	var monitors []string
+	for _, update := range c.hub.All(view.TopicMembers) {
+		observation, _ := update.Payload.(view.Members)
+		if slices.ContainsFunc(observation.Nodes, func(state view.NodeState) bool {
+			return state.Identity.Node == node && state.Identity.Role == storeRole && state.Alive
+		}) {
+			monitors = append(monitors, observation.Monitor)
+		}
+	}
+	return monitors
+}
+
 // Reads reports whether this member reads the platform's list at present.
 func (c *Coordination) Reads() bool { return c.hub.Owned(view.TopicSenders, c.publisher) }
 
--- a/internal/service/coordination/coordination_test.go
+++ b/internal/service/coordination/coordination_test.go
@@ -70,6 +70,8 @@
 	c.Assert(stores, qt.HasLen, 2)
 	c.Assert(stores[0].StoreID, qt.Equals, "disk-1")
 	c.Assert(member.Members(), qt.HasLen, 3)
+	c.Assert(member.HeardBy("storage-2"), qt.DeepEquals, []string{"core-2"})
+	c.Assert(member.HeardBy("storage-3"), qt.HasLen, 0)
 }
 
 func TestASuspicionOfAnotherMonitorIsPassedOn(t *testing.T) {
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -74,6 +74,7 @@
 	bodyBytes   int
 	memoryMb    int           // limit of this process
 	nextWake    time.Duration // when the timer fires; 0: at its usual pace
+	leaseWatch  leaseWatch
 }
 
 // Run runs the role until the context ends, then hands over what it holds.
@@ -269,6 +270,7 @@
 			d.forgetStore(link)
 		}
 	}
+	d.watchLeases()
 }
 
 func (d *Dispatcher) addStore(node view.Node) *storeLink {
@@ -281,6 +283,7 @@
 		holders: map[string]protocol.QueueState{}, stop: cancel,
 	}
 	d.stores[node.Name] = link
+	d.log.Info("store listed", "store", node.Name, "disk", node.StoreID)
 	link.client.OnClose(func() { d.connectionLost(link) })
 	go d.runStore(ctx, link)
 	return link
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -119,6 +119,7 @@
 		d.leases.Lost(link.node)
 		d.log.Info("store lost", "store", link.node)
 	}
+	d.watchLeases()
 	if !link.absent && link.storeID != "" && d.now()-link.heard > absentAfter {
 		link.absent = true
 		d.copiesAway(link)
@@ -140,6 +141,7 @@
 		d.revokeUnlisted(link, sent)
 	}
 	d.claimMissing(link)
+	d.watchLeases()
 	d.considerQueues()
 	if len(link.ends)+len(link.failures) > 0 {
 		signal(link.flush)
