--- a/internal/service/coordination/coordination_test.go
+++ b/internal/service/coordination/coordination_test.go
@@ -95,3 +95,18 @@
 	member.observePeer(protocol.Identity{Node: "core-2", Role: "control"})
 	c.Assert(member.monitor.View().Nodes, qt.HasLen, 1)
 }
+
+// A machine was lost and is no member any more. Who noted its death has restarted since:
+// the last word of its monitor is then all that anybody has of it.
+func TestAMonitorThatIsNoMemberVouchesForNothing(t *testing.T) {
+	c := qt.New(t)
+	member, hub := testMember()
+	lost := protocol.Identity{Node: "core-9", Role: "store", Address: "10.0.0.9:7003", Incarnation: 1}
+	hub.Advance(view.MembersTopic("core-9"), "core-9@1", view.Members{
+		Monitor: "core-9", Nodes: []view.NodeState{{Identity: lost, Alive: true}},
+	})
+	member.merge()
+	for _, store := range member.Stores() {
+		c.Check(store.Alive, qt.IsFalse, qt.Commentf("%s", store.Identity.Node))
+	}
+}
--- a/internal/service/membership/merge_test.go
+++ b/internal/service/membership/merge_test.go
@@ -122,3 +122,20 @@
 	c.Assert(alive["machine-1/store"], qt.IsFalse)
 	c.Assert(alive["machine-2/store"], qt.IsTrue)
 }
+
+// Two machines, each with a store and a monitor, are lost one after the other. The
+// first monitor had last heard the second one alive; that is no proof of its life.
+func TestTheWordOfALostMonitorIsNoProofOfALaterOne(t *testing.T) {
+	c := qt.New(t)
+	observations := []view.Members{
+		said("lost-1", stateOf("lost-2", ControlRole, 1, true), stateOf("core-1", ControlRole, 1, true)),
+		said("lost-2", stateOf("lost-2", "store", 1, true), stateOf("lost-1", ControlRole, 1, false)),
+		said("core-1", stateOf("lost-1", ControlRole, 1, false), stateOf("lost-2", ControlRole, 1, false),
+			stateOf("lost-2", "store", 1, false), stateOf("core-2", ControlRole, 1, true)),
+		said("core-2", stateOf("lost-2", ControlRole, 1, false), stateOf("core-1", ControlRole, 1, true)),
+	}
+	for _, state := range Merge(observations) {
+		c.Check(state.Alive, qt.Equals, state.Identity.Node == "core-1" || state.Identity.Node == "core-2",
+			qt.Commentf("%s/%s", state.Identity.Node, state.Identity.Role))
+	}
+}
--- a/internal/simulation/check.go
+++ b/internal/simulation/check.go
@@ -47,6 +47,7 @@
 	c.checkRegress()
 	c.checkReads()
 	c.checkHistories()
+	c.checkRecovery(startTime + w.options.load())
 	if len(report.Breaks) > breaksMost {
 		report.Breaks = append(report.Breaks[:breaksMost], fmt.Sprintf("and %d more", len(report.Breaks)-breaksMost))
 	}
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -28,11 +28,11 @@
 	{name: "freezeStore", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeStore", choose(r, w.liveStores()).machine, r) }},
 	{name: "stallStore", loss: true, play: func(w *world, r *rand.Rand) { w.stall(choose(r, w.liveStores()), r) }},
 	{name: "cutStore", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutStore", choose(r, w.liveStores()).machine, r, false) }},
-	{name: "killControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killControl", choose(r, w.controls), r, false, false) }},
-	{name: "powerControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerControl", choose(r, w.controls), r, true, false) }},
-	{name: "wipeControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeControl", choose(r, w.controls), r, true, true) }},
-	{name: "freezeControl", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeControl", choose(r, w.controls).machine, r) }},
-	{name: "cutControl", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutControl", choose(r, w.controls).machine, r, false) }},
+	{name: "killControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("killControl", choose(r, w.liveControls()), r, false, false) }},
+	{name: "powerControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("powerControl", choose(r, w.liveControls()), r, true, false) }},
+	{name: "wipeControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeControl", choose(r, w.liveControls()), r, true, true) }},
+	{name: "freezeControl", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeControl", choose(r, w.liveControls()).machine, r) }},
+	{name: "cutControl", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutControl", choose(r, w.liveControls()).machine, r, false) }},
 	{name: "killDispatcher", play: func(w *world, r *rand.Rand) {
 		w.restart("killDispatcher", choose(r, w.dispatchers), r, false, false)
 	}},
@@ -83,11 +83,15 @@
 }
 
 // loaded reports whether there is time for another fault.
-func (w *world) loaded() bool { return w.journal.now() < startTime+loadTime-time.Second }
+func (w *world) loaded() bool { return w.journal.now() < startTime+w.options.load()-time.Second }
 
 func (w *world) chosenFaults(loss bool) []fault {
 	var chosen []fault
-	for _, f := range faults {
+	all := faults
+	if w.options.OnStorage && loss {
+		all = machineFaults
+	}
+	for _, f := range all {
 		if f.loss == loss && (len(w.options.Kinds) == 0 || slices.Contains(w.options.Kinds, f.name)) {
 			chosen = append(chosen, f)
 		}
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -152,7 +152,7 @@
 }
 
 func (o *operator) url(path string, random *rand.Rand) string {
-	return fmt.Sprintf("http://%s:%d%s", coreMachine(random.IntN(machinesEach)), controlPort, path)
+	return fmt.Sprintf("http://%s%s", choose(random, o.world.liveControls()).settings.Listen.Control, path)
 }
 
 func (o *operator) call(request *http.Request) (int, string) {
--- a/internal/simulation/overlap.go
+++ b/internal/simulation/overlap.go
@@ -26,7 +26,7 @@
 // lost than one at a time.
 var overlaps = []fault{
 	{name: "behindStores", loss: true, play: func(w *world, r *rand.Rand) { w.behind("behindStores", w.liveStores(), r) }},
-	{name: "behindControls", loss: true, play: func(w *world, r *rand.Rand) { w.behind("behindControls", w.controls, r) }},
+	{name: "behindControls", loss: true, play: func(w *world, r *rand.Rand) { w.behind("behindControls", w.liveControls(), r) }},
 	{name: "halves", loss: true, play: func(w *world, r *rand.Rand) { w.halves(r) }},
 	{name: "powerAll", loss: true, play: func(w *world, r *rand.Rand) { w.powerAll(r, false) }},
 	{name: "powerAllWipe", loss: true, play: func(w *world, r *rand.Rand) { w.powerAll(r, true) }},
@@ -34,7 +34,7 @@
 	{name: "replaceStore", loss: true, play: func(w *world, r *rand.Rand) { w.replaceStore(r, false) }},
 	{name: "replacePlanned", loss: true, play: func(w *world, r *rand.Rand) { w.replaceStore(r, true) }},
 	{name: "retireStore", loss: true, play: func(w *world, r *rand.Rand) { w.retireStore(r) }},
-	{name: "stallControl", loss: true, play: func(w *world, r *rand.Rand) { w.stall(choose(r, w.controls), r) }},
+	{name: "stallControl", loss: true, play: func(w *world, r *rand.Rand) { w.stall(choose(r, w.liveControls()), r) }},
 	{name: "garble", play: func(w *world, r *rand.Rand) { w.garble(r) }},
 	{name: "storm", play: func(w *world, r *rand.Rand) { w.storm(r) }},
 }
@@ -99,7 +99,7 @@
 
 // halves cuts the machines that count into two halves, which all others reach.
 func (w *world) halves(random *rand.Rand) {
-	all := slices.Concat(w.liveStores(), w.controls)
+	all := slices.Concat(w.liveStores(), w.liveControls())
 	side := make([]bool, len(all))
 	for i := range side {
 		side[i] = random.IntN(2) == 0
@@ -132,7 +132,7 @@
 	if wipe {
 		kind = "powerAllWipe"
 		wiped[choose(random, w.liveStores())] = true
-		wiped[choose(random, w.controls)] = true
+		wiped[choose(random, w.liveControls())] = true
 	}
 	t := w.journal.begin(kind, storageMachine(0))
 	defer w.journal.end(t)
@@ -284,10 +284,13 @@
 	w.garbling.Store(false)
 }
 
+// storageNode names the storage machine with a number.
+func storageNode(number int) string { return fmt.Sprintf("storage-%d", number+1) }
+
 // storeProcess makes a store with a number.
 func (w *world) storeProcess(number int) *process {
 	s := w.settings("storage", storageMachine(number), number%machinesEach)
-	s.Node = fmt.Sprintf("storage-%d", number+1)
+	s.Node = storageNode(number)
 	s.DataDir = "/data"
 	return w.process(s, "store", storeRun, newDisk(syncTime))
 }
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -14,8 +15,13 @@
 	Quiet bool     // no faults; the operator changes the configuration all the same
 	Kinds []string // of faults; empty: all
 	Log   logr.Logger
+
+	Load      time.Duration // how long clients send; 0: loadTime
+	OnStorage bool          // control members run on the machines of the stores, and are lost with them
 }
 
+func (o *Options) load() time.Duration { return cmp.Or(o.Load, loadTime) }
+
 // Report is what a run has shown.
 type Report struct {
 	Seed     uint64
@@ -47,7 +53,7 @@
 	}
 	w.parties.Go(func() { w.clients.watchStates(ctx, w.stream(13)) })
 	w.parties.Go(func() { w.operator.watchReads(ctx, w.stream(14)) })
-	w.clients.run(loadTime, load)
+	w.clients.run(options.load(), load)
 	w.losses.Wait()
 	time.Sleep(finishTime)
 	w.clients.askAll(load)
@@ -66,7 +72,7 @@
 
 // changeConfigurations sends changes while the load lasts.
 func (w *world) changeConfigurations(random *rand.Rand) {
-	for w.journal.now() < startTime+loadTime-time.Second {
+	for w.journal.now() < startTime+w.options.load()-time.Second {
 		time.Sleep(time.Second + time.Duration(random.IntN(1500))*time.Millisecond)
 		if random.IntN(3) == 0 {
 			w.operator.race(random)
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -14,11 +14,15 @@
 
 var (
 	seeds     = flag.Int("seeds", 3, "number of seeds to play")
+	longSeeds = flag.Int("long", 2, "number of seeds to play of long days")
 	firstSeed = flag.Uint64("seed", 1, "first seed")
 	kinds     = flag.String("kinds", "", "kinds of faults, separated by commas; empty: all")
 	verbose   = flag.Bool("roles", false, "print the logs of the roles")
 )
 
+// longLoad is how long clients send on a long day.
+const longLoad = 45 * time.Second
+
 // play plays one run and prints what it has shown.
 func play(t *testing.T, options Options) Report {
 	var report Report
@@ -51,12 +55,38 @@
 }
 
 func TestDaysWithFaults(t *testing.T) {
-	var chosen []string
-	if *kinds != "" {
-		chosen = strings.Split(*kinds, ",")
-	}
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, Options{Seed: seed, Kinds: chosen}) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, Options{Seed: seed, Kinds: chosenKinds()}) })
+	}
+}
+
+// chosenKinds returns the kinds of faults that were asked for; nil: all.
+func chosenKinds() []string {
+	if *kinds == "" {
+		return nil
+	}
+	return strings.Split(*kinds, ",")
+}
+
+// Storage machines are lost for good and replaced at other addresses, each with its
+// control member, and others are killed between.
+func TestMachinesReplacedInTurn(t *testing.T) {
+	for i := range *longSeeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, Options{Seed: seed, Kinds: []string{"replaceMachine", "killMachine"}, Load: longLoad, OnStorage: true})
+		})
+	}
+}
+
+// A long day of machines that are lost as a whole, the control member with the store:
+// replaced at other addresses, restarted, all at once.
+func TestLongDaysOfWholeMachines(t *testing.T) {
+	for i := range *longSeeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, Options{Seed: seed, Kinds: chosenKinds(), Load: longLoad, OnStorage: true})
+		})
 	}
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -15,7 +15,6 @@
 	"github.com/go-logr/logr"
 
 	"yardwharf/internal/service/agent"
-	"yardwharf/internal/service/control"
 	"yardwharf/internal/service/dispatcher"
 	"yardwharf/internal/service/settings"
 	"yardwharf/internal/service/store"
@@ -59,13 +58,14 @@
 	operator *operator
 	receiver *receiver
 
-	dispatchers, agents, controls []*process
-	parties                       sync.WaitGroup
-	losses                        sync.WaitGroup // troubles of machines that count
-	garbling                      atomic.Bool    // senders spoil answers
+	dispatchers, agents []*process
+	parties             sync.WaitGroup
+	losses              sync.WaitGroup // troubles of machines that count
+	garbling            atomic.Bool    // senders spoil answers
 
 	storesMutex sync.Mutex
 	stores      []*process // that are not gone for good
+	controls    []*process // that are not gone for good
 	gone        []*process
 	storesAdded int
 }
@@ -107,13 +107,10 @@
 	edge.Listen = settings.Listen{
 		Front: fmt.Sprintf("%s:%d", edge.IP, frontPort), Readiness: fmt.Sprintf("%s:%d", edge.IP, readinessPort),
 	}
-	core := w.settings("core", coreMachine(i), i)
-	core.Listen.Control = fmt.Sprintf("%s:%d", core.IP, controlPort)
-	core.DataDir = "/data"
 	w.dispatchers = append(w.dispatchers, w.process(edge, dispatcher.Role, dispatcher.Run, nil))
 	w.agents = append(w.agents, w.process(edge, agent.Role, agent.Run, nil))
 	w.stores = append(w.stores, w.storeProcess(i))
-	w.controls = append(w.controls, w.process(core, "control", control.Run, newDisk(syncTime)))
+	w.controls = append(w.controls, w.controlProcess(i))
 }
 
 func (w *world) process(s settings.Settings, role string, run runFunc, d *disk) *process {
@@ -131,13 +128,13 @@
 	}
 	for z := range machinesEach {
 		s.Zones[zoneName(z)] = "region"
-		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", coreMachine(z), controlPort))
+		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", w.controlMachine(z), controlPort))
 	}
 	return s
 }
 
 func (w *world) processes() []*process {
-	all := append([]*process{}, w.controls...)
+	all := w.liveControls()
 	all = append(all, w.liveStores()...)
 	all = append(all, w.agents...)
 	return append(all, w.dispatchers...)
