Count a monitor's word only while it is a member that answers

Cause: what a monitor has said last stays in every hub. A later lost machine was held alive by the word of one lost before, and a removed store came back by the word of its own lost monitor once those that had noted its death restarted; N then counted machines that were gone, and leases, reconciliation and recovery wait for N - f. Change: a control member counts the words of members that have answered it in the last 2 s; who is dead is found without the words of the dead; a process whose monitors do not reply sends to all members. The address of the monitor goes with its word (a test that named none names one now).

--- a/internal/service/agent/feed.go
+++ b/internal/service/agent/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -108,13 +109,22 @@
 	return changed
 }
 
-// mergedMembers returns the merged view of all monitors' topics in a hub.
+// mergedMembers returns the merged view of all monitors' topics in a hub, without those
+// of monitors that are members no more.
 func mergedMembers(hub *distribution.Hub) []view.NodeState {
+	known, _, _ := distribution.Payload[view.Configuration](hub, view.TopicConfiguration)
 	var observations []view.Members
 	for _, update := range hub.All(view.TopicMembers) {
-		if observation, ok := update.Payload.(view.Members); ok {
+		if observation, ok := update.Payload.(view.Members); ok && monitors(known.Members, observation) {
 			observations = append(observations, observation)
 		}
 	}
 	return membership.Merge(observations)
 }
+
+// monitors reports whether an observation is that of one of the members, as far as
+// these are known.
+func monitors(members []view.Node, observation view.Members) bool {
+	return len(members) == 0 || observation.Address == "" ||
+		slices.ContainsFunc(members, func(member view.Node) bool { return member.Address == observation.Address })
+}
--- a/internal/service/coordination/coordination.go
+++ b/internal/service/coordination/coordination.go
@@ -26,6 +26,7 @@
 	peerWait     = 400 * time.Millisecond // long poll between control members: their heartbeat
 	peerSilence  = 600 * time.Millisecond // beyond the wait
 	peerAlive    = 1200 * time.Millisecond
+	trustTime    = 2 * time.Second        // a monitor's word counts so long after it has answered last
 	mergeEvery   = 250 * time.Millisecond // at most
 	publishEvery = 100 * time.Millisecond // at most
 	readerKey    = "senders"              // orders the members for the reader's role
@@ -40,12 +41,14 @@
 	hub       *distribution.Hub
 	members   func() []string
 	peers     *distribution.Puller
+	contact   func(member string) time.Time // when a member has answered last
 	log       logr.Logger
 
 	mutex    sync.Mutex
 	monitor  *membership.Monitor
 	election election
 	merged   []view.NodeState
+	trusted  []string      // monitors whose words the merged states come from
 	changed  chan struct{} // capacity 1: the monitor's view is to be published
 }
 
@@ -80,12 +83,13 @@
 		identity: identity, publisher: identity.Node + "@" + strconv.FormatUint(identity.Incarnation, 10),
 		hub: hub, members: members, log: log,
 		changed:  make(chan struct{}, 1),
-		monitor:  membership.NewMonitor(identity.Node, membership.Period(s)),
+		monitor:  membership.NewMonitor(identity.Node, identity.Address, membership.Period(s)),
 		election: election{self: identity.Address, started: time.Now()},
 	}
 	c.peers = distribution.NewPuller(hub, distribution.PullerOptions{
 		Network: s.Net(), Identity: identity, Sources: c.otherMembers, Wait: peerWait, Silence: peerSilence,
 	}, log)
+	c.contact = c.peers.Contact
 	return c
 }
 
@@ -110,8 +114,7 @@
 // HeardBy returns the monitors that say of a store that it lives.
 func (c *Coordination) HeardBy(node string) []string {
 	var monitors []string
-	for _, update := range c.hub.All(view.TopicMembers) {
-		observation, _ := update.Payload.(view.Members)
+	for _, observation := range c.observations() {
 		if slices.ContainsFunc(observation.Nodes, func(state view.NodeState) bool {
 			return state.Identity.Node == node && state.Identity.Role == storeRole && state.Alive
 		}) {
@@ -126,7 +129,7 @@
 
 // Alive reports whether another control member has answered of late.
 func (c *Coordination) Alive(member string) bool {
-	return time.Since(c.peers.Contact(member)) < peerAlive
+	return time.Since(c.contact(member)) < peerAlive
 }
 
 func (c *Coordination) otherMembers() []string {
@@ -192,9 +195,12 @@
 			return
 		case now := <-ticker.C:
 			c.mutex.Lock()
-			changed := c.monitor.Tick(now)
+			changed, before := c.monitor.Tick(now), c.trusted
 			c.mutex.Unlock()
 			c.note(changed)
+			if !slices.Equal(before, c.trustedMonitors()) {
+				c.merge()
+			}
 		}
 	}
 }
@@ -243,14 +249,46 @@
 	}
 }
 
-func (c *Coordination) merge() {
-	var all, others []view.Members
+// observations returns the words of the monitors that count. What a monitor has said
+// stays in the hubs when it is gone, and nobody may remember that it is. So its word
+// counts only while it is a member, and this one is in touch with it.
+func (c *Coordination) observations() []view.Members {
+	members := c.members()
+	var counting []view.Members
 	for _, update := range c.hub.All(view.TopicMembers) {
 		observation, ok := update.Payload.(view.Members)
-		if !ok {
-			continue
+		if ok && c.trusts(observation, members) {
+			counting = append(counting, observation)
 		}
-		all = append(all, observation)
+	}
+	return counting
+}
+
+func (c *Coordination) trusts(observation view.Members, members []string) bool {
+	switch {
+	case observation.Monitor == c.identity.Node, observation.Address == "":
+		return true
+	default:
+		return slices.Contains(members, observation.Address) && time.Since(c.contact(observation.Address)) < trustTime
+	}
+}
+
+// trustedMonitors names the monitors whose words count now.
+func (c *Coordination) trustedMonitors() []string {
+	var names []string
+	for _, observation := range c.observations() {
+		names = append(names, observation.Monitor)
+	}
+	return names
+}
+
+// merge folds the words of the monitors that count.
+func (c *Coordination) merge() {
+	all := c.observations()
+	var trusted []string
+	var others []view.Members
+	for _, observation := range all {
+		trusted = append(trusted, observation.Monitor)
 		if observation.Monitor != c.identity.Node {
 			others = append(others, observation)
 		}
@@ -258,6 +296,6 @@
 	merged, contradictions := membership.Merge(all), membership.Merge(others)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.merged = merged
+	c.merged, c.trusted = merged, trusted
 	c.monitor.SetOthers(contradictions)
 }
--- a/internal/service/coordination/coordination_test.go
+++ b/internal/service/coordination/coordination_test.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -103,10 +105,55 @@
 	member, hub := testMember()
 	lost := protocol.Identity{Node: "core-9", Role: "store", Address: "10.0.0.9:7003", Incarnation: 1}
 	hub.Advance(view.MembersTopic("core-9"), "core-9@1", view.Members{
-		Monitor: "core-9", Nodes: []view.NodeState{{Identity: lost, Alive: true}},
+		Monitor: "core-9", Address: "10.0.0.9:7004", Nodes: []view.NodeState{{Identity: lost, Alive: true}},
 	})
 	member.merge()
 	for _, store := range member.Stores() {
 		c.Check(store.Alive, qt.IsFalse, qt.Commentf("%s", store.Identity.Node))
 	}
 }
+
+// The word of another member counts while that one answers, and not before it has:
+// after a restart nobody knows how old it is.
+func TestTheWordOfAMemberCountsWhileItAnswers(t *testing.T) {
+	c := qt.New(t)
+	member, hub := testMember()
+	store := protocol.Identity{Node: "storage-1", Role: "store", Incarnation: 1}
+	for _, monitor := range []view.Members{{Monitor: "core-2", Address: "10.0.0.2:7004"}, {Monitor: "core-8", Address: "10.0.0.8:7004"}} {
+		monitor.Nodes = []view.NodeState{{Identity: store, Alive: true}}
+		hub.Advance(view.MembersTopic(monitor.Monitor), monitor.Monitor, monitor)
+	}
+	contacts := map[string]time.Time{"10.0.0.8:7004": time.Now()}
+	member.contact = func(address string) time.Time { return contacts[address] }
+	heardBy := func() []string {
+		member.merge()
+		c.Assert(member.Stores(), qt.HasLen, len(member.HeardBy("storage-1")))
+		return member.HeardBy("storage-1")
+	}
+	c.Assert(heardBy(), qt.HasLen, 0, qt.Commentf("it has not answered yet, and the one that does is no member"))
+	contacts["10.0.0.2:7004"] = time.Now()
+	c.Assert(heardBy(), qt.DeepEquals, []string{"core-2"})
+	contacts["10.0.0.2:7004"] = time.Now().Add(-trustTime)
+	c.Assert(heardBy(), qt.HasLen, 0)
+}
+
+// That a monitor falls silent is noticed although nothing is published.
+func TestAMonitorThatFallsSilentIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		member, hub := testMember()
+		store := protocol.Identity{Node: "storage-1", Role: "store", Incarnation: 1}
+		hub.Advance(view.MembersTopic("core-2"), "core-2@1", view.Members{
+			Monitor: "core-2", Address: "10.0.0.2:7004", Nodes: []view.NodeState{{Identity: store, Alive: true}},
+		})
+		answered := time.Now()
+		member.contact = func(string) time.Time { return answered }
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go member.watch(ctx, 250*time.Millisecond)
+		time.Sleep(time.Second)
+		c.Assert(member.Stores(), qt.HasLen, 1)
+		time.Sleep(trustTime)
+		c.Assert(member.Stores(), qt.HasLen, 0)
+	})
+}
--- a/internal/service/membership/heartbeats.go
+++ b/internal/service/membership/heartbeats.go
@@ -19,6 +19,7 @@
 const (
 	defaultPeriod = time.Second
 	leaveTimeout  = 300 * time.Millisecond
+	askAllAfter   = 2   // rounds without any reply, after which all members get heartbeats
 	periodSpread  = 0.1 // heartbeats come up to this share of the period early
 )
 
@@ -38,10 +39,11 @@
 	log      logr.Logger
 	done     chan struct{}
 
-	mutex   sync.Mutex
-	beat    Heartbeat
-	members []string
-	clients map[string]*transport.Client
+	mutex      sync.Mutex
+	beat       Heartbeat
+	members    []string
+	clients    map[string]*transport.Client
+	unanswered int // rounds since the last reply
 }
 
 // StartHeartbeats sends heartbeats until the context ends, and then says that
@@ -94,7 +96,8 @@
 	defer h.mutex.Unlock()
 	beat := h.beat
 	beat.MembersDigest = Digest(h.members)
-	chosen := Monitors(view.Key(beat.Identity), h.members, h.monitors)
+	chosen := Monitors(view.Key(beat.Identity), h.members, h.monitorsNow())
+	h.unanswered++
 	for address, client := range h.clients {
 		if !slices.Contains(chosen, address) {
 			client.Close()
@@ -113,6 +116,16 @@
 	return &calls
 }
 
+// monitorsNow returns how many monitors get the next heartbeats: all, where those that
+// should watch the process do not reply. The members that it knows may be gone, and any
+// that is left tells the present ones. The mutex is held.
+func (h *Heartbeats) monitorsNow() int {
+	if h.unanswered >= askAllAfter {
+		return len(h.members)
+	}
+	return h.monitors
+}
+
 func (h *Heartbeats) send(ctx context.Context, client *transport.Client, beat Heartbeat, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -122,6 +135,7 @@
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.unanswered = 0
 	h.beat = h.beat.answered(reply)
 	if len(reply.Members) > 0 && Digest(reply.Members) != Digest(h.members) {
 		h.members = reply.Members
--- a/internal/service/membership/heartbeats_test.go
+++ b/internal/service/membership/heartbeats_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,31 @@
 	awaitBeat(c, toSuccessor, func(beat Heartbeat) bool { return beat.Leaving })
 	<-heartbeats.Done()
 }
+
+// The monitors that a process should have are both gone, as its settings are old. The
+// one member that is left tells it the present ones.
+func TestHeartbeatsOfAProcessWhoseMonitorsAreGone(t *testing.T) {
+	c := qt.New(t)
+	free, err := net.Listen("tcp4", "127.0.0.5:0")
+	c.Assert(err, qt.IsNil)
+	port := free.Addr().(*net.TCPAddr).Port
+	c.Assert(free.Close(), qt.IsNil)
+	s := &settings.Settings{
+		IP: "127.0.0.1", HeartbeatMs: 20, InternalPorts: []int{port - protocol.ControlPort, port},
+		Seeds: []string{"127.0.0.5:1", "127.0.0.6:1", "127.0.0.7:1"}, FaultTolerance: settings.FaultTolerance{Machines: 1},
+	}
+	identity := protocol.Identity{Node: "store-1", Role: "store", Incarnation: 5}
+	members := s.ControlMembers()
+	left := members[slices.IndexFunc(members, func(member string) bool {
+		return !slices.Contains(Monitors("store-1/store", members, 2), member)
+	})]
+	successor := protocol.InternalAddress("127.0.0.8", s.InternalPorts[0], protocol.ControlPort)
+	monitorServer(c, left, HeartbeatReply{Members: []string{successor}})
+	toSuccessor := monitorServer(c, successor, HeartbeatReply{})
+
+	ctx, cancel := context.WithCancel(context.Background())
+	heartbeats := StartHeartbeats(ctx, s, identity, Details{}, logr.Discard())
+	awaitBeat(c, toSuccessor, func(Heartbeat) bool { return true })
+	cancel()
+	<-heartbeats.Done()
+}
--- a/internal/service/membership/merge.go
+++ b/internal/service/membership/merge.go
@@ -65,23 +65,44 @@
 	return list(merged.State())
 }
 
-// deadMonitors returns the monitors that are dead by the word of the others.
+// deadMonitors returns the monitors that are dead by the word of the others. The
+// last word of one that is dead itself says nothing of the others: it may be older
+// than their deaths. So those that are known to be dead are left out, until no other
+// is found.
 func deadMonitors(observations []view.Members) map[string]bool {
+	dead := map[string]bool{}
+	for {
+		found := calledDead(observations, dead)
+		if len(found) == 0 {
+			return dead
+		}
+		for _, monitor := range found {
+			dead[monitor] = true
+		}
+	}
+}
+
+// calledDead returns the monitors that are dead by the word of the others, without
+// those that are left out.
+func calledDead(observations []view.Members, leftOut map[string]bool) []string {
 	fold := newFold()
 	for _, observation := range observations {
+		if leftOut[observation.Monitor] {
+			continue
+		}
 		for _, state := range observation.Nodes {
 			if state.Identity.Role == ControlRole && state.Identity.Node != observation.Monitor {
 				fold.Apply(state)
 			}
 		}
 	}
-	dead := map[string]bool{}
+	var found []string
 	for _, state := range list(fold.State()) {
-		if !state.Alive {
-			dead[state.Identity.Node] = true
+		if !state.Alive && !leftOut[state.Identity.Node] {
+			found = append(found, state.Identity.Node)
 		}
 	}
-	return dead
+	return found
 }
 
 func newFold() *journal.View[*states, view.NodeState] {
--- a/internal/service/membership/monitor.go
+++ b/internal/service/membership/monitor.go
@@ -21,6 +21,7 @@
 // pure: time is an argument. It is not safe for use by several goroutines.
 type Monitor struct {
 	name     string
+	address  string
 	period   time.Duration
 	nodes    map[string]*watched
 	others   map[string]view.NodeState
@@ -32,9 +33,10 @@
 	heard time.Time
 }
 
-// NewMonitor returns a monitor that expects a heartbeat in each period.
-func NewMonitor(name string, period time.Duration) *Monitor {
-	return &Monitor{name: name, period: period, nodes: map[string]*watched{}, others: map[string]view.NodeState{}}
+// NewMonitor returns a monitor that expects a heartbeat in each period. Its address is
+// that of its control member.
+func NewMonitor(name, address string, period time.Duration) *Monitor {
+	return &Monitor{name: name, address: address, period: period, nodes: map[string]*watched{}, others: map[string]view.NodeState{}}
 }
 
 // Beat takes a heartbeat. It reports whether the monitor's view has changed.
@@ -118,7 +120,7 @@
 
 // View returns the state of all that the monitor watches.
 func (m *Monitor) View() view.Members {
-	members := view.Members{Monitor: m.name, Nodes: make([]view.NodeState, 0, len(m.nodes))}
+	members := view.Members{Monitor: m.name, Address: m.address, Nodes: make([]view.NodeState, 0, len(m.nodes))}
 	for _, node := range m.nodes {
 		members.Nodes = append(members.Nodes, node.state)
 	}
--- a/internal/service/membership/monitor_test.go
+++ b/internal/service/membership/monitor_test.go
@@ -20,7 +20,7 @@
 }
 
 func newScenario(c *qt.C) *scenario {
-	return &scenario{c: c, now: time.Unix(1000, 0), monitor: NewMonitor("core-1", period)}
+	return &scenario{c: c, now: time.Unix(1000, 0), monitor: NewMonitor("core-1", "10.0.0.1:7004", period)}
 }
 
 func beatOf(incarnation, refutation uint64) Heartbeat {
--- a/internal/service/view/members.go
+++ b/internal/service/view/members.go
@@ -20,6 +20,7 @@
 // MembersDifference leads from one state of a monitor's topic to a later one.
 type MembersDifference struct {
 	Monitor string
+	Address string
 	Changed []NodeState
 	Removed []string // keys
 }
@@ -32,7 +33,7 @@
 		return nil, false
 	}
 	changed, removed := statesByKey.difference(base.Nodes, m.Nodes)
-	return MembersDifference{m.Monitor, changed, removed}, true
+	return MembersDifference{m.Monitor, m.Address, changed, removed}, true
 }
 
 // Apply returns the state that follows from an earlier one.
@@ -41,5 +42,6 @@
 	if !ok {
 		return nil, false
 	}
-	return Members{Monitor: d.Monitor, Nodes: statesByKey.apply(base.Nodes, d.Changed, d.Removed)}, true
+	nodes := statesByKey.apply(base.Nodes, d.Changed, d.Removed)
+	return Members{Monitor: d.Monitor, Address: d.Address, Nodes: nodes}, true
 }
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -77,6 +77,7 @@
 // Members holds the nodes that one monitor watches.
 type Members struct {
 	Monitor string
+	Address string // of the monitor, among the control members; empty: an earlier version wrote it
 	Nodes   []NodeState
 }
 
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -41,12 +41,14 @@
 	return w.process(s, "control", control.Run, newDisk(syncTime))
 }
 
-// addMachine starts one more storage machine, with an empty disk.
-func (w *world) addMachine() {
-	p := w.addStore()
+// addMachine starts one more storage machine, with an empty disk and some seeds.
+func (w *world) addMachine(seeds []string) {
+	p := w.newStore()
+	p.settings.Seeds = seeds
 	member := w.controlProcess(w.numberOf(p))
 	member.added, member.diskSince = true, p.diskSince
-	member.settings.Seeds = w.seeds()
+	member.settings.Seeds = seeds
+	p.start()
 	w.storesMutex.Lock()
 	w.controls = append(w.controls, member)
 	w.storesMutex.Unlock()
@@ -136,13 +138,14 @@
 	defer holdAll(processes)()
 	t := w.journal.begin("replaceMachine", old.machine)
 	defer w.journal.end(t)
+	seeds := w.seeds() // the list lags: it names the machine that is lost
 	w.takeAway(old)
 	for _, p := range processes {
 		w.takeControlAway(p)
 	}
 	w.endMachine(processes, random, true, true)
 	time.Sleep(replacementGap)
-	w.addMachine()
+	w.addMachine(seeds)
 }
 
 // takeControlAway ends a control member for good.
--- a/internal/simulation/overlap.go
+++ b/internal/simulation/overlap.go
@@ -162,7 +162,12 @@
 }
 
 // addStore starts one more store, with an empty disk.
-func (w *world) addStore() *process {
+func (w *world) addStore() {
+	w.newStore().start()
+}
+
+// newStore makes one more store, with an empty disk.
+func (w *world) newStore() *process {
 	w.storesMutex.Lock()
 	number := storesAtTheStart + w.storesAdded
 	w.storesAdded++
@@ -172,7 +177,6 @@
 	w.storesMutex.Lock()
 	w.stores = append(w.stores, p)
 	w.storesMutex.Unlock()
-	p.start()
 	return p
 }
 
--- a/internal/tools/hollow/fleet.go
+++ b/internal/tools/hollow/fleet.go
@@ -110,7 +110,7 @@
 		f.members = append(f.members, &controlMember{
 			identity: identity, machine: i, publisher: identity.Node + "@1",
 			hub:      distribution.NewHubWithClock(f.log, func() time.Time { return f.now }),
-			monitor:  membership.NewMonitor(identity.Node, heartbeatPeriod),
+			monitor:  membership.NewMonitor(identity.Node, identity.Address, heartbeatPeriod),
 			acceptor: register.NewAcceptor(identity.Address, state, forgetfulDisk{}),
 		})
 	}
--- a/internal/tools/hollow/witness.go
+++ b/internal/tools/hollow/witness.go
@@ -211,7 +211,7 @@
 	}
 	monitors := map[string]*membership.Monitor{}
 	for i, address := range addresses {
-		monitors[address] = membership.NewMonitor(controlIdentity(i).Node, heartbeatPeriod)
+		monitors[address] = membership.NewMonitor(controlIdentity(i).Node, controlIdentity(i).Address, heartbeatPeriod)
 	}
 	now := time.Now()
 	for i := range size.Dispatchers {
