--- /dev/null
+++ b/internal/service/dispatcher/claim_test.go
@@ -0,0 +1,96 @@
+package dispatcher
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/lease"
+	"yardwharf/internal/service/protocol"
+)
+
+const claimed = "ordered/1"
+
+// grantingByRules has a scripted store grant queues as a store does, after it has
+// promised the claimed queue to another process.
+func grantingByRules(store *scriptedStore, identity func() protocol.Identity, promised uint64) {
+	other := lease.SessionID{Node: "edge-other", Incarnation: 1}
+	grantor := lease.NewGrantor(time.Now().Add(-time.Minute), 1, map[string]lease.Promise{claimed: {Epoch: promised, By: other}})
+	store.acquire = func(request protocol.Acquire) protocol.AcquireReply {
+		reply := protocol.AcquireReply{StoreID: "disk"}
+		for _, name := range request.Queues {
+			decision := grantor.Acquire(time.Now(), identity(), 1, name, request.Epoch, request.Held)
+			reply.Grants = append(reply.Grants, protocol.Grant{
+				Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch, Contested: decision.Contested(identity()),
+			})
+		}
+		return reply
+	}
+}
+
+// Two dispatchers bid for a queue under one epoch. The loser gives its grant back, but
+// the store keeps the promise: the winner gets its grant by a higher epoch, or it would
+// never have more stores than it needs, and the loss of one would end its lease.
+func TestClaimIsRefusedUnderAnEqualEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		var d *Dispatcher
+		grantingByRules(stores[2], func() protocol.Identity { return d.identity }, 1)
+		d, end := withScriptedStores(c, stores)
+		defer end()
+		d.acquire(t.Context(), []string{claimed})
+		d.mutex.Lock()
+		c.Assert(d.queues[claimed], qt.IsNotNil)
+		c.Assert(d.leases.Missing(claimed, []string{"storage-3"}), qt.HasLen, 1)
+		d.mutex.Unlock()
+		for range 3 {
+			d.mutex.Lock()
+			d.claimMissing(d.stores["storage-3"])
+			d.mutex.Unlock()
+			time.Sleep(renewInterval)
+		}
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		c.Check(d.leases.Missing(claimed, []string{"storage-1", "storage-2", "storage-3"}), qt.HasLen, 0)
+		c.Check(d.queues[claimed].Epoch, qt.Equals, uint64(2))
+	})
+}
+
+// A claim is under way while the epoch is raised: the store is asked again.
+func TestClaimUnderAnEpochThatIsRaisedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		defer end()
+		d.mutex.Lock()
+		owned := own(d, claimed, 1)
+		link := d.stores["storage-3"]
+		d.claimMissing(link)
+		c.Assert(owned.asked["storage-3"], qt.IsTrue)
+		owned.Epoch = 2
+		d.mutex.Unlock()
+		time.Sleep(renewInterval)
+		d.mutex.Lock()
+		c.Check(owned.asked["storage-3"], qt.IsFalse)
+		d.mutex.Unlock()
+	})
+}
+
+// A claim reaches a store after the queue was handed over: what it brings is given
+// back, or the next owner would never get this store's grant.
+func TestClaimOfAQueueThatIsOwnedNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		d, end := withScriptedStores(c, stores)
+		defer end()
+		d.claim(d.stores["storage-3"], 1, []string{claimed})
+		time.Sleep(time.Second)
+		stores[2].mutex.Lock()
+		c.Check(stores[2].released, qt.Equals, 1)
+		stores[2].mutex.Unlock()
+	})
+}
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -46,6 +46,12 @@
 	Raised  bool // the promise is new and must be kept before the answer is sent
 }
 
+// Contested reports whether a process was refused because the highest epoch was
+// promised to another one.
+func (d Decision) Contested(identity protocol.Identity) bool {
+	return !d.Allowed && d.Promise.By != SessionOf(identity)
+}
+
 // session is a dispatcher in touch.
 type session struct {
 	identity    protocol.Identity
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -179,6 +179,8 @@
 	Granted  bool
 	Promised uint64 // highest epoch that the store knows
 	Heads    []Head // messages that are open or owe a call-back, and those ended in the last seconds
+
+	Contested bool // refused, and it was to another process that the store promised that epoch
 }
 
 // FindEnds asks a store which of these messages it knows to have ended: a grant tells of those only that
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -135,7 +135,9 @@
 			return protocol.Grant{}, err
 		}
 	}
-	return protocol.Grant{Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch}, nil
+	return protocol.Grant{
+		Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch, Contested: decision.Contested(identity),
+	}, nil
 }
 
 // release gives leases back.
