Raise an epoch that was promised to another, and give back claims that came late

Cause: two dispatchers bid for a queue under one epoch; the store that had promised it to the loser refused the owner's claims for ever, as the promise was not higher. A claim during a raise of the epoch was never repeated. A store that granted a claim after a hand-over, or whose release was lost, kept the queue from the next owner. Such a queue lives on N - f stores with none to spare. Change: a refusal under the same epoch by another's promise raises the epoch; claims are always ended; grants of queues that are not owned are given back, and again while a store lists them. The store test expects the new field.

--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -60,11 +60,13 @@
 	defer d.mutex.Unlock()
 	for _, name := range names {
 		owned := d.queues[name]
-		if owned == nil || owned.Epoch != epoch {
+		if owned == nil {
+			// It was handed over meanwhile. The store may have granted it all the same.
+			d.giveBack(context.Background(), name, epoch, []*storeLink{link})
 			continue
 		}
 		delete(owned.asked, link.node)
-		if err != nil || reply.StoreID != link.storeID {
+		if owned.Epoch != epoch || err != nil || reply.StoreID != link.storeID {
 			continue
 		}
 		d.takeClaim(owned, link, sent, findGrant(storeGrant{link, reply, true}, name))
@@ -72,6 +74,17 @@
 	d.pumpAll()
 }
 
+// releaseUnowned gives back the queues of which a store takes this dispatcher for the
+// owner, although it neither owns nor asks for them: a release was lost, and nobody
+// else can have the store's grant until it comes. The mutex is held.
+func (d *Dispatcher) releaseUnowned(link *storeLink) {
+	for name, state := range link.holders {
+		if state.Holder == d.identity.Node && d.queues[name] == nil && !d.acquiring[name] && !isLocal(name) {
+			d.giveBack(context.Background(), name, state.Epoch, []*storeLink{link})
+		}
+	}
+}
+
 // errEndsUnknown says that a store which granted a claim did not tell which messages have ended.
 var errEndsUnknown = Class.New("the store did not tell of ends")
 
@@ -105,7 +118,7 @@
 func (d *Dispatcher) takeClaim(owned *ownedQueue, link *storeLink, sent time.Duration, grant protocol.Grant) {
 	if !grant.Granted {
 		d.epochs[owned.Name] = max(d.epochs[owned.Name], grant.Promised)
-		if grant.Promised > owned.Epoch {
+		if grant.Promised > owned.Epoch || grant.Contested && grant.Promised == owned.Epoch {
 			d.wasOutbid(owned, link)
 		}
 		return
@@ -117,7 +130,8 @@
 	}
 }
 
-// wasOutbid notes that a store has promised a higher epoch. Where so many have
+// wasOutbid notes that a store has promised a higher epoch, or the same one, to another
+// dispatcher. Where so many have
 // that no lease can be valid, the queue is another dispatcher's; otherwise a
 // bid for it failed, and this dispatcher raises its own epoch.
 func (d *Dispatcher) wasOutbid(owned *ownedQueue, link *storeLink) {
--- a/internal/service/dispatcher/claim_test.go
+++ b/internal/service/dispatcher/claim_test.go
@@ -94,3 +94,28 @@
 		stores[2].mutex.Unlock()
 	})
 }
+
+// A store takes this dispatcher for the owner of a queue, as its release was lost: it
+// is told again. Queues that are owned, or asked for, are left alone.
+func TestLostReleaseIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		d, end := withScriptedStores(c, stores)
+		defer end()
+		d.mutex.Lock()
+		own(d, "ordered/2", 3)
+		d.acquiring["ordered/3"] = true
+		link := d.stores["storage-1"]
+		for _, name := range []string{claimed, "ordered/2", "ordered/3", "local/edge-other/1"} {
+			link.holders[name] = protocol.QueueState{Queue: name, Epoch: 3, Holder: d.identity.Node}
+		}
+		link.holders["ordered/4"] = protocol.QueueState{Queue: "ordered/4", Epoch: 3, Holder: "edge-other"}
+		d.renewed(link, protocol.RenewReply{StoreID: "disk"}, d.now())
+		d.mutex.Unlock()
+		time.Sleep(time.Second)
+		stores[0].mutex.Lock()
+		c.Check(stores[0].released, qt.Equals, 1)
+		stores[0].mutex.Unlock()
+	})
+}
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -141,6 +141,7 @@
 		d.revokeUnlisted(link, sent)
 	}
 	d.claimMissing(link)
+	d.releaseUnowned(link)
 	d.watchLeases()
 	d.considerQueues()
 	if len(link.ends)+len(link.failures) > 0 {
--- a/internal/service/store/store_test.go
+++ b/internal/service/store/store_test.go
@@ -146,7 +146,7 @@
 		c.Assert(acquire(first, 4, true).Granted, qt.IsTrue, qt.Commentf("it still holds the queue"))
 		c.Assert(status(first, "m1", 4), qt.Equals, protocol.Stored)
 		c.Assert(status(second, "m2", 3), qt.Equals, protocol.Fenced)
-		c.Assert(acquire(second, 5, false), qt.DeepEquals, protocol.Grant{Queue: "rated/x", Promised: 4})
+		c.Assert(acquire(second, 5, false), qt.DeepEquals, protocol.Grant{Queue: "rated/x", Promised: 4, Contested: true})
 
 		table := callOn[protocol.RenewReply](c, second, protocol.Renew{KnownVersion: renewed.Version})
 		c.Assert(table.Changed, qt.IsTrue)
