--- a/internal/service/control/reconcile_test.go
+++ b/internal/service/control/reconcile_test.go
@@ -136,3 +136,20 @@
 		c.Assert(known, qt.IsFalse)
 	})
 }
+
+// A store that is gone may only be suspected still when the others have been
+// reconciled without it. Once removed, it is not entered again until it is heard.
+func TestSuspectedStoreStaysRemoved(t *testing.T) {
+	inBubble(t, func(c *qt.C, n *network, core []*replica) {
+		g := newRig(c, n, core, "a", "b", "c", "d")
+		g.reconciled(true)
+		g.tick(1)
+		g.state("a").Suspect = true
+		g.tick(1)
+		time.Sleep(giveUpAfter)
+		c.Assert(g.tick(2).Stores, qt.HasLen, 3)
+		c.Assert(g.tick(5).Stores, qt.HasLen, 3)
+		g.state("a").Suspect = false
+		c.Assert(g.tick(2).Stores, qt.HasLen, 4, qt.Commentf("it was cut off, and is back"))
+	})
+}
