--- a/internal/service/control/reconcile_test.go
+++ b/internal/service/control/reconcile_test.go
@@ -147,8 +147,9 @@
 		g.state("a").Suspect = true
 		g.tick(1)
 		time.Sleep(giveUpAfter)
-		c.Assert(g.tick(2).Stores, qt.HasLen, 3)
-		c.Assert(g.tick(5).Stores, qt.HasLen, 3)
+		removed := g.tick(2)
+		c.Assert(removed.Stores, qt.HasLen, 3)
+		c.Assert(g.tick(5).StoresChanged, qt.Equals, removed.StoresChanged)
 		g.state("a").Suspect = false
 		c.Assert(g.tick(2).Stores, qt.HasLen, 4, qt.Commentf("it was cut off, and is back"))
 	})
