Enter only stores into the register that are not suspected to be gone

Cause: a store that is given up counts as not answering when it is suspected, but one that was merely suspected still counted as living when stores are entered: removed 2.5 to 4 periods after its loss, it was known again at the next look. Change: one view of the stores serves both.

--- a/internal/service/control/upkeep.go
+++ b/internal/service/control/upkeep.go
@@ -134,11 +134,11 @@
 	}
 }
 
-// storesDiffer reports whether a store lives that a value does not have, or has
+// storesDiffer reports whether a store answers that a value does not have, or has
 // with another disk, or whether one does not answer.
 func (u *upkeep) storesDiffer(value *register.Value) bool {
-	return anyUnknown(value, slices.Collect(maps.Values(liveStores(u.stores())))) ||
-		len(answeringStores(u.stores())) < len(value.Stores)
+	answering := answeringStores(u.stores())
+	return anyUnknown(value, slices.Collect(maps.Values(answering))) || len(answering) < len(value.Stores)
 }
 
 // first reports whether all members before this one are silent: one member acts
@@ -182,12 +182,12 @@
 		u.replica.log.Info("member is removed", "address", silent[0])
 		changes = append(changes, register.Remove(silent[0]))
 	}
-	live := liveStores(u.stores())
-	if stores := slices.Collect(maps.Values(live)); anyUnknown(value, stores) {
+	answering := answeringStores(u.stores())
+	if stores := slices.Collect(maps.Values(answering)); anyUnknown(value, stores) {
 		u.logUnknown(value, stores)
 		changes = append(changes, register.SetStores(stores))
 	}
-	missing := u.missingStores(value, answeringStores(u.stores()), now)
+	missing := u.missingStores(value, answering, now)
 	if change := register.SetMissing(missing); changesAnything(change, value) {
 		u.replica.log.Info("stores are given up", "stores", missing, "before", value.Missing)
 		changes = append(changes, change)
