Look again at messages on their way before a reconciliation calls them missing

Change: the missing ones are looked at again 50 ms later, and only those of both looks count: what arrives after the first look was accepted under the new list of stores. Measured: tests of store, storemodel and control pass.

--- a/internal/service/store/comparison.go
+++ b/internal/service/store/comparison.go
@@ -19,7 +19,7 @@
 // comparison holds the messages of one slice.
 type comparison struct {
 	messages map[string]*comparedMessage
-	missing  int // messages that this store holds and that stand at too few
+	missing  []string // messages that stand at too few, whatever this store copies
 }
 
 func newComparison(sources []*source, replies []protocol.ListEntriesReply) *comparison {
@@ -102,10 +102,10 @@
 		case !here:
 			wanted = append(wanted, message)
 			if standing+1 < copies && !promoted {
-				c.missing++
+				c.missing = append(c.missing, message.id)
 			}
 		case !promoted:
-			c.missing++
+			c.missing = append(c.missing, message.id)
 		}
 	}
 	return wanted
--- a/internal/service/store/reconcile.go
+++ b/internal/service/store/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"reflect"
 	"slices"
 	"sync"
@@ -21,6 +22,8 @@
 	fetchTimeout     = 2 * time.Second
 	probeTimeout     = 600 * time.Millisecond
 	reconcileAgain   = 100 * time.Millisecond // after an attempt that could not end
+	lookAgainMost    = 256                    // so few missing messages are looked at again
+	lookAgainAfter   = 50 * time.Millisecond  // in which messages on their way arrive
 	reconcileSources = 4096                   // more are refused
 	reconcileWait    = 300 * time.Millisecond // an answer waits so long for the end of a run
 )
@@ -103,7 +106,7 @@
 		copied += attempt.copied
 		reply := protocol.ReconcileReply{StoreID: r.store.log.StoreID(), Copied: copied}
 		if err == nil {
-			reply.Done, reply.Read, reply.Missing = true, attempt.read(), attempt.missing
+			reply.Done, reply.Read, reply.Missing = true, attempt.read(), len(attempt.missing)
 			r.log.Info("reconciled", "read", len(reply.Read), "copied", copied, "missing", reply.Missing)
 		} else {
 			reply.Cause = err.Error()
@@ -138,7 +141,7 @@
 	sources    []*source // all, then those that could be asked
 	promoted   bool      // this store's disk is to become a full one
 	copied     int
-	missing    int
+	missing    map[string]bool // messages that others have to copy
 }
 
 func newAttempt(ctx context.Context, r *reconciler, order protocol.Reconcile) *attempt {
@@ -172,11 +175,32 @@
 	return nodes
 }
 
-// run compares all messages, slice by slice.
+// run compares all messages. A message on its way may stand at too few just now, so
+// the missing ones are looked at again. Those that were not there at the first look do
+// not matter: all dispatchers went by the new stores before, and accept nothing that
+// does not stand at enough of them.
 func (a *attempt) run() error {
 	if err := a.probe(); err != nil {
 		return err
 	}
+	if err := a.compareAll(); err != nil || len(a.missing) == 0 || len(a.missing) > lookAgainMost {
+		return err
+	}
+	first := a.missing
+	select {
+	case <-a.ctx.Done():
+	case <-time.After(lookAgainAfter):
+	}
+	if err := a.compareAll(); err != nil {
+		return err
+	}
+	maps.DeleteFunc(a.missing, func(id string, _ bool) bool { return !first[id] })
+	return nil
+}
+
+// compareAll compares all messages, slice by slice.
+func (a *attempt) compareAll() error {
+	a.missing = map[string]bool{}
 	most := a.reconciler.store.messages()
 	for _, one := range a.sources {
 		most = max(most, one.entries)
@@ -268,7 +292,9 @@
 	c := newComparison(a.sources, replies)
 	a.reconciler.store.addOwn(c)
 	wanted := c.wanted(a.order.Copies, a.promoted)
-	a.missing += c.missing
+	for _, id := range c.missing {
+		a.missing[id] = true
+	}
 	return a.copy(wanted)
 }
 
--- a/internal/service/store/reconcile_test.go
+++ b/internal/service/store/reconcile_test.go
@@ -119,7 +119,7 @@
 // reconcile gives an order and returns what came of it within some time.
 func (g *storesRig) reconcile(name string, order protocol.Reconcile) protocol.ReconcileReply {
 	var reply protocol.ReconcileReply
-	for range 10 {
+	for began := time.Now(); time.Since(began) < time.Second; {
 		var err error
 		reply, err = g.rec[name].take(context.Background(), order)
 		g.c.Assert(err, qt.IsNil)
@@ -293,3 +293,20 @@
 		c.Assert(time.Since(asked), qt.Equals, reconcileWait)
 	})
 }
+
+// A message that is being accepted stands at one store for a moment, and another one
+// arrives meanwhile: neither holds up that a store is removed.
+func TestMessagesOnTheirWayAreNotMissing(t *testing.T) {
+	inRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		g.append("1", "on its way")
+		g.append("1", "left alone")
+		go func() {
+			time.Sleep(lookAgainAfter / 2)
+			g.append("2", "on its way")
+			g.append("1", "arrived later")
+		}()
+		reply := g.reconcile("1", g.order(2, 3, "1", "2", "3"))
+		c.Assert(reply.Done, qt.IsTrue, qt.Commentf("%+v", reply))
+		c.Assert(reply.Missing, qt.Equals, 1, qt.Commentf("the one that no other store has"))
+	})
+}
