Drop the queues of earlier lives of dispatchers

Cause: asked what grows with restarts and then hinders a start: each life of a dispatcher has a queue of its own, and a store kept each for good with its promise on disk; at 65,536 it refuses every new one, so that no dispatcher that starts becomes ready. Change: a queue of one life that has had neither messages nor an owner for twice statusS is dropped with its promise.

--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -19,7 +19,6 @@
 	orderedPartitions = 32
 	orderedPrefix     = "ordered/"
 	ratedPrefix       = "rated/"
-	localPrefix       = "local/"
 	acquirePause      = 150 * time.Millisecond
 	handOverAfter     = 2 * time.Second        // a better owner must have been live for so long
 	handOverWait      = 3 * time.Second        // for deliveries under way
@@ -65,7 +64,7 @@
 // localQueueName returns the name of the queue of a process's own messages. The
 // number tells it from those that the same process has lost.
 func localQueueName(identity protocol.Identity, number int) string {
-	name := localPrefix + identity.Node + "/" + strconv.FormatUint(identity.Incarnation, 36)
+	name := protocol.LocalQueuePrefix + identity.Node + "/" + strconv.FormatUint(identity.Incarnation, 36)
 	if number > 0 {
 		name += "/" + strconv.Itoa(number)
 	}
@@ -89,7 +88,7 @@
 }
 
 // isLocal reports whether a queue holds the messages of one process alone.
-func isLocal(name string) bool { return strings.HasPrefix(name, localPrefix) }
+func isLocal(name string) bool { return strings.HasPrefix(name, protocol.LocalQueuePrefix) }
 
 func partitionOf(orderingKey string) int {
 	hash := fnv.New32a()
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -300,6 +300,18 @@
 	}
 }
 
+// Forget drops a queue with its promise. It reports false where somebody has its lease.
+// The caller knows that no process will act under an epoch of it any more.
+func (g *Grantor) Forget(now time.Time, name string) bool {
+	g.Expire(now)
+	q := g.queues[name]
+	if q != nil && q.holder != nil {
+		return false
+	}
+	delete(g.queues, name)
+	return true
+}
+
 // InTouch reports whether a process has an open session.
 func (g *Grantor) InTouch(now time.Time, identity protocol.Identity) bool {
 	g.Expire(now)
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -166,6 +166,10 @@
 	Promised uint64 // the newer owner's epoch
 }
 
+// LocalQueuePrefix begins the names of the queues that hold the messages of one life of
+// one process.
+const LocalQueuePrefix = "local/"
+
 // Acquire asks for leases on queues.
 type Acquire struct {
 	Queues []string
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -89,6 +89,9 @@
 	promise segment.Position
 
 	promisedEpoch uint64 // in the promise record
+
+	idle      bool          // it had nothing at the last look
+	idleSince time.Duration // store time
 }
 
 // countOwed notes that one message owes a call-back, or no longer does.
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -437,6 +437,9 @@
 			s.forgetOver(q, now)
 		}
 	}
+	if all {
+		s.dropIdleQueues(now)
+	}
 }
 
 // forgetOver drops the open messages whose time is over.
