--- a/internal/tools/serviceyard/client.go
+++ b/internal/tools/serviceyard/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -105,10 +106,28 @@
 
 // post makes one try. It reports whether the message may have been sent.
 func post(ctx context.Context, front string, m Message) (status int, sent bool) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+m.Path+m.ID, strings.NewReader("body of "+m.ID))
+	request, err := messageRequest(ctx, front, m, strings.NewReader(m.body()))
 	if err != nil {
 		return 0, false
 	}
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return 0, !strings.Contains(err.Error(), "connection refused")
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, true
+}
+
+// body returns the content of a message.
+func (m *Message) body() string { return "body of " + m.ID }
+
+// messageRequest returns the request that carries a message, with its body.
+func messageRequest(ctx context.Context, front string, m Message, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+m.Path+m.ID, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(m.body()))
 	request.Host = Host
 	request.Header.Set("X-Request-Id", m.ID)
 	request.Header.Set("X-Deadline-Ms", "1500")
@@ -120,12 +139,7 @@
 	if m.Delay > 0 {
 		request.Header.Set("X-Delay-Ms", strconv.FormatInt(m.Delay.Milliseconds(), 10))
 	}
-	response, err := httpClient.Do(request)
-	if err != nil {
-		return 0, !strings.Contains(err.Error(), "connection refused")
-	}
-	_ = response.Body.Close()
-	return response.StatusCode, true
+	return request, nil
 }
 
 // State is what a dispatcher answers about a message.
--- a/internal/tools/serviceyard/yard.go
+++ b/internal/tools/serviceyard/yard.go
@@ -55,6 +55,7 @@
 	Folder  string                      // for settings, logs and data
 	Command func(role string) *exec.Cmd // of a role; the settings' path is added to its environment
 	Failing int                         // calls that the receiver fails before it takes any
+	Edges   int                         // edge machines; 0: as many as of every class
 }
 
 // Yard is a running service.
@@ -76,19 +77,36 @@
 	path     string
 }
 
+// classEdge is the class of the machines that clients reach.
+const classEdge = "edge"
+
+// count returns how many machines of a class there are.
+func (y *Yard) count(class string) int {
+	if class == classEdge && y.options.Edges > 0 {
+		return y.options.Edges
+	}
+	return machinesOfAClass
+}
+
 // classes tells what runs on the machines of each class.
-var classes = []struct {
+var classes = []machineClass{
+	{name: "core", octet: 10, roles: []string{RoleControl}, disk: true, serves: "control_plane"},
+	{name: "storage", octet: 20, roles: []string{RoleStore}, disk: true, serves: "storage"},
+	{name: classEdge, octet: 30, roles: []string{RoleAgent, RoleDispatcher}, serves: "edge"},
+}
+
+// machineClass is a class of machines.
+type machineClass struct {
 	name   string
 	octet  int // last part of the first machine's address
 	roles  []string
 	disk   bool
 	serves string
-}{
-	{name: "core", octet: 10, roles: []string{RoleControl}, disk: true, serves: "control_plane"},
-	{name: "storage", octet: 20, roles: []string{RoleStore}, disk: true, serves: "storage"},
-	{name: "edge", octet: 30, roles: []string{RoleAgent, RoleDispatcher}, serves: "edge"},
 }
 
+// address returns the address of a machine, counted from 0.
+func (c *machineClass) address(number int) string { return "127.0.1." + strconv.Itoa(c.octet+number) }
+
 // Start starts all stand-ins and roles. Close ends them, also after an error.
 func Start(o Options) (*Yard, error) {
 	y := &Yard{options: o, Ledger: worker.NewLedger()}
@@ -154,33 +172,34 @@
 func (y *Yard) makeMachines() error {
 	var addresses []string
 	for _, class := range classes {
-		for number := range machinesOfAClass {
-			addresses = append(addresses, "127.0.1."+strconv.Itoa(class.octet+number))
+		for number := range y.count(class.name) {
+			addresses = append(addresses, class.address(number))
 		}
 	}
 	var err error
 	if y.ports, err = freePorts(addresses); err != nil {
 		return err
 	}
-	for i, address := range addresses {
-		class := classes[i/machinesOfAClass]
-		m := y.newMachine(class.name, class.serves, class.disk, i%machinesOfAClass+1, address)
-		if err := m.write(); err != nil {
-			return err
-		}
-		y.machines = append(y.machines, m)
-		for _, role := range class.roles {
-			y.processes = append(y.processes, y.newProcess(m, role))
+	for _, class := range classes {
+		for number := range y.count(class.name) {
+			m := y.newMachine(class.name, class.serves, class.disk, number, class.address(number))
+			if err := m.write(); err != nil {
+				return err
+			}
+			y.machines = append(y.machines, m)
+			for _, role := range class.roles {
+				y.processes = append(y.processes, y.newProcess(m, role))
+			}
 		}
 	}
 	return nil
 }
 
 func (y *Yard) newMachine(class, serves string, disk bool, number int, ip string) *machine {
-	node := class + "-" + strconv.Itoa(number)
+	node := class + "-" + strconv.Itoa(number+1)
 	m := &machine{class: class, path: filepath.Join(y.options.Folder, node+".json")}
 	m.settings = settings.Settings{
-		Node: node, MachineClass: class, Serves: []string{serves}, IP: ip, Zone: zone(number), Region: "here",
+		Node: node, MachineClass: class, Serves: []string{serves}, IP: ip, Zone: zone(number%machinesOfAClass + 1), Region: "here",
 		Zones:         map[string]string{zone(1): "here", zone(2): "here", zone(3): "here"},
 		InternalPorts: []int{y.ports.internal, y.ports.internal + protocol.ControlPort},
 		Seeds:         y.seeds(), Bootstrap: true, CountsForQuorum: disk,
@@ -193,7 +212,7 @@
 		m.settings.DataDir = filepath.Join(y.options.Folder, node)
 	}
 	switch class {
-	case "edge":
+	case classEdge:
 		m.settings.Listen.Front, m.settings.Listen.Readiness = y.ports.front(ip), y.ports.readiness(ip)
 	case "core":
 		m.settings.Listen.Control = y.ports.control(ip)
@@ -205,7 +224,7 @@
 func (y *Yard) seeds() []string {
 	var seeds []string
 	for number := range machinesOfAClass {
-		seeds = append(seeds, y.ports.control("127.0.1."+strconv.Itoa(classes[0].octet+number)))
+		seeds = append(seeds, y.ports.control(classes[0].address(number)))
 	}
 	return seeds
 }
--- a/internal/tools/serviceyard/yard_test.go
+++ b/internal/tools/serviceyard/yard_test.go
@@ -31,11 +31,14 @@
 
 // startYard starts a yard whose roles are processes of the test's own program,
 // and awaits that it serves.
-func startYard(c *qt.C) (context.Context, *Yard) {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+func startYard(c *qt.C) (context.Context, *Yard) { return startYardOf(c, 0, testTimeout) }
+
+// startYardOf starts a yard with so many edge machines, for so long at the most.
+func startYardOf(c *qt.C, edges int, most time.Duration) (context.Context, *Yard) {
+	ctx, cancel := context.WithTimeout(context.Background(), most)
 	c.Cleanup(cancel)
 	folder := c.TempDir()
-	y, err := Start(Options{Folder: folder, Failing: 3, Command: func(role string) *exec.Cmd {
+	y, err := Start(Options{Folder: folder, Failing: 3, Edges: edges, Command: func(role string) *exec.Cmd {
 		cmd := exec.Command(os.Args[0])
 		cmd.Env = append(os.Environ(), roleVariable+"="+role)
 		return cmd
