Log answers that do not count, and deliveries that a configuration decides otherwise

Change: dispatchers log with each configuration how many deliveries it decides otherwise, each answer that came and did not count with its cause, and ends of deliveries whose queue was lost. No logic is changed. Result: tests of delivery, dispatcher and logging pass.

--- a/internal/service/delivery/client.go
+++ b/internal/service/delivery/client.go
@@ -137,6 +137,7 @@
 	left := max(leastDeadline, until.Sub(c.now()))
 	_ = conn.raw.SetDeadline(time.Now().Add(left + answerSlack))
 	conn.noteCarried(request.Head.ID)
+	conn.received = false
 	written, writeErr := conn.write(request, left)
 	if written == 0 && writeErr != nil {
 		result.Verdict, result.Err = verdict.NotRun, Class.Wrap(writeErr)
@@ -144,6 +145,7 @@
 	}
 	// After a broken write the answer may be there all the same.
 	answer, err := conn.read(request)
+	result.Answered = conn.received
 	if err != nil {
 		result.TimedOut = errors.Is(err, os.ErrDeadlineExceeded)
 		result.Err = Class.Wrap(errors.Join(writeErr, err))
--- a/internal/service/delivery/connection.go
+++ b/internal/service/delivery/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"hash/maphash"
 	"io"
 	"net"
@@ -52,12 +53,25 @@
 	reader  *bufio.Reader
 	reused  bool
 	carried []uint64 // hashes of the messages that it carried
-	idleFor time.Duration
-	expires time.Time // when it has been idle for too long
+	// received tells whether bytes have come since it was set to false.
+	received bool
+	idleFor  time.Duration
+	expires  time.Time // when it has been idle for too long
 }
 
 func newConnection(raw net.Conn, address string) *connection {
-	return &connection{raw: raw, address: address, reader: bufio.NewReaderSize(raw, readerSize)}
+	c := &connection{raw: raw, address: address}
+	c.reader = bufio.NewReaderSize(notingReader{c}, readerSize)
+	return c
+}
+
+// notingReader reads from a connection and notes on it that bytes have come.
+type notingReader struct{ connection *connection }
+
+func (r notingReader) Read(buffer []byte) (int, error) {
+	n, err := r.connection.raw.Read(buffer)
+	r.connection.received = r.connection.received || n > 0
+	return n, err
 }
 
 func (c *connection) close() { _ = c.raw.Close() }
@@ -178,7 +192,7 @@
 		return nil, err
 	}
 	if response.Header.Get(headerRequestID) != request.Head.ID {
-		return nil, ErrForeign
+		return nil, foreign(response)
 	}
 	a := &answer{status: response.StatusCode, header: response.Header}
 	if !bounded(response, asked.Method) {
@@ -199,6 +213,11 @@
 	return a, nil
 }
 
+// foreign is the error for an answer that names another message.
+func foreign(response *http.Response) error {
+	return fmt.Errorf("%w: %q", ErrForeign, response.Header.Get(headerRequestID))
+}
+
 // bounded reports whether an answer tells where its body ends.
 func bounded(response *http.Response, method string) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || method == http.MethodHead ||
--- a/internal/service/delivery/delivery.go
+++ b/internal/service/delivery/delivery.go
@@ -66,6 +66,7 @@
 	Connected  bool          // a connection was had
 	Reused     bool          // it had carried a request before
 	TimedOut   bool
+	Answered   bool // at least a part of an answer came
 	Latency    time.Duration
 	Err        error // nil where a valid answer came whole
 }
@@ -82,6 +83,12 @@
 // Impossible reports whether the message can never be done.
 func (r *Result) Impossible() bool { return r.Verdict == verdict.Ran && r.Status == statusImpossible }
 
+// Uncounted reports whether an answer came, or a part of one, that tells nothing of
+// the message.
+func (r *Result) Uncounted() bool {
+	return r.Answered && r.Verdict == verdict.MayHaveRun && r.Err != nil
+}
+
 // Outcome is the result as the decision module takes it.
 func (r *Result) Outcome() balance.Outcome {
 	return balance.Outcome{Status: r.outcomeStatus(), Latency: r.Latency, Load: r.Load}
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/configuration"
 	"yardwharf/internal/service/delivery"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
@@ -203,6 +204,9 @@
 // is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
 	d.counters.deliveries.note(&result)
+	if result.Uncounted() {
+		d.logUncounted(state, attempt, &result)
+	}
 	if !state.service.driver.Ended(d.now(), attempt.ID, result.Outcome()) {
 		delete(d.deliveries, state.key)
 		d.settle(state, result)
@@ -211,9 +215,32 @@
 	d.pump(state.owned)
 }
 
+// logUncounted logs an answer that came and tells nothing of its message, which is
+// sent again. The mutex is held.
+func (d *Dispatcher) logUncounted(state *deliveryState, attempt balance.Attempt, result *delivery.Result) {
+	d.log.Info("answer does not count", "message", state.key, "sender", attempt.Instance, "address", attempt.Address,
+		"cause", result.Err.Error(), "status", result.Status, "after", result.Latency, "reused", result.Reused)
+}
+
+// decidedOtherwise counts the deliveries that have not ended and that a configuration
+// would send to another service, or not at all. The mutex is held.
+func (d *Dispatcher) decidedOtherwise(current *configuration.Configuration) int {
+	count := 0
+	for _, state := range d.deliveries {
+		_, service, found := current.Match(state.entry.Head.Host, state.entry.Head.Target)
+		if !found || service.Name != state.service.name {
+			count++
+		}
+	}
+	return count
+}
+
 // settle ends a message or puts it back into its queue.
 func (d *Dispatcher) settle(state *deliveryState, result delivery.Result) {
 	owned, entry := state.owned, state.entry
+	if owned.dropped {
+		d.log.Info("delivery ended after its queue was lost", "message", state.key, "queue", owned.Name, "succeeded", result.Succeeded())
+	}
 	switch {
 	case result.Succeeded():
 		d.counters.completed.Add(1)
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -237,7 +237,7 @@
 	if current == nil {
 		close(d.configured)
 	}
-	d.log.Info("configuration in force", "revision", parsed.Revision())
+	d.log.Info("configuration in force", "revision", parsed.Revision(), "waiting", len(d.deliveries), "decidedOtherwise", d.decidedOtherwise(parsed))
 	d.reconfigureServices(parsed)
 	d.considerQueues()
 	d.pumpAll()
