--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -312,6 +312,35 @@
 	})
 }
 
+// A second answer to an earlier message of the connection may come right before the
+// answer to the present one, which counts: the message has run, and is not sent again.
+func TestAnswerBehindALateSecondAnswer(t *testing.T) {
+	for name, scripts := range map[string]struct {
+		earlier []string // messages that the connection has carried before
+		text    string
+	}{
+		"one":            {[]string{"m2"}, as("m2", success) + success},
+		"chunked":        {[]string{"m2"}, as("m2", chunked) + success},
+		"without a body": {[]string{"m2"}, as("m2", misplaced) + success},
+		"several":        {[]string{"m2", "m3", "m4"}, as("m4", success) + as("m2", failed) + as("m3", chunked) + success},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var texts []string
+			for _, id := range scripts.earlier {
+				texts = append(texts, as(id, success))
+			}
+			p, client := newPeer(t, answersAndStays(append(texts, scripts.text)...))
+			for _, id := range scripts.earlier {
+				client.Deliver(background, message(id))
+			}
+			result := client.Deliver(background, message("m1"))
+			p.c.Assert(result.Succeeded(), qt.IsTrue, qt.Commentf("%+v", result))
+			p.c.Assert(result.Seal, qt.Equals, "seal.1")
+			p.c.Assert(result.Reused, qt.IsTrue)
+		})
+	}
+}
+
 // On real sockets an idle connection that was closed, or on which bytes came, is seen
 // before anything is written.
 func TestQuiet(t *testing.T) {
