Read the answer behind late second answers to earlier messages

Cause: a sender may hold a second answer to an earlier message back until it answers the next one on the connection. Change: answers to messages that the connection has carried before are passed over when they come whole; the connection carries nothing afterwards. The second part of TestLateSecondAnswer gets a time-out, as the message's own answer is awaited now: it still must not count, nor keep the connection.

--- a/internal/service/delivery/connection.go
+++ b/internal/service/delivery/connection.go
@@ -178,39 +178,63 @@
 	return append(to, "\r\n"...)
 }
 
-// read reads the final answer to a request, whole.
+// read reads the final answer to a request, whole. Second answers to earlier messages
+// of the connection may come before it, however late: they are passed over.
 func (c *connection) read(request *Request) (*answer, error) {
-	asked := &http.Request{Method: request.Head.Method}
-	response, err := http.ReadResponse(c.reader, asked)
-	for n := 0; err == nil && response.StatusCode/100 == 1; n++ {
-		if n >= interimMost || response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, ErrUnasked
+	var passedOver error
+	for {
+		response, err := c.readHead(request.Head.Method)
+		if err != nil {
+			return nil, errors.Join(passedOver, err)
+		}
+		if response.Header.Get(headerRequestID) == request.Head.ID {
+			a := c.readAnswer(response)
+			a.reusable = a.reusable && passedOver == nil
+			return a, nil
+		}
+		passedOver = foreign(response)
+		if !c.hasCarried(response.Header.Get(headerRequestID)) || readBody(response) != nil {
+			return nil, passedOver
 		}
-		response, err = http.ReadResponse(c.reader, asked)
-	}
-	if err != nil {
-		return nil, err
 	}
-	if response.Header.Get(headerRequestID) != request.Head.ID {
-		return nil, foreign(response)
+}
+
+// readHead reads the head of a final answer.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	asked := &http.Request{Method: method}
+	for range interimMost + 1 {
+		response, err := http.ReadResponse(c.reader, asked)
+		if err != nil || response.StatusCode/100 != 1 {
+			return response, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
 	}
+	return nil, ErrUnasked
+}
+
+// readAnswer reads the rest of the answer to the message that the connection carries.
+func (c *connection) readAnswer(response *http.Response) *answer {
 	a := &answer{status: response.StatusCode, header: response.Header}
-	if !bounded(response, asked.Method) {
-		a.err = ErrUnbounded
-		return a, nil
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, answerMost+1))
-	switch {
-	case err != nil:
-		a.err = err
-		return a, nil
-	case n > answerMost:
-		a.err = ErrTooLarge
-		return a, nil
+	if a.err = readBody(response); a.err != nil {
+		return a
 	}
 	a.idleFor = idleTime(response.Header.Get(headerKeepAlive))
 	a.reusable = !response.Close && c.reader.Buffered() == 0 && a.idleFor > 0 && len(c.carried) < carriedMost
-	return a, nil
+	return a
+}
+
+// readBody reads the body of an answer, which is not used, to its end.
+func readBody(response *http.Response) error {
+	if !bounded(response) {
+		return ErrUnbounded
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, answerMost+1))
+	if err == nil && n > answerMost {
+		return ErrTooLarge
+	}
+	return err
 }
 
 // foreign is the error for an answer that names another message.
@@ -219,8 +243,8 @@
 }
 
 // bounded reports whether an answer tells where its body ends.
-func bounded(response *http.Response, method string) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || method == http.MethodHead ||
+func bounded(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead ||
 		response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
 }
 
