Deliver by the configuration in force when an attempt begins, not the one when it began to wait

Change: each configuration takes back what waits and what it decides otherwise (another service, a dropped route, another aim); an attempt looks again right before it is sent at the queue, the message's end, the configuration and whether its sender is listed and does not drain; time-out and retries are those in force; decision modules get new time-outs and connection bounds; dropped services are forgotten. Heads carry the revision under which a message was accepted: an owner that is behind waits instead of ending it. A message that a store ends while it waits for a sender leaves the decision module.

--- a/internal/service/balance/driver.go
+++ b/internal/service/balance/driver.go
@@ -132,6 +132,27 @@
 	d.balancer.SetFleet(d.options.Dispatchers, float64(d.connections()))
 }
 
+// SetTimeout says how long a delivery takes at most from now on.
+func (d *Driver) SetTimeout(timeout time.Duration) {
+	timeout = cmp.Or(timeout, defaultTimeout)
+	if timeout == d.options.Timeout {
+		return
+	}
+	d.options.Timeout = timeout
+	_ = d.balancer.Adjust(d.settings()) // they are those of New but for the time-out
+}
+
+// Stands reports whether a delivery that the Driver has asked for may still begin: its
+// message was not withdrawn, and its sender is listed and does not drain.
+func (d *Driver) Stands(attempt AttemptID) bool {
+	r := d.requests[yardwharf.RequestID(attempt.Request)]
+	if r == nil || !r.out || r.withdrawn || attempt.Number != r.attempts-1 {
+		return false
+	}
+	sender, listed := d.senders[r.worker]
+	return listed && !sender.Draining
+}
+
 // Submit asks for one delivery of a message. A message that is in hand already is
 // ignored. Nothing is sent after the deadline; the message is given back then.
 func (d *Driver) Submit(now time.Duration, message string, deadline time.Duration) {
--- a/internal/service/dispatcher/adopt.go
+++ b/internal/service/dispatcher/adopt.go
@@ -63,6 +63,7 @@
 	if acceptedBefore(head, one.head) {
 		one.head.Epoch, one.head.Sequence = head.Epoch, head.Sequence
 	}
+	one.head.Revision = max(one.head.Revision, head.Revision)
 	one.head.Failures = max(one.head.Failures, head.Failures)
 	one.head.Age = min(one.head.Age, head.Age)
 }
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"yardwharf/internal/service/balance"
@@ -12,7 +13,8 @@
 )
 
 const (
-	idleWake = 5 * time.Second
+	idleWake           = 5 * time.Second
+	configurationPause = 50 * time.Millisecond // of a message whose configuration has not come yet
 )
 
 // deliveryState is a message that waits for a sender or is with one.
@@ -21,11 +23,10 @@
 	owned   *ownedQueue
 	entry   *queue.Entry
 	service *serviceState
-	timeout time.Duration
-	retries int           // failed attempts that end the message
-	aim     time.Duration // until then its run should begin
-	sent    bool          // handed to the decision module
-	paid    bool          // the rate's next arrival is this message's
+	route   *configuration.Route // of the configuration in force
+	aim     time.Duration        // until then its run should begin
+	sent    bool                 // handed to the decision module
+	paid    bool                 // the rate's next arrival is this message's
 
 	withdrawn bool // taken out before it was handed over
 }
@@ -99,6 +100,10 @@
 // startDelivery hands a message to its service's decision module.
 func (d *Dispatcher) startDelivery(owned *ownedQueue, entry *queue.Entry) {
 	current := d.configuration.Load()
+	if current.Revision() < entry.Head.Revision {
+		d.awaitConfiguration(owned, entry)
+		return
+	}
 	route, configured, found := current.Match(entry.Head.Host, entry.Head.Target)
 	if !found {
 		d.endEntry(owned, entry, protocol.DeadLetter, "") // its route was dropped
@@ -115,8 +120,7 @@
 		return
 	}
 	state := &deliveryState{
-		key: entry.Head.ID, owned: owned, entry: entry, service: service,
-		timeout: route.Timeout(), retries: route.MaxRetries,
+		key: entry.Head.ID, owned: owned, entry: entry, service: service, route: route,
 		aim: entry.Accepted() + entry.Head.Delay + route.ScheduleTarget(),
 	}
 	d.deliveries[state.key] = state
@@ -124,60 +128,109 @@
 	d.pumpService(service)
 }
 
+// awaitConfiguration puts a message back that was accepted under a later configuration
+// than the one in force here, which may not know its route yet. The mutex is held.
+func (d *Dispatcher) awaitConfiguration(owned *ownedQueue, entry *queue.Entry) {
+	if entry.Head.Revision > d.awaited {
+		d.awaited = entry.Head.Revision
+		d.log.Info("configuration is awaited", "revision", d.awaited, "inForce", d.configuration.Load().Revision(), "message", entry.Head.ID)
+	}
+	owned.Retry(d.now(), entry, false, configurationPause)
+}
+
 // withdrawAll takes back the messages of a queue that no sender has. The mutex
 // is held.
 func (d *Dispatcher) withdrawAll(owned *ownedQueue) {
-	for key, state := range d.deliveries {
-		if state.owned != owned || state.entry.Phase != queue.Running {
-			continue
-		}
-		if state.sent && !state.service.driver.Withdraw(d.now(), key) {
-			continue // a sender has it
+	for _, state := range d.deliveries {
+		if state.owned == owned && state.entry.Phase == queue.Running {
+			d.takeBack(state)
 		}
-		delete(d.deliveries, key)
-		state.service.waiting.withdraw(state)
-		owned.Retry(d.now(), state.entry, false, 0)
 	}
 }
 
+// takeBack puts a message back into its queue, to be delivered anew, unless a sender
+// has it: then no other one gets it, and the end of the attempt decides. The mutex is
+// held.
+func (d *Dispatcher) takeBack(state *deliveryState) {
+	if d.withdraw(state) {
+		state.owned.Retry(d.now(), state.entry, false, 0)
+	}
+}
+
+// withdraw takes a message back from the decision module. It reports whether no sender
+// has it. The mutex is held.
+func (d *Dispatcher) withdraw(state *deliveryState) bool {
+	if state.sent && !state.service.driver.Withdraw(d.now(), state.key) {
+		return false
+	}
+	delete(d.deliveries, state.key)
+	state.service.waiting.withdraw(state)
+	return true
+}
+
 // deliver carries one attempt out. It runs in a goroutine of its own.
 func (d *Dispatcher) deliver(key string, service *serviceState, attempt balance.Attempt) {
+	state, request := d.beginAttempt(key, service, attempt)
+	if request == nil {
+		return
+	}
+	result := d.client.Deliver(context.Background(), *request)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.attemptEnded(state, attempt, result)
+}
+
+// beginAttempt prepares an attempt, as the configuration and the list of senders in force
+// want it. The request is nil where it may not begin, or no longer; that is booked then.
+func (d *Dispatcher) beginAttempt(key string, service *serviceState, attempt balance.Attempt) (*deliveryState, *delivery.Request) {
 	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	state := d.deliveries[key]
-	if state == nil {
+	if state == nil || state.service != service {
 		service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun})
-		d.mutex.Unlock()
-		return
+		return nil, nil
 	}
-	if !d.mayAct(state.owned) || !d.takeRateAgain(state) {
+	if !d.mayBegin(state, attempt) {
 		d.notSent(state, attempt)
-		d.mutex.Unlock()
-		return
+		return state, nil
 	}
-	head, body := state.entry.HeadAt(d.now()), state.entry.Body
-	holders := state.entry.Holders
-	d.mutex.Unlock()
-	if body == nil && head.BodySize > 0 {
-		fetched, found := d.fetchBody(context.Background(), head.ID, holders)
-		if !found || fetched.Head.State.Ended() {
-			d.mutex.Lock()
-			defer d.mutex.Unlock()
-			if fetched.Head.State.Ended() {
-				d.endedElsewhere(state, attempt, fetched.Head)
-			} else {
-				d.notSent(state, attempt)
-			}
-			return
+	body := state.entry.Body
+	if body == nil && state.entry.Head.BodySize > 0 {
+		fetched, found := d.fetchBodyUnlocked(state.entry)
+		if fetched.Head.State.Ended() {
+			d.endedElsewhere(state, attempt, fetched.Head)
+			return state, nil
+		}
+		if !found || !d.mayBegin(state, attempt) { // much may have changed meanwhile
+			d.notSent(state, attempt)
+			return state, nil
 		}
 		body = fetched.Body
 	}
-	result := d.client.Deliver(context.Background(), delivery.Request{
-		Address: attempt.Address, Instance: attempt.Instance, Head: head, Body: body,
-		Timeout: state.timeout, MaxConnections: attempt.MaxConnections,
-	})
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.attemptEnded(state, attempt, result)
+	if !d.takeRateAgain(state) {
+		d.notSent(state, attempt)
+		return state, nil
+	}
+	return state, &delivery.Request{
+		Address: attempt.Address, Instance: attempt.Instance, Head: state.entry.HeadAt(d.now()), Body: body,
+		Timeout: state.route.Timeout(), MaxConnections: attempt.MaxConnections,
+	}
+}
+
+// fetchBodyUnlocked reads the body of a message from a store. The mutex is held, but not
+// while the store is asked.
+func (d *Dispatcher) fetchBodyUnlocked(entry *queue.Entry) (protocol.QueryReply, bool) {
+	id, holders := entry.Head.ID, slices.Clone(entry.Holders)
+	d.mutex.Unlock()
+	defer d.mutex.Lock()
+	return d.fetchBody(context.Background(), id, holders)
+}
+
+// mayBegin reports whether an attempt that was decided on may begin now: the queue is
+// this dispatcher's, the message has not ended, and neither a configuration nor the list
+// of senders has changed the decision. The mutex is held.
+func (d *Dispatcher) mayBegin(state *deliveryState, attempt balance.Attempt) bool {
+	return d.mayAct(state.owned) && state.entry.Phase == queue.Running && state.service.driver.Stands(attempt.ID)
 }
 
 // notSent books that an attempt was not begun. The mutex is held.
@@ -248,7 +301,7 @@
 	case result.Impossible():
 		d.endEntry(owned, entry, protocol.DeadLetter, "")
 	case result.Failed():
-		if entry.Head.Failures+1 >= state.retries {
+		if entry.Head.Failures+1 >= state.route.MaxRetries {
 			d.endEntry(owned, entry, protocol.DeadLetter, "")
 			return
 		}
@@ -275,6 +328,9 @@
 
 // endEntry ends a message and records it at its stores. The mutex is held.
 func (d *Dispatcher) endEntry(owned *ownedQueue, entry *queue.Entry, state protocol.State, stamp string) {
+	if waiting := d.deliveries[entry.Head.ID]; waiting != nil && waiting.entry == entry {
+		d.withdraw(waiting) // a store told of the end while the message waited for a sender
+	}
 	d.freeBody(entry)
 	owned.End(d.now(), entry, state, stamp)
 	d.recordEnd(owned, entry)
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -75,6 +75,7 @@
 	memoryMb    int           // limit of this process
 	nextWake    time.Duration // when the timer fires; 0: at its usual pace
 	leaseWatch  leaseWatch
+	awaited     int64 // latest configuration that a message was accepted under and that has not come yet
 }
 
 // Run runs the role until the context ends, then hands over what it holds.
@@ -238,7 +239,7 @@
 		close(d.configured)
 	}
 	d.log.Info("configuration in force", "revision", parsed.Revision(), "waiting", len(d.deliveries), "decidedOtherwise", d.decidedOtherwise(parsed))
-	d.reconfigureServices(parsed)
+	d.reconfigure(parsed)
 	d.considerQueues()
 	d.pumpAll()
 }
--- a/internal/service/dispatcher/front.go
+++ b/internal/service/dispatcher/front.go
@@ -97,6 +97,7 @@
 		return
 	}
 	head, problem := d.readHead(r, route)
+	head.Revision = current.Revision()
 	if problem != "" {
 		http.Error(w, problem, http.StatusBadRequest)
 		return
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -163,7 +163,7 @@
 	d := newTestDispatcher(c)
 	owned := own(d, "ordered/1", 1)
 	entry := owned.Add(d.now(), protocol.Head{ID: "m", Retention: time.Minute}, nil, nil)
-	state := &deliveryState{key: "m@1", owned: owned, entry: entry, service: d.services["outside"], retries: 2}
+	state := &deliveryState{key: "m@1", owned: owned, entry: entry, service: d.services["outside"], route: &configuration.Route{MaxRetries: 2}}
 	failed := delivery.Result{Verdict: verdict.Ran, Status: 500}
 	owned.Advance(d.now())
 	d.settle(state, delivery.Result{Verdict: verdict.MayHaveRun, RetryAfter: delivery.NoRetryAfter})
--- /dev/null
+++ b/internal/service/dispatcher/reconfigure.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"yardwharf/internal/service/configuration"
+)
+
+// reconfigure makes all that was decided under an earlier configuration follow the one
+// that is in force now. The mutex is held.
+func (d *Dispatcher) reconfigure(current *configuration.Configuration) {
+	d.reconfigureServices(current)
+	d.reconsiderDeliveries(current)
+	d.dropServices(current)
+}
+
+// reconfigureServices takes over the services of a configuration. The mutex is
+// held.
+func (d *Dispatcher) reconfigureServices(current *configuration.Configuration) {
+	for name, configured := range current.Services() {
+		service := d.services[name]
+		if service == nil {
+			service = d.newService(current, configured)
+			if service == nil {
+				continue
+			}
+			d.services[name] = service
+		}
+		service.configured = configured
+		if service.rate.limiter != nil {
+			service.rate.limiter.SetRate(d.now(), configured.RatePerS)
+		}
+		service.driver.SetTimeout(longestTimeout(current, name))
+		d.updateFleet(service)
+		d.updateSenders(service)
+	}
+}
+
+// dropServices forgets the services that a configuration no longer has. Attempts under
+// way there end as usual. The mutex is held.
+func (d *Dispatcher) dropServices(current *configuration.Configuration) {
+	for name, service := range d.services {
+		if _, known := current.Service(name); !known {
+			service.driver.SetSenders(d.now(), nil)
+			delete(d.services, name)
+		}
+	}
+}
+
+// reconsiderDeliveries takes messages back that wait for a sender of a service to which
+// their route no longer leads, or whose place in the order has changed. They are
+// delivered anew, in the order of their acceptance; those without a route end then. What
+// a sender has is left there and given to no other one. The mutex is held.
+func (d *Dispatcher) reconsiderDeliveries(current *configuration.Configuration) {
+	var changed []*deliveryState
+	for _, state := range d.deliveries {
+		route, configured, found := current.Match(state.entry.Head.Host, state.entry.Head.Target)
+		if !found || configured.Name != state.service.name || route.ScheduleTarget() != state.route.ScheduleTarget() {
+			changed = append(changed, state)
+		}
+		if found {
+			state.route = route
+		}
+	}
+	slices.SortFunc(changed, func(a, b *deliveryState) int {
+		return cmp.Compare(a.entry.Accepted(), b.entry.Accepted())
+	})
+	for _, state := range changed {
+		if d.deliveries[state.key] == state { // else it was given back meanwhile
+			d.takeBack(state)
+		}
+	}
+}
--- a/internal/service/dispatcher/reconfigured_test.go
+++ b/internal/service/dispatcher/reconfigured_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -87,7 +88,10 @@
 	}
 	dispatcher, end := simulated(r.network)
 	r.Dispatcher = dispatcher
+	pump, stop := context.WithCancel(context.Background())
+	go r.runPump(pump)
 	r.end = func() {
+		stop()
 		for _, process := range senders {
 			process.Kill()
 		}
--- a/internal/service/dispatcher/rules_test.go
+++ b/internal/service/dispatcher/rules_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"yardwharf/internal/service/configuration"
 	"yardwharf/internal/service/delivery"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
@@ -49,7 +50,7 @@
 			break
 		}
 		runs++
-		state := &deliveryState{key: "m", owned: owned, entry: entry, service: d.services["outside"], retries: 3}
+		state := &deliveryState{key: "m", owned: owned, entry: entry, service: d.services["outside"], route: &configuration.Route{MaxRetries: 3}}
 		d.settle(state, delivery.Result{Verdict: verdict.Ran, Status: http.StatusInternalServerError})
 		failures[[]string{"s1", "s2"}[runs%2]] = entry.Head.Failures // the other one was away
 		if entry.Head.State == protocol.DeadLetter {
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -63,26 +63,6 @@
 	d.pumpService(service)
 }
 
-// reconfigureServices takes over the services of a configuration. The mutex is
-// held.
-func (d *Dispatcher) reconfigureServices(current *configuration.Configuration) {
-	for name, configured := range current.Services() {
-		service := d.services[name]
-		if service == nil {
-			service = d.newService(current, configured)
-			if service == nil {
-				continue
-			}
-			d.services[name] = service
-		}
-		service.configured = configured
-		if service.rate.limiter != nil {
-			service.rate.limiter.SetRate(d.now(), configured.RatePerS)
-		}
-		d.updateSenders(service)
-	}
-}
-
 // newService makes the decision module of a service.
 func (d *Dispatcher) newService(current *configuration.Configuration, configured *configuration.Service) *serviceState {
 	service := &serviceState{name: configured.Name, configured: configured}
@@ -134,10 +114,15 @@
 // mutex is held.
 func (d *Dispatcher) refreshFleet() {
 	for _, service := range d.services {
-		service.driver.SetFleet(d.sharers(service.configured), service.configured.MaxConns)
+		d.updateFleet(service)
 	}
 }
 
+// updateFleet tells a service's decision module how many dispatchers share its senders.
+func (d *Dispatcher) updateFleet(service *serviceState) {
+	service.driver.SetFleet(d.sharers(service.configured), service.configured.MaxConns)
+}
+
 // updateSenders hands the current list to a service's decision module.
 func (d *Dispatcher) updateSenders(service *serviceState) {
 	if service.configured.Static() {
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -88,6 +88,7 @@
 	Delay       time.Duration // from acceptance
 	Retention   time.Duration // from acceptance
 	Age         time.Duration // since acceptance, at the moment of encoding
+	Revision    int64         // of the configuration under which it was accepted; 0 where it is not known
 	Failures    int           // answers with status 500 so far
 	BodySize    int
 	State       State
--- a/internal/service/store/record.go
+++ b/internal/service/store/record.go
@@ -155,7 +155,7 @@
 	if end != nil {
 		b = binary.AppendUvarint(b, end.endEpoch)
 	}
-	return b
+	return binary.AppendUvarint(b, uint64(max(h.Revision, 0)))
 }
 
 // messageContent is the content of a message record.
@@ -192,6 +192,9 @@
 	if content.end != nil && len(d.rest) > 0 { // records of earlier builds end here
 		content.end.endEpoch = d.uint()
 	}
+	if len(d.rest) > 0 { // and so do theirs of messages that have not ended
+		head.Revision = int64(d.uint())
+	}
 	head.BodySize = len(content.message.Body)
 	head.State = protocol.Queued
 	return content, d.err("message")
