--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -185,3 +185,65 @@
 	d.pump(owned)
 	return owned, entry
 }
+
+// TestEndWhileItsQueueIsTakenAgain lets a queue go while a sender has its message, and
+// takes it again from heads that were read before the message ended: it has ended, also
+// under the new epoch, and does not run again.
+func TestEndWhileItsQueueIsTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := millisecondNetwork()
+		server := network.Process("10.5.0.1")
+		listener, err := server.Listen("10.5.0.1:80")
+		c.Assert(err, qt.IsNil)
+		runs := 0
+		go func() {
+			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs++
+				time.Sleep(50 * time.Millisecond)
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Server-Seal", "seal")
+			}))
+		}()
+		head := protocol.Head{ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", Retention: time.Minute, State: protocol.Queued}
+		stores := acquireStores(3, head)
+		var newest protocol.End
+		for _, store := range stores {
+			store.ends = func(batch protocol.EndBatch) protocol.EndBatchReply {
+				for _, end := range batch.Ends {
+					if end.Epoch > newest.Epoch {
+						newest = end
+					}
+				}
+				return protocol.EndBatchReply{StoreID: "disk"}
+			}
+		}
+		d, end := owningAt(t, c, network, stores)
+		sending, stop := context.WithCancel(t.Context())
+		for _, link := range d.stores {
+			go d.sendEnds(sending, link)
+		}
+		time.Sleep(20 * time.Millisecond)
+		d.mutex.Lock()
+		c.Assert(d.queues["ordered/1"].Running(), qt.Equals, 1)
+		d.drop(d.queues["ordered/1"], "test")
+		d.mutex.Unlock()
+		for _, store := range stores {
+			store.delay = 100 * time.Millisecond // the answer is on its way while the message ends
+		}
+		d.acquire(t.Context(), []string{"ordered/1"})
+		time.Sleep(time.Second)
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Assert(owned, qt.IsNotNil)
+		c.Check(owned.Get("m").Head.State, qt.Equals, protocol.Completed)
+		c.Check(owned.Get("m").Head.Stamp, qt.Equals, "seal")
+		c.Check(newest.Epoch, qt.Equals, owned.Epoch)
+		c.Check(newest.State, qt.Equals, protocol.Completed)
+		c.Check(runs, qt.Equals, 1)
+		d.mutex.Unlock()
+		stop()
+		server.Kill()
+		end()
+	})
+}
--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/view"
 )
 
 // A queue that is handed over takes messages while a delivery of it is under way, begins no other, and is
@@ -51,6 +53,36 @@
 	})
 }
 
+// A hand-over waits as long as a delivery may take: whoever gets the queue sooner runs the
+// message again, and the stores take no end from the owner before.
+func TestHandOverWaitsForTheLongestDelivery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		longer := strings.Replace(strings.Replace(oneRoute, `"revision":1`, `"revision":2`, 1), `"timeoutMs":100`, `"timeoutMs":6000`, 1)
+		d.takeConfiguration(view.Configuration{Revision: 2, Raw: []byte(longer)})
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Assert(owned, qt.IsNotNil)
+		running := owned.Add(d.now(), protocol.Head{ID: "running", Queue: owned.Name, Retention: time.Minute}, nil, nil)
+		owned.Advance(d.now())
+		d.mutex.Unlock()
+		d.startHandOver(t.Context(), owned.Name, "edge-2")
+
+		time.Sleep(6 * time.Second)
+		d.mutex.Lock()
+		c.Check(owned.dropped, qt.IsFalse)
+		owned.End(d.now(), running, protocol.Completed, "seal")
+		d.mutex.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		d.mutex.Lock()
+		c.Check(owned.dropped, qt.IsTrue)
+		d.mutex.Unlock()
+		end()
+	})
+}
+
 // A message that is being accepted as its queue closes is awaited; one that takes too long is neither
 // accepted nor refused.
 func TestMessageThatIsBeingAcceptedIsAwaited(t *testing.T) {
