Remember ends that come after their queue was let go, and hand over after the longest delivery

Cause: an end that was settled after its queue had been lost was recorded under the old epoch only, which stores refuse once they have promised a newer one; the same dispatcher, taking the queue again from heads read before, ran the message again. A hand-over gave a queue up 3 s after its last delivery had begun, though a route may allow longer. Change: such ends are remembered for 2 minutes (10,000 at the most) and complete heads that stores tell as open; a hand-over waits as long as the longest time-out in force and 0.5 s, within what a leaving process has.

--- a/internal/service/dispatcher/adopt.go
+++ b/internal/service/dispatcher/adopt.go
@@ -27,6 +27,7 @@
 			cmp.Compare(a.head.ID, b.head.ID))
 	})
 	for _, one := range ordered {
+		d.lateEnds.complete(&one.head)
 		entry := owned.Add(d.now(), one.head, nil, one.holders)
 		if one.head.State.Ended() {
 			d.recordEnd(owned, entry) // under this owner's epoch, over which no older one's counts
@@ -109,7 +110,12 @@
 		return
 	}
 	if answer.complete {
-		d.needsRepair(owned, owned.Add(d.now(), head, nil, []string{link.node}))
+		d.lateEnds.complete(&head)
+		entry := owned.Add(d.now(), head, nil, []string{link.node})
+		if head.State.Ended() {
+			d.recordEnd(owned, entry)
+		}
+		d.needsRepair(owned, entry)
 		d.pump(owned)
 	}
 }
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -333,6 +333,9 @@
 	}
 	d.freeBody(entry)
 	owned.End(d.now(), entry, state, stamp)
+	if owned.dropped {
+		d.lateEnds.note(d.now(), endOf(owned, entry))
+	}
 	d.recordEnd(owned, entry)
 	d.pump(owned)
 }
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -75,6 +75,7 @@
 	memoryMb    int           // limit of this process
 	nextWake    time.Duration // when the timer fires; 0: at its usual pace
 	leaseWatch  leaseWatch
+	lateEnds    lateEnds
 	awaited     int64 // latest configuration that a message was accepted under and that has not come yet
 }
 
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -47,7 +47,7 @@
 // handOver waits for deliveries under way, while messages are still accepted, then closes the queue,
 // releases its leases and tells the successor, which finds in the stores what was accepted meanwhile.
 func (d *Dispatcher) handOver(ctx context.Context, owned *ownedQueue, successor string) {
-	d.awaitQueue(ctx, owned, handOverWait, func() bool { return owned.Running() == 0 && d.flushedOf(owned.Name) })
+	d.awaitQueue(ctx, owned, d.handOverMost(), func() bool { return owned.Running() == 0 && d.flushedOf(owned.Name) })
 	d.mutex.Lock()
 	owned.closed = true
 	d.mutex.Unlock()
@@ -80,6 +80,20 @@
 	d.log.V(1).Info("queue handed over", "queue", owned.Name, "to", successor)
 }
 
+// handOverMost returns how long deliveries under way are awaited: as long as one may take, because
+// whoever gets the queue sooner may run the message again.
+func (d *Dispatcher) handOverMost() time.Duration {
+	longest := handOverWait
+	current := d.configuration.Load()
+	if current == nil {
+		return longest
+	}
+	for _, route := range current.Routes() {
+		longest = max(longest, route.Timeout()+handOverSlack)
+	}
+	return longest
+}
+
 // awaitQueue waits until a queue is in some state, or lost, or the time is over.
 func (d *Dispatcher) awaitQueue(ctx context.Context, owned *ownedQueue, most time.Duration, reached func() bool) {
 	deadline := time.Now().Add(most)
--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -83,6 +83,19 @@
 	})
 }
 
+// A dispatcher that ends before its first configuration has come hands its own queue over.
+func TestHandOverWithoutAConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		d.configuration.Store(nil)
+		d.acquire(t.Context(), []string{d.localQueue})
+		d.handOverAll(t.Context(), isLocal)
+		c.Check(d.queues, qt.HasLen, 0)
+		end()
+	})
+}
+
 // A message that is being accepted as its queue closes is awaited; one that takes too long is neither
 // accepted nor refused.
 func TestMessageThatIsBeingAcceptedIsAwaited(t *testing.T) {
--- /dev/null
+++ b/internal/service/dispatcher/lateends_test.go
@@ -0,0 +1,42 @@
+package dispatcher
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+)
+
+func TestLateEndsCompleteOpenHeads(t *testing.T) {
+	c := qt.New(t)
+	var ends lateEnds
+	ends.note(0, protocol.End{ID: "done", State: protocol.Completed, Stamp: "seal"})
+	open := protocol.Head{ID: "done", State: protocol.Queued, CallbackURL: "http://10.0.0.4:1/"}
+	ends.complete(&open)
+	c.Assert(open.State, qt.Equals, protocol.Completed)
+	c.Assert(open.Stamp, qt.Equals, "seal")
+	c.Assert(open.CallbackDue, qt.IsTrue)
+	ended := protocol.Head{ID: "done", State: protocol.Completed, Stamp: "another"} // told by stores
+	ends.complete(&ended)
+	c.Assert(ended.Stamp, qt.Equals, "another")
+	unknown := protocol.Head{ID: "unknown", State: protocol.Queued}
+	ends.complete(&unknown)
+	c.Assert(unknown.State, qt.Equals, protocol.Queued)
+}
+
+func TestLateEndsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var ends lateEnds
+	for n := range 2 * lateEndsMost {
+		ends.note(time.Second, protocol.End{ID: strconv.Itoa(n), State: protocol.Completed})
+	}
+	c.Assert(ends.byID, qt.HasLen, lateEndsMost)
+	_, newest := ends.byID[strconv.Itoa(2*lateEndsMost-1)]
+	c.Assert(newest, qt.IsTrue)
+	ends.note(time.Second+lateEndsKept, protocol.End{ID: "last", State: protocol.Completed})
+	c.Assert(ends.byID, qt.HasLen, 1)
+	c.Assert(ends.order, qt.HasLen, 1)
+}
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -21,7 +21,8 @@
 	ratedPrefix       = "rated/"
 	acquirePause      = 150 * time.Millisecond
 	handOverAfter     = 2 * time.Second        // a better owner must have been live for so long
-	handOverWait      = 3 * time.Second        // for deliveries under way
+	handOverWait      = 3 * time.Second        // for deliveries under way, at least
+	handOverSlack     = 500 * time.Millisecond // for a connection and the record of the end, beside the route's time-out
 	closeWait         = 500 * time.Millisecond // for messages that are being accepted
 	handOverPause     = 10 * time.Millisecond  // between two looks
 	handOverParallel  = 4
