Force each crossing of a change with a delivery in a test

Change: tests with changes of the configuration, the list of senders, the queue and the message's end while its body is read; time-outs, retries, connections and services that change while messages wait or are at a sender; owners that are behind.

--- a/internal/service/balance/design_test.go
+++ b/internal/service/balance/design_test.go
@@ -51,7 +51,13 @@
 
 // stepOnce plays until each of two senders has the completions that a step awaits.
 func stepOnce(t *testing.T, timeout time.Duration, ends func(sender string, n int) (Status, time.Duration)) (*rig, map[string]int) {
+	return stepOnceAfter(t, timeout, func(*Driver) {}, ends)
+}
+
+// stepOnceAfter does so after a change of the Driver.
+func stepOnceAfter(t *testing.T, timeout time.Duration, change func(*Driver), ends func(sender string, n int) (Status, time.Duration)) (*rig, map[string]int) {
 	r := newRig(t, 1, 2, 4, Options{Timeout: timeout})
+	change(r.dispatchers[0].driver)
 	done := map[string]int{}
 	for min(done["s000"], done["s001"]) < firstSamples {
 		near(r.c, r.dispatchers[0].driver.Shares()["s000"], 0.5) // no step before all have L(0)
--- a/internal/service/balance/driver_test.go
+++ b/internal/service/balance/driver_test.go
@@ -332,3 +332,22 @@
 	late, all := r.late(0, r.now, time.Hour)
 	r.c.Assert(late, qt.Equals, 0, qt.Commentf("of %d never ran", all))
 }
+
+// A time-out that a configuration changes counts for the next deliveries: a lost one enters
+// the shares with it.
+func TestTimeoutCanChange(t *testing.T) {
+	lost := func(change func(*Driver)) float64 {
+		r, _ := stepOnceAfter(t, 200*ms, change, func(sender string, n int) (Status, time.Duration) {
+			if sender == "s001" && n == 1 {
+				return Lost, 30 * ms
+			}
+			return Succeeded, 100 * ms
+		})
+		return r.dispatchers[0].driver.Shares()["s000"]
+	}
+	c := qt.New(t)
+	same := lost(func(*Driver) {})
+	c.Assert(lost(func(d *Driver) { d.SetTimeout(200 * ms) }), qt.Equals, same)
+	c.Assert(lost(func(d *Driver) { d.SetTimeout(400 * ms) }) > same, qt.IsTrue)
+	c.Assert(lost(func(d *Driver) { d.SetTimeout(0) }) > same, qt.IsTrue) // the usual one
+}
--- a/internal/service/dispatcher/reconfigured_test.go
+++ b/internal/service/dispatcher/reconfigured_test.go
@@ -39,6 +39,7 @@
 	}
 	w.Header().Set(headerRequestID, id)
 	w.Header().Set("X-Server-Seal", "seal-"+id)
+	w.Header().Set("X-Server-Load", "1,0,60")
 	w.WriteHeader(status)
 }
 
@@ -186,3 +187,329 @@
 		r.end()
 	})
 }
+
+// slowStore answers questions for a message's body after a while.
+func (r *reconfigured) slowStore(c *qt.C, delay time.Duration, body []byte, during func()) (kill func()) {
+	store := acquireStores(1)[0]
+	store.delay = delay
+	store.query = func(query protocol.Query) protocol.QueryReply {
+		head := protocol.Head{ID: query.ID, Target: "/a/", BodySize: len(body), State: protocol.Queued}
+		return protocol.QueryReply{StoreID: "disk", Held: true, Head: head, Body: body}
+	}
+	kill = store.serve(c, r.network, "10.2.0.1")
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.owned.Add(r.now(), protocol.Head{
+		ID: "m", Method: "POST", Host: "a.example", Target: "/a/", Retention: time.Minute, BodySize: len(body),
+	}, nil, []string{"storage-1"})
+	r.pump(r.owned)
+	time.AfterFunc(delay/2, during)
+	return kill
+}
+
+// TestChangesWhileTheBodyIsRead forces what an attempt rests on to change between the
+// draw of its sender and the moment at which it could be sent.
+func TestChangesWhileTheBodyIsRead(t *testing.T) {
+	for name, one := range map[string]struct {
+		during   func(*reconfigured)
+		old, new int // messages that the services' senders get
+		state    protocol.State
+	}{
+		"nothing": {during: func(*reconfigured) {}, old: 1, state: protocol.Completed},
+		"the route leads elsewhere": {during: func(r *reconfigured) {
+			r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
+		}, new: 1, state: protocol.Completed},
+		"the route leads elsewhere and back": {during: func(r *reconfigured) {
+			r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
+			r.takeConfiguration(routeTo(4, "old", 400, 3, "/a/"))
+		}, old: 1, state: protocol.Completed},
+		"the route is dropped": {during: func(r *reconfigured) {
+			r.takeConfiguration(routeTo(3, "old", 400, 3, "/b/"))
+		}, state: protocol.DeadLetter},
+		"the sender leaves the list": {during: func(r *reconfigured) { r.list(newSender) }, state: protocol.Queued},
+		"the sender drains": {during: func(r *reconfigured) {
+			r.takeSenders(view.Senders{List: []view.Sender{{ID: oldSender, Service: "old", Address: oldSender, Zone: "z", Slots: 4, Draining: true}}})
+		}, state: protocol.Queued},
+		"a store tells its end": {during: func(r *reconfigured) {
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			head := protocol.Head{ID: "m", State: protocol.Completed, Stamp: "elsewhere", EndEpoch: 1}
+			r.takeLateHead(r.owned, r.stores["storage-1"], head)
+		}, state: protocol.Completed},
+		"the queue is lost": {during: func(r *reconfigured) {
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			r.drop(r.owned, "test")
+		}, state: protocol.Queued},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newReconfigured(c)
+				kill := r.slowStore(c, 200*time.Millisecond, []byte("body"), func() { one.during(r) })
+				time.Sleep(5 * time.Second)
+				c.Check(r.old.count(), qt.Equals, one.old)
+				c.Check(r.new.count(), qt.Equals, one.new)
+				c.Check(r.states()[one.state], qt.Equals, 1, qt.Commentf("%v", r.states()))
+				kill()
+				r.end()
+			})
+		})
+	}
+}
+
+// TestTimeoutOfTheConfigurationInForce has a message wait through a change of its route's
+// time-out.
+func TestTimeoutOfTheConfigurationInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		r.list()
+		r.add(10, "/a/")
+		time.Sleep(time.Second)
+		r.takeConfiguration(routeTo(3, "old", 1700, 3, "/a/"))
+		r.list(oldSender)
+		time.Sleep(5 * time.Second)
+		c.Check(r.old.count(), qt.Equals, 10)
+		for _, told := range r.old.deadline {
+			c.Check(told >= "1690" && len(told) == 4, qt.IsTrue, qt.Commentf(told))
+		}
+		r.end()
+	})
+}
+
+// TestRetriesOfTheConfigurationInForce lowers and raises a route's retries while a sender
+// has the message.
+func TestRetriesOfTheConfigurationInForce(t *testing.T) {
+	for _, one := range []struct{ before, after, want int }{{5, 2, 2}, {2, 5, 5}, {3, 3, 3}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			r := newReconfigured(c)
+			r.takeConfiguration(routeTo(3, "old", 400, one.before, "/a/"))
+			r.old.answer = func(string) int {
+				time.Sleep(100 * time.Millisecond)
+				return http.StatusInternalServerError
+			}
+			r.add(1, "/a/")
+			time.Sleep(50 * time.Millisecond)
+			r.takeConfiguration(routeTo(4, "old", 400, one.after, "/a/"))
+			time.Sleep(20 * time.Second)
+			c.Check(r.old.count(), qt.Equals, one.want)
+			c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.DeadLetter: 1})
+			r.end()
+		})
+	}
+}
+
+// TestMessageAtASenderStaysThere changes the route of a message that a sender has: that
+// attempt counts, and no other service gets the message beside it.
+func TestMessageAtASenderStaysThere(t *testing.T) {
+	for name, one := range map[string]struct {
+		status   int
+		old, new int
+		state    protocol.State
+	}{
+		"succeeds":       {http.StatusOK, 1, 0, protocol.Completed},
+		"fails":          {http.StatusInternalServerError, 1, 1, protocol.Completed},
+		"can't be known": {http.StatusBadGateway, 1, 1, protocol.Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newReconfigured(c)
+				overlap := false
+				r.old.answer = func(string) int {
+					time.Sleep(200 * time.Millisecond)
+					overlap = overlap || r.new.count() > 0
+					return one.status
+				}
+				r.add(1, "/a/")
+				time.Sleep(100 * time.Millisecond)
+				r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
+				time.Sleep(5 * time.Second)
+				c.Check(r.old.count(), qt.Equals, one.old)
+				c.Check(r.new.count(), qt.Equals, one.new)
+				c.Check(overlap, qt.IsFalse)
+				c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{one.state: 1})
+				c.Check(r.deliveries, qt.HasLen, 0)
+				r.end()
+			})
+		})
+	}
+}
+
+// TestRefusedAttemptIsNotRepeatedAtTheOldService has a sender refuse a message, after its
+// route has moved: the decision module draws no further sender of that service.
+func TestRefusedAttemptIsNotRepeatedAtTheOldService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		r.old.answer = func(string) int {
+			time.Sleep(200 * time.Millisecond)
+			return http.StatusMisdirectedRequest
+		}
+		r.add(1, "/a/")
+		time.Sleep(100 * time.Millisecond)
+		r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
+		time.Sleep(5 * time.Second)
+		c.Check(r.old.count(), qt.Equals, 1)
+		c.Check(r.new.count(), qt.Equals, 1)
+		r.end()
+	})
+}
+
+// TestEndThatComesWhileAMessageWaits has a store tell the end of messages that wait for a
+// sender, at the decision module and before it: none runs again once there is one.
+func TestEndThatComesWhileAMessageWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		r.list()
+		r.add(2*submitAhead, "/a/")
+		time.Sleep(time.Second)
+		r.mutex.Lock()
+		link := r.stores["storage-1"]
+		for n := range 2 * submitAhead {
+			r.takeLateHead(r.owned, link, protocol.Head{ID: fmt.Sprint("/a/", n), State: protocol.Completed, Stamp: "elsewhere", EndEpoch: 1})
+		}
+		c.Check(r.deliveries, qt.HasLen, 0)
+		c.Check(r.services["old"].driver.Waiting(), qt.Equals, 0)
+		c.Check(r.services["old"].waiting.empty(), qt.IsTrue)
+		r.mutex.Unlock()
+		r.list(oldSender)
+		time.Sleep(5 * time.Second)
+		c.Check(r.old.count(), qt.Equals, 0)
+		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Completed: 2 * submitAhead})
+		r.end()
+	})
+}
+
+// TestOwnerThatIsBehind gives a message to an owner that has not heard of the
+// configuration under which it was accepted: that one knows the route, or leads it
+// elsewhere, and is waited for.
+func TestOwnerThatIsBehind(t *testing.T) {
+	for name, path := range map[string]string{"a route that moves": "/a/", "a new route": "/new/"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newReconfigured(c)
+				r.mutex.Lock()
+				r.owned.Add(r.now(), protocol.Head{
+					ID: "m", Method: "POST", Host: "a.example", Target: path, Retention: time.Minute, Revision: 5,
+				}, nil, nil)
+				r.pump(r.owned)
+				r.mutex.Unlock()
+				time.Sleep(3 * time.Second)
+				r.takeConfiguration(routeTo(4, "old", 400, 3, "/a/"))
+				time.Sleep(3 * time.Second)
+				c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Queued: 1})
+				r.takeConfiguration(routeTo(5, "new", 400, 3, "/a/", "/new/"))
+				time.Sleep(100 * time.Millisecond)
+				c.Check(r.old.count(), qt.Equals, 0)
+				c.Check(r.new.count(), qt.Equals, 1)
+				c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Completed: 1})
+				r.end()
+			})
+		})
+	}
+}
+
+// TestServiceIsDroppedAndComesBack drops a service while a sender has a message and others
+// wait, and brings it back.
+func TestServiceIsDroppedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		r.old.answer = func(string) int {
+			time.Sleep(200 * time.Millisecond)
+			return http.StatusOK
+		}
+		r.add(30, "/a/")
+		time.Sleep(100 * time.Millisecond)
+		without := routeTo(3, "new", 400, 3, "/a/")
+		without.Raw = []byte(strings.Replace(string(without.Raw), `{"name":"old","maxConns":8},`, "", 1))
+		r.takeConfiguration(without)
+		r.mutex.Lock()
+		c.Check(r.services, qt.HasLen, 1)
+		r.mutex.Unlock()
+		r.takeConfiguration(routeTo(4, "old", 400, 3, "/a/"))
+		time.Sleep(5 * time.Second)
+		c.Check(r.old.count()+r.new.count(), qt.Equals, 30)
+		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Completed: 30})
+		c.Check(r.deliveries, qt.HasLen, 0)
+		r.end()
+	})
+}
+
+// TestBacklogKeepsItsOrder moves a backlog to another service: the messages go there in
+// the order in which they were accepted.
+func TestBacklogKeepsItsOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		r.list(newSender)
+		for n := range 40 {
+			r.mutex.Lock()
+			r.owned.Add(r.now(), protocol.Head{ID: fmt.Sprintf("m%02d", n), Method: "POST", Host: "a.example", Target: "/a/", Retention: time.Minute}, nil, nil)
+			r.pump(r.owned)
+			r.mutex.Unlock()
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		r.new.answer = func(string) int {
+			time.Sleep(20 * time.Millisecond)
+			return http.StatusOK
+		}
+		r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
+		time.Sleep(5 * time.Second)
+		c.Assert(r.new.count(), qt.Equals, 40)
+		for place, id := range r.new.messages {
+			var number int
+			_, err := fmt.Sscanf(id, "m%d", &number)
+			c.Assert(err, qt.IsNil)
+			c.Check(max(number-place, place-number) <= 2*submitAhead+4, qt.IsTrue, qt.Commentf("%s came as number %d", id, place))
+		}
+		r.end()
+	})
+}
+
+// TestConnectionsOfTheConfigurationInForce lowers and raises the connections that a
+// service's senders take.
+func TestConnectionsOfTheConfigurationInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		most := 0
+		running := 0
+		r.old.answer = func(string) int {
+			r.old.mutex.Lock()
+			running++
+			most = max(most, running)
+			r.old.mutex.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			r.old.mutex.Lock()
+			running--
+			r.old.mutex.Unlock()
+			return http.StatusOK
+		}
+		for revision, maxConns := range []int{8, 2, 40} {
+			update := routeTo(3+revision, "old", 400, 3, "/a/")
+			update.Raw = []byte(strings.ReplaceAll(string(update.Raw), `"maxConns":8`, fmt.Sprintf(`"maxConns":%d`, maxConns)))
+			r.takeConfiguration(update)
+			most = 0
+			r.mutex.Lock()
+			for n := range 60 {
+				r.owned.Add(r.now(), protocol.Head{ID: fmt.Sprint(revision, "-", n), Method: "POST", Host: "a.example", Target: "/a/", Retention: time.Minute}, nil, nil)
+			}
+			r.pump(r.owned)
+			r.mutex.Unlock()
+			time.Sleep(15 * time.Second)
+			c.Check(most <= maxConns, qt.IsTrue, qt.Commentf("%d at once, %d allowed", most, maxConns))
+			if maxConns > 8 {
+				c.Check(most > 8, qt.IsTrue, qt.Commentf("%d at once", most))
+			}
+		}
+		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Completed: 180})
+		r.end()
+	})
+}
