Test the revision of accepted messages on disk and on the way, and late ends of lists

Cause: mutants that dropped the revision from heads and records, or the late end of a message that one store lists, were not caught. Change: tests for both; the message's phase is no longer asked before an attempt, as an end takes its message back. That a dispatcher passes a new time-out on to its decision module is tested in balance only.

--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -227,10 +227,10 @@
 }
 
 // mayBegin reports whether an attempt that was decided on may begin now: the queue is
-// this dispatcher's, the message has not ended, and neither a configuration nor the list
-// of senders has changed the decision. The mutex is held.
+// this dispatcher's, the message was not taken back, as it is when it ends or a
+// configuration decides otherwise, and its sender is still there. The mutex is held.
 func (d *Dispatcher) mayBegin(state *deliveryState, attempt balance.Attempt) bool {
-	return d.mayAct(state.owned) && state.entry.Phase == queue.Running && state.service.driver.Stands(attempt.ID)
+	return d.mayAct(state.owned) && state.service.driver.Stands(attempt.ID)
 }
 
 // notSent books that an attempt was not begun. The mutex is held.
--- a/internal/service/dispatcher/reconfigured_test.go
+++ b/internal/service/dispatcher/reconfigured_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -513,3 +514,60 @@
 		r.end()
 	})
 }
+
+// TestAcceptedUnderARevision sends a client's message: its copies tell the configuration
+// under which it was accepted, and those that read them take the latest told.
+func TestAcceptedUnderARevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var mutex sync.Mutex
+		var written []int64
+		stores := acquireStores(2)
+		for _, store := range stores {
+			store.append = func(request protocol.Append) protocol.AppendReply {
+				mutex.Lock()
+				defer mutex.Unlock()
+				written = append(written, request.Message.Head.Revision)
+				return protocol.AppendReply{Status: protocol.Stored, StoreID: "disk"}
+			}
+		}
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{d.localQueue})
+		d.takeConfiguration(routeTo(7, "old", 400, 3, "/a/"))
+		request := httptest.NewRequest(http.MethodPost, "http://a.example/a/x", strings.NewReader("body"))
+		request.Header.Set(headerRequestID, "m")
+		recorder := httptest.NewRecorder()
+		d.serveClient(recorder, request)
+		c.Check(recorder.Code, qt.Equals, http.StatusAccepted)
+		c.Check(written, qt.DeepEquals, []int64{7, 7})
+		end()
+	})
+	for _, order := range [][]int64{{3, 9}, {9, 3}} {
+		merged := map[string]*adoptedHead{}
+		for store, revision := range order {
+			mergeHead(merged, fmt.Sprint("s", store), protocol.Head{ID: "m", Revision: revision, State: protocol.Queued})
+		}
+		qt.Assert(t, merged["m"].head.Revision, qt.Equals, int64(9))
+	}
+}
+
+// TestLateEndOfAMessageThatOneStoreLists has a store that was away list a message as open
+// whose delivery ended here after its queue had been let go.
+func TestLateEndOfAMessageThatOneStoreLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := withScriptedStores(c, acquireStores(3))
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		owned, link := d.queues["ordered/1"], d.stores["storage-3"]
+		d.lateEnds.note(d.now(), protocol.End{ID: "m", Queue: owned.Name, State: protocol.Completed, Stamp: "seal"})
+		d.mutex.Unlock()
+		d.settleUnknown(owned, link, protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued, Retention: time.Minute})
+		d.mutex.Lock()
+		c.Assert(owned.Get("m"), qt.IsNotNil)
+		c.Check(owned.Get("m").Head.State, qt.Equals, protocol.Completed)
+		c.Check(link.ends["m"].Stamp, qt.Equals, "seal")
+		d.mutex.Unlock()
+		end()
+	})
+}
--- a/internal/service/store/store_test.go
+++ b/internal/service/store/store_test.go
@@ -74,7 +74,7 @@
 		Head: protocol.Head{
 			ID: id, Queue: queue, Epoch: epoch, Sequence: 1, Method: "POST", Host: "host.example",
 			Target: "/path/of/message?x=1", ContentType: "application/json", OrderingKey: "key",
-			CallbackURL: "http://10.0.0.4:8080/done", Delay: time.Second, Retention: 90 * time.Second,
+			CallbackURL: "http://10.0.0.4:8080/done", Delay: time.Second, Retention: 90 * time.Second, Revision: 82,
 			Age: 100 * time.Millisecond,
 		},
 		Body: []byte("body of " + id),
