--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -165,3 +165,35 @@
 	d.stores["a"].up = false
 	c.Assert(d.flushedOf("ordered/1"), qt.IsTrue)
 }
+
+// A dispatcher that is told to end while stores grant it queues, or is offered some, gives
+// them back: it would have to let them go at once.
+func TestQueuesGrantedWhileLeaving(t *testing.T) {
+	for name, ask := range map[string]func(*Dispatcher, context.Context){
+		"asked for": func(d *Dispatcher, ctx context.Context) { d.acquire(ctx, []string{"ordered/1"}) },
+		"offered":   func(d *Dispatcher, ctx context.Context) { d.offered(ctx, []string{"ordered/1"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(3)
+				for _, store := range stores {
+					store.delay = 200 * time.Millisecond
+				}
+				d, end := withScriptedStores(c, stores)
+				time.AfterFunc(100*time.Millisecond, func() { d.draining.Store(true) })
+				ask(d, t.Context())
+				time.Sleep(time.Second)
+				d.mutex.Lock()
+				c.Check(d.queues, qt.HasLen, 0)
+				d.mutex.Unlock()
+				for _, store := range stores {
+					store.mutex.Lock()
+					c.Check(store.released, qt.Equals, 1)
+					store.mutex.Unlock()
+				}
+				end()
+			})
+		})
+	}
+}
