Give back queues that are granted after a dispatcher was told to end

Cause: a grant that came after the hand-over had chosen its queues was kept until the process ended, its deliveries were cut off then and ran again elsewhere. Change: a leaving dispatcher gives such grants back at once.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -288,7 +288,7 @@
 			counted++
 		}
 	}
-	if counted < d.grantsWanted() || d.queues[name] != nil {
+	if counted < d.grantsWanted() || d.queues[name] != nil || !d.mayTake(name) {
 		// A store that did not answer may have granted it all the same.
 		d.giveBack(ctx, name, epoch, append(granted, unanswered...))
 		return
@@ -307,6 +307,12 @@
 	}
 }
 
+// mayTake reports whether a queue that stores have granted may be taken in. A dispatcher that leaves has
+// chosen what it hands over. The mutex is held.
+func (d *Dispatcher) mayTake(name string) bool {
+	return !d.closing && (name == d.localQueue || !d.draining.Load())
+}
+
 func findGrant(answer storeGrant, name string) protocol.Grant {
 	if answer.ok {
 		for _, grant := range answer.reply.Grants {
