--- a/internal/service/dispatcher/frontserver.go
+++ b/internal/service/dispatcher/frontserver.go
@@ -54,7 +54,6 @@
 
 // end lets requests under way end, for a while, and closes all connections.
 func (f *frontServer) end(most time.Duration) {
-	f.awaitIdle(context.Background(), most)
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	if f.server.Shutdown(ctx) != nil {
--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -197,3 +197,23 @@
 		})
 	}
 }
+
+// A queue whose time to be handed over has run out is released all the same: else nobody
+// can have it until its session ends.
+func TestReleaseAfterTheTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{"ordered/1"})
+		over, cancel := context.WithCancel(t.Context())
+		cancel()
+		d.handOverAll(over, func(string) bool { return true })
+		for _, store := range stores {
+			store.mutex.Lock()
+			c.Check(store.released, qt.Equals, 1)
+			store.mutex.Unlock()
+		}
+		end()
+	})
+}
--- a/internal/service/dispatcher/reconfigured_test.go
+++ b/internal/service/dispatcher/reconfigured_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"yardwharf/internal/service/balance"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
 	"yardwharf/internal/service/view"
@@ -571,3 +572,23 @@
 		end()
 	})
 }
+
+// An attempt that one service's decision module has asked for is not carried out for a
+// message that is another service's by now.
+func TestAttemptOfAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newReconfigured(c)
+		r.list()
+		r.add(1, "/a/")
+		r.mutex.Lock()
+		state := r.deliveries["/a/0"]
+		r.mutex.Unlock()
+		c.Assert(state, qt.IsNotNil)
+		_, request := r.beginAttempt(state.key, r.services["new"], balance.Attempt{ID: balance.AttemptID{Request: 1}})
+		c.Check(request, qt.IsNil)
+		c.Check(r.deliveries[state.key], qt.Equals, state)
+		c.Check(r.services["old"].driver.Waiting(), qt.Equals, 1)
+		r.end()
+	})
+}
