--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -12,6 +12,7 @@
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/view"
+	"yardwharf/internal/simulation/simnet"
 )
 
 // A queue that is handed over takes messages while a delivery of it is under way, begins no other, and is
@@ -217,3 +218,59 @@
 		end()
 	})
 }
+
+// A store goes away before it has recorded an end. The queue is not released until another
+// one has: the next owner may read all stores but the single one that knows of it.
+func TestReleaseWaitsUntilItsEndsAreSafe(t *testing.T) {
+	for name, away := range map[string]func(*Dispatcher, *simnet.Network){
+		"restarts": func(_ *Dispatcher, network *simnet.Network) { network.Reset("10.2.0.1", edgeIP) },
+		"is dark":  func(_ *Dispatcher, network *simnet.Network) { network.Power("10.2.0.1", false) },
+		"is known to be away": func(d *Dispatcher, network *simnet.Network) {
+			network.Power("10.2.0.1", false)
+			d.mutex.Lock()
+			d.stores["storage-1"].up = false
+			d.mutex.Unlock()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := millisecondNetwork()
+				stores := acquireStores(3)
+				safe, releasedBefore := false, 0
+				stores[0].ends = func(protocol.EndBatch) protocol.EndBatchReply {
+					time.Sleep(time.Minute)
+					return protocol.EndBatchReply{}
+				}
+				stores[2].ends = func(protocol.EndBatch) protocol.EndBatchReply {
+					for _, store := range stores {
+						store.mutex.Lock()
+						releasedBefore += store.released
+						store.mutex.Unlock()
+					}
+					safe = true
+					return protocol.EndBatchReply{StoreID: "disk"}
+				}
+				d, end := owningAt(t, c, network, stores)
+				sending, stop := context.WithCancel(t.Context())
+				for _, link := range d.stores {
+					go d.sendEnds(sending, link)
+				}
+				d.mutex.Lock()
+				owned := d.queues["ordered/1"]
+				entry := owned.Add(d.now(), protocol.Head{ID: "m", Queue: owned.Name, Retention: time.Minute}, nil, []string{"storage-1", "storage-2"})
+				owned.Advance(d.now())
+				d.endEntry(owned, entry, protocol.Completed, "seal")
+				d.mutex.Unlock()
+				time.Sleep(endFlushDelay + 5*time.Millisecond) // the record is on its way
+				away(d, network)
+				d.handOverAll(t.Context(), func(string) bool { return true })
+				c.Check(safe, qt.IsTrue)
+				c.Check(releasedBefore, qt.Equals, 0)
+				stop()
+				time.Sleep(2 * time.Minute)
+				end()
+			})
+		})
+	}
+}
