Release a queue once its ends are safe, and record them elsewhere when a store goes away

Cause: a hand-over waited only for the stores that are up to take their records; where a store went away with one under way, the end stood at a single store, and an owner that read the others ran the message again. Change: a store that is lost or does not answer has its ends recorded at another one at once; a hand-over waits until f + 1 stores have each end, within its time; what is unsafe is noted by queue.

--- a/internal/service/dispatcher/ends.go
+++ b/internal/service/dispatcher/ends.go
@@ -25,6 +25,9 @@
 // recordEnd has the stores of a message record its end, and others where too few
 // of them can now. The mutex is held.
 func (d *Dispatcher) recordEnd(owned *ownedQueue, entry *queue.Entry) {
+	if !d.endIsSafe(entry) {
+		owned.noteUnsafe(entry)
+	}
 	end := endOf(owned, entry)
 	for _, link := range d.endTargets(entry) {
 		link.ends[end.ID] = end
@@ -63,6 +66,45 @@
 	return targets
 }
 
+// recordElsewhere has ends recorded at one store more each, which a store was told of and
+// has not recorded: it may be away for long. The mutex is held.
+func (d *Dispatcher) recordElsewhere(away *storeLink, ends []protocol.End) {
+	for _, end := range ends {
+		owned := d.queues[end.Queue]
+		if owned == nil {
+			continue
+		}
+		if entry := owned.Get(end.ID); entry != nil && entry.Head.State.Ended() && !d.endIsSafe(entry) {
+			d.addEndTarget(owned, entry, away)
+		}
+	}
+}
+
+// addEndTarget has one more store record an end. The mutex is held.
+func (d *Dispatcher) addEndTarget(owned *ownedQueue, entry *queue.Entry, away *storeLink) {
+	for _, link := range d.candidates() {
+		_, told := link.ends[entry.Head.ID]
+		if link == away || told || slices.Contains(entry.EndKept, link.node) {
+			continue
+		}
+		addNode(&entry.Touched, link.node)
+		link.ends[entry.Head.ID] = endOf(owned, entry)
+		signal(link.flush)
+		return
+	}
+}
+
+// endsSafe reports whether the ends of all messages of a queue are safe. The mutex is
+// held.
+func (d *Dispatcher) endsSafe(owned *ownedQueue) bool {
+	for id, entry := range owned.unsafeEnds {
+		if d.endIsSafe(entry) || owned.Get(id) != entry { // the queue forgets it after a while
+			delete(owned.unsafeEnds, id)
+		}
+	}
+	return len(owned.unsafeEnds) == 0
+}
+
 // noteEndKept notes that a store has recorded an end, unless it has refused it. The
 // mutex is held.
 func (d *Dispatcher) noteEndKept(link *storeLink, end protocol.End, refused []protocol.RefusedEnd) {
@@ -72,6 +114,9 @@
 	}
 	if entry := owned.Get(end.ID); entry != nil && entry.Head.State == end.State && entry.Head.Stamp == end.Stamp {
 		addNode(&entry.EndKept, link.node)
+		if d.endIsSafe(entry) {
+			delete(owned.unsafeEnds, end.ID)
+		}
 	}
 }
 
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -44,10 +44,13 @@
 	return owned
 }
 
-// handOver waits for deliveries under way, while messages are still accepted, then closes the queue,
-// releases its leases and tells the successor, which finds in the stores what was accepted meanwhile.
+// handOver waits for deliveries under way, and until their ends are safe, while messages are still accepted,
+// then closes the queue, releases its leases and tells the successor, which finds in the stores what was
+// accepted meanwhile.
 func (d *Dispatcher) handOver(ctx context.Context, owned *ownedQueue, successor string) {
-	d.awaitQueue(ctx, owned, d.handOverMost(), func() bool { return owned.Running() == 0 && d.flushedOf(owned.Name) })
+	d.awaitQueue(ctx, owned, d.handOverMost(), func() bool {
+		return owned.Running() == 0 && d.flushedOf(owned.Name) && d.endsSafe(owned)
+	})
 	d.mutex.Lock()
 	owned.closed = true
 	d.mutex.Unlock()
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -39,6 +39,16 @@
 	closed    bool                     // it is about to be released: nothing is accepted any more
 	raising   bool                     // a higher epoch is asked for
 	dropped   bool                     // another dispatcher owns it
+
+	unsafeEnds map[string]*queue.Entry // messages whose ends too few stores had recorded at the last look
+}
+
+// noteUnsafe notes that the end of a message is not safe yet.
+func (q *ownedQueue) noteUnsafe(entry *queue.Entry) {
+	if q.unsafeEnds == nil {
+		q.unsafeEnds = map[string]*queue.Entry{}
+	}
+	q.unsafeEnds[entry.Head.ID] = entry
 }
 
 // sessionTable is what the stores together tell about dispatchers and queues.
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -117,6 +118,7 @@
 		link.up = false
 		link.version = 0
 		d.leases.Lost(link.node)
+		d.recordElsewhere(link, slices.Collect(maps.Values(link.ends)))
 		d.log.Info("store lost", "store", link.node)
 	}
 	d.watchLeases()
@@ -243,11 +245,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, endBatchTimeout)
 	defer cancel()
 	reply, err := transport.Call[protocol.EndBatchReply](callCtx, link.client, batch)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	if err != nil {
+		d.recordElsewhere(link, batch.Ends)
 		return false
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
 	if link.storeID != storeID || reply.StoreID != storeID {
 		return true
 	}
