Guard what tests of the dispatcher share with their stand-ins

Change: locks and atomics in the tests; assertions are the same. Result: go test -race -count=3 ./internal/service/dispatcher passes.

--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,9 +208,12 @@
 		}()
 		head := protocol.Head{ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", Retention: time.Minute, State: protocol.Queued}
 		stores := acquireStores(3, head)
+		var mutex sync.Mutex
 		var newest protocol.End
 		for _, store := range stores {
 			store.ends = func(batch protocol.EndBatch) protocol.EndBatchReply {
+				mutex.Lock()
+				defer mutex.Unlock()
 				for _, end := range batch.Ends {
 					if end.Epoch > newest.Epoch {
 						newest = end
@@ -238,8 +242,10 @@
 		c.Assert(owned, qt.IsNotNil)
 		c.Check(owned.Get("m").Head.State, qt.Equals, protocol.Completed)
 		c.Check(owned.Get("m").Head.Stamp, qt.Equals, "seal")
+		mutex.Lock()
 		c.Check(newest.Epoch, qt.Equals, owned.Epoch)
 		c.Check(newest.State, qt.Equals, protocol.Completed)
+		mutex.Unlock()
 		c.Check(runs, qt.Equals, 1)
 		d.mutex.Unlock()
 		stop()
--- a/internal/service/dispatcher/query_test.go
+++ b/internal/service/dispatcher/query_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,14 +48,29 @@
 	}
 }
 
-// recording takes ends and notes them.
-func recording(ends map[string]protocol.End) func(protocol.EndBatch) protocol.EndBatchReply {
-	return func(batch protocol.EndBatch) protocol.EndBatchReply {
-		for _, end := range batch.Ends {
-			ends[end.ID] = end
-		}
-		return protocol.EndBatchReply{StoreID: "disk"}
+// recordedEnds notes the ends that a store takes.
+type recordedEnds struct {
+	mutex sync.Mutex
+	byID  map[string]protocol.End
+}
+
+func newRecordedEnds() *recordedEnds { return &recordedEnds{byID: map[string]protocol.End{}} }
+
+// take takes a batch.
+func (r *recordedEnds) take(batch protocol.EndBatch) protocol.EndBatchReply {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, end := range batch.Ends {
+		r.byID[end.ID] = end
 	}
+	return protocol.EndBatchReply{StoreID: "disk"}
+}
+
+// of returns the end of a message, if it was taken.
+func (r *recordedEnds) of(id string) protocol.End {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.byID[id]
 }
 
 // What is told of a message is never taken back: see lookUp.
@@ -94,11 +110,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				stores := acquireStores(3)
-				kept := map[string]protocol.End{}
+				kept := newRecordedEnds()
 				for i, answer := range one.stores {
 					stores[i].query = answer
 				}
-				stores[0].ends = recording(kept)
+				stores[0].ends = kept.take
 				stores[2].ends = func(protocol.EndBatch) protocol.EndBatchReply {
 					time.Sleep(time.Minute)
 					return protocol.EndBatchReply{}
@@ -108,7 +124,7 @@
 				c.Check(status, qt.Equals, one.status)
 				c.Check(head.State, qt.Equals, one.state)
 				if one.state == protocol.Completed {
-					c.Check(kept["m"].Stamp, qt.Equals, "seal", qt.Commentf("a second store has it before it is told"))
+					c.Check(kept.of("m").Stamp, qt.Equals, "seal", qt.Commentf("a second store has it before it is told"))
 				}
 				time.Sleep(2 * time.Minute)
 				end()
@@ -172,8 +188,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		stores := acquireStores(3)
-		kept := map[string]protocol.End{}
-		stores[0].ends = recording(kept)
+		kept := newRecordedEnds()
+		stores[0].ends = kept.take
 		for _, store := range stores[1:] {
 			store.ends = func(protocol.EndBatch) protocol.EndBatchReply {
 				time.Sleep(time.Second)
@@ -204,7 +220,7 @@
 		receiver.mutex.Lock()
 		c.Check(receiver.taken, qt.DeepEquals, []string{"/m"})
 		receiver.mutex.Unlock()
-		c.Check(kept["m"].Stamp, qt.Equals, "seal")
+		c.Check(kept.of("m").Stamp, qt.Equals, "seal")
 		stop()
 		time.Sleep(5 * time.Second)
 		kill()
--- a/internal/service/dispatcher/reconfigured_test.go
+++ b/internal/service/dispatcher/reconfigured_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,10 +47,27 @@
 	w.WriteHeader(status)
 }
 
-func (s *serviceSender) count() int {
+func (s *serviceSender) count() int { return len(s.got()) }
+
+// got returns the messages that came, in their order.
+func (s *serviceSender) got() []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.messages)
+	return slices.Clone(s.messages)
+}
+
+// deadlines returns the X-Deadline-Ms that came.
+func (s *serviceSender) deadlines() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.deadline)
+}
+
+// answerWith sets how the sender answers from now on.
+func (s *serviceSender) answerWith(answer func(id string) int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.answer = answer
 }
 
 // Addresses of the two services' senders.
@@ -137,6 +156,13 @@
 	r.pump(r.owned)
 }
 
+// inHand returns how many messages wait for a sender, or are at one.
+func (r *reconfigured) inHand() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.deliveries)
+}
+
 // states counts the messages by their state.
 func (r *reconfigured) states() map[protocol.State]int {
 	r.mutex.Lock()
@@ -164,7 +190,7 @@
 		time.Sleep(5 * time.Second)
 		c.Check(r.old.count(), qt.Equals, 0)
 		c.Check(r.new.count(), qt.Equals, 100)
-		c.Check(r.deliveries, qt.HasLen, 0)
+		c.Check(r.inHand(), qt.Equals, 0)
 		r.end()
 	})
 }
@@ -184,7 +210,7 @@
 		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.DeadLetter: 50, protocol.Queued: 1})
 		r.dark(oldSender, false)
 		time.Sleep(5 * time.Second)
-		c.Check(r.old.messages, qt.DeepEquals, []string{"/b/0"})
+		c.Check(r.old.got(), qt.DeepEquals, []string{"/b/0"})
 		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.DeadLetter: 50, protocol.Completed: 1})
 		r.end()
 	})
@@ -273,7 +299,7 @@
 		r.list(oldSender)
 		time.Sleep(5 * time.Second)
 		c.Check(r.old.count(), qt.Equals, 10)
-		for _, told := range r.old.deadline {
+		for _, told := range r.old.deadlines() {
 			c.Check(told >= "1690" && len(told) == 4, qt.IsTrue, qt.Commentf(told))
 		}
 		r.end()
@@ -288,10 +314,10 @@
 			c := qt.New(t)
 			r := newReconfigured(c)
 			r.takeConfiguration(routeTo(3, "old", 400, one.before, "/a/"))
-			r.old.answer = func(string) int {
+			r.old.answerWith(func(string) int {
 				time.Sleep(100 * time.Millisecond)
 				return http.StatusInternalServerError
-			}
+			})
 			r.add(1, "/a/")
 			time.Sleep(50 * time.Millisecond)
 			r.takeConfiguration(routeTo(4, "old", 400, one.after, "/a/"))
@@ -319,21 +345,23 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				r := newReconfigured(c)
-				overlap := false
-				r.old.answer = func(string) int {
+				var overlap atomic.Bool
+				r.old.answerWith(func(string) int {
 					time.Sleep(200 * time.Millisecond)
-					overlap = overlap || r.new.count() > 0
+					if r.new.count() > 0 {
+						overlap.Store(true)
+					}
 					return one.status
-				}
+				})
 				r.add(1, "/a/")
 				time.Sleep(100 * time.Millisecond)
 				r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
 				time.Sleep(5 * time.Second)
 				c.Check(r.old.count(), qt.Equals, one.old)
 				c.Check(r.new.count(), qt.Equals, one.new)
-				c.Check(overlap, qt.IsFalse)
+				c.Check(overlap.Load(), qt.IsFalse)
 				c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{one.state: 1})
-				c.Check(r.deliveries, qt.HasLen, 0)
+				c.Check(r.inHand(), qt.Equals, 0)
 				r.end()
 			})
 		})
@@ -346,10 +374,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := newReconfigured(c)
-		r.old.answer = func(string) int {
+		r.old.answerWith(func(string) int {
 			time.Sleep(200 * time.Millisecond)
 			return http.StatusMisdirectedRequest
-		}
+		})
 		r.add(1, "/a/")
 		time.Sleep(100 * time.Millisecond)
 		r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
@@ -422,10 +450,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := newReconfigured(c)
-		r.old.answer = func(string) int {
+		r.old.answerWith(func(string) int {
 			time.Sleep(200 * time.Millisecond)
 			return http.StatusOK
-		}
+		})
 		r.add(30, "/a/")
 		time.Sleep(100 * time.Millisecond)
 		without := routeTo(3, "new", 400, 3, "/a/")
@@ -438,7 +466,7 @@
 		time.Sleep(5 * time.Second)
 		c.Check(r.old.count()+r.new.count(), qt.Equals, 30)
 		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Completed: 30})
-		c.Check(r.deliveries, qt.HasLen, 0)
+		c.Check(r.inHand(), qt.Equals, 0)
 		r.end()
 	})
 }
@@ -458,14 +486,14 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		r.new.answer = func(string) int {
+		r.new.answerWith(func(string) int {
 			time.Sleep(20 * time.Millisecond)
 			return http.StatusOK
-		}
+		})
 		r.takeConfiguration(routeTo(3, "new", 400, 3, "/a/"))
 		time.Sleep(5 * time.Second)
 		c.Assert(r.new.count(), qt.Equals, 40)
-		for place, id := range r.new.messages {
+		for place, id := range r.new.got() {
 			var number int
 			_, err := fmt.Sscanf(id, "m%d", &number)
 			c.Assert(err, qt.IsNil)
@@ -481,24 +509,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := newReconfigured(c)
-		most := 0
-		running := 0
-		r.old.answer = func(string) int {
-			r.old.mutex.Lock()
-			running++
-			most = max(most, running)
-			r.old.mutex.Unlock()
+		var most, running atomic.Int64
+		r.old.answerWith(func(string) int {
+			now := running.Add(1)
+			most.Store(max(most.Load(), now)) // the bubble runs one sender at a time
 			time.Sleep(100 * time.Millisecond)
-			r.old.mutex.Lock()
-			running--
-			r.old.mutex.Unlock()
+			running.Add(-1)
 			return http.StatusOK
-		}
+		})
 		for revision, maxConns := range []int{8, 2, 40} {
 			update := routeTo(3+revision, "old", 400, 3, "/a/")
 			update.Raw = []byte(strings.ReplaceAll(string(update.Raw), `"maxConns":8`, fmt.Sprintf(`"maxConns":%d`, maxConns)))
 			r.takeConfiguration(update)
-			most = 0
+			most.Store(0)
 			r.mutex.Lock()
 			for n := range 60 {
 				r.owned.Add(r.now(), protocol.Head{ID: fmt.Sprint(revision, "-", n), Method: "POST", Host: "a.example", Target: "/a/", Retention: time.Minute}, nil, nil)
@@ -506,9 +529,9 @@
 			r.pump(r.owned)
 			r.mutex.Unlock()
 			time.Sleep(15 * time.Second)
-			c.Check(most <= maxConns, qt.IsTrue, qt.Commentf("%d at once, %d allowed", most, maxConns))
+			c.Check(most.Load() <= int64(maxConns), qt.IsTrue, qt.Commentf("%d at once, %d allowed", most.Load(), maxConns))
 			if maxConns > 8 {
-				c.Check(most > 8, qt.IsTrue, qt.Commentf("%d at once", most))
+				c.Check(most.Load() > 8, qt.IsTrue, qt.Commentf("%d at once", most.Load()))
 			}
 		}
 		c.Check(r.states(), qt.DeepEquals, map[protocol.State]int{protocol.Completed: 180})
