--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,24 @@
 const oneRoute = `{"revision":1,"routes":[{"name":"r","hostname":"a.example","pathPrefix":"/a/","timeoutMs":100,` +
 	`"service":"s","maxRetries":3,"retentionS":90}],"services":[{"name":"s","maxConns":8}],"limits":{}}`
 
+// countingSender serves the messages that go to the sender of oneRoute, each in 50 ms, and
+// counts them.
+func countingSender(c *qt.C, network *simnet.Network) (runs *atomic.Int64, kill func()) {
+	server := network.Process("10.5.0.1")
+	listener, err := server.Listen("10.5.0.1:80")
+	c.Assert(err, qt.IsNil)
+	runs = &atomic.Int64{}
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			time.Sleep(50 * time.Millisecond)
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Server-Seal", "seal")
+		}))
+	}()
+	return runs, server.Kill
+}
+
 // TestMessageThatEndedAtTheStores gives a dispatcher a message as open whose
 // former owner recorded its success later: the stores have no body any more. The
 // dispatcher has to take the end over, not to ask for the body again and again.
@@ -60,18 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := simnet.New(func(_, _ string) time.Duration { return time.Millisecond })
-		server := network.Process("10.5.0.1")
-		listener, err := server.Listen("10.5.0.1:80")
-		c.Assert(err, qt.IsNil)
-		runs := 0
-		go func() {
-			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				runs++
-				time.Sleep(50 * time.Millisecond)
-				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-				w.Header().Set("X-Server-Seal", "seal")
-			}))
-		}()
+		runs, kill := countingSender(c, network)
 		d, end := simulated(network)
 		lost, _ := adoptOne(d, []byte("12345"), nil)
 		time.Sleep(20 * time.Millisecond)
@@ -84,9 +92,9 @@
 		d.mutex.Lock()
 		c.Check(entry.Head.State, qt.Equals, protocol.Completed)
 		c.Check(owned.Running(), qt.Equals, 0)
-		c.Check(runs, qt.Equals, 1)
+		c.Check(runs.Load(), qt.Equals, int64(1))
 		d.mutex.Unlock()
-		server.Kill()
+		kill()
 		end()
 	})
 }
@@ -194,18 +202,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := millisecondNetwork()
-		server := network.Process("10.5.0.1")
-		listener, err := server.Listen("10.5.0.1:80")
-		c.Assert(err, qt.IsNil)
-		runs := 0
-		go func() {
-			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				runs++
-				time.Sleep(50 * time.Millisecond)
-				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-				w.Header().Set("X-Server-Seal", "seal")
-			}))
-		}()
+		runs, kill := countingSender(c, network)
 		head := protocol.Head{ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", Retention: time.Minute, State: protocol.Queued}
 		stores := acquireStores(3, head)
 		var mutex sync.Mutex
@@ -246,10 +243,10 @@
 		c.Check(newest.Epoch, qt.Equals, owned.Epoch)
 		c.Check(newest.State, qt.Equals, protocol.Completed)
 		mutex.Unlock()
-		c.Check(runs, qt.Equals, 1)
+		c.Check(runs.Load(), qt.Equals, int64(1))
 		d.mutex.Unlock()
 		stop()
-		server.Kill()
+		kill()
 		end()
 	})
 }
