--- a/internal/service/balance/driver.go
+++ b/internal/service/balance/driver.go
@@ -115,13 +115,17 @@
 	}
 }
 
+// UsableConnections is how many connections all dispatchers together may open to a sender that takes so many
+// at the most; 0 is no bound. The rest is for those that are being closed, and for dispatchers that do not
+// know of each other yet.
+func UsableConnections(most int) int { return int(connectionsSpare * float64(most)) }
+
 // connections is this dispatcher's part of the connections that a sender takes.
 func (d *Driver) connections() int {
 	if d.options.MaxConnections <= 0 {
 		return 0
 	}
-	part := connectionsSpare * float64(d.options.MaxConnections) / float64(d.options.Dispatchers)
-	return max(1, int(part))
+	return max(1, UsableConnections(d.options.MaxConnections)/d.options.Dispatchers)
 }
 
 // SetFleet says how many dispatchers share the senders, and how many connections
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -406,6 +406,33 @@
 }
 
 // A sender's connections are bounded; idle ones give way.
+// Connections to a sender that is another dispatcher's now are given back, those in use after their deliveries.
+func TestAbandonedConnectionsAreClosed(t *testing.T) {
+	hold, arrived := make(chan struct{}), make(chan struct{})
+	p, client := newPeer(t, answersAndStays(success), func(p *peer, conn net.Conn, reader *bufio.Reader) {
+		p.request(reader)
+		close(arrived)
+		<-hold
+		_, _ = io.WriteString(conn, as("m2", success))
+	})
+	first := client.Deliver(background, message("m1"))
+	p.c.Assert(first.Succeeded(), qt.IsTrue)
+	p.c.Assert(client.Idle(), qt.Equals, 1)
+	client.Abandon([]string{"sender:1", "unknown:1"})
+	p.c.Assert(client.Idle(), qt.Equals, 0)
+	ended := make(chan Result)
+	go func() { ended <- client.Deliver(background, message("m2")) }()
+	<-arrived
+	client.Abandon([]string{"sender:1"})
+	close(hold)
+	second := <-ended
+	p.c.Assert(second.Succeeded(), qt.IsTrue)
+	p.c.Assert(client.Idle(), qt.Equals, 0)
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	p.c.Assert(client.pools, qt.HasLen, 0)
+}
+
 func TestBoundOfConnections(t *testing.T) {
 	hold := make(chan struct{})
 	arrived := make(chan struct{})
--- a/internal/service/delivery/pool.go
+++ b/internal/service/delivery/pool.go
@@ -9,6 +9,8 @@
 type pool struct {
 	open int // in use, idle or being opened
 	idle []*connection
+
+	abandoned bool // connections are closed after use
 }
 
 // takeIdle takes the connection that was used last, or books a new one and returns
@@ -22,6 +24,7 @@
 		p = &pool{}
 		c.pools[request.Address] = p
 	}
+	p.abandoned = false
 	p.closeExpired(c.now())
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if conn := p.idle[i]; !conn.hasCarried(request.Head.ID) {
@@ -49,6 +52,13 @@
 		conn.close()
 		return
 	}
+	if p.abandoned {
+		conn.close()
+		if p.open--; p.open <= 0 {
+			delete(c.pools, conn.address)
+		}
+		return
+	}
 	conn.expires = c.now().Add(conn.idleFor)
 	p.idle = append(p.idle, conn)
 	if !c.sweeping {
@@ -57,6 +67,23 @@
 	}
 }
 
+// Abandon closes the idle connections to some addresses, and those in use once their deliveries have ended,
+// unless another delivery to the address begins before.
+func (c *Client) Abandon(addresses []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, address := range addresses {
+		p := c.pools[address]
+		if p == nil {
+			continue
+		}
+		p.abandoned = true
+		if p.closeIdle(); p.open <= 0 {
+			delete(c.pools, address)
+		}
+	}
+}
+
 // discard closes a connection for good.
 func (c *Client) discard(conn *connection) {
 	conn.close()
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -63,6 +63,7 @@
 	epochs      map[string]uint64 // highest epoch heard of for queues asked for
 	leases      *lease.Holder
 	table       sessionTable
+	fleet       fleet         // of the table
 	tableFolded time.Duration // when the table was folded last
 	tableStale  bool          // it is folded again soon
 	services    map[string]*serviceState
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -164,11 +164,8 @@
 			table.orphans = append(table.orphans, name)
 		}
 	}
-	changed := !slices.Equal(d.table.nodes, table.nodes)
 	d.table = table
-	if changed {
-		d.refreshFleet()
-	}
+	d.refreshFleet()
 	signal(d.ownershipWake)
 }
 
--- a/internal/service/dispatcher/reconfigure.go
+++ b/internal/service/dispatcher/reconfigure.go
@@ -32,7 +32,6 @@
 			service.rate.limiter.SetRate(d.now(), configured.RatePerS)
 		}
 		service.driver.SetTimeout(longestTimeout(current, name))
-		d.updateFleet(service)
 		d.updateSenders(service)
 	}
 }
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -24,6 +24,7 @@
 	timer      *time.Timer // of the driver
 	rate       rateState
 	waiting    waitingMessages // messages not yet handed to the driver
+	addresses  map[string]bool // of the senders that it may use
 }
 
 // serviceActions carries out what the decision module of one service asks for.
@@ -68,7 +69,7 @@
 	service := &serviceState{name: configured.Name, configured: configured}
 	zones := slices.Sorted(maps.Keys(d.settings.Zones))
 	driver, err := balance.New(balance.Options{
-		Zone: d.settings.Zone, Zones: zones, Dispatchers: d.sharers(configured),
+		Zone: d.settings.Zone, Zones: zones, Dispatchers: len(d.deliverers(configured)),
 		Me: d.place(), Seed: seedOf(d.identity.Node + "/" + configured.Name),
 		MaxConnections: configured.MaxConns, Timeout: longestTimeout(current, configured.Name),
 	}, &serviceActions{d, service})
@@ -80,14 +81,6 @@
 	return service
 }
 
-// sharers returns how many dispatchers deliver to a service.
-func (d *Dispatcher) sharers(configured *configuration.Service) int {
-	if configured.Rated() {
-		return 1
-	}
-	return max(1, len(d.table.nodes))
-}
-
 // place returns this dispatcher's position among the live ones.
 func (d *Dispatcher) place() int {
 	return max(0, slices.Index(d.table.nodes, d.identity.Node))
@@ -110,36 +103,6 @@
 	return longest
 }
 
-// refreshFleet tells the decision modules how many dispatchers there are. The
-// mutex is held.
-func (d *Dispatcher) refreshFleet() {
-	for _, service := range d.services {
-		d.updateFleet(service)
-	}
-}
-
-// updateFleet tells a service's decision module how many dispatchers share its senders.
-func (d *Dispatcher) updateFleet(service *serviceState) {
-	service.driver.SetFleet(d.sharers(service.configured), service.configured.MaxConns)
-}
-
-// updateSenders hands the current list to a service's decision module.
-func (d *Dispatcher) updateSenders(service *serviceState) {
-	if service.configured.Static() {
-		service.driver.SetSenders(d.now(), []balance.Sender{{Address: service.configured.StaticEndpoint, Zone: d.settings.Zone}})
-		return
-	}
-	listed := d.senders[service.name]
-	senders := make([]balance.Sender, 0, len(listed))
-	for _, sender := range listed {
-		senders = append(senders, balance.Sender{
-			ID: sender.ID, Address: sender.Address, Zone: sender.Zone,
-			Slots: sender.Slots, Draining: sender.Draining, WarmupLeft: sender.WarmupLeft,
-		})
-	}
-	service.driver.SetSenders(d.now(), senders)
-}
-
 // pumpService hands waiting messages to the decision module, as far as it has
 // use for them and the rate allows. The mutex is held.
 func (d *Dispatcher) pumpService(service *serviceState) {
--- /dev/null
+++ b/internal/service/subset/subset_test.go
@@ -0,0 +1,111 @@
+package subset
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"yardwharf/internal/service/distance"
+)
+
+var regions = distance.Map{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+var zoneNames = []string{"a1", "b1", "c1", "a2", "b2", "c2"}
+
+// places returns so many places, spread over the zones.
+func places(prefix string, count int) []Place {
+	all := make([]Place, count)
+	for i := range all {
+		all[i] = Place{Name: fmt.Sprintf("%s-%d", prefix, i), Zone: zoneNames[i%len(zoneNames)]}
+	}
+	return all
+}
+
+// loads counts the dispatchers of each sender.
+func loads(division Division, dispatchers []Place) map[string]int {
+	counts := map[string]int{}
+	for _, dispatcher := range dispatchers {
+		for _, sender := range division.Of(dispatcher.Name) {
+			counts[sender]++
+		}
+	}
+	return counts
+}
+
+// Whatever the numbers, no sender is connected to by more dispatchers than it takes, those who know the same
+// agree, and each dispatcher has a sender where there is room for all of them.
+func TestBoundHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dispatchers := places("dispatcher", rapid.IntRange(1, 80).Draw(t, "dispatchers"))
+		senders := places("sender", rapid.IntRange(1, 40).Draw(t, "senders"))
+		most := rapid.IntRange(1, 30).Draw(t, "most")
+		division := Divide(regions, dispatchers, senders, most)
+		for sender, count := range loads(division, dispatchers) {
+			if count > most {
+				t.Fatalf("%s takes %d, has %d", sender, most, count)
+			}
+		}
+		again := Divide(regions, rapid.Permutation(dispatchers).Draw(t, "shuffled"), senders, most)
+		for _, dispatcher := range dispatchers {
+			mine := division.Of(dispatcher.Name)
+			if !slices.Equal(mine, again.Of(dispatcher.Name)) {
+				t.Fatalf("the order of the dispatchers counts")
+			}
+			if len(mine) == 0 && len(dispatchers) <= most*len(senders) {
+				t.Fatalf("%s has no sender", dispatcher.Name)
+			}
+		}
+	})
+}
+
+// The senders are shared evenly, near ones first.
+func TestSendersAreSharedEvenly(t *testing.T) {
+	c := qt.New(t)
+	for _, numbers := range [][3]int{{45, 32, 20}, {23, 8, 20}, {69, 36, 40}, {120, 12, 30}} {
+		dispatchers, senders := places("dispatcher", numbers[0]), places("sender", numbers[1])
+		division := Divide(regions, dispatchers, senders, numbers[2])
+		counts := loads(division, dispatchers)
+		sum, most := 0, 0
+		for _, count := range counts {
+			sum += count
+			most = max(most, count)
+		}
+		c.Check(float64(most) <= 1.3*float64(sum)/float64(len(senders)), qt.IsTrue, qt.Commentf("%v: %v", numbers, counts))
+		for _, dispatcher := range dispatchers {
+			own := 0
+			for _, sender := range senders {
+				if sender.Zone == dispatcher.Zone && slices.Contains(division.Of(dispatcher.Name), sender.Name) {
+					own++
+				}
+			}
+			c.Check(own > 0, qt.IsTrue, qt.Commentf("%v: %s has no sender of its zone", numbers, dispatcher.Name))
+		}
+	}
+}
+
+// The loss of one dispatcher, or of one sender, changes few pairs of the others.
+func TestMovesAreSmall(t *testing.T) {
+	c := qt.New(t)
+	dispatchers, senders := places("dispatcher", 45), places("sender", 32)
+	before := Divide(regions, dispatchers, senders, 20)
+	moved := func(after Division, dispatchers, senders []Place) (count int) {
+		for _, dispatcher := range dispatchers {
+			for _, sender := range senders {
+				had := slices.Contains(before.Of(dispatcher.Name), sender.Name)
+				if had != slices.Contains(after.Of(dispatcher.Name), sender.Name) {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	fewer := dispatchers[1:]
+	byDispatcher := moved(Divide(regions, fewer, senders, 20), fewer, senders)
+	c.Check(byDispatcher < 45*32/10, qt.IsTrue, qt.Commentf("%d pairs moved", byDispatcher))
+	left := senders[1:]
+	bySender := moved(Divide(regions, dispatchers, left, 20), dispatchers, left)
+	c.Check(bySender < 45*32/10, qt.IsTrue, qt.Commentf("%d pairs moved", bySender))
+}
