Choose senders, stores and sources of updates by one notion of distance

Change: package distance (zone, region, other region) ranks senders within their windows, stores for copies and further copies, and control members to pull from; of those one stays in another region, as a region may be cut off from the majority.

--- a/api.go
+++ b/api.go
@@ -154,13 +154,13 @@
 // each outcome: FieldInflight, FieldWaiting and FieldSlots. With them nothing is
 // refused for want of room before the request's patience ends.
 type WindowSettings struct {
-	Enabled      bool
-	OwnZoneFirst bool          // a worker of the own zone that has room is preferred to one elsewhere
-	First        float64       // window of a worker whose slots are not known
-	Most         float64       // a window is no larger; 0 is no bound
-	StrikePause  time.Duration // first pause of a worker that fails; doubles
-	StrikeMost   time.Duration // longest pause
-	ProbeEvery   time.Duration // where all workers pause, one of them is tried this often
+	Enabled     bool
+	Distances   []int         // of the zones from here, 0 the own: a nearer worker that has room is preferred; empty: none is
+	First       float64       // window of a worker whose slots are not known
+	Most        float64       // a window is no larger; 0 is no bound
+	StrikePause time.Duration // first pause of a worker that fails; doubles
+	StrikeMost  time.Duration // longest pause
+	ProbeEvery  time.Duration // where all workers pause, one of them is tried this often
 }
 
 // WorkerState is what the worker list says of a worker.
--- a/internal/service/agent/agent.go
+++ b/internal/service/agent/agent.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 
+	"yardwharf/internal/service/distance"
 	"yardwharf/internal/service/distribution"
 	"yardwharf/internal/service/membership"
 	"yardwharf/internal/service/placement"
@@ -95,7 +97,7 @@
 	defer stopStatus()
 
 	puller := distribution.NewPuller(a.upstream, distribution.PullerOptions{
-		Network: s.Net(), Identity: a.identity, Sources: a.sources, Connections: s.FaultTolerance.Machines + 1,
+		Network: s.Net(), Identity: a.identity, Sources: a.sources, Connections: pulledFrom(s),
 		Topics: topics, Wait: controlWait, SpareWait: spareWait,
 	}, a.log)
 	go puller.Run(ctx)
@@ -113,31 +115,34 @@
 	}
 }
 
-// sources returns the addresses of the control members: those of the
-// configuration, own zone first, then seeds that it does not name.
+// sources returns the addresses of the control members: those of the configuration, the nearest first, then
+// seeds that it does not name. One of those that are pulled from is in another region, where there is one: a
+// region may be cut off from the majority.
 func (a *Agent) sources() []string {
 	s := a.settings.Load()
-	var near, far []string
+	order := func(addresses []string) []string { return placement.Order(a.identity.Node, addresses) }
+	zones := distance.Map(s.Zones)
+	var members [distance.OtherRegion + 1][]string
 	known := map[string]bool{}
 	configuration, _, _ := distribution.Payload[view.Configuration](a.upstream, view.TopicConfiguration)
 	for _, member := range configuration.Members {
 		known[member.Address] = true
-		if member.Zone == s.Zone {
-			near = append(near, member.Address)
-		} else {
-			far = append(far, member.Address)
-		}
+		away := zones.Between(s.Zone, member.Zone)
+		members[away] = append(members[away], member.Address)
 	}
-	var seeds []string
-	for _, seed := range s.ControlMembers() {
-		if !known[seed] {
-			seeds = append(seeds, seed)
-		}
+	near := append(order(members[distance.SameZone]), order(members[distance.SameRegion])...)
+	far := order(members[distance.OtherRegion])
+	if pulled := pulledFrom(s); len(near) >= pulled && len(far) > 0 {
+		near = slices.Insert(near, pulled-1, far[0])
+		far = far[1:]
 	}
-	order := func(addresses []string) []string { return placement.Order(a.identity.Node, addresses) }
-	return append(append(order(near), order(far)...), order(seeds)...)
+	seeds := slices.DeleteFunc(s.ControlMembers(), func(seed string) bool { return known[seed] })
+	return append(append(near, far...), order(seeds)...)
 }
 
+// pulledFrom returns how many control members an agent pulls from.
+func pulledFrom(s *settings.Settings) int { return s.FaultTolerance.Machines + 1 }
+
 // relay copies what the control members say to the dispatcher's feed.
 func (a *Agent) relay(ctx context.Context, heartbeats *membership.Heartbeats) {
 	changes, cancel := a.upstream.Subscribe(topics...)
--- a/internal/service/agent/overlay_test.go
+++ b/internal/service/agent/overlay_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -98,6 +99,25 @@
 	c.Assert(a.sources(), qt.DeepEquals, []string{"10.0.0.1:7004", "10.0.0.2:7004", "10.0.0.7:7004"})
 }
 
+// The nearest members come first, but one of those that are pulled from is in another region.
+func TestSourcesAreNearButNotAllInOneRegion(t *testing.T) {
+	c := qt.New(t)
+	a := testAgent("a1")
+	s := *a.settings.Load()
+	s.Zones = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	s.FaultTolerance.Machines = 1
+	s.Seeds = nil
+	a.Reload(&s)
+	var members []view.Node
+	for _, zone := range []string{"b1", "a2", "a2", "a1"} {
+		members = append(members, view.Node{Address: fmt.Sprintf("%s:%d", zone, len(members)), Zone: zone})
+	}
+	a.upstream.Publish(view.TopicConfiguration, distribution.Version{Counter: 1}, view.Configuration{Members: members})
+	got := a.sources()
+	c.Assert(got[:2], qt.DeepEquals, []string{"a1:3", "b1:0"})
+	c.Assert(got, qt.HasLen, 4)
+}
+
 func TestAgentsShareThePlatformsRate(t *testing.T) {
 	c := qt.New(t)
 	a := testAgent("north")
--- a/internal/service/balance/balance.go
+++ b/internal/service/balance/balance.go
@@ -7,7 +7,11 @@
 // into it. Moments are given as time since the start of the process.
 package balance
 
-import "time"
+import (
+	"time"
+
+	"yardwharf/internal/service/distance"
+)
 
 // AttemptID names one delivery of a message.
 type AttemptID struct {
@@ -81,8 +85,9 @@
 type Options struct {
 	Zone           string
 	Zones          []string
-	Dispatchers    int // how many share the senders; 1 for a service with a rate
-	Me             int // this dispatcher's place among them
+	Regions        distance.Map // of the zones
+	Dispatchers    int          // how many share the senders; 1 for a service with a rate
+	Me             int          // this dispatcher's place among them
 	Seed           uint64
 	MaxConnections int           // that a sender takes from all dispatchers together; 0: not known
 	Timeout        time.Duration // of one delivery
--- a/internal/service/balance/driver.go
+++ b/internal/service/balance/driver.go
@@ -108,13 +108,22 @@
 			MostSamples: mostSamples, StepWait: stepWait, NewcomersAtFloor: true, ShortestService: true,
 		},
 		Window: yardwharf.WindowSettings{
-			Enabled: true, OwnZoneFirst: true, First: unknownWindow, Most: float64(d.connections()),
+			Enabled: true, Distances: d.distances(), First: unknownWindow, Most: float64(d.connections()),
 			StrikePause: strikePause, StrikeMost: strikeMost, ProbeEvery: probeEvery,
 		},
 		StartCapacity: 1, OverloadFactor: 1, OverloadFor: time.Second,
 	}
 }
 
+// distances are those of the zones from the own one.
+func (d *Driver) distances() []int {
+	distances := make([]int, len(d.options.Zones))
+	for i, zone := range d.options.Zones {
+		distances[i] = int(d.options.Regions.Between(d.options.Zone, zone))
+	}
+	return distances
+}
+
 // UsableConnections is how many connections all dispatchers together may open to a sender that takes so many
 // at the most; 0 is no bound. The rest is for those that are being closed, and for dispatchers that do not
 // know of each other yet.
--- a/internal/service/balance/zone_test.go
+++ b/internal/service/balance/zone_test.go
@@ -9,7 +9,7 @@
 // zonedRig is a service with senders of four slots each in three zones, and a dispatcher in the first.
 func zonedRig(t *testing.T, perZone int) (*rig, map[string]string) {
 	zones := []string{"a", "b", "c"}
-	r := newRig(t, 1, 0, 0, Options{Zone: "a", Zones: zones})
+	r := newRig(t, 1, 0, 0, Options{Zone: "a", Zones: zones, Regions: map[string]string{"a": "r", "b": "r", "c": "far"}})
 	zoneOf := map[string]string{}
 	for i := range 3 * perZone {
 		id := fmt.Sprintf("s%03d", i)
@@ -44,6 +44,23 @@
 	}
 }
 
+// Where the own zone is full, messages go to the others of the region before they leave it.
+func TestRegionIsLeftLast(t *testing.T) {
+	r, zoneOf := zonedRig(t, 3)
+	d := r.dispatchers[0]
+	d.manual = true
+	counts := map[string]int{}
+	for range 16 {
+		r.submit(d)
+	}
+	for _, attempt := range d.sent {
+		counts[zoneOf[attempt.Instance]]++
+	}
+	if len(d.sent) != 16 || counts["b"] < 4 || counts["c"] > 1 {
+		t.Errorf("%d were sent: %v", len(d.sent), counts)
+	}
+}
+
 // Where the own zone is full, messages cross without waiting.
 func TestFullOwnZoneIsLeft(t *testing.T) {
 	r, zoneOf := zonedRig(t, 1)
--- a/internal/service/dispatcher/candidates.go
+++ b/internal/service/dispatcher/candidates.go
@@ -1,10 +1,21 @@
 package dispatcher
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yardwharf/internal/service/distance"
+)
+
+const (
+	stepPenalty   = 50 * time.Millisecond // for each step of distance, beside the latency that was measured
+	unheardBehind = time.Second           // for a store that has missed a renewal
+)
 
 // candidates returns the stores that are up and stay, whose disk is known, and of which later readers
-// hear, the best first: one of the own zone, one of another, then as spreadZones says, each time those
-// that answer soonest.
+// hear, the best first: one of the own zone, one of another, then as spreadZones says, each time the
+// nearest ones, and of those the ones that answer soonest.
 func (d *Dispatcher) candidates() []*storeLink {
 	var links []*storeLink
 	for _, link := range d.stores {
@@ -12,29 +23,31 @@
 			links = append(links, link)
 		}
 	}
-	rank := func(link *storeLink) float64 {
-		score := link.latency.Seconds()
-		if link.zone != d.settings.Zone {
-			score += 0.05
-		}
-		if d.now()-link.heard > 2*renewInterval {
-			score += 1
-		}
-		return score
-	}
 	slices.SortFunc(links, func(a, b *storeLink) int {
-		if rank(a) < rank(b) {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(d.costOf(a), d.costOf(b)), cmp.Compare(a.node, b.node))
 	})
-	return spreadZones(links, d.copiesWanted())
+	return spreadZones(links, d.copiesWanted(), d.distanceTo)
+}
+
+// costOf is what a copy at a store costs, as a time. The mutex is held.
+func (d *Dispatcher) costOf(link *storeLink) time.Duration {
+	cost := link.latency + time.Duration(d.distanceTo(link))*stepPenalty
+	if d.now()-link.heard > 2*renewInterval {
+		cost += unheardBehind
+	}
+	return cost
+}
+
+// distanceTo is how far away a store is.
+func (d *Dispatcher) distanceTo(link *storeLink) distance.Distance {
+	return distance.Map(d.settings.Zones).Between(d.settings.Zone, link.zone)
 }
 
 // spreadZones moves the first store of another zone than the best one's to the second place, so that
 // two copies or more are never in one zone alone. Further copies stay near, as bytes between zones are
-// dear, and after them each zone's first store comes before the second ones.
-func spreadZones(links []*storeLink, copies int) []*storeLink {
+// dear. Of the stores behind them, those of the own region come first, and of a region's each zone's first
+// store before the second ones.
+func spreadZones(links []*storeLink, copies int, distanceTo func(*storeLink) distance.Distance) []*storeLink {
 	if len(links) == 0 {
 		return links
 	}
@@ -50,7 +63,17 @@
 		spread = append(spread, rest[next])
 		rest = slices.Delete(rest, next, next+1)
 	}
-	return append(spread, firstOfEachZone(rest)...)
+	rest = firstOfEachZone(rest)
+	slices.SortStableFunc(rest, func(a, b *storeLink) int { return cmp.Compare(region(distanceTo(a)), region(distanceTo(b))) })
+	return append(spread, rest...)
+}
+
+// region is 0 for a distance within the own region, else 1.
+func region(d distance.Distance) int {
+	if d == distance.OtherRegion {
+		return 1
+	}
+	return 0
 }
 
 // firstOfEachZone moves the second and later stores of a zone behind the first of every other one.
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -11,6 +11,7 @@
 	"yardwharf/internal/service/balance"
 	"yardwharf/internal/service/configuration"
 	"yardwharf/internal/service/delivery"
+	"yardwharf/internal/service/distance"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
 	"yardwharf/internal/service/settings"
@@ -107,13 +108,16 @@
 	c.Assert(d.repairs, qt.HasLen, 2)
 }
 
+// sameRegion is a distance at which regions make no difference.
+func sameRegion(*storeLink) distance.Distance { return distance.SameRegion }
+
 func TestZonesAreSpread(t *testing.T) {
 	c := qt.New(t)
 	a1, a2, a3 := &storeLink{node: "a1", zone: "a"}, &storeLink{node: "a2", zone: "a"}, &storeLink{node: "a3", zone: "a"}
 	b1, b2, c1 := &storeLink{node: "b1", zone: "b"}, &storeLink{node: "b2", zone: "b"}, &storeLink{node: "c1", zone: "c"}
 	order := func(copies int, links ...*storeLink) string {
 		var names []string
-		for _, link := range spreadZones(links, copies) {
+		for _, link := range spreadZones(links, copies, sameRegion) {
 			names = append(names, link.node)
 		}
 		return strings.Join(names, " ")
@@ -127,6 +131,25 @@
 	c.Assert(order(2), qt.Equals, "")
 }
 
+// Stores of another region are asked last, whatever zones they are in.
+func TestCopiesStayInTheRegion(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(c)
+	d.settings.Zones = map[string]string{"a": "r", "b": "r", "x": "far", "y": "far"}
+	for _, store := range [][2]string{{"x1", "x"}, {"y1", "y"}, {"a1", "a"}, {"b1", "b"}, {"b2", "b"}, {"a2", "a"}} {
+		d.stores[store[0]] = &storeLink{node: store[0], zone: store[1], up: true, storeID: store[0], fullDisk: store[0], latency: 5 * time.Millisecond}
+	}
+	var order []string
+	for _, link := range d.candidates() {
+		order = append(order, link.node)
+	}
+	c.Assert(order, qt.DeepEquals, []string{"a1", "b1", "a2", "b2", "x1", "y1"})
+	for _, store := range []string{"a1", "a2", "b1", "b2"} {
+		d.stores[store].latency = time.Second
+	}
+	c.Assert(d.candidates()[0].node, qt.Equals, "x1")
+}
+
 // A message whose copies are all in one zone gets the next one in another.
 func TestRepairLeavesTheZone(t *testing.T) {
 	c := qt.New(t)
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -69,7 +69,7 @@
 	service := &serviceState{name: configured.Name, configured: configured}
 	zones := slices.Sorted(maps.Keys(d.settings.Zones))
 	driver, err := balance.New(balance.Options{
-		Zone: d.settings.Zone, Zones: zones, Dispatchers: len(d.deliverers(configured)),
+		Zone: d.settings.Zone, Zones: zones, Regions: d.settings.Zones, Dispatchers: len(d.deliverers(configured)),
 		Me: d.place(), Seed: seedOf(d.identity.Node + "/" + configured.Name),
 		MaxConnections: configured.MaxConns, Timeout: longestTimeout(current, configured.Name),
 	}, &serviceActions{d, service})
--- a/window.go
+++ b/window.go
@@ -91,10 +91,10 @@
 	return best != nil && b.send(r, best)
 }
 
-// drawWithinWindows draws by the shares until it meets a worker whose window has room. Where the own
-// zone comes first, it draws on in search of one there, and takes the first of the others if it meets
-// none: the less the own zone's shares, the more often. Guards against bytes between zones that buy nothing.
-func (b *Balancer) drawWithinWindows(r *request) (elsewhere *member) {
+// drawWithinWindows draws by the shares until it meets a worker of the own zone whose window has room, and
+// takes the nearest of the others that it has met if it meets none: the less the shares nearby, the more
+// often. Where distances do not count the first one is taken. Guards against bytes between zones that buy nothing.
+func (b *Balancer) drawWithinWindows(r *request) (nearest *member) {
 	for range redraws {
 		m := r.split.draw(b.rng)
 		if m == nil {
@@ -103,12 +103,22 @@
 		if !b.open(m.w, r.slots()) || r.tried(m.w) {
 			continue
 		}
-		if !b.s.Window.OwnZoneFirst || m.w.zone == b.s.Zone {
-			return m
+		if nearest == nil || b.distance(m.w) < b.distance(nearest.w) {
+			nearest = m
 		}
-		elsewhere = cmp.Or(elsewhere, m)
+		if b.distance(nearest.w) == 0 {
+			return nearest
+		}
+	}
+	return nearest
+}
+
+// distance is how far away a worker's zone is, as far as the settings tell.
+func (b *Balancer) distance(w *worker) int {
+	if w.zone < 0 || w.zone >= len(b.s.Window.Distances) {
+		return 0
 	}
-	return elsewhere
+	return b.s.Window.Distances[w.zone]
 }
 
 // mayReturnTo says whether a request may go again to a worker that has not run it.
