Send short names of types and what has changed of a version vector

Change: package wirename registers short names; a poll names what has changed since the last one that the source has answered on that connection, by a digest of it, and the whole vector where the source does not know that. The simulated polls of the hollow tool do the same. Internal protocol 3: all processes are changed together.

--- a/internal/service/control/join.go
+++ b/internal/service/control/join.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"slices"
 	"time"
 
 	"yardwharf/internal/service/register"
 	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/wirename"
 )
 
 const (
@@ -22,8 +22,7 @@
 type joinReply struct{ Joined bool }
 
 func init() {
-	gob.Register(joinRequest{})
-	gob.Register(joinReply{})
+	wirename.Register("j", joinRequest{}, joinReply{})
 }
 
 // registerJoin makes a server answer those who want to become members.
--- a/internal/service/distribution/hub.go
+++ b/internal/service/distribution/hub.go
@@ -93,11 +93,15 @@
 
 // Register makes a server answer pulls from this hub.
 func (h *Hub) Register(server *transport.Server) {
+	told := newToldVectors()
 	transport.Handle(server, func(ctx context.Context, peer *transport.Peer, request Pull) (PullReply, error) {
 		h.mutex.Lock()
 		onPull := h.onPull
 		h.mutex.Unlock()
 		onPull(peer.Identity)
+		if !told.complete(ctx, peer, &request) {
+			return PullReply{Unknown: true}, nil
+		}
 		return h.Pull(ctx, request)
 	})
 }
--- a/internal/service/distribution/messages.go
+++ b/internal/service/distribution/messages.go
@@ -4,8 +4,9 @@
 package distribution
 
 import (
-	"encoding/gob"
 	"time"
+
+	"yardwharf/internal/service/wirename"
 )
 
 // Update is the payload of a topic under a version.
@@ -27,10 +28,11 @@
 
 // Pull asks for what is newer than a version vector.
 type Pull struct {
-	Vector map[string]Version
-	Topics []string      // prefixes of the wanted topics; empty: all
-	Wait   time.Duration // for how long the answer may be held back when nothing is newer
-	Brief  bool          // payloads are left out: the caller gets them from elsewhere, as a rule
+	Vector map[string]Version // what the caller holds; with a base, what has changed since then
+	Base   uint64             // digest of the vector that the caller last sent on this connection; 0: none
+	Topics []string           // prefixes of the wanted topics; empty: all
+	Wait   time.Duration      // for how long the answer may be held back when nothing is newer
+	Brief  bool               // payloads are left out: the caller gets them from elsewhere, as a rule
 }
 
 // PullReply answers Pull.
@@ -39,6 +41,7 @@
 	Newer         map[string]Version // with Brief: what is newer than the vector
 	Confirmations map[string]Confirmation
 	Held          time.Duration // for how long the answer was held back
+	Unknown       bool          // the base of the request: it is to be sent again with the whole vector
 }
 
 // Incremental is a payload that can be sent as a difference.
@@ -55,6 +58,5 @@
 }
 
 func init() {
-	gob.Register(Pull{})
-	gob.Register(PullReply{})
+	wirename.Register("d", Pull{}, PullReply{})
 }
--- a/internal/service/distribution/puller.go
+++ b/internal/service/distribution/puller.go
@@ -44,6 +44,7 @@
 	mutex    sync.Mutex
 	rotation *rotation
 	clients  map[string]*transport.Client
+	told     map[string]map[string]Version // vectors that sources have answered last
 	running  map[int]bool
 }
 
@@ -63,7 +64,7 @@
 	}
 	return &Puller{
 		hub: hub, options: options, log: log,
-		rotation: newRotation(), clients: map[string]*transport.Client{}, running: map[int]bool{},
+		rotation: newRotation(), clients: map[string]*transport.Client{}, told: map[string]map[string]Version{}, running: map[int]bool{},
 	}
 }
 
@@ -159,9 +160,15 @@
 func (p *Puller) call(ctx context.Context, slot int, address string, request Pull) (reply *PullReply, taken int) {
 	callCtx, cancel := context.WithTimeout(ctx, request.Wait+p.options.Silence)
 	defer cancel()
-	request.Vector, request.Topics = p.hub.Vector(p.options.Topics), p.options.Topics
+	vector := p.hub.Vector(p.options.Topics)
+	request.Vector, request.Topics = vector, p.options.Topics
+	request.Shorten(p.takeTold(address))
 	sent := time.Now()
 	answer, err := transport.Call[PullReply](callCtx, p.client(address), request)
+	if err == nil && answer.Unknown { // the connection is another one, or the source has restarted
+		request.Vector, request.Base = vector, 0
+		answer, err = transport.Call[PullReply](callCtx, p.client(address), request)
+	}
 	received := time.Now()
 	if ctx.Err() != nil {
 		return nil, 0
@@ -170,9 +177,25 @@
 	if err != nil {
 		return nil, 0
 	}
+	p.noteTold(address, vector)
 	return &answer, p.hub.takeReply(answer, received, received.Sub(sent)-answer.Held)
 }
 
+// takeTold returns the vector that a source has answered last. Until it answers the next one it is not relied on.
+func (p *Puller) takeTold(address string) map[string]Version {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	vector := p.told[address]
+	delete(p.told, address)
+	return vector
+}
+
+func (p *Puller) noteTold(address string, vector map[string]Version) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.told[address] = vector
+}
+
 // lacks reports whether one of the versions is newer than what is held.
 func (h *Hub) lacks(versions map[string]Version) bool {
 	h.mutex.Lock()
@@ -236,6 +259,7 @@
 		if !slices.Contains(keep, address) {
 			client.Close()
 			delete(p.clients, address)
+			delete(p.told, address)
 		}
 	}
 	p.rotation.forget(keep)
--- a/internal/service/distribution/spare_test.go
+++ b/internal/service/distribution/spare_test.go
@@ -24,8 +24,12 @@
 func (s *source) serve(c *qt.C, network *simnet.Network, ip string) (address string, kill func()) {
 	machine := network.Process(ip)
 	server := transport.NewServer(protocol.Identity{Node: ip}, logr.Discard())
-	transport.Handle(server, func(ctx context.Context, _ *transport.Peer, request Pull) (PullReply, error) {
+	told := newToldVectors()
+	transport.Handle(server, func(ctx context.Context, peer *transport.Peer, request Pull) (PullReply, error) {
 		s.pulls++
+		if !told.complete(ctx, peer, &request) {
+			return PullReply{Unknown: true}, nil
+		}
 		reply, err := s.hub.Pull(ctx, request)
 		s.updates += len(reply.Updates)
 		return reply, err
--- a/internal/service/membership/messages.go
+++ b/internal/service/membership/messages.go
@@ -5,11 +5,10 @@
 package membership
 
 import (
-	"encoding/gob"
-
 	"github.com/zeebo/errs"
 
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/wirename"
 )
 
 // Class is the class of errors that this package makes.
@@ -39,6 +38,5 @@
 }
 
 func init() {
-	gob.Register(Heartbeat{})
-	gob.Register(HeartbeatReply{})
+	wirename.Register("m", Heartbeat{}, HeartbeatReply{})
 }
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -11,7 +11,7 @@
 
 // Version is the version of the internal protocol. Peers of another version
 // are refused when they connect.
-const Version = 2
+const Version = 3
 
 // Offsets of the internal listeners from the first internal port.
 const (
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -1,14 +1,12 @@
 package protocol
 
-import "encoding/gob"
+import "yardwharf/internal/service/wirename"
 
 func init() {
-	for _, message := range []any{
+	wirename.Register("p",
 		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{}, FindEnds{}, FindEndsReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{}, AskOwner{}, AskOwnerReply{},
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, TakeRate{}, TakeRateReply{},
 		Retire{}, RetireReply{}, Reconcile{}, ReconcileReply{}, ListEntries{}, ListEntriesReply{},
-	} {
-		gob.Register(message)
-	}
+	)
 }
--- a/internal/service/register/message.go
+++ b/internal/service/register/message.go
@@ -1,6 +1,6 @@
 package register
 
-import "encoding/gob"
+import "yardwharf/internal/service/wirename"
 
 // Prepare asks a member to promise that it accepts nothing under a lower ballot.
 type Prepare struct {
@@ -66,9 +66,5 @@
 type LearnReply struct{ Missing bool } // the member does not have that value
 
 func init() {
-	for _, message := range []any{
-		Prepare{}, Promise{}, Accept{}, Accepted{}, Read{}, ReadReply{}, Learn{}, LearnReply{},
-	} {
-		gob.Register(message)
-	}
+	wirename.Register("r", Prepare{}, Promise{}, Accept{}, Accepted{}, Read{}, ReadReply{}, Learn{}, LearnReply{})
 }
--- a/internal/service/status/status.go
+++ b/internal/service/status/status.go
@@ -5,11 +5,11 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"time"
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/wirename"
 )
 
 // Request asks a process for its report.
@@ -111,9 +111,7 @@
 }
 
 func init() {
-	for _, message := range []any{Request{}, Report{}, MessageRequest{}, MessageReport{}} {
-		gob.Register(message)
-	}
+	wirename.Register("s", Request{}, Report{}, MessageRequest{}, MessageReport{})
 }
 
 // Serve makes a server answer requests for a report. The function adds what the
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -4,10 +4,10 @@
 package view
 
 import (
-	"encoding/gob"
 	"time"
 
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/wirename"
 )
 
 // The topics under which the payloads are distributed.
@@ -82,7 +82,6 @@
 }
 
 func init() {
-	for _, payload := range []any{Configuration{}, ConfigurationDifference{}, Senders{}, SendersDifference{}, Members{}, MembersDifference{}} {
-		gob.Register(payload)
-	}
+	wirename.Register("v",
+		Configuration{}, ConfigurationDifference{}, Senders{}, SendersDifference{}, Members{}, MembersDifference{})
 }
--- a/internal/tools/hollow/fleet.go
+++ b/internal/tools/hollow/fleet.go
@@ -50,7 +50,8 @@
 	machine  int
 	monitors []*controlMember
 	vector   map[string]distribution.Version
-	member   *controlMember // nil for agents
+	told     map[*controlMember]map[string]distribution.Version // vectors that members have answered last
+	member   *controlMember                                     // nil for agents
 	down     bool
 	life     int       // grows when the process starts again
 	ownUntil time.Time // its machine's only processor is busy with changes until then
--- a/internal/tools/hollow/heartbeats.go
+++ b/internal/tools/hollow/heartbeats.go
@@ -133,7 +133,7 @@
 		p.down = false
 		p.life++
 		p.identity.Incarnation++
-		p.vector = map[string]distribution.Version{}
+		p.vector, p.told = map[string]distribution.Version{}, nil
 		f.deliverHeartbeat(p, f.beat(p))
 		f.startAgent(p)
 	})
--- a/internal/tools/hollow/polls.go
+++ b/internal/tools/hollow/polls.go
@@ -52,7 +52,10 @@
 	} else {
 		p.load.work(func() { request.Vector = p.member.hub.Vector(nil) })
 	}
+	whole := request.Vector
+	request.Shorten(p.told[at])
 	arrived := f.polls.call(&p.load, &at.load, request).(distribution.Pull)
+	arrived.Vector, arrived.Base = whole, 0 // as the member completes it
 	next := &poll{by: p, life: life, slot: slot, at: at, request: arrived}
 	f.after(latency(p.machine, at.machine), func() { f.arrive(next) })
 }
@@ -121,6 +124,7 @@
 	if p.by.down || p.by.life != p.life {
 		return
 	}
+	p.by.noteTold(p.at, p.request.Vector)
 	taken := 0
 	for _, update := range reply.Updates {
 		if f.take(p.by, update) {
@@ -134,6 +138,14 @@
 	f.at(later(f.now, p.by.ownUntil), func() { f.startPoll(p.by, p.life, p.slot, p.at) })
 }
 
+// noteTold notes the vector that a member has answered.
+func (p *process) noteTold(at *controlMember, vector map[string]distribution.Version) {
+	if p.told == nil {
+		p.told = map[*controlMember]map[string]distribution.Version{}
+	}
+	p.told[at] = vector
+}
+
 // take takes one update in and reports whether it was new.
 func (f *fleet) take(p *process, update distribution.Update) bool {
 	if p.member != nil {
--- a/internal/tools/hollow/sockets.go
+++ b/internal/tools/hollow/sockets.go
@@ -159,7 +159,7 @@
 		return all
 	}
 	for i, listener := range listeners {
-		identity := controlIdentity(i)
+		identity := inOneZone(controlIdentity(i))
 		identity.Address = listener.Addr().String()
 		member := &socketMember{identity: identity, hub: distribution.NewHub(f.log), server: transport.NewServer(identity, f.log)}
 		coordination.Attach(ctx, f.settings(), identity, member.server, member.hub, addresses, f.log)
@@ -212,7 +212,7 @@
 	}
 	var hubs []*distribution.Hub
 	for i := range f.size.Sockets {
-		identity := agentIdentity(f.size.Dispatchers + i)
+		identity := inOneZone(agentIdentity(f.size.Dispatchers + i))
 		hub := distribution.NewHub(f.log)
 		hubs = append(hubs, hub)
 		sources := append(append([]string(nil), addresses[i%len(addresses):]...), addresses[:i%len(addresses)]...)
@@ -256,7 +256,7 @@
 // callCost returns the processor time of one heartbeat with its answer over a
 // real connection, of both ends.
 func (f *socketFleet) callCost(ctx context.Context) time.Duration {
-	identity := agentIdentity(f.size.Dispatchers + f.size.Sockets)
+	identity := inOneZone(agentIdentity(f.size.Dispatchers + f.size.Sockets))
 	client := transport.NewClient(identity, f.members[0].identity.Address)
 	defer client.Close()
 	beat := membership.Heartbeat{Identity: identity}
@@ -280,7 +280,7 @@
 	member := f.members[0]
 	list := destinations(f.size.Destinations, rand.New(rand.NewPCG(3, 4)))
 	member.hub.Publish(view.TopicSenders, distribution.Version{Epoch: 1, Counter: 2}, view.Senders{List: list})
-	client := transport.NewClient(agentIdentity(0), member.identity.Address)
+	client := transport.NewClient(inOneZone(agentIdentity(0)), member.identity.Address)
 	defer client.Close()
 	reply, err := transport.Call[distribution.PullReply](ctx, client, distribution.Pull{Topics: agentTopics})
 	if err != nil {
@@ -301,3 +301,10 @@
 	case <-ctx.Done():
 	}
 }
+
+// inOneZone moves a process to the zone of all processes with sockets: between zones connections are
+// compressed, and the simulation counts bytes before that.
+func inOneZone(identity protocol.Identity) protocol.Identity {
+	identity.Zone = zoneName(0)
+	return identity
+}
