Compress what processes of different zones say to each other

Cause: messages between processes repeat names, addresses and tables that the connection has carried a moment before; bytes between zones and regions were the largest price, and processors were used to 3 to 10%.

--- a/internal/service/transport/client.go
+++ b/internal/service/transport/client.go
@@ -214,6 +214,10 @@
 	if reply.Version != protocol.Version {
 		return Class.New("%s speaks version %d, not %d", reply.Identity.Node, reply.Version, protocol.Version)
 	}
+	if compresses(identity, reply.Identity) {
+		reader.compress()
+		writer.compress()
+	}
 	return Class.Wrap(conn.SetDeadline(time.Time{}))
 }
 
--- a/internal/service/transport/server.go
+++ b/internal/service/transport/server.go
@@ -204,6 +204,10 @@
 	if first.Version != protocol.Version {
 		return nil, fmt.Errorf("%s speaks version %d, not %d", first.Identity.Node, first.Version, protocol.Version)
 	}
+	if compresses(s.identity, first.Identity) {
+		reader.compress()
+		writer.compress()
+	}
 	return &Peer{Identity: first.Identity, done: make(chan struct{})}, conn.SetDeadline(time.Time{})
 }
 
