--- a/internal/service/dispatcher/callbacks.go
+++ b/internal/service/dispatcher/callbacks.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"yardwharf/internal/service/queue"
-	"yardwharf/internal/service/settings"
 )
 
 const (
@@ -16,8 +15,7 @@
 	callbackWorkers   = 2                      // calls at once to one receiver
 	callbackBacklog   = 4                      // call-backs that wait for a worker before another is started
 	keepAliveFleet    = 16                     // dispatchers up to which connections to receivers are kept
-	callbackGather    = time.Second            // where the settings do not say when a call-back is wanted
-	gatherPart        = 0.4                    // of the time in which a call-back is wanted
+	callbackGather    = time.Second            // well under the time in which a call-back is wanted
 	receiverPause     = 200 * time.Millisecond // after a call without an answer; doubles
 	receiverPauseMost = 1600 * time.Millisecond
 )
@@ -108,20 +106,12 @@
 		pause := queue.Backoff(receiverPause, receiverPauseMost, r.failures-1)
 		return pause/2 + time.Duration(rand.Int64N(int64(pause)))
 	case d.crowded():
-		return d.gatherFor()
+		return callbackGather
 	default:
 		return 0
 	}
 }
 
-// gatherFor returns for how long calls to a receiver are gathered.
-func (d *Dispatcher) gatherFor() time.Duration {
-	if wanted := settings.Seconds(d.settings.Bounds.CallbackS); wanted > 0 {
-		return part(wanted, gatherPart)
-	}
-	return callbackGather
-}
-
 // runReceiver makes calls to one receiver until none waits or one fails.
 func (d *Dispatcher) runReceiver(host string, r *receiver) {
 	for {
