Simulate two regions, and one of them cut off

Cause: all zones of the simulation were in one region, so distances decided nothing there. Change: the third machine of each class is in a region of its own, 8 ms from the others; the fault cutRegion cuts it off with its dispatcher, store and control member.

--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -36,6 +36,7 @@
 	{name: "wipeControl", loss: true, play: func(w *world, r *rand.Rand) { w.restart("wipeControl", choose(r, w.liveControls()), r, true, true) }},
 	{name: "freezeControl", loss: true, play: func(w *world, r *rand.Rand) { w.freeze("freezeControl", choose(r, w.liveControls()).machine, r) }},
 	{name: "cutControl", loss: true, play: func(w *world, r *rand.Rand) { w.isolate("cutControl", choose(r, w.liveControls()).machine, r, false) }},
+	{name: "cutRegion", loss: true, play: func(w *world, r *rand.Rand) { w.cutRegion(r) }},
 	{name: "killDispatcher", play: func(w *world, r *rand.Rand) {
 		w.restart("killDispatcher", choose(r, w.dispatchers), r, false, false)
 	}},
@@ -229,6 +230,35 @@
 	}
 }
 
+// cutRegion cuts the far region off from the other: a dispatcher, a store and a control member, which reach
+// each other.
+func (w *world) cutRegion(random *rand.Rand) {
+	var inside, outside []string
+	for _, p := range w.processes() {
+		switch {
+		case regionName(machineNumber(p.machine)-1) != farRegion:
+			outside = append(outside, p.machine)
+		case !slices.Contains(inside, p.machine):
+			inside = append(inside, p.machine)
+		}
+	}
+	cut := func(cut bool) {
+		for _, a := range inside {
+			for _, b := range outside {
+				w.network.Cut(a, b, cut)
+				w.network.Cut(b, a, cut)
+			}
+		}
+	}
+	for _, machine := range inside {
+		t := w.journal.begin("cutRegion", machine)
+		defer w.journal.end(t)
+	}
+	cut(true)
+	time.Sleep(lasting(random))
+	cut(false)
+}
+
 // reset resets the connections between a dispatcher and a store.
 func (w *world) reset(random *rand.Rand) {
 	edge := choose(random, w.dispatchers).machine
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -80,16 +80,53 @@
 func coreMachine(i int) string    { return fmt.Sprintf("10.3.0.%d", i+1) }
 func zoneName(i int) string       { return fmt.Sprintf("zone-%d", i+1) }
 
+// regionLatency is what a way between two regions takes more than one within.
+const regionLatency = 8 * time.Millisecond
+
+// The regions.
+const (
+	nearRegion = "region-near"
+	farRegion  = "region-far"
+)
+
+// regionName returns the region of a zone: the last one is alone in its own.
+func regionName(i int) string {
+	if i%machinesEach == machinesEach-1 {
+		return farRegion
+	}
+	return nearRegion
+}
+
+// farApart reports whether two of the system's machines are in different regions. The last part of a machine's
+// address is its number.
+func farApart(from, to string) bool {
+	a, b := machineNumber(from), machineNumber(to)
+	return a > 0 && b > 0 && regionName(a-1) != regionName(b-1)
+}
+
+// machineNumber returns the number of a machine of the system, or 0 for any other address.
+func machineNumber(address string) int {
+	var class, number int
+	if count, _ := fmt.Sscanf(address, "10.%d.0.%d", &class, &number); count != 2 || class < 1 || class > 3 {
+		return 0
+	}
+	return number
+}
+
 func newWorld(options Options) *world {
 	w := &world{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), journal: newJournal(), log: options.Log,
 	}
 	latencies := rand.New(rand.NewPCG(options.Seed, 2))
 	var mutex sync.Mutex
-	w.network = simnet.New(func(_, _ string) time.Duration {
+	w.network = simnet.New(func(from, to string) time.Duration {
 		mutex.Lock()
 		defer mutex.Unlock()
-		return 300*time.Microsecond + time.Duration(latencies.IntN(400))*time.Microsecond
+		latency := 300*time.Microsecond + time.Duration(latencies.IntN(400))*time.Microsecond
+		if farApart(from, to) {
+			latency += regionLatency
+		}
+		return latency
 	})
 	for i := range machinesEach {
 		w.addProcesses(i)
@@ -120,14 +157,14 @@
 
 func (w *world) settings(class, ip string, i int) settings.Settings {
 	s := settings.Settings{
-		Node: fmt.Sprintf("%s-%d", class, i+1), MachineClass: class, IP: ip, Zone: zoneName(i), Region: "region",
+		Node: fmt.Sprintf("%s-%d", class, i+1), MachineClass: class, IP: ip, Zone: zoneName(i), Region: regionName(i),
 		Zones: map[string]string{}, InternalPorts: []int{internalFirst, internalLast},
 		Limits: settings.Limits{MemoryMb: 256, DiskMb: 64, Cores: 1}, HeartbeatMs: 1000,
 		FaultTolerance: settings.FaultTolerance{Machines: 1}, Bounds: bounds,
 		CloudAPI: settings.CloudAPI{Address: platformAddress, RatePerS: 40, MaxLagMs: 800},
 	}
 	for z := range machinesEach {
-		s.Zones[zoneName(z)] = "region"
+		s.Zones[zoneName(z)] = regionName(z)
 		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", w.controlMachine(z), controlPort))
 	}
 	return s
