--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -31,6 +31,8 @@
 	end      func()
 
 	mutex    sync.Mutex
+	record   time.Duration // how long stores take to record an end
+	promised bool          // to the new owner: stores record no end of the old one
 	released []protocol.Attempt
 	at       time.Time // of the release
 	arrivals []arrival
@@ -65,6 +67,7 @@
 			reply := grant(request)
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
+			r.promised = request.Epoch > 1
 			for i := range reply.Grants[0].Heads {
 				if end, some := r.ends[reply.Grants[0].Heads[i].ID]; some {
 					reply.Grants[0].Heads[i].State, reply.Grants[0].Heads[i].Stamp = end.State, end.Stamp
@@ -80,12 +83,18 @@
 			return reply
 		}
 		store.ends = func(batch protocol.EndBatch) protocol.EndBatchReply {
+			time.Sleep(r.record)
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
+			reply := protocol.EndBatchReply{StoreID: "disk"}
 			for _, end := range batch.Ends {
+				if r.promised && end.Epoch == 1 {
+					reply.Refused = append(reply.Refused, protocol.RefusedEnd{ID: end.ID, Queue: end.Queue, Promised: 2})
+					continue
+				}
 				r.ends[end.ID] = end
 			}
-			return protocol.EndBatchReply{StoreID: "disk"}
+			return reply
 		}
 		store.release = func(request protocol.Release) {
 			r.mutex.Lock()
@@ -186,17 +195,20 @@
 	for name, one := range map[string]struct {
 		answer    func(int, string) int
 		moveAfter time.Duration
-		gone      bool // the old dispatcher, right after the release
-		runs      int  // of the message
+		record    time.Duration // how long stores take to record an end
+		gone      bool          // the old dispatcher, right after the release
+		runs      int           // of the message
 		again     time.Duration
 		behind    time.Duration // when the next one of its key may begin
 		failures  int
 	}{
-		"success after the release":  {answer: slow(200), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
-		"success before the release": {answer: slow(200), moveAfter: work + 100*time.Millisecond, runs: 1, behind: work},
-		"success during the release": {answer: slow(200), moveAfter: work, runs: 1, behind: work},
-		"refused for good":           {answer: slow(422), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
-		"failure after the release":  {answer: slow(500), moveAfter: 20 * time.Millisecond, runs: 2, again: work, behind: work, failures: 1},
+		"success after the release":          {answer: slow(200), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
+		"success before the release":         {answer: slow(200), moveAfter: work + 100*time.Millisecond, runs: 1, behind: work},
+		"success during the release":         {answer: slow(200), moveAfter: work, runs: 1, behind: work},
+		"success recorded after the release": {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, runs: 1, behind: work},
+		"the same, the old owner gone":       {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, gone: true, runs: 1, behind: work},
+		"refused for good":                   {answer: slow(422), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
+		"failure after the release":          {answer: slow(500), moveAfter: 20 * time.Millisecond, runs: 2, again: work, behind: work, failures: 1},
 		"no answer in time": {answer: func(run int, id string) int {
 			time.Sleep(time.Duration(2-min(run, 2)) * 3 * attemptTimeout)
 			return 200
@@ -207,6 +219,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				r := newHandingOver(t, c, one.answer)
+				defer r.end()
+				r.record = one.record
 				time.Sleep(one.moveAfter)
 				r.move(t)
 				if one.gone {
@@ -225,7 +239,6 @@
 				c.Check(entry.Head.State.Ended(), qt.IsTrue)
 				c.Check(entry.Head.Failures, qt.Equals, one.failures)
 				r.new.mutex.Unlock()
-				r.end()
 			})
 		})
 	}
--- a/internal/service/dispatcher/disks_test.go
+++ b/internal/service/dispatcher/disks_test.go
@@ -145,6 +145,56 @@
 	c.Assert(d.stores["c"].ends["m"].Stamp, qt.Equals, "seal")
 }
 
+// An end that a store was asked to record, or has recorded, is recorded at another one when that store does
+// not count any more.
+func TestEndIsRecordedElsewhereOnceAStoreIsOut(t *testing.T) {
+	for name, out := range map[string]func(*Dispatcher, *storeLink){
+		"its disk is lost":        func(d *Dispatcher, link *storeLink) { d.noteDisk(link, "second") },
+		"it is removed":           func(d *Dispatcher, link *storeLink) { d.forgetStore(link) },
+		"it leaves":               func(d *Dispatcher, link *storeLink) { d.noteLeaving(link, true) },
+		"it refuses, as outbid":   func(d *Dispatcher, link *storeLink) { refuseEnds(d, link) },
+		"it acknowledges nothing": func(d *Dispatcher, link *storeLink) { link.unanswered, link.unansweredSince = 1, d.now()-time.Second },
+	} {
+		for _, recorded := range []bool{false, true} {
+			d := withStores("a", "b", "c")
+			d.started = d.started.Add(-time.Minute)
+			owned := d.own("ordered/1")
+			entry := owned.Add(d.now(), protocol.Head{ID: "m", Queue: owned.Name, State: protocol.Queued, Retention: time.Hour}, nil, []string{"a", "b"})
+			owned.Advance(d.now())
+			d.endEntry(owned, entry, protocol.Completed, "seal")
+			keepEnds(d, "a")
+			if recorded {
+				keepEnds(d, "b")
+			}
+			out(d, d.stores["b"])
+			d.watchLeases()
+			if keepEnds(d, "c"); !d.endIsSafe(entry) {
+				t.Errorf("%s, recorded %v: kept by %v", name, recorded, entry.EndKept)
+			}
+		}
+	}
+}
+
+// keepEnds has stores record the ends that wait for them.
+func keepEnds(d *Dispatcher, nodes ...string) {
+	for _, node := range nodes {
+		if link := d.stores[node]; link != nil {
+			for id, end := range link.ends {
+				delete(link.ends, id)
+				d.noteEndKept(link, end, nil)
+			}
+		}
+	}
+}
+
+// refuseEnds has a store refuse the ends that wait for it.
+func refuseEnds(d *Dispatcher, link *storeLink) {
+	for id, end := range link.ends {
+		delete(link.ends, id)
+		d.noteEndKept(link, end, []protocol.RefusedEnd{{ID: id, Queue: end.Queue, Promised: end.Epoch}})
+	}
+}
+
 // An end goes to another store where one of the message's is away.
 func TestEndIsRecordedElsewhereWhileAStoreIsAway(t *testing.T) {
 	c := qt.New(t)
--- a/internal/service/dispatcher/retirement_test.go
+++ b/internal/service/dispatcher/retirement_test.go
@@ -20,7 +20,7 @@
 		d.stores[name] = &storeLink{
 			node: name, zone: name, up: true, kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 			ends: map[string]protocol.End{}, failures: map[string]int{}, formerDisks: map[string]bool{},
-			storeID: "disk-" + name, fullDisk: "disk-" + name,
+			storeID: "disk-" + name, fullDisk: "disk-" + name, stop: func() {},
 		}
 	}
 	return d
