Ask further stores to record an end until it is safe

Cause: an end that waited for a store which lost its disk, was removed, left or refused it was forgotten there, and nobody was asked in its place; one that waited for a store which does not answer was asked of another after 2 s, the time-out of a batch. It stayed at one store, and the queue's hand-over waited to its limit and then went. Change: the ends of a queue that are not safe are looked at every 200 ms, and as many stores are asked as are wanting, not counting those that are gone, refuse or have not answered for 150 ms; a hand-over does not wait for such stores.

--- a/internal/service/dispatcher/disks_test.go
+++ b/internal/service/dispatcher/disks_test.go
@@ -152,8 +152,9 @@
 		"its disk is lost":        func(d *Dispatcher, link *storeLink) { d.noteDisk(link, "second") },
 		"it is removed":           func(d *Dispatcher, link *storeLink) { d.forgetStore(link) },
 		"it leaves":               func(d *Dispatcher, link *storeLink) { d.noteLeaving(link, true) },
-		"it refuses, as outbid":   func(d *Dispatcher, link *storeLink) { refuseEnds(d, link) },
+		"it refuses, as outbid":   refuseEnds,
 		"it acknowledges nothing": func(d *Dispatcher, link *storeLink) { link.unanswered, link.unansweredSince = 1, d.now()-time.Second },
+		"it records no ends":      func(d *Dispatcher, link *storeLink) { link.endsSent = d.now() - time.Second },
 	} {
 		for _, recorded := range []bool{false, true} {
 			d := withStores("a", "b", "c")
@@ -167,8 +168,12 @@
 				keepEnds(d, "b")
 			}
 			out(d, d.stores["b"])
-			d.watchLeases()
-			if keepEnds(d, "c"); !d.endIsSafe(entry) {
+			d.watchEnds()
+			answering := []string{"c"}
+			if link := d.stores["b"]; link != nil && link.storeID == "second" {
+				answering = append(answering, "b")
+			}
+			if keepEnds(d, answering...); !d.endIsSafe(entry) {
 				t.Errorf("%s, recorded %v: kept by %v", name, recorded, entry.EndKept)
 			}
 		}
@@ -187,11 +192,12 @@
 	}
 }
 
-// refuseEnds has a store refuse the ends that wait for it.
+// refuseEnds has a store refuse the ends that wait for it, as it has promised their queue to another.
 func refuseEnds(d *Dispatcher, link *storeLink) {
 	for id, end := range link.ends {
 		delete(link.ends, id)
-		d.noteEndKept(link, end, []protocol.RefusedEnd{{ID: id, Queue: end.Queue, Promised: end.Epoch}})
+		d.noteEndKept(link, end, []protocol.RefusedEnd{{ID: id, Queue: end.Queue, Promised: end.Epoch + 1}})
+		d.queues[end.Queue].outbid = map[string]bool{link.node: true}
 	}
 }
 
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -76,6 +76,7 @@
 	memoryMb    int           // limit of this process
 	nextWake    time.Duration // when the timer fires; 0: at its usual pace
 	leaseWatch  leaseWatch
+	endsWatched time.Duration // when unsafe ends were looked at last
 	lateEnds    lateEnds
 	telling     int   // ends of attempts that new owners are being told of
 	awaited     int64 // latest configuration that a message was accepted under and that has not come yet
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -89,34 +89,6 @@
 	d.log.V(1).Info("queue handed over", "queue", owned.Name, "to", successor)
 }
 
-// logUnsafeEnds logs what a queue that is about to be released still waits for, store by store. The mutex is held.
-func (d *Dispatcher) logUnsafeEnds(owned *ownedQueue, waited time.Duration) {
-	if owned.dropped || d.flushedOf(owned.Name) && d.endsSafe(owned) {
-		return
-	}
-	lone, waiting := 0, 0
-	for id := range owned.unsafeEnds {
-		told := false
-		for _, link := range d.stores {
-			_, pending := link.ends[id]
-			told = told || pending
-		}
-		if told {
-			waiting++
-		} else {
-			lone++
-		}
-	}
-	d.log.Info("queue goes before its ends are safe", "queue", owned.Name, "waited", waited, "running", owned.Running(),
-		"unsafe", len(owned.unsafeEnds), "asked", waiting, "notAsked", lone)
-	for _, link := range d.stores {
-		if len(link.ends) > 0 {
-			d.log.Info("ends wait for a store", "store", link.node, "ends", len(link.ends), "up", link.up, "leaving", link.leaving,
-				"silent", link.silent(d.now()), "heard", d.now()-link.heard)
-		}
-	}
-}
-
 // handOverMost returns how long deliveries under way are awaited: as long as one may take, because
 // whoever gets the queue sooner may run the message again.
 func (d *Dispatcher) handOverMost() time.Duration {
--- a/internal/service/dispatcher/handover_test.go
+++ b/internal/service/dispatcher/handover_test.go
@@ -172,6 +172,8 @@
 	c.Assert(d.flushedOf("ordered/2"), qt.IsTrue)
 	d.stores["a"].up = false
 	c.Assert(d.flushedOf("ordered/1"), qt.IsTrue)
+	d.stores["a"].up, d.stores["a"].endsSent = true, d.now()-time.Second
+	c.Assert(d.flushedOf("ordered/1"), qt.IsTrue, qt.Commentf("it does not answer"))
 }
 
 // A dispatcher that is told to end while stores grant it queues, or is offered some, gives
--- a/internal/service/dispatcher/leasewatch.go
+++ b/internal/service/dispatcher/leasewatch.go
@@ -29,9 +29,6 @@
 	}
 	if now := d.now(); now-d.leaseWatch.looked >= leaseWatchEvery {
 		d.leaseWatch.looked = now
-		for _, owned := range d.queues {
-			d.endsSafe(owned) // drops what was noted
-		}
 		d.watchQueues(now)
 	}
 }
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -43,14 +43,6 @@
 	unsafeEnds map[string]*queue.Entry // messages whose ends too few stores had recorded at the last look
 }
 
-// noteUnsafe notes that the end of a message is not safe yet.
-func (q *ownedQueue) noteUnsafe(entry *queue.Entry) {
-	if q.unsafeEnds == nil {
-		q.unsafeEnds = map[string]*queue.Entry{}
-	}
-	q.unsafeEnds[entry.Head.ID] = entry
-}
-
 // sessionTable is what the stores together tell about dispatchers and queues.
 type sessionTable struct {
 	sessions map[string]protocol.Session // ready ones, by node
--- a/internal/service/dispatcher/retirement.go
+++ b/internal/service/dispatcher/retirement.go
@@ -31,6 +31,7 @@
 	for _, owned := range d.queues {
 		owned.Each(func(entry *queue.Entry) { d.needsRepair(owned, entry) })
 	}
+	d.noteUnsafeEnds(link)
 	signal(link.kick)
 }
 
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -46,6 +46,7 @@
 	acknowledged    time.Duration // when the last append was answered
 
 	ends     map[string]protocol.End
+	endsSent time.Duration // when the batch under way was sent; 0 where there is none
 	failures map[string]int
 
 	clock       storeClock
@@ -125,6 +126,7 @@
 		d.log.Info("store lost", "store", link.node)
 	}
 	d.watchLeases()
+	d.watchEnds()
 	if !link.absent && link.storeID != "" && d.now()-link.heard > absentAfter {
 		link.absent = true
 		d.copiesAway(link)
@@ -150,6 +152,7 @@
 	d.claimMissing(link)
 	d.releaseUnowned(link)
 	d.watchLeases()
+	d.watchEnds()
 	d.considerQueues()
 	if len(link.ends)+len(link.failures) > 0 {
 		signal(link.flush)
@@ -243,15 +246,18 @@
 		batch.Failures = append(batch.Failures, protocol.Failures{ID: id, Count: count})
 	}
 	up, storeID := link.up, link.storeID
-	d.mutex.Unlock()
 	if !up || len(batch.Ends)+len(batch.Failures) == 0 {
+		d.mutex.Unlock()
 		return false
 	}
+	link.endsSent = d.now()
+	d.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, endBatchTimeout)
 	defer cancel()
 	reply, err := transport.Call[protocol.EndBatchReply](callCtx, link.client, batch)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	link.endsSent = 0
 	if err != nil {
 		d.recordElsewhere(link, batch.Ends)
 		return false
@@ -284,11 +290,11 @@
 	return true
 }
 
-// flushedOf reports whether the stores that are up have all ends of one queue. Those of others, which go on,
+// flushedOf reports whether the stores that answer have all ends of one queue. Those of others, which go on,
 // must not hold up its release. The mutex is held.
 func (d *Dispatcher) flushedOf(name string) bool {
 	for _, link := range d.stores {
-		if !link.up {
+		if !link.answersEnds(d.now()) {
 			continue
 		}
 		for _, end := range link.ends {
