Hand on with a queue all that its owner has not settled

Cause: a release told of the attempts that senders had at that moment; an end that was not at f + 1 stores yet, and failures not yet recorded, were in no list, and a lost queue told of attempts that ended later only. The next owner read the message as open and ran it. Change: there is one account of what is under way of a queue's messages, taken as the queue goes, however it goes: attempts at senders, ends that are not safe, counts of failures. The release carries it, stores hand it on with the next leases (outcomes for 2 minutes), and the new owner is told of what ends later, in batches, by one goroutine a queue. An owner without a valid lease takes what it is told and does not answer for the queue, so that the next one is told as well (found in reading before). Internal protocol 4. It works since whoever gets a lease has read N - f stores, and each of them has had the release or ended the session.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -305,7 +305,7 @@
 		d.noteGrant(owned, link, sent)
 	}
 	d.adopt(owned, heads)
-	d.holdAttempts(owned, attempts, d.now())
+	d.takeAttempts(owned, attempts)
 	if abandoned && owned.Open() > 0 {
 		d.counters.takeovers.Add(1)
 	}
--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -9,70 +9,135 @@
 	"yardwharf/internal/service/transport"
 )
 
-// A queue may have to be released while senders have messages of it, as the time to leave
-// is shorter than a delivery may take. The release tells of those attempts, the stores hand
-// them on with the lease, and the new owner holds each such message, and with it those
-// behind it of its key, until the old owner has told how the attempt ended or its time is
-// over.
+// A queue may have to go before all that is under way of its messages is settled: senders
+// have some, and how others ended is not at enough stores yet. The release tells of all of
+// it, and the stores hand that on with the lease. The new owner takes the ends, and holds each
+// message that a sender has, and with it those behind it of its key, until the old owner has
+// told how the attempt ended or its time is over. Where a queue is lost without a release,
+// the owner before tells the new one alone.
 
 const (
-	tellTimeout = 600 * time.Millisecond
-	tellPause   = 50 * time.Millisecond // the new owner may not have the queue yet
-	tellMost    = 10 * time.Second
+	tellTimeout  = 600 * time.Millisecond
+	tellPause    = 50 * time.Millisecond // the new owner may not have the queue yet
+	tellMost     = 10 * time.Second
+	tellBatch    = 256
+	attemptsMost = 1000 // of one queue, that a release tells of
 )
 
-// attemptsOf returns the attempts that senders have of a queue. The mutex is held.
-func (d *Dispatcher) attemptsOf(owned *ownedQueue) []protocol.Attempt {
+// letGo forgets a queue, and keeps the account of what is under way there: it returns the
+// attempts that are not settled, and has the new owner told of those that are over. The mutex
+// is held.
+func (d *Dispatcher) letGo(owned *ownedQueue) []protocol.Attempt {
+	owned.dropped = true
+	delete(d.queues, owned.Name)
+	d.leases.Drop(owned.Name)
+	attempts := d.unsettled(owned)
+	for _, attempt := range attempts {
+		if attempt.End.State.Ended() {
+			d.lateEnds.note(d.now(), attempt.End)
+			d.tell(owned.Name, attempt.Outcome)
+		}
+	}
+	return attempts[:min(len(attempts), attemptsMost)]
+}
+
+// unsettled returns what is under way of a queue's messages, those that senders have first.
+// The mutex is held.
+func (d *Dispatcher) unsettled(owned *ownedQueue) []protocol.Attempt {
 	var attempts []protocol.Attempt
 	for _, state := range d.deliveries {
 		if left := state.deadline - d.now(); state.owned == owned && state.entry.Phase == queue.Running && left > 0 {
-			attempts = append(attempts, protocol.Attempt{ID: state.key, Left: left})
+			attempts = append(attempts, protocol.Attempt{ID: state.key, Left: left, Outcome: outcomeOf(owned, state.entry)})
+		}
+	}
+	if !d.endsSafe(owned) {
+		for id, entry := range owned.unsafeEnds {
+			attempts = append(attempts, protocol.Attempt{ID: id, Outcome: outcomeOf(owned, entry)})
 		}
 	}
+	owned.Each(func(entry *queue.Entry) {
+		if entry.Phase < queue.Running && entry.Head.Failures > 0 {
+			attempts = append(attempts, protocol.Attempt{ID: entry.Head.ID, Outcome: outcomeOf(owned, entry)})
+		}
+	})
 	return attempts
 }
 
-// holdAttempts keeps messages back that a sender has from the owner before. The mutex is
-// held.
-func (d *Dispatcher) holdAttempts(owned *ownedQueue, attempts []protocol.Attempt, told time.Duration) {
+// outcomeOf returns what came of a message so far.
+func outcomeOf(owned *ownedQueue, entry *queue.Entry) protocol.Outcome {
+	return protocol.Outcome{End: endOf(owned, entry), Failures: entry.Head.Failures}
+}
+
+// takeAttempts takes in what the owner before had not settled, as the stores tell it. Messages
+// are held before any other may begin. The mutex is held.
+func (d *Dispatcher) takeAttempts(owned *ownedQueue, attempts []protocol.Attempt) {
 	for _, attempt := range attempts {
-		if entry := owned.Get(attempt.ID); entry != nil && d.deliveries[attempt.ID] == nil {
-			owned.Hold(entry, told+attempt.Left)
+		if entry := owned.Get(attempt.ID); entry != nil && attempt.Left > 0 && d.deliveries[attempt.ID] == nil {
+			owned.Hold(entry, d.now()+attempt.Left)
 		}
 	}
+	for _, attempt := range attempts {
+		d.takeOutcome(owned, attempt.Outcome)
+	}
 }
 
-// attemptOver returns what is told of an attempt that has ended after its queue was let go.
-func attemptOver(owned *ownedQueue, entry *queue.Entry) protocol.AttemptOver {
-	return protocol.AttemptOver{End: endOf(owned, entry), Failures: entry.Head.Failures}
+// takeOutcome takes in what came of attempts of the owner before. An end is recorded under
+// this owner's epoch: the message is open here, so nobody was told of another one. The mutex
+// is held.
+func (d *Dispatcher) takeOutcome(owned *ownedQueue, outcome protocol.Outcome) {
+	entry := owned.Get(outcome.End.ID)
+	if entry == nil || entry.Head.State.Ended() {
+		return
+	}
+	entry.Head.Failures = max(entry.Head.Failures, outcome.Failures)
+	if outcome.End.State.Ended() {
+		d.endEntry(owned, entry, outcome.End.State, outcome.End.Stamp)
+	}
 }
 
-// tellOfAttempt has the new owner of a queue told how an attempt ended. The mutex is held.
-func (d *Dispatcher) tellOfAttempt(owned *ownedQueue, entry *queue.Entry) {
-	told := attemptOver(owned, entry)
-	d.telling++
-	go func() {
-		d.tellOwner(told)
-		d.mutex.Lock()
-		defer d.mutex.Unlock()
-		d.telling--
-	}()
+// tell has the new owner of a queue told what came of attempts at a message, as soon as there
+// is one. The mutex is held.
+func (d *Dispatcher) tell(name string, outcome protocol.Outcome) {
+	d.untold[name] = append(d.untold[name], outcome)
+	if len(d.untold[name]) == 1 {
+		go d.runTelling(name)
+	}
 }
 
-// tellOwner tells the new owner of a queue how an attempt ended, as soon as there is one.
-func (d *Dispatcher) tellOwner(told protocol.AttemptOver) {
+// runTelling tells the new owner of a queue until it knows all, or nobody takes note for long.
+func (d *Dispatcher) runTelling(name string) {
 	deadline := d.now() + tellMost
 	for d.now() < deadline {
-		if d.tellOwnerOnce(told) {
+		d.mutex.Lock()
+		outcomes := d.untold[name]
+		d.mutex.Unlock()
+		batch := outcomes[:min(len(outcomes), tellBatch)]
+		if !d.tellOwner(protocol.AttemptsOver{Queue: name, Outcomes: batch}) {
+			time.Sleep(tellPause)
+			continue
+		}
+		d.mutex.Lock()
+		rest := d.untold[name][len(batch):]
+		d.untold[name] = rest
+		if len(rest) == 0 {
+			delete(d.untold, name)
+		}
+		d.mutex.Unlock()
+		if len(rest) == 0 {
 			return
 		}
-		time.Sleep(tellPause)
+		deadline = d.now() + tellMost
 	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.log.Info("nobody was told of attempts", "queue", name, "messages", len(d.untold[name]))
+	delete(d.untold, name)
 }
 
-func (d *Dispatcher) tellOwnerOnce(told protocol.AttemptOver) bool {
+// tellOwner tells the owner of a queue once. It reports whether there is nothing left to do.
+func (d *Dispatcher) tellOwner(told protocol.AttemptsOver) bool {
 	d.mutex.Lock()
-	holder := d.table.holders[told.End.Queue].Holder
+	holder := d.table.holders[told.Queue].Holder
 	address := d.table.sessions[holder].Identity.Address
 	over := d.ended
 	d.mutex.Unlock()
@@ -80,36 +145,33 @@
 	case over:
 		return true
 	case holder == d.identity.Node:
-		return d.takeAttemptOver(told).Owner
+		return d.takeAttemptsOver(told).Owner
 	case address == "":
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
-	reply, err := transport.Call[protocol.AttemptOverReply](ctx, d.peer(address), told)
+	reply, err := transport.Call[protocol.AttemptsOverReply](ctx, d.peer(address), told)
 	return err == nil && reply.Owner
 }
 
-// takeAttemptOver takes in how an attempt of the owner before has ended. An end is recorded
-// under this owner's epoch: the message is open here, so nobody was told of another one.
-func (d *Dispatcher) takeAttemptOver(told protocol.AttemptOver) protocol.AttemptOverReply {
+// takeAttemptsOver takes in how attempts of the owner before have ended. An owner whose lease
+// is not valid does not answer for the queue: the stores may refuse what it records.
+func (d *Dispatcher) takeAttemptsOver(told protocol.AttemptsOver) protocol.AttemptsOverReply {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	owned := d.queues[told.End.Queue]
+	owned := d.queues[told.Queue]
 	if owned == nil {
-		return protocol.AttemptOverReply{}
+		return protocol.AttemptsOverReply{}
 	}
-	entry := owned.Get(told.End.ID)
-	switch {
-	case entry == nil || entry.Head.State.Ended():
-	case told.End.State.Ended():
-		d.endEntry(owned, entry, told.End.State, told.End.Stamp)
-	default:
-		entry.Head.Failures = max(entry.Head.Failures, told.Failures)
-		owned.Unhold(d.now(), entry)
+	for _, outcome := range told.Outcomes {
+		d.takeOutcome(owned, outcome)
+		if entry := owned.Get(outcome.End.ID); entry != nil && !outcome.End.State.Ended() {
+			owned.Unhold(d.now(), entry)
+		}
 	}
 	d.pump(owned)
-	return protocol.AttemptOverReply{Owner: true}
+	return protocol.AttemptsOverReply{Owner: d.leaseValid(owned)}
 }
 
 // awaitAttempts waits until no sender has a message of this dispatcher, and its new owners
@@ -117,7 +179,7 @@
 func (d *Dispatcher) awaitAttempts(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.mutex.Lock()
-		over := d.telling == 0
+		over := len(d.untold) == 0
 		for _, state := range d.deliveries {
 			over = over && state.deadline <= d.now()
 		}
--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -265,3 +266,72 @@
 		r.end()
 	})
 }
+
+// An owner whose lease is not valid takes an end that it is told of, and does not answer for its
+// queue: the stores may refuse the record, so somebody else has to be told.
+func TestOwnerWithoutAValidLeaseAnswersForNoEnd(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	owned := d.own("ordered/1")
+	entry := owned.Add(d.now(), protocol.Head{ID: "m", State: protocol.Queued, Retention: time.Hour}, nil, nil)
+	end := protocol.End{ID: "m", Queue: owned.Name, State: protocol.Completed, Stamp: "seal"}
+	told := protocol.AttemptsOver{Queue: owned.Name, Outcomes: []protocol.Outcome{{End: end}}}
+	c.Assert(d.takeAttemptsOver(told).Owner, qt.IsFalse)
+	c.Assert(entry.Head.Stamp, qt.Equals, "seal")
+	owned.granted = map[string]time.Duration{}
+	for node, link := range d.stores {
+		d.leases.Renewed(node, d.now(), d.now())
+		d.noteGrant(owned, link, d.now())
+	}
+	c.Assert(d.takeAttemptsOver(told).Owner, qt.IsTrue)
+}
+
+// The new owner is told of all outcomes of a queue that is lost, also those that come while
+// it is being told of others.
+func TestOutcomesOfALostQueueAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newHandingOver(t, c, func(int, string) int { return http.StatusOK })
+		defer r.end()
+		time.Sleep(attemptTimeout)
+		r.move(t)
+		r.old.mutex.Lock()
+		r.new.mutex.Lock()
+		owned := r.new.queues["ordered/1"]
+		ids := func(from int) (names []string) {
+			for i := range tellBatch {
+				names = append(names, fmt.Sprintf("m%d", from+i))
+			}
+			return names
+		}
+		names := append(ids(0), ids(tellBatch)...)
+		for i, id := range names {
+			owned.Add(r.new.now(), protocol.Head{ID: id, Delay: time.Hour, Retention: 2 * time.Hour}, nil, nil)
+			told := protocol.Outcome{End: protocol.End{ID: id, Queue: owned.Name, State: protocol.Completed}}
+			if i%2 == 0 {
+				told = protocol.Outcome{End: protocol.End{ID: id, Queue: owned.Name}, Failures: 2}
+			}
+			if i < tellBatch+10 {
+				r.old.tell(owned.Name, told)
+				continue
+			}
+			time.AfterFunc(3*time.Millisecond, func() {
+				r.old.mutex.Lock()
+				defer r.old.mutex.Unlock()
+				r.old.tell(owned.Name, told)
+			})
+		}
+		r.new.mutex.Unlock()
+		r.old.mutex.Unlock()
+		time.Sleep(time.Second)
+		r.old.mutex.Lock()
+		c.Check(r.old.untold, qt.HasLen, 0)
+		r.old.mutex.Unlock()
+		r.new.mutex.Lock()
+		defer r.new.mutex.Unlock()
+		for i, id := range names {
+			c.Check(owned.Get(id).Head.State.Ended(), qt.Equals, i%2 == 1)
+			c.Check(owned.Get(id).Head.Failures, qt.Equals, 2*((i+1)%2))
+		}
+	})
+}
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -242,7 +242,7 @@
 		delete(d.deliveries, state.key)
 		state.owned.Retry(d.now(), state.entry, false, -1)
 		if state.owned.dropped {
-			d.tellOfAttempt(state.owned, state.entry)
+			d.tell(state.owned.Name, outcomeOf(state.owned, state.entry))
 		}
 	}
 	d.pump(state.owned)
@@ -299,7 +299,7 @@
 	owned, entry := state.owned, state.entry
 	if owned.dropped {
 		d.log.Info("delivery ended after its queue was lost", "message", state.key, "queue", owned.Name, "succeeded", result.Succeeded())
-		defer d.tellOfAttempt(owned, entry)
+		defer func() { d.tell(owned.Name, outcomeOf(owned, entry)) }()
 	}
 	switch {
 	case result.Succeeded():
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -78,8 +78,8 @@
 	leaseWatch  leaseWatch
 	endsWatched time.Duration // when unsafe ends were looked at last
 	lateEnds    lateEnds
-	telling     int   // ends of attempts that new owners are being told of
-	awaited     int64 // latest configuration that a message was accepted under and that has not come yet
+	untold      map[string][]protocol.Outcome // by queue: of attempts that new owners are being told of
+	awaited     int64                         // latest configuration that a message was accepted under and that has not come yet
 }
 
 // Run runs the role until the context ends, then hands over what it holds.
@@ -155,6 +155,7 @@
 		senders:       map[string][]view.Sender{},
 		deliveries:    map[string]*deliveryState{},
 		receivers:     map[string]*receiver{},
+		untold:        map[string][]protocol.Outcome{},
 		peers:         map[string]*transport.Client{},
 		memoryMb:      s.Limits.MemoryMb,
 	}
@@ -213,8 +214,8 @@
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.AskOwner) (protocol.AskOwnerReply, error) {
 		return d.answerOwner(request), nil
 	})
-	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.AttemptOver) (protocol.AttemptOverReply, error) {
-		return d.takeAttemptOver(request), nil
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.AttemptsOver) (protocol.AttemptsOverReply, error) {
+		return d.takeAttemptsOver(request), nil
 	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.TakeRate) (protocol.TakeRateReply, error) {
 		return d.grantPermits(request), nil
--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -201,10 +201,16 @@
 	return owned, entry
 }
 
-// TestEndWhileItsQueueIsTakenAgain lets a queue go while a sender has its message, and
-// takes it again from heads that were read before the message ended: it has ended, also
-// under the new epoch, and does not run again.
+// TestEndWhileItsQueueIsTakenAgain lets a queue go while a sender has its message, or has
+// answered and the stores have not recorded it, and takes it again from heads that were read
+// before the message ended: it has ended, also under the new epoch, and does not run again.
 func TestEndWhileItsQueueIsTakenAgain(t *testing.T) {
+	for name, running := range map[string]int{"at a sender": 1, "answered": 0} {
+		t.Run(name, func(t *testing.T) { endWhileItsQueueIsTakenAgain(t, running) })
+	}
+}
+
+func endWhileItsQueueIsTakenAgain(t *testing.T, running int) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := millisecondNetwork()
@@ -230,9 +236,15 @@
 		for _, link := range d.stores {
 			go d.sendEnds(sending, link)
 		}
-		time.Sleep(20 * time.Millisecond)
+		for reached := false; !reached; time.Sleep(time.Millisecond) {
+			d.mutex.Lock()
+			reached = runs.Load() == 1 && d.queues["ordered/1"].Running() == running
+			d.mutex.Unlock()
+		}
 		d.mutex.Lock()
-		c.Assert(d.queues["ordered/1"].Running(), qt.Equals, 1)
+		mutex.Lock()
+		c.Check(newest.Epoch, qt.Equals, uint64(0), qt.Commentf("the end is recorded already"))
+		mutex.Unlock()
 		d.drop(d.queues["ordered/1"], "test")
 		d.mutex.Unlock()
 		for _, store := range stores {
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -15,10 +15,8 @@
 		return
 	}
 	d.withdrawAll(owned)
-	owned.dropped = true
-	delete(d.queues, owned.Name)
-	d.leases.Drop(owned.Name)
-	d.log.Info("queue lost", "queue", owned.Name, "cause", cause)
+	attempts := d.letGo(owned)
+	d.log.Info("queue lost", "queue", owned.Name, "cause", cause, "unsettled", len(attempts))
 	if owned.Name == d.localQueue {
 		d.renameLocalQueue()
 	}
@@ -62,15 +60,12 @@
 		d.mutex.Unlock()
 		return
 	}
-	owned.dropped = true
-	delete(d.queues, owned.Name)
-	d.leases.Drop(owned.Name)
+	attempts := d.letGo(owned)
 	links := d.upStores()
 	address := d.table.sessions[successor].Identity.Address
-	attempts := d.attemptsOf(owned)
 	d.mutex.Unlock()
 	if len(attempts) > 0 {
-		d.log.Info("queue released while senders have messages", "queue", owned.Name, "messages", len(attempts))
+		d.log.Info("queue released with attempts that are not settled", "queue", owned.Name, "messages", len(attempts))
 	}
 	var calls sync.WaitGroup
 	for _, link := range links {
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -11,7 +11,7 @@
 
 // Version is the version of the internal protocol. Peers of another version
 // are refused when they connect.
-const Version = 3
+const Version = 4
 
 // Offsets of the internal listeners from the first internal port.
 const (
@@ -185,7 +185,7 @@
 	Promised uint64 // highest epoch that the store knows
 	Heads    []Head // messages that are open or owe a call-back, and those ended in the last seconds
 
-	Attempts  []Attempt // that senders may still have from the owner before
+	Attempts  []Attempt // that the owner before has not settled
 	Abandoned bool      // the owner before has not released the queue
 	Contested bool      // refused, and it was to another process that the store promised that epoch
 }
@@ -258,24 +258,32 @@
 type Release struct {
 	Queues   []string
 	Epoch    uint64
-	Attempts []Attempt // that senders have of these queues' messages
+	Attempts []Attempt // that are not settled: all that later owners may not find in the stores
 }
 
-// Attempt is a delivery that is under way at a sender while its queue changes hands.
+// Attempt is what the owner of a queue that changes hands knows of a message and the stores
+// may not tell yet: that a sender has it, or what came of the attempts so far.
 type Attempt struct {
 	ID   string
-	Left time.Duration // until it has ended at the latest, at the moment of encoding
+	Left time.Duration // until no sender can have the message any more, at the moment of encoding; 0 where none has it
+	Outcome
 }
 
-// AttemptOver tells the new owner of a queue how an attempt of the owner before ended.
-type AttemptOver struct {
+// Outcome tells how the attempts at a message ended.
+type Outcome struct {
 	End      End // its state is no end where the message is to be delivered again
 	Failures int // answers with status 500 so far
 }
 
-// AttemptOverReply answers AttemptOver.
-type AttemptOverReply struct {
-	Owner bool // it owns the queue and has taken note
+// AttemptsOver tells the new owner of a queue how attempts of the owner before ended.
+type AttemptsOver struct {
+	Queue    string
+	Outcomes []Outcome
+}
+
+// AttemptsOverReply answers AttemptsOver.
+type AttemptsOverReply struct {
+	Owner bool // it owns the queue under a valid lease and has taken note
 }
 
 // ReleaseReply answers Release.
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -7,6 +7,6 @@
 		Append{}, AppendReply{}, EndBatch{}, EndBatchReply{}, Acquire{}, AcquireReply{}, FindEnds{}, FindEndsReply{},
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{}, AskOwner{}, AskOwnerReply{},
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, TakeRate{}, TakeRateReply{},
-		Retire{}, RetireReply{}, Reconcile{}, ReconcileReply{}, ListEntries{}, ListEntriesReply{}, AttemptOver{}, AttemptOverReply{},
+		Retire{}, RetireReply{}, Reconcile{}, ReconcileReply{}, ListEntries{}, ListEntriesReply{}, AttemptsOver{}, AttemptsOverReply{},
 	)
 }
--- a/internal/service/store/attempts.go
+++ b/internal/service/store/attempts.go
@@ -7,18 +7,21 @@
 	"yardwharf/internal/service/protocol"
 )
 
-// attemptsMost bounds the attempts that are remembered for one queue.
-const attemptsMost = 1000
+const (
+	attemptsMost = 1000            // remembered for one queue
+	outcomesKept = 2 * time.Minute // longer than a queue with messages has no owner
+)
 
-// releasedAttempt is a delivery that may be under way at a sender.
+// releasedAttempt is what a release told of a message.
 type releasedAttempt struct {
-	id    string
-	until time.Time
+	told  protocol.Attempt
+	over  time.Time // no sender has the message any more
+	until time.Time // it is handed on
 }
 
-// releasedAttempts are deliveries that outlast the lease of their owner, by queue. They are kept in
-// memory only: a store that restarts has seen no release, and grants nothing for as long as
-// a session may last.
+// releasedAttempts are what owners had not settled as they released their queues, by queue. They
+// are kept in memory only: a store that restarts has seen no release, and grants nothing for as
+// long as a session may last.
 type releasedAttempts map[string][]releasedAttempt
 
 // note remembers what a release tells. Earlier ones of the queue that are not over stay.
@@ -32,12 +35,17 @@
 	a.forget(now)
 	kept := (*a)[queue]
 	for _, one := range told[:min(len(told), attemptsMost)] {
-		kept = append(kept, releasedAttempt{one.ID, now.Add(one.Left)})
+		over := now.Add(one.Left)
+		until := over
+		if one.End.State.Ended() || one.Failures > 0 {
+			until = now.Add(max(one.Left, outcomesKept))
+		}
+		kept = append(kept, releasedAttempt{one, over, until})
 	}
 	(*a)[queue] = kept[max(0, len(kept)-attemptsMost):]
 }
 
-// forget drops attempts that are over.
+// forget drops attempts of which nothing is left to tell.
 func (a *releasedAttempts) forget(now time.Time) {
 	for queue, kept := range *a {
 		kept = slices.DeleteFunc(kept, func(one releasedAttempt) bool { return !one.until.After(now) })
@@ -47,13 +55,14 @@
 	}
 }
 
-// of returns the attempts of a queue that may still be under way.
+// of returns what is to be handed on of a queue.
 func (a *releasedAttempts) of(now time.Time, queue string) []protocol.Attempt {
-	var under []protocol.Attempt
+	var attempts []protocol.Attempt
 	for _, one := range (*a)[queue] {
-		if left := one.until.Sub(now); left > 0 {
-			under = append(under, protocol.Attempt{ID: one.id, Left: left})
+		if one.until.After(now) {
+			one.told.Left = max(0, one.over.Sub(now))
+			attempts = append(attempts, one.told)
 		}
 	}
-	return under
+	return attempts
 }
--- a/internal/service/store/attempts_test.go
+++ b/internal/service/store/attempts_test.go
@@ -36,11 +36,19 @@
 		grant := acquire("edge-2", 2)
 		c.Check(grant.Attempts, qt.DeepEquals, []protocol.Attempt{{ID: "long", Left: 800 * time.Millisecond}})
 		c.Check(grant.Abandoned, qt.IsFalse)
-		release("edge-2", 2)
-		c.Check(acquire("edge-1", 3).Attempts, qt.HasLen, 1) // whoever has the queue meanwhile
+		ended := protocol.Attempt{ID: "ended", Outcome: protocol.Outcome{End: protocol.End{ID: "ended", State: protocol.Completed}}}
+		failed := protocol.Attempt{ID: "failed", Left: 100 * time.Millisecond, Outcome: protocol.Outcome{Failures: 2}}
+		release("edge-2", 2, ended, failed)
+		c.Check(acquire("edge-1", 3).Attempts, qt.HasLen, 3) // whoever has the queue meanwhile
+		time.Sleep(time.Second)
+		release("edge-1", 3)
+		failed.Left = 0
+		c.Check(acquire("edge-2", 4).Attempts, qt.DeepEquals, []protocol.Attempt{ended, failed}) // what came of them is told on
+		time.Sleep(outcomesKept)
+		acquire("edge-1", 5)
 		s.disconnected(dispatcher("edge-1"))
 		time.Sleep(2 * time.Second)
-		grant = acquire("edge-2", 4)
+		grant = acquire("edge-2", 6)
 		c.Check(grant.Attempts, qt.HasLen, 0)
 		c.Check(grant.Abandoned, qt.IsTrue)
 		c.Check(s.close(), qt.IsNil)
