Hold the messages of an owner that fell silent for one time-out

Cause: a dispatcher that stands still for longer than its sessions last, as by its own processor time, loses its queues without a release; the next owner ran at once what it read as open, and the process itself went on beginning messages of its own queue when it moved again, as that needed no lease. Change: stores tell later owners when a session ended with its connections open; the new owner holds what may be at a sender for one time-out, or until the old one, which learns of the loss by its refused records, has told; messages of a queue of one's own begin only while f + 1 stores' leases last, so that nobody else can have it. Holds are part of what a release hands on. A closed connection, as after a kill, holds nothing up; after a loss of power the messages held had missed their aim before. Rigs with a queue of their own have a lease now; nothing they assert was changed.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -271,7 +271,7 @@
 func (d *Dispatcher) takeGrants(ctx context.Context, name string, epoch uint64, sent time.Duration, answers []storeGrant) {
 	var granted, unanswered []*storeLink
 	var attempts []protocol.Attempt
-	counted, abandoned := 0, false
+	counted, silent, abandoned := 0, 0, false
 	heads := map[string][]protocol.Head{}
 	for _, answer := range answers {
 		if !answer.ok || answer.reply.StoreID != answer.link.storeID {
@@ -287,6 +287,9 @@
 		heads[answer.link.node] = grant.Heads
 		attempts = append(attempts, grant.Attempts...)
 		abandoned = abandoned || grant.Abandoned
+		if grant.Silent {
+			silent++
+		}
 		if answer.link.countsNow() && !d.listIsOld(answer.reply.StoresKnown) {
 			counted++
 		}
@@ -305,6 +308,9 @@
 		d.noteGrant(owned, link, sent)
 	}
 	d.adopt(owned, heads)
+	if 2*silent > len(granted) {
+		d.holdAll(owned)
+	}
 	d.takeAttempts(owned, attempts)
 	if abandoned && owned.Open() > 0 {
 		d.counters.takeovers.Add(1)
--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -56,8 +56,9 @@
 		}
 	}
 	owned.Each(func(entry *queue.Entry) {
-		if entry.Phase < queue.Running && entry.Head.Failures > 0 {
-			attempts = append(attempts, protocol.Attempt{ID: entry.Head.ID, Outcome: outcomeOf(owned, entry)})
+		left := max(0, entry.HeldUntil()-d.now())
+		if entry.Phase < queue.Running && (left > 0 || entry.Head.Failures > 0) {
+			attempts = append(attempts, protocol.Attempt{ID: entry.Head.ID, Left: left, Outcome: outcomeOf(owned, entry)})
 		}
 	})
 	return attempts
@@ -81,6 +82,25 @@
 	}
 }
 
+// holdAll holds each message that the owner before may have at a sender, or may have had there: nobody has told of
+// any, and that one may only have stood still. It tells what came of them once it learns that the queue is gone.
+// The mutex is held.
+func (d *Dispatcher) holdAll(owned *ownedQueue) {
+	current, held := d.configuration.Load(), 0
+	owned.Each(func(entry *queue.Entry) {
+		if entry.Phase != queue.Ready || d.deliveries[entry.Head.ID] != nil {
+			return
+		}
+		if route, _, found := current.Match(entry.Head.Host, entry.Head.Target); found {
+			owned.Hold(entry, d.now()+route.Timeout()+handOverSlack)
+			held++
+		}
+	})
+	if held > 0 {
+		d.log.Info("messages of a silent owner are held", "queue", owned.Name, "messages", held)
+	}
+}
+
 // takeOutcome takes in what came of attempts of the owner before. An end is recorded under
 // this owner's epoch: the message is open here, so nobody was told of another one. The mutex
 // is held.
--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -27,6 +27,7 @@
 // handingOver is a queue that one dispatcher releases while a sender has messages of it, and
 // that another one takes.
 type handingOver struct {
+	network  *simnet.Network
 	old, new *Dispatcher
 	killOld  func()
 	end      func()
@@ -34,6 +35,7 @@
 	mutex    sync.Mutex
 	record   time.Duration // how long stores take to record an end
 	promised bool          // to the new owner: stores record no end of the old one
+	silent   bool          // the session of the old owner has ended while its connections were open
 	released []protocol.Attempt
 	at       time.Time // of the release
 	arrivals []arrival
@@ -45,6 +47,7 @@
 func newHandingOver(t *testing.T, c *qt.C, answer func(run int, id string) int) *handingOver {
 	r := &handingOver{ends: map[string]protocol.End{}}
 	network := millisecondNetwork()
+	r.network = network
 	began := time.Now()
 	sender := network.Process("10.5.0.1")
 	serve(c, sender, "10.5.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
@@ -69,6 +72,7 @@
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
 			r.promised = request.Epoch > 1
+			reply.Grants[0].Abandoned, reply.Grants[0].Silent = r.silent, r.silent
 			for i := range reply.Grants[0].Heads {
 				if end, some := r.ends[reply.Grants[0].Heads[i].ID]; some {
 					reply.Grants[0].Heads[i].State, reply.Grants[0].Heads[i].Stamp = end.State, end.Stamp
@@ -168,6 +172,11 @@
 	over, cancel := context.WithCancel(t.Context())
 	cancel()
 	r.old.handOverAll(over, func(name string) bool { return name == "ordered/1" })
+	r.takeOver(t)
+}
+
+// takeOver has the new dispatcher take the queue.
+func (r *handingOver) takeOver(t *testing.T) {
 	r.old.mutex.Lock()
 	r.old.table.holders = map[string]protocol.QueueState{"ordered/1": {Queue: "ordered/1", Holder: "edge-2", Epoch: 2}}
 	r.old.table.sessions = map[string]protocol.Session{"edge-2": {Identity: r.new.identity, Ready: true}}
@@ -178,6 +187,18 @@
 	r.new.acquire(t.Context(), []string{"ordered/1"})
 }
 
+// standStill has the old dispatcher neither send nor receive for a while; the new one takes the queue
+// meanwhile.
+func (r *handingOver) standStill(t *testing.T, span time.Duration) {
+	time.Sleep(20 * time.Millisecond)
+	r.network.Freeze(edgeIP, true)
+	time.AfterFunc(span, func() { r.network.Freeze(edgeIP, false) })
+	r.mutex.Lock()
+	r.silent = true
+	r.mutex.Unlock()
+	r.takeOver(t)
+}
+
 // TestAttemptOutlastsItsQueue releases a queue while a sender has a message of it: nothing
 // of its key runs at the new owner before the attempt has ended, and what the old owner
 // learns of it counts. Messages of other keys do not wait.
@@ -198,18 +219,21 @@
 		moveAfter time.Duration
 		record    time.Duration // how long stores take to record an end
 		gone      bool          // the old dispatcher, right after the release
+		still     time.Duration // for which the old dispatcher stands still, and releases nothing
 		runs      int           // of the message
 		again     time.Duration
 		behind    time.Duration // when the next one of its key may begin
 		failures  int
 	}{
-		"success after the release":          {answer: slow(200), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
-		"success before the release":         {answer: slow(200), moveAfter: work + 100*time.Millisecond, runs: 1, behind: work},
-		"success during the release":         {answer: slow(200), moveAfter: work, runs: 1, behind: work},
-		"success recorded after the release": {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, runs: 1, behind: work},
-		"the same, the old owner gone":       {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, gone: true, runs: 1, behind: work},
-		"refused for good":                   {answer: slow(422), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
-		"failure after the release":          {answer: slow(500), moveAfter: 20 * time.Millisecond, runs: 2, again: work, behind: work, failures: 1},
+		"success after the release":                {answer: slow(200), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
+		"success before the release":               {answer: slow(200), moveAfter: work + 100*time.Millisecond, runs: 1, behind: work},
+		"success during the release":               {answer: slow(200), moveAfter: work, runs: 1, behind: work},
+		"success recorded after the release":       {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, runs: 1, behind: work},
+		"the same, the old owner gone":             {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, gone: true, runs: 1, behind: work},
+		"success while the old owner stands still": {answer: slow(200), still: time.Second, runs: 1, behind: time.Second},
+		"the old owner stands still for long":      {answer: slow(200), still: time.Minute, runs: 2, again: attemptTimeout, behind: attemptTimeout},
+		"refused for good":                         {answer: slow(422), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
+		"failure after the release":                {answer: slow(500), moveAfter: 20 * time.Millisecond, runs: 2, again: work, behind: work, failures: 1},
 		"no answer in time": {answer: func(run int, id string) int {
 			time.Sleep(time.Duration(2-min(run, 2)) * 3 * attemptTimeout)
 			return 200
@@ -223,7 +247,11 @@
 				defer r.end()
 				r.record = one.record
 				time.Sleep(one.moveAfter)
-				r.move(t)
+				if one.still > 0 {
+					r.standStill(t, one.still)
+				} else {
+					r.move(t)
+				}
 				if one.gone {
 					r.killOld()
 				}
@@ -335,3 +363,28 @@
 		}
 	})
 }
+
+// A dispatcher that has stood still begins no message of its own queue, which another one may have taken
+// meanwhile, before so many stores have told that it has the queue as no other lease leaves.
+func TestOwnQueueRestsAfterAStandstill(t *testing.T) {
+	c := qt.New(t)
+	d := withStores("a", "b", "c")
+	owned := d.own(d.localQueue)
+	owned.granted = map[string]time.Duration{}
+	renew := func(nodes ...string) {
+		for _, node := range nodes {
+			d.leases.Renewed(node, d.now(), d.now())
+			d.noteGrant(owned, d.stores[node], d.now())
+		}
+	}
+	renew("a", "b", "c")
+	c.Assert(d.mayAct(owned), qt.IsTrue)
+	d.leases.Lost("c")
+	c.Assert(d.mayAct(owned), qt.IsTrue)
+	d.started = d.started.Add(-2 * time.Second)
+	c.Assert(d.mayAct(owned), qt.IsFalse)
+	renew("a")
+	c.Assert(d.mayAct(owned), qt.IsFalse)
+	renew("b")
+	c.Assert(d.mayAct(owned), qt.IsTrue)
+}
--- a/internal/service/dispatcher/callbacks_test.go
+++ b/internal/service/dispatcher/callbacks_test.go
@@ -75,6 +75,7 @@
 	}
 	owned = &ownedQueue{Queue: queue.New(d.localQueue, 1), accepting: map[string]chan struct{}{}}
 	d.queues[d.localQueue] = owned
+	leaseForGood(d, owned)
 	return d, owned, end
 }
 
--- a/internal/service/dispatcher/ended_test.go
+++ b/internal/service/dispatcher/ended_test.go
@@ -194,6 +194,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.queues[d.localQueue] = owned
+	leaseForGood(d, owned)
 	entry := owned.Add(d.now(), protocol.Head{
 		ID: "m", Method: "POST", Host: "a.example", Target: "/a/m", BodySize: 5, Retention: time.Minute,
 	}, body, holders)
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -177,11 +177,18 @@
 		return false
 	}
 	if owned.Name == d.localQueue {
-		return true // the messages are this process's own; ends are what decides
+		return d.leaseHeld(owned)
 	}
 	return d.leaseValid(owned)
 }
 
+// leaseHeld reports whether so many stores that count have granted a queue that nobody else can have it now: too few
+// are left for another lease. The mutex is held.
+func (d *Dispatcher) leaseHeld(owned *ownedQueue) bool {
+	_, held := d.leases.ValidUntil(owned.Name, d.now(), d.copiesWanted(), d.grantsCount)
+	return held
+}
+
 // leaseValid reports whether stores that count have granted a queue, so many that
 // nobody else can have it now. The mutex is held.
 func (d *Dispatcher) leaseValid(owned *ownedQueue) bool {
--- a/internal/service/dispatcher/parts_test.go
+++ b/internal/service/dispatcher/parts_test.go
@@ -51,6 +51,15 @@
 	return owned
 }
 
+// leaseForGood gives a dispatcher a lease on a queue, from all its stores, that does not end.
+func leaseForGood(d *Dispatcher, owned *ownedQueue) {
+	const far = 1000 * time.Hour
+	for node := range d.stores {
+		d.leases.Renewed(node, far, far)
+		d.leases.Granted(node, owned.Name, owned.Epoch, far)
+	}
+}
+
 func TestQueueOfAMessage(t *testing.T) {
 	c := qt.New(t)
 	d := newTestDispatcher(c)
--- a/internal/service/dispatcher/query_test.go
+++ b/internal/service/dispatcher/query_test.go
@@ -207,6 +207,7 @@
 		}
 		d.mutex.Lock()
 		owned := own(d, d.localQueue, 1)
+		leaseForGood(d, owned)
 		head := protocol.Head{ID: "m", Queue: owned.Name, Retention: time.Minute, CallbackURL: "http://10.6.0.1/m"}
 		entry := owned.Add(d.now(), head, nil, []string{"storage-1", "storage-2"})
 		owned.Advance(d.now())
--- a/internal/service/dispatcher/reconfigured_test.go
+++ b/internal/service/dispatcher/reconfigured_test.go
@@ -123,6 +123,7 @@
 	defer r.mutex.Unlock()
 	r.owned = &ownedQueue{Queue: queue.New(r.localQueue, 1), accepting: map[string]chan struct{}{}}
 	r.queues[r.localQueue] = r.owned
+	leaseForGood(r.Dispatcher, r.owned)
 	return r
 }
 
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -18,6 +18,9 @@
 	ClosedSessionGrace = 300 * time.Millisecond
 	// Margin is taken off a lease by its holder.
 	Margin = 200 * time.Millisecond
+	// SilenceKept is how long later holders are told that one fell silent: the first to ask may not get the
+	// lease of enough stores.
+	SilenceKept = 5 * time.Second
 	// RenewInterval is how often a holder renews its sessions.
 	RenewInterval = 400 * time.Millisecond
 )
@@ -46,6 +49,7 @@
 	Raised  bool // the promise is new and must be kept before the answer is sent
 
 	Abandoned bool // the last holder has not released the lease
+	Silent    bool // of late a holder's session ended with its connections open: it may have stood still, and go on
 }
 
 // Contested reports whether a process was refused because the highest epoch was
@@ -71,7 +75,8 @@
 	epoch   uint64   // of the lease
 	changed uint64   // version of the last change of its lease
 
-	abandoned bool // the last holder's session ended with the lease
+	abandoned   bool      // the last holder's session ended with the lease
+	silentUntil time.Time // a holder's session has ended before while its connections were open
 }
 
 // Grantor gives out the leases of one store. It is not safe for concurrent use.
@@ -204,7 +209,11 @@
 		}
 		version := g.next()
 		for _, q := range s.queues {
-			q.holder, q.changed, q.abandoned = nil, version, true
+			q.holder, q.changed = nil, version
+			q.abandoned = true
+			if s.connections > 0 {
+				q.silentUntil = now.Add(SilenceKept)
+			}
 		}
 		delete(g.sessions, id)
 		g.noteEnded(id, version)
@@ -224,10 +233,10 @@
 	if q.holder != s || q.epoch != epoch {
 		q.changed = g.next()
 	}
-	abandoned := q.abandoned
+	decision := Decision{Allowed: true, Promise: q.promise, Raised: raised, Abandoned: q.abandoned, Silent: now.Before(q.silentUntil)}
 	q.holder, q.epoch, q.abandoned = s, epoch, false
 	s.queues[name] = q
-	return Decision{Allowed: true, Promise: q.promise, Raised: raised, Abandoned: abandoned}
+	return decision
 }
 
 func (g *Grantor) mayAcquire(now time.Time, id SessionID, q *queue, epoch uint64, held bool) bool {
@@ -263,6 +272,7 @@
 func (g *Grantor) endReplaced(now time.Time, id SessionID) {
 	for other, s := range g.sessions {
 		if other.Node == id.Node && other.Incarnation < id.Incarnation {
+			s.connections = 0
 			g.extend(s, now)
 		}
 	}
--- a/internal/service/lease/lease_test.go
+++ b/internal/service/lease/lease_test.go
@@ -526,6 +526,36 @@
 	c.Check(len(g.Sessions("dispatcher")), qt.Equals, 0)
 }
 
+// A holder that falls silent with its connections open may have stood still: later holders are told so for a while.
+func TestSilentHolderIsTold(t *testing.T) {
+	for name, one := range map[string]struct {
+		end   func(g *Grantor, now time.Time, holder protocol.Identity)
+		asked time.Duration
+		want  bool
+	}{
+		"nothing is heard":     {func(*Grantor, time.Time, protocol.Identity) {}, LeaseDuration, true},
+		"asked late":           {func(*Grantor, time.Time, protocol.Identity) {}, LeaseDuration + SilenceKept, false},
+		"its connection ended": {func(g *Grantor, now time.Time, holder protocol.Identity) { g.Closed(now, holder) }, LeaseDuration, false},
+		"it was replaced": {func(g *Grantor, now time.Time, holder protocol.Identity) {
+			holder.Incarnation++
+			g.Renew(now, holder, true, 1)
+		}, LeaseDuration, false},
+	} {
+		c := qt.New(t)
+		now := time.Unix(100, 0)
+		g := NewGrantor(now.Add(-LeaseDuration), 1, nil)
+		a, b := identity("a"), identity("b")
+		g.Renew(now, a, true, 1)
+		c.Assert(g.Acquire(now, a, 1, "q", 1, false).Silent, qt.IsFalse)
+		one.end(g, now, a)
+		g.Expire(now.Add(LeaseDuration))
+		now = now.Add(one.asked)
+		c.Check(g.Acquire(now, b, 1, "q", 2, false).Silent, qt.Equals, one.want, qt.Commentf(name))
+		g.Release(now, b, "q", 2) // it got too few grants
+		c.Check(g.Acquire(now, identity("c"), 1, "q", 3, false).Silent, qt.Equals, one.want, qt.Commentf(name))
+	}
+}
+
 // The holder counts the renewal that the last needed store answered.
 func TestHolderCountsRenewals(t *testing.T) {
 	c := qt.New(t)
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -187,6 +187,7 @@
 
 	Attempts  []Attempt // that the owner before has not settled
 	Abandoned bool      // the owner before has not released the queue
+	Silent    bool      // of late an owner fell silent with its connections open: it may have stood still, and go on
 	Contested bool      // refused, and it was to another process that the store promised that epoch
 }
 
--- a/internal/service/queue/queue.go
+++ b/internal/service/queue/queue.go
@@ -47,8 +47,9 @@
 	due      time.Duration // earliest moment of the next delivery
 	wake     time.Duration // when its timer fires, where it is in the heap
 	expires  time.Duration
-	tries    int // attempts that ended without an answer that counts
-	place    int // index in the heap of timers, or -1
+	held     time.Duration // until then another owner's attempt may be under way
+	tries    int           // attempts that ended without an answer that counts
+	place    int           // index in the heap of timers, or -1
 	order    uint64
 }
 
@@ -62,6 +63,9 @@
 	return head
 }
 
+// HeldUntil returns until when the message is kept back for an attempt of another owner.
+func (e *Entry) HeldUntil() time.Duration { return e.held }
+
 // Expires returns when the message's retention has passed.
 func (e *Entry) Expires() time.Duration { return e.expires }
 
@@ -268,6 +272,7 @@
 		return
 	}
 	entry.Phase = Waiting
+	entry.held = max(entry.held, until)
 	entry.due = max(entry.due, until)
 	q.schedule(entry, min(entry.due, entry.expires))
 }
@@ -277,6 +282,7 @@
 	if entry.Phase != Waiting {
 		return
 	}
+	entry.held = 0
 	entry.due = min(entry.due, max(now, entry.accepted+entry.Head.Delay))
 	if !q.blocked(entry) {
 		q.wait(now, entry)
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -145,7 +145,7 @@
 	}
 	return protocol.Grant{
 		Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch, Contested: decision.Contested(identity),
-		Attempts: s.attempts.of(now, name), Abandoned: decision.Abandoned,
+		Attempts: s.attempts.of(now, name), Abandoned: decision.Abandoned, Silent: decision.Silent,
 	}, nil
 }
 
