--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
 	"yardwharf/internal/service/view"
 	"yardwharf/internal/simulation/simnet"
 )
@@ -388,3 +389,34 @@
 	renew("b")
 	c.Assert(d.mayAct(owned), qt.IsTrue)
 }
+
+// The account of a queue that goes tells of all that later owners may not find in the stores.
+func TestAccountOfAQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := withStores("a", "b", "c")
+		owned := d.own("ordered/1")
+		add := func(id string) *queue.Entry {
+			return owned.Add(d.now(), protocol.Head{ID: id, Queue: owned.Name, Retention: time.Hour}, nil, []string{"a", "b"})
+		}
+		ended, failed, sent := add("ended"), add("failed"), add("sent")
+		owned.Advance(d.now())
+		held := add("held")
+		add("open")
+		owned.Hold(held, time.Minute)
+		d.endEntry(owned, ended, protocol.Completed, "seal")
+		owned.Retry(d.now(), failed, true, -1)
+		d.deliveries["sent"] = &deliveryState{key: "sent", owned: owned, entry: sent, deadline: time.Second}
+		told := map[string]protocol.Attempt{}
+		for _, attempt := range d.letGo(owned) {
+			told[attempt.ID] = attempt
+		}
+		c.Check(told, qt.HasLen, 4)
+		c.Check(told["ended"].End.Stamp, qt.Equals, "seal")
+		c.Check(told["failed"].Failures, qt.Equals, 1)
+		c.Check(told["sent"].Left, qt.Equals, time.Second)
+		c.Check(told["held"].Left, qt.Equals, time.Minute)
+		d.end()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/service/dispatcher/disks_test.go
+++ b/internal/service/dispatcher/disks_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,6 +181,40 @@
 	}
 }
 
+// A store that does not answer the batch with an end is passed over within a part of the batch's time-out.
+func TestEndIsRecordedElsewhereWhileABatchIsUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stores := acquireStores(3)
+		stores[1].ends = func(protocol.EndBatch) protocol.EndBatchReply {
+			time.Sleep(time.Minute)
+			return protocol.EndBatchReply{}
+		}
+		d, end := withScriptedStores(c, stores)
+		ctx, stop := context.WithCancel(t.Context())
+		for _, link := range d.stores {
+			go d.sendEnds(ctx, link)
+		}
+		d.mutex.Lock()
+		owned := own(d, "ordered/1", 1)
+		entry := owned.Add(d.now(), protocol.Head{ID: "m", Queue: owned.Name, Retention: time.Hour}, nil, []string{"storage-1", "storage-2"})
+		d.endEntry(owned, entry, protocol.Completed, "seal")
+		d.mutex.Unlock()
+		for range 4 {
+			time.Sleep(endWatchEvery)
+			d.mutex.Lock()
+			d.watchEnds()
+			d.mutex.Unlock()
+		}
+		d.mutex.Lock()
+		c.Check(d.endIsSafe(entry), qt.IsTrue)
+		d.mutex.Unlock()
+		stop()
+		time.Sleep(2 * time.Minute)
+		end()
+	})
+}
+
 // keepEnds has stores record the ends that wait for them.
 func keepEnds(d *Dispatcher, nodes ...string) {
 	for _, node := range nodes {
