Log when a dispatcher stood still, and what held its mutex

Change: each looks every 250 ms whether timers fire and its mutex can be had; a gap of 0.5 s is logged with the processor time that was used meanwhile, a mutex held for as long with what all goroutines do.

--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -111,6 +111,7 @@
 	go d.runOwnership(background)
 	go d.runRepairs(background)
 	go d.runPump(background)
+	go d.watchStandstill(background)
 	frontServer := d.serveFront(ctx, front)
 	<-ctx.Done()
 	d.leave(frontServer)
