--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -404,6 +404,9 @@
 		held := add("held")
 		add("open")
 		owned.Hold(held, time.Minute)
+		let := add("let go")
+		owned.Hold(let, time.Minute)
+		owned.Unhold(d.now(), let)
 		d.endEntry(owned, ended, protocol.Completed, "seal")
 		owned.Retry(d.now(), failed, true, -1)
 		d.deliveries["sent"] = &deliveryState{key: "sent", owned: owned, entry: sent, deadline: time.Second}
