Guard what two tests share between goroutines

Cause: with the race detector TestAttemptOutlastsItsQueue and TestStandstillIsLogged raced, the tests and not the program. Change: what they share is read and written under a mutex; nothing they assert was changed.

--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -89,7 +89,10 @@
 			return reply
 		}
 		store.ends = func(batch protocol.EndBatch) protocol.EndBatchReply {
-			time.Sleep(r.record)
+			r.mutex.Lock()
+			record := r.record
+			r.mutex.Unlock()
+			time.Sleep(record)
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
 			reply := protocol.EndBatchReply{StoreID: "disk"}
@@ -246,7 +249,9 @@
 				c := qt.New(t)
 				r := newHandingOver(t, c, one.answer)
 				defer r.end()
+				r.mutex.Lock()
 				r.record = one.record
+				r.mutex.Unlock()
 				time.Sleep(one.moveAfter)
 				if one.still > 0 {
 					r.standStill(t, one.still)
