--- a/internal/service/control/reconcile_test.go
+++ b/internal/service/control/reconcile_test.go
@@ -26,9 +26,9 @@
 		g := newRig(c, n, core, "a", "b", "c")
 		g.tick(1)
 		g.state("a").StoreID, g.scripts["a"].member.StoreID = "second", "second"
-		value := g.tick(3)
+		g.tick(3)
 		time.Sleep(time.Minute)
-		value = g.tick(3)
+		value := g.tick(3)
 		c.Assert(value.Stores[0].StoreID, qt.Equals, "second")
 		c.Assert(value.Stores[0].Full(), qt.IsFalse)
 		orders := g.scripts["a"].orders
--- a/internal/service/lease/lease_test.go
+++ b/internal/service/lease/lease_test.go
@@ -75,7 +75,6 @@
 	grantor     *Grantor
 	life        int
 	connections map[SessionID]int
-	promises    map[string]Promise
 }
 
 // connection is one connection between a dispatcher and a store.
--- a/internal/service/register/world_test.go
+++ b/internal/service/register/world_test.go
@@ -64,7 +64,6 @@
 	parties  []*party
 	flight   []packet
 	wipes    int // disks that may still be lost
-	crashes  int // members that may still be restarted
 	initial  *Value
 	proposed map[Ballot]ballotVotes
 	decided  []Versioned // in the order of deciding
