Read every end that a store knows before a queue is taken

Callers: a message that had succeeded ran again at the next owner of its queue, and its state was taken back. A grant tells of late ends only; older ones are asked for by id. (1) What a store told was added to the grant of the queue that the store had the message in, which is another one where the client had tried it at another dispatcher before: it was lost. (2) Stores were not asked of a message whose end one answer listed, also when that answer did not count in the end, as its store had not told its disk. Change: an end is added to the grants of the queues in which the message is open; all stores that do not list a message are asked, whatever others list.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -189,60 +190,75 @@
 
 // addOldEnds completes the heads of grants, which tell only of messages that ended of late: a store may
 // have been away when a message ended, and list it as open. The others are asked about open messages that
-// they do not list. A store that does not answer counts as not having granted.
+// they do not list, also where one lists the end: its answer may not count in the end. A store that does not
+// answer counts as not having granted.
 func (d *Dispatcher) addOldEnds(ctx context.Context, answers []storeGrant) {
-	open := openHolders(answers)
+	open, listed := openMessagesOf(answers)
 	if len(open) > findAllMost {
 		// One that was away listed a message beside fewer stores than hold an accepted one.
-		maps.DeleteFunc(open, func(_ string, holders map[int]bool) bool { return len(holders) >= d.copiesWanted() })
+		maps.DeleteFunc(open, func(_ string, message openMessage) bool { return message.stores >= d.copiesWanted() })
 	}
 	var calls sync.WaitGroup
 	for i := range answers {
-		var ids []string
-		for id, holders := range open {
-			if !holders[i] {
-				ids = append(ids, id)
-			}
-		}
-		if !answers[i].ok || len(ids) == 0 {
+		asked := maps.Clone(open)
+		maps.DeleteFunc(asked, func(id string, _ openMessage) bool { return listed[i][id] })
+		if !answers[i].ok || len(asked) == 0 {
 			continue
 		}
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			answers[i].ok = d.addOldEndsOf(ctx, &answers[i], ids)
+			answers[i].ok = d.addOldEndsOf(ctx, &answers[i], asked)
 		}()
 	}
 	calls.Wait()
 }
 
-// openHolders returns the messages that are open at every store that lists them, with the numbers of the
-// answers that do.
-func openHolders(answers []storeGrant) map[string]map[int]bool {
-	open, ended := map[string]map[int]bool{}, map[string]bool{}
-	for i, answer := range answers {
+// openMessage is a message that some store lists as open.
+type openMessage struct {
+	// queues in which it is open. A store may have it in another queue, or its end without any: a client may try a
+	// message at several dispatchers.
+	queues []string
+	stores int // that list it as open
+}
+
+// openMessages are messages that some store lists as open, by their ids.
+type openMessages map[string]openMessage
+
+// add notes that a store lists a message as open in a queue.
+func (m openMessages) add(id, queue string) {
+	message := m[id]
+	message.stores++
+	if !slices.Contains(message.queues, queue) {
+		message.queues = append(message.queues, queue)
+	}
+	m[id] = message
+}
+
+// openMessagesOf returns the messages that are open at some store, and for each answer all that it lists.
+func openMessagesOf(answers []storeGrant) (open openMessages, listed []map[string]bool) {
+	open = openMessages{}
+	for _, answer := range answers {
+		known := map[string]bool{}
 		for _, grant := range answer.reply.Grants {
 			for _, head := range grant.Heads {
-				if head.State.Ended() {
-					ended[head.ID] = true
-					continue
-				}
-				if open[head.ID] == nil {
-					open[head.ID] = map[int]bool{}
+				known[head.ID] = true
+				if !head.State.Ended() {
+					open.add(head.ID, grant.Queue)
 				}
-				open[head.ID][i] = true
 			}
 		}
+		listed = append(listed, known)
 	}
-	maps.DeleteFunc(open, func(id string, _ map[int]bool) bool { return ended[id] })
-	return open
+	return open, listed
 }
 
-// addOldEndsOf asks one store which of the messages have ended and adds them to its grants. It reports
-// whether the store answered.
-func (d *Dispatcher) addOldEndsOf(ctx context.Context, answer *storeGrant, ids []string) bool {
+// addOldEndsOf asks one store which of the messages have ended and adds them to its grants of the queues in
+// which they are open. It reports whether the store answered.
+func (d *Dispatcher) addOldEndsOf(ctx context.Context, answer *storeGrant, open openMessages) bool {
 	ctx, cancel := context.WithTimeout(ctx, findEndsTimeout)
 	defer cancel()
+	ids := slices.Collect(maps.Keys(open))
 	for len(ids) > 0 {
 		part := ids[:min(findEndsMost, len(ids))]
 		ids = ids[len(part):]
@@ -251,16 +267,17 @@
 			return false
 		}
 		for _, head := range reply.Heads {
-			addHead(answer.reply.Grants, head)
+			addHead(answer.reply.Grants, open[head.ID].queues, head)
 		}
 	}
 	return true
 }
 
-// addHead adds a head to the grant of its queue.
-func addHead(grants []protocol.Grant, head protocol.Head) {
+// addHead adds a head to the grants of some queues.
+func addHead(grants []protocol.Grant, queues []string, head protocol.Head) {
 	for i := range grants {
-		if grants[i].Queue == head.Queue && grants[i].Granted {
+		if grants[i].Granted && slices.Contains(queues, grants[i].Queue) {
+			head.Queue = grants[i].Queue
 			grants[i].Heads = append(grants[i].Heads, head)
 		}
 	}
--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -150,8 +150,15 @@
 }
 
 // A message that one store lists as open, because it was away when the message ended, must not run again:
-// the others are asked, also about ends that their grants no longer tell of.
+// the others are asked, also about ends that their grants no longer tell of, and about messages that they have
+// in another queue, as the client had tried them at another dispatcher before.
 func TestEndsOfLongAgoAreAskedFor(t *testing.T) {
+	for _, queue := range []string{"ordered/1", "local/edge-9/1"} {
+		t.Run(queue, func(t *testing.T) { endsOfLongAgo(t, queue) })
+	}
+}
+
+func endsOfLongAgo(t *testing.T, queue string) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		open := protocol.Head{ID: "m", Epoch: 1, Sequence: 1, State: protocol.Queued, Host: "a.example", Target: "/a/x", Retention: time.Minute}
@@ -159,7 +166,7 @@
 		stores[0].acquire = grantAll(open)
 		stores[1].findEnds = func(request protocol.FindEnds) protocol.FindEndsReply {
 			c.Check(request.IDs, qt.DeepEquals, []string{"m"})
-			ended := protocol.Head{ID: "m", Queue: "ordered/1", State: protocol.Completed, Stamp: "seal"}
+			ended := protocol.Head{ID: "m", Queue: queue, State: protocol.Completed, Stamp: "seal"}
 			return protocol.FindEndsReply{Heads: []protocol.Head{ended}}
 		}
 		d, end := withScriptedStores(c, stores)
@@ -174,6 +181,33 @@
 	})
 }
 
+// A store lists the end of a message that another lists as open, and its answer does not count: what the third
+// knows of the end is asked for all the same.
+func TestEndThatOnlyADroppedAnswerListsIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		head := protocol.Head{ID: "m", State: protocol.Queued, Host: "a.example", Target: "/a/x", Retention: time.Minute}
+		ended := head
+		ended.State, ended.Stamp = protocol.Completed, "seal"
+		stores := acquireStores(3)
+		stores[0].acquire = grantAll(head)
+		stores[1].findEnds = func(protocol.FindEnds) protocol.FindEndsReply {
+			return protocol.FindEndsReply{Heads: []protocol.Head{ended}}
+		}
+		stores[2].acquire = grantAll(ended)
+		d, end := withScriptedStores(c, stores)
+		d.mutex.Lock()
+		d.stores["storage-3"].storeID = "another disk"
+		d.mutex.Unlock()
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		owned := d.queues["ordered/1"]
+		c.Check(owned != nil && owned.Get("m").Head.Stamp == "seal", qt.IsTrue)
+		d.mutex.Unlock()
+		end()
+	})
+}
+
 // A store that cannot tell of ends does not count as having granted: the queue is not taken.
 func TestStoreThatCannotTellOfEndsDoesNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -51,8 +51,8 @@
 	sent := d.now()
 	request := protocol.Acquire{Queues: names, Epoch: epoch, Held: true}
 	reply, err := transport.Call[protocol.AcquireReply](ctx, link.client, request)
-	if ids := d.openUnlisted(names, reply); err == nil && len(ids) > 0 {
-		if !d.addOldEndsOf(ctx, &storeGrant{link: link, reply: reply, ok: true}, ids) {
+	if open := d.openUnlisted(names, reply); err == nil && len(open) > 0 {
+		if !d.addOldEndsOf(ctx, &storeGrant{link: link, reply: reply, ok: true}, open) {
 			err = errEndsUnknown
 		}
 	}
@@ -91,7 +91,7 @@
 
 // openUnlisted returns the messages that are open in queues and that a store's answer does not list: it may
 // know the end of one, from an owner before.
-func (d *Dispatcher) openUnlisted(names []string, reply protocol.AcquireReply) []string {
+func (d *Dispatcher) openUnlisted(names []string, reply protocol.AcquireReply) openMessages {
 	listed := map[string]bool{}
 	for _, grant := range reply.Grants {
 		for _, head := range grant.Heads {
@@ -100,7 +100,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var ids []string
+	open := openMessages{}
 	for _, name := range names {
 		owned := d.queues[name]
 		if owned == nil {
@@ -108,11 +108,11 @@
 		}
 		owned.Each(func(entry *queue.Entry) {
 			if entry.Phase < queue.Callback && !listed[entry.Head.ID] {
-				ids = append(ids, entry.Head.ID)
+				open.add(entry.Head.ID, name)
 			}
 		})
 	}
-	return ids
+	return open
 }
 
 // takeClaim takes in a store's answer for a queue that is owned already.
