Log what keeps renewals from being answered, and takeovers without a release

Change: dispatchers log when too few stores answer renewals, with the state of those connections; stores log sessions that expire while connected, with how long nothing was read; the new owner logs a queue that it acquired without a release.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -331,6 +331,7 @@
 	d.applyAttempts(owned, attempts)
 	if abandoned && owned.Open() > 0 {
 		d.counters.takeovers.Add(1)
+		d.log.Info("queue acquired without a release", "queue", name, "epoch", epoch, "messages", owned.Open(), "granted", len(granted), "silent", silent)
 	}
 	if name != d.localQueue {
 		d.log.V(1).Info("queue acquired", "queue", name, "epoch", epoch, "messages", owned.Open())
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -74,6 +74,7 @@
 	memoryMb            int           // memory limit of this process
 	nextWake            time.Duration // when the timer fires; 0: after its default interval
 	leaseWatch          leaseWatch
+	unansweredSince     time.Duration // since when too few stores have answered renewals; 0 if enough do
 	unsafeEndsCheckedAt time.Duration // when ends that are not safe were last checked
 	lateEnds            lateEnds
 	unreportedOutcomes  map[string][]protocol.Outcome // by queue: outcomes of attempts not yet reported to the queue's new owner
--- a/internal/service/dispatcher/stalls.go
+++ b/internal/service/dispatcher/stalls.go
@@ -25,6 +25,7 @@
 		if asleep+locked >= minLoggedStall {
 			d.log.Info("process stalled", "asleep", asleep, "locked", locked, "processorTime", processorTime()-cpuBefore)
 		}
+		d.checkRenewals()
 	}
 }
 
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -89,6 +89,13 @@
 	ended            []endedSession // the last maxEndedSessions, newest last
 	changesFrom      uint64         // oldest version since which all changes are known
 	nextExpiry       time.Time      // no session expires before it
+	onSilence        func(holder protocol.Identity, queues int)
+}
+
+// OnSilence registers a function that is called when a session with leases on some queues expires while
+// its connections are open.
+func (g *Grantor) OnSilence(callback func(holder protocol.Identity, queues int)) {
+	g.onSilence = callback
 }
 
 // NewGrantor returns the grantor of a store that starts now, with its stored
@@ -100,6 +107,7 @@
 		queues:      make(map[string]*queue, len(promises)),
 		version:     version,
 		changesFrom: version,
+		onSilence:   func(protocol.Identity, int) {},
 	}
 	for name, promise := range promises {
 		g.queues[name] = &queue{promise: promise}
@@ -216,6 +224,9 @@
 		}
 		delete(g.sessions, id)
 		g.noteEnded(id, version)
+		if s.connections > 0 && len(s.queues) > 0 {
+			g.onSilence(s.identity, len(s.queues))
+		}
 	}
 }
 
--- a/internal/service/lease/lease_test.go
+++ b/internal/service/lease/lease_test.go
@@ -548,10 +548,16 @@
 		a, b := identity("a"), identity("b")
 		g.Renew(now, a, true, 1)
 		c.Assert(g.Acquire(now, a, 1, "q", 1, false).Silent, qt.IsFalse)
+		silent := 0
+		g.OnSilence(func(holder protocol.Identity, queues int) {
+			c.Check(holder, qt.Equals, a)
+			silent += queues
+		})
 		one.end(g, now, a)
 		g.Expire(now.Add(Duration))
 		now = now.Add(one.asked)
 		c.Check(g.Acquire(now, b, 1, "q", 2, false).Silent, qt.Equals, one.want, qt.Commentf(name))
+		c.Check(silent == 1, qt.Equals, one.want || one.asked > Duration, qt.Commentf(name))
 		g.Release(now, b, "q", 2) // as if too few stores had granted it
 		c.Check(g.Acquire(now, identity("c"), 1, "q", 3, false).Silent, qt.Equals, one.want, qt.Commentf(name))
 	}
--- a/internal/service/store/recovery.go
+++ b/internal/service/store/recovery.go
@@ -148,6 +148,7 @@
 		s.clock.resume(s.replayed.lastClock, s.replayed.newestTime)
 	}
 	s.grantor = lease.NewGrantor(time.Now(), s.options.version, s.replayed.promises)
+	s.grantor.OnSilence(s.logSilence)
 	if !formatted || s.bootstrap {
 		s.grantor.SetPromisesComplete()
 	}
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -202,8 +202,14 @@
 // newServer returns the server with the request handlers of the role.
 func newServer(s *store, reconciler *reconciler, identity protocol.Identity, log logr.Logger) *transport.Server {
 	server := transport.NewServer(identity, log)
-	server.OnConnect(func(peer *transport.Peer) { s.connected(peer.Identity) })
-	server.OnClose(func(peer *transport.Peer) { s.disconnected(peer.Identity) })
+	server.OnConnect(func(peer *transport.Peer) {
+		s.addPeer(peer)
+		s.connected(peer.Identity)
+	})
+	server.OnClose(func(peer *transport.Peer) {
+		s.disconnected(peer.Identity)
+		s.removePeer(peer)
+	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Append) (protocol.AppendReply, error) {
 		status, commit, err := s.append(peer.Identity, &request.Message)
 		return protocol.AppendReply{Status: status, StoreID: s.log.StoreID()}, awaitCommit(commit, err)
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"yardwharf/internal/service/lease"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
+	"yardwharf/internal/service/transport"
 )
 
 // connected records a new connection of a process.
@@ -28,6 +30,38 @@
 	s.grantor.Closed(time.Now(), identity)
 }
 
+// addPeer remembers an open connection of a process.
+func (s *store) addPeer(peer *transport.Peer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id := lease.SessionOf(peer.Identity)
+	s.peers[id] = append(s.peers[id], peer)
+}
+
+// removePeer forgets a connection that has ended.
+func (s *store) removePeer(peer *transport.Peer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id := lease.SessionOf(peer.Identity)
+	s.peers[id] = slices.DeleteFunc(s.peers[id], func(known *transport.Peer) bool { return known == peer })
+	if len(s.peers[id]) == 0 {
+		delete(s.peers, id)
+	}
+}
+
+// logSilence logs that a process with open connections has not renewed its session, and how long ago
+// anything of it was read: a process that sends other requests is not stalled. The mutex is held.
+func (s *store) logSilence(holder protocol.Identity, queues int) {
+	peers := s.peers[lease.SessionOf(holder)]
+	var silent time.Duration
+	for i, peer := range peers {
+		if silence := peer.Silence(); i == 0 || silence < silent {
+			silent = silence
+		}
+	}
+	s.options.log.Info("session expired while connected", "node", holder.Node, "queues", queues, "connections", len(peers), "nothingReadFor", silent)
+}
+
 // renew renews a session and returns the table, or its changes, if the caller's version is old.
 func (s *store) renew(identity protocol.Identity, request protocol.Renew) (protocol.RenewReply, *segment.Commit, error) {
 	s.mutex.Lock()
--- a/internal/service/store/store.go
+++ b/internal/service/store/store.go
@@ -13,6 +13,7 @@
 	"yardwharf/internal/service/lease"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
+	"yardwharf/internal/service/transport"
 )
 
 // Class is the error class of this package.
@@ -54,6 +55,7 @@
 	index          *index
 	grantor        *lease.Grantor
 	connections    map[lease.SessionID]int
+	peers          map[lease.SessionID][]*transport.Peer
 	bootstrap      bool // the disk was formatted at the first start of the whole system
 	formatPosition segment.Position
 	storesPosition segment.Position
@@ -74,7 +76,7 @@
 func openStore(o options) (*store, error) {
 	s := &store{
 		options: o, clock: newClock(o.clocks), index: newIndex(),
-		connections: map[lease.SessionID]int{}, knowledge: map[lease.SessionID]knowledge{},
+		connections: map[lease.SessionID]int{}, peers: map[lease.SessionID][]*transport.Peer{}, knowledge: map[lease.SessionID]knowledge{},
 		replayed: &replayState{promises: map[string]lease.Promise{}},
 	}
 	s.buffers.New = func() any { return new([]byte) }
--- a/internal/service/transport/client.go
+++ b/internal/service/transport/client.go
@@ -37,12 +37,13 @@
 	address  string
 	onClose  func()
 
-	mutex   sync.Mutex
-	conn    *clientConn
-	dialing chan struct{} // closed when the current connection attempt ends; nil if there is none
-	backoff time.Duration
-	retryAt time.Time
-	closed  bool
+	mutex        sync.Mutex
+	conn         *clientConn
+	dialing      chan struct{} // closed when the current connection attempt ends; nil if there is none
+	dialingSince time.Time
+	backoff      time.Duration
+	retryAt      time.Time
+	closed       bool
 }
 
 // NewClient returns a client over TCP. It does not connect yet.
@@ -122,6 +123,7 @@
 			return nil, errNotConnected
 		case c.dialing == nil:
 			c.dialing = make(chan struct{})
+			c.dialingSince = time.Now()
 			go c.dial()
 		}
 		dialing := c.dialing
@@ -172,6 +174,7 @@
 	requests chan envelope
 	received atomic.Int64 // when the last frame arrived, in nanoseconds since started
 	started  time.Time
+	writing  stopwatch
 
 	mutex   sync.Mutex
 	lastID  uint64 // ID of the last call
@@ -196,7 +199,7 @@
 		conn: conn, ctx: ctx, cancel: cancel, started: time.Now(),
 		requests: make(chan envelope, callQueueSize), pending: map[uint64]chan envelope{},
 	}
-	go writeLoop(ctx, conn, writer, c.requests)
+	go writeLoop(ctx, conn, writer, c.requests, &c.writing)
 	go c.readLoop(reader)
 	return c, nil
 }
--- a/internal/service/transport/server.go
+++ b/internal/service/transport/server.go
@@ -23,6 +23,16 @@
 type Peer struct {
 	Identity protocol.Identity
 	done     chan struct{}
+	lastRead atomic.Pointer[time.Time]
+}
+
+// Silence returns how long ago the last request of this connection was read.
+func (p *Peer) Silence() time.Duration { return time.Since(*p.lastRead.Load()) }
+
+// noteRead records that a request, or the handshake, was read now.
+func (p *Peer) noteRead() {
+	now := time.Now()
+	p.lastRead.Store(&now)
 }
 
 // Done is closed when the connection has ended.
@@ -152,7 +162,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	replies := make(chan envelope, replyQueueSize)
-	go writeLoop(ctx, conn, writer, replies)
+	go writeLoop(ctx, conn, writer, replies, &stopwatch{})
 	s.onConnect(peer)
 	for {
 		var request envelope
@@ -162,6 +172,7 @@
 			}
 			break
 		}
+		peer.noteRead()
 		go s.handleRequest(ctx, peer, request, replies)
 	}
 	cancel()
@@ -208,7 +219,9 @@
 		reader.enableCompression()
 		writer.enableCompression()
 	}
-	return &Peer{Identity: peerHello.Identity, done: make(chan struct{})}, conn.SetDeadline(time.Time{})
+	peer := &Peer{Identity: peerHello.Identity, done: make(chan struct{})}
+	peer.noteRead()
+	return peer, conn.SetDeadline(time.Time{})
 }
 
 func (s *Server) handleRequest(ctx context.Context, peer *Peer, request envelope, replies chan<- envelope) {
@@ -228,14 +241,16 @@
 }
 
 // writeLoop writes queued envelopes and flushes when the queue is empty. It closes
-// the connection when it returns, which ends the reader as well.
-func writeLoop(ctx context.Context, conn net.Conn, writer *frameWriter, queue <-chan envelope) {
+// the connection when it returns, which ends the reader as well. The stopwatch measures
+// each write.
+func writeLoop(ctx context.Context, conn net.Conn, writer *frameWriter, queue <-chan envelope, writing *stopwatch) {
 	defer conn.Close()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case next := <-queue:
+			writing.start()
 			if writer.write(next) != nil {
 				return
 			}
@@ -253,5 +268,6 @@
 		if writer.flush() != nil {
 			return
 		}
+		writing.stop()
 	}
 }
