Add a failing test of a success that its owner read before it stalled

A dispatcher that reads a success and then reaches no store for longer than one time-out and 0.5 s after the takeover has the message run again.

--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -121,20 +121,18 @@
 		d.applyConfiguration(configuration)
 		d.applySenders(view.Senders{List: []view.Sender{{ID: "i", Service: "old", Address: "10.5.0.1:80", Zone: "z", Slots: 4}}})
 		go d.runPump(ctx)
-		go keepLeases(ctx, d)
+		go r.keepLeases(ctx, d)
 		for _, link := range d.stores {
 			go d.sendEnds(ctx, link)
 		}
 	}
-	peer := network.Process("10.1.0.2")
-	listener, err := peer.Listen(r.new.identity.Address)
-	c.Assert(err, qt.IsNil)
-	go func() { _ = r.new.internalServer().Serve(listener) }()
+	oldPeer, newPeer := serveInternally(c, network, r.old), serveInternally(c, network, r.new)
 	r.killOld = func() { network.Power(edgeIP, false) }
 	r.end = func() {
 		stop()
 		sender.Kill()
-		peer.Kill()
+		oldPeer.Kill()
+		newPeer.Kill()
 		endNew()
 		endOld()
 	}
@@ -142,9 +140,24 @@
 	return r
 }
 
-// keepLeases renews a dispatcher's leases until the context ends.
-func keepLeases(ctx context.Context, d *Dispatcher) {
+// serveInternally answers the calls of other dispatchers.
+func serveInternally(c *qt.C, network *simnet.Network, d *Dispatcher) *simnet.Process {
+	process := network.Process(d.settings.IP)
+	listener, err := process.Listen(d.identity.Address)
+	c.Assert(err, qt.IsNil)
+	go func() { _ = d.internalServer().Serve(listener) }()
+	return process
+}
+
+// keepLeases renews a dispatcher's leases until the context ends, or its session has ended.
+func (r *queueHandover) keepLeases(ctx context.Context, d *Dispatcher) {
 	for ctx.Err() == nil {
+		r.mutex.Lock()
+		ended := r.silent && d == r.old
+		r.mutex.Unlock()
+		if ended {
+			return
+		}
 		d.mutex.Lock()
 		for node := range d.stores {
 			d.leases.Renewed(node, d.now(), d.now())
@@ -191,10 +204,12 @@
 	r.new.acquire(t.Context(), []string{"ordered/1"})
 }
 
+const freezeDelay = 20 * time.Millisecond // until the attempts have begun
+
 // freezeOld freezes the network of the old dispatcher for a while; the new one acquires the queue in the
 // meantime.
 func (r *queueHandover) freezeOld(t *testing.T, span time.Duration) {
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(freezeDelay)
 	r.network.Freeze(edgeIP, true)
 	time.AfterFunc(span, func() { r.network.Freeze(edgeIP, false) })
 	r.mutex.Lock()
@@ -279,6 +294,34 @@
 	}
 }
 
+// A success that a stalled dispatcher has read and not recorded ends its message: the next owner of the queue
+// waits for that dispatcher, however long the stall is, and then applies the success.
+func TestSuccessReadBeforeStallIsNotRunAgain(t *testing.T) {
+	const work, readWithin = 300 * time.Millisecond, 15 * time.Millisecond // the end is sent 20 ms after it was read
+	for _, stall := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		t.Run(stall.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newQueueHandover(t, c, func(int, string) int {
+					time.Sleep(work)
+					return http.StatusOK
+				})
+				defer r.end()
+				time.Sleep(work + readWithin - freezeDelay)
+				r.freezeOld(t, stall)
+				time.Sleep(stall + 2*time.Second)
+				r.mutex.Lock()
+				defer r.mutex.Unlock()
+				c.Check(r.arrivalsOf("first"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
+				c.Check(r.arrivalsOf("quick"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
+				c.Check(r.ends["first"].Epoch, qt.Equals, uint64(2))
+				behind := r.arrivalsOf("behind")
+				c.Check(behind[len(behind)-1] < stall+time.Second, qt.IsTrue, qt.Commentf("%v", r.arrivals))
+			})
+		})
+	}
+}
+
 // TestMessagesOfOtherKeysDoNotWait releases a queue while a sender has a message: the new owner
 // delivers messages of other keys at once.
 func TestMessagesOfOtherKeysDoNotWait(t *testing.T) {
