Ask again for the lease right before an attempt is written

Cause: the lease is checked before the connection to the sender is opened. Change: a delivery asks whether it may begin when it has its connection; one that may not has not run and writes nothing.

--- a/internal/service/delivery/client.go
+++ b/internal/service/delivery/client.go
@@ -136,6 +136,11 @@
 	}
 	remaining := max(minDeadline, deadline.Sub(c.now()))
 	_ = conn.raw.SetDeadline(time.Now().Add(remaining + responseSlack))
+	if request.MayBegin != nil && !request.MayBegin() {
+		reusable = conn.reused
+		result.Verdict, result.Err = verdict.NotRun, ErrNotBegun
+		return result, false
+	}
 	conn.recordCarried(request.Head.ID)
 	conn.received = false
 	written, writeErr := conn.write(request, remaining)
--- a/internal/service/delivery/delivery.go
+++ b/internal/service/delivery/delivery.go
@@ -28,6 +28,7 @@
 	ErrTooLarge           = Class.New("the response body is too large")
 	ErrNoSeal             = Class.New("the success response has no seal")
 	ErrInvalid            = Class.New("the message cannot be written as an HTTP request")
+	ErrNotBegun           = Class.New("the delivery was called off before its first byte")
 )
 
 // Headers of the protocol between dispatchers and senders.
@@ -54,6 +55,8 @@
 	Body           []byte
 	Timeout        time.Duration
 	MaxConnections int // to this address; 0 means no limit
+
+	MayBegin func() bool // asked right before the first byte is written; nil: it always may
 }
 
 // Result is the outcome of a delivery.
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -241,6 +241,25 @@
 	p.c.Assert(p.dials, qt.Equals, 1)
 }
 
+// A delivery that may not begin any more when it has its connection writes nothing. A kept connection stays.
+func TestDeliveryCalledOffBeforeItsFirstByte(t *testing.T) {
+	p, client := newPeer(t, respondAndStayOpen(success, withRequestID("m3", success)), respondAndStayOpen(success))
+	client.Deliver(background, testRequest("m1"))
+	request := testRequest("m2")
+	request.MayBegin = func() bool { return false }
+	result := client.Deliver(background, request)
+	p.c.Assert(result.Verdict, qt.Equals, verdict.NotRun)
+	p.c.Assert(result.Err, qt.ErrorIs, ErrNotBegun)
+	p.c.Assert(client.IdleConnections(), qt.Equals, 1)
+	last := client.Deliver(background, testRequest("m3"))
+	p.c.Assert(last.Reused, qt.IsTrue)
+	p.c.Assert(p.heads, qt.HasLen, 2)
+	request.Address = "another:1"
+	client.Deliver(background, request)
+	p.c.Assert(client.IdleConnections(), qt.Equals, 1)
+	p.c.Assert(p.heads, qt.HasLen, 2)
+}
+
 // Connections are left before their senders close them.
 func TestKeepAlive(t *testing.T) {
 	for header, want := range map[string]time.Duration{
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -217,9 +218,18 @@
 	return state, &delivery.Request{
 		Address: attempt.Address, Instance: attempt.Instance, Head: state.entry.HeadAt(d.now()), Body: body,
 		Timeout: state.route.Timeout(), MaxConnections: attempt.MaxConnections,
+		MayBegin: func() bool { return d.mayBegin(state, attempt) },
 	}
 }
 
+// mayBegin reports whether an attempt may still be sent, now that it has a connection: the lease may have ended while
+// this process was stalled.
+func (d *Dispatcher) mayBegin(state *deliveryState, attempt balance.Attempt) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.mayStart(state, attempt)
+}
+
 // fetchBodyUnlocked reads the body of a message from a store. The mutex is held on entry
 // and on return, but released during the call to the store.
 func (d *Dispatcher) fetchBodyUnlocked(entry *queue.Entry) (protocol.QueryReply, bool) {
@@ -263,6 +273,10 @@
 // attemptEnded records the result of an attempt, and applies it to the message unless the
 // decision module tries another sender. The mutex is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
+	if errors.Is(result.Err, delivery.ErrNotBegun) {
+		d.attemptNotStarted(state, attempt)
+		return
+	}
 	d.counters.deliveries.note(&result)
 	if result.Inconclusive() {
 		d.logInconclusive(state, attempt, &result)
--- a/internal/service/dispatcher/renewalwatch.go
+++ b/internal/service/dispatcher/renewalwatch.go
@@ -11,7 +11,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	summary := d.summarizeLinks()
-	endangered := summary.stores > 0 && summary.stores-summary.unanswered < d.grantsNeeded()
+	endangered := summary.unanswered > d.knownStores()-d.grantsNeeded()
 	switch {
 	case endangered && d.unansweredSince == 0:
 		d.unansweredSince = d.now()
