Wait for a silent previous owner as long as its process exists

Cause: a dispatcher that reads a success and then reaches no store loses its queue after 1.5 s; the next owner held what may be at a sender for one time-out and 0.5 s and then ran it, although the stalled process still knew the success. Change: stores name the silent owner in a grant; the new owner tries to connect to it: a stalled process still accepts connections, one that has ended refuses them, a machine that is off answers nothing. While it exists and does not answer, the hold goes on, for 10 s at most; Relinquish asks it to give the queue up and to tell its unsettled attempts, also those whose time is over and whose result is not applied yet, and ends the hold of all others at once. An owner that was replaced is no longer reported as silent; silence is reported for 12 s, longer than a hold. Internal protocol 5: all processes are changed together. The case of an owner that stands still for a minute expected the repeat after one time-out; it now expects it after the 10 s, and the former bound holds for a machine that is off and a process that has ended, each a case of its own.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -288,7 +288,8 @@
 func (d *Dispatcher) applyGrants(ctx context.Context, name string, epoch uint64, sent time.Duration, answers []storeGrant) {
 	var granted, unanswered []*storeLink
 	var attempts []protocol.Attempt
-	counted, silent, abandoned := 0, 0, false
+	counted, abandoned := 0, false
+	silentOwners := map[protocol.Identity]int{} // and how many stores report them
 	heads := map[string][]protocol.Head{}
 	for _, answer := range answers {
 		if !answer.ok || answer.reply.StoreID != answer.link.storeID {
@@ -304,9 +305,7 @@
 		heads[answer.link.node] = grant.Heads
 		attempts = append(attempts, grant.Attempts...)
 		abandoned = abandoned || grant.Abandoned
-		if grant.Silent {
-			silent++
-		}
+		silentOwners[grant.SilentOwner]++
 		if answer.link.complete() && !d.storeListOutdated(answer.reply.StoresKnown) {
 			counted++
 		}
@@ -325,19 +324,30 @@
 		d.noteGrant(owned, link, sent)
 	}
 	d.adopt(owned, heads)
-	if 2*silent > len(granted) {
-		d.holdOpenMessages(owned)
+	silentOwner := majorityOf(silentOwners, len(granted))
+	if silentOwner.Node != "" && silentOwner.Session() != d.identity.Session() {
+		d.holdForSilentOwner(owned, silentOwner, attempts)
 	}
 	d.applyAttempts(owned, attempts)
 	if abandoned && owned.Open() > 0 {
 		d.counters.takeovers.Add(1)
-		d.log.Info("queue acquired without a release", "queue", name, "epoch", epoch, "messages", owned.Open(), "granted", len(granted), "silent", silent)
+		d.log.Info("queue acquired without a release", "queue", name, "epoch", epoch, "messages", owned.Open(), "silentOwner", silentOwner.Node)
 	}
 	if name != d.localQueue {
 		d.log.V(1).Info("queue acquired", "queue", name, "epoch", epoch, "messages", owned.Open())
 	}
 }
 
+// majorityOf returns the identity that more than half of the given number of stores report, or the zero identity.
+func majorityOf(reported map[protocol.Identity]int, stores int) protocol.Identity {
+	for identity, count := range reported {
+		if 2*count > stores {
+			return identity
+		}
+	}
+	return protocol.Identity{}
+}
+
 // mayOwn reports whether a granted queue may be taken over. A dispatcher that is leaving has already
 // determined the queues that it hands over. The mutex is held.
 func (d *Dispatcher) mayOwn(name string) bool {
--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -45,8 +45,8 @@
 func (d *Dispatcher) unsettledAttempts(owned *ownedQueue) []protocol.Attempt {
 	var attempts []protocol.Attempt
 	for _, state := range d.deliveries {
-		if left := state.deadline - d.now(); state.owned == owned && state.entry.Phase == queue.Running && left > 0 {
-			attempts = append(attempts, protocol.Attempt{ID: state.key, Left: left, Outcome: outcomeOf(owned, state.entry)})
+		if state.owned == owned && state.entry.Phase == queue.Running {
+			attempts = append(attempts, d.attemptUnderWay(state))
 		}
 	}
 	if !d.endsSafe(owned) {
@@ -63,6 +63,13 @@
 	return attempts
 }
 
+// attemptUnderWay describes an attempt that has not ended. Its time may be over although its result, which may
+// be a success, has not been applied yet. The mutex is held.
+func (d *Dispatcher) attemptUnderWay(state *deliveryState) protocol.Attempt {
+	left := max(state.deadline-d.now(), handOverSlack)
+	return protocol.Attempt{ID: state.key, Left: left, Outcome: outcomeOf(state.owned, state.entry)}
+}
+
 // outcomeOf returns the state of a message and its failures so far.
 func outcomeOf(owned *ownedQueue, entry *queue.Entry) protocol.Outcome {
 	return protocol.Outcome{End: endOf(owned, entry), Failures: entry.Head.Failures}
@@ -82,25 +89,6 @@
 	}
 }
 
-// holdOpenMessages holds each message that the previous owner may have at a sender, for one attempt's duration. That owner
-// went silent without a release and may only have stalled: it reports the outcomes once it learns that it has lost
-// the queue. The mutex is held.
-func (d *Dispatcher) holdOpenMessages(owned *ownedQueue) {
-	current, held := d.configuration.Load(), 0
-	owned.Each(func(entry *queue.Entry) {
-		if entry.Phase != queue.Ready || d.deliveries[entry.Head.ID] != nil {
-			return
-		}
-		if route, _, found := current.Match(entry.Head.Host, entry.Head.Target); found {
-			owned.Hold(entry, d.now()+route.Timeout()+handOverSlack)
-			held++
-		}
-	})
-	if held > 0 {
-		d.log.Info("holding messages of a silent previous owner", "queue", owned.Name, "messages", held)
-	}
-}
-
 // applyOutcome applies the outcome of an attempt of the previous owner. An end is recorded under
 // this owner's epoch: the message is open here, so no other end was ever reported. The mutex
 // is held.
--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -31,6 +31,7 @@
 	network  *simnet.Network
 	old, new *Dispatcher
 	killOld  func()
+	oldPeer  *simnet.Process // that answers calls to the old dispatcher
 	end      func()
 
 	mutex       sync.Mutex
@@ -73,7 +74,9 @@
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
 			r.promised = request.Epoch > 1
-			reply.Grants[0].Abandoned, reply.Grants[0].Silent = r.silent, r.silent
+			if r.silent {
+				reply.Grants[0].Abandoned, reply.Grants[0].SilentOwner = true, r.old.identity
+			}
 			for i := range reply.Grants[0].Heads {
 				if end, some := r.ends[reply.Grants[0].Heads[i].ID]; some {
 					reply.Grants[0].Heads[i].State, reply.Grants[0].Heads[i].Stamp = end.State, end.Stamp
@@ -126,12 +129,13 @@
 			go d.sendEnds(ctx, link)
 		}
 	}
-	oldPeer, newPeer := serveInternally(c, network, r.old), serveInternally(c, network, r.new)
+	newPeer := serveInternally(c, network, r.new)
+	r.oldPeer = serveInternally(c, network, r.old)
 	r.killOld = func() { network.Power(edgeIP, false) }
 	r.end = func() {
 		stop()
 		sender.Kill()
-		oldPeer.Kill()
+		r.oldPeer.Kill()
 		newPeer.Kill()
 		endNew()
 		endOld()
@@ -218,6 +222,26 @@
 	r.takeOver(t)
 }
 
+// loseOld loses the old dispatcher without a release; the new one acquires the queue.
+func (r *queueHandover) loseOld(t *testing.T, lose func(*queueHandover)) {
+	time.Sleep(freezeDelay)
+	lose(r)
+	r.mutex.Lock()
+	r.silent = true
+	r.mutex.Unlock()
+	r.takeOver(t)
+}
+
+// powerOffOld takes the power from the old dispatcher's machine.
+func powerOffOld(r *queueHandover) { r.killOld() }
+
+// endOldProcess ends the old dispatcher's process. Its machine refuses connections from then on.
+func (r *queueHandover) endOldProcess() {
+	r.oldPeer.Kill()
+	r.old.stop()
+	r.network.Freeze(edgeIP, true)
+}
+
 // TestAttemptOutlastsQueueRelease releases a queue while a sender has one of its messages. The new
 // owner delivers no message of the same key before that attempt has ended or timed out, and
 // applies the outcome that the old owner reports.
@@ -236,12 +260,13 @@
 	for name, tc := range map[string]struct {
 		answer    func(int, string) int
 		moveAfter time.Duration
-		record    time.Duration // how long stores take to record an end
-		gone      bool          // the old dispatcher is killed right after the release
-		still     time.Duration // how long the old dispatcher is frozen; it releases nothing
-		runs      int           // of the first message
-		again     time.Duration // earliest time of the last run
-		behind    time.Duration // earliest time of the next message of its key
+		record    time.Duration        // how long stores take to record an end
+		gone      bool                 // the old dispatcher is killed right after the release
+		still     time.Duration        // how long the old dispatcher is frozen; it releases nothing
+		lost      func(*queueHandover) // how the old dispatcher is lost; it releases nothing, and stores report it as silent
+		runs      int                  // of the first message
+		again     time.Duration        // earliest time of the last run
+		behind    time.Duration        // earliest time of the next message of its key
 		failures  int
 	}{
 		"success after the release":                {answer: slow(200), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
@@ -250,7 +275,9 @@
 		"success recorded after the release":       {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, runs: 1, behind: work},
 		"the same, the old owner killed":           {answer: slow(200), moveAfter: work + 200*time.Millisecond, record: 800 * time.Millisecond, gone: true, runs: 1, behind: work},
 		"success while the old owner stands still": {answer: slow(200), still: time.Second, runs: 1, behind: time.Second},
-		"the old owner stands still for long":      {answer: slow(200), still: time.Minute, runs: 2, again: routeTimeout, behind: routeTimeout},
+		"the old owner stands still for long":      {answer: slow(200), still: time.Minute, runs: 2, again: maxSilentOwnerWait, behind: maxSilentOwnerWait},
+		"the old owner's machine is off":           {answer: slow(200), lost: powerOffOld, runs: 2, again: routeTimeout, behind: routeTimeout},
+		"the old owner's process has ended":        {answer: slow(200), lost: (*queueHandover).endOldProcess, runs: 2, again: routeTimeout, behind: routeTimeout},
 		"refused for good":                         {answer: slow(422), moveAfter: 20 * time.Millisecond, runs: 1, behind: work},
 		"failure after the release":                {answer: slow(500), moveAfter: 20 * time.Millisecond, runs: 2, again: work, behind: work, failures: 1},
 		"no answer in time": {answer: func(run int, id string) int {
@@ -268,15 +295,18 @@
 				r.recordDelay = tc.record
 				r.mutex.Unlock()
 				time.Sleep(tc.moveAfter)
-				if tc.still > 0 {
+				switch {
+				case tc.still > 0:
 					r.freezeOld(t, tc.still)
-				} else {
+				case tc.lost != nil:
+					r.loseOld(t, tc.lost)
+				default:
 					r.release(t)
 				}
 				if tc.gone {
 					r.killOld()
 				}
-				time.Sleep(5 * time.Second)
+				time.Sleep(max(5*time.Second, tc.again+2*time.Second))
 				r.mutex.Lock()
 				first, behind := r.arrivalsOf("first"), r.arrivalsOf("behind")
 				r.mutex.Unlock()
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -217,6 +217,9 @@
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ReportOutcomes) (protocol.ReportOutcomesReply, error) {
 		return d.handleAttemptsOver(request), nil
 	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Relinquish) (protocol.RelinquishReply, error) {
+		return d.handleRelinquish(request)
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.AcquirePermits) (protocol.AcquirePermitsReply, error) {
 		return d.grantPermits(request), nil
 	})
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -20,7 +20,7 @@
 	Margin = 200 * time.Millisecond
 	// SilenceRetention is how long a Decision reports a silent holder. It is reported more than once, because the
 	// first process that asks may not get the lease from enough stores.
-	SilenceRetention = 5 * time.Second
+	SilenceRetention = 12 * time.Second
 	// RenewInterval is how often a holder renews its sessions.
 	RenewInterval = 400 * time.Millisecond
 )
@@ -49,7 +49,10 @@
 	Raised  bool // the promise is new and must be stored before the reply is sent
 
 	Abandoned bool // the last holder has not released the lease
-	Silent    bool // a holder's session expired while connected, at most SilenceRetention ago: it may resume after a pause
+
+	// SilentHolder is a holder whose session expired while connected, at most SilenceRetention ago: it may resume
+	// after a pause. It is zero if there is none.
+	SilentHolder protocol.Identity
 }
 
 // Contested reports whether a process was refused because the highest epoch was
@@ -75,8 +78,9 @@
 	epoch   uint64   // of the lease
 	changed uint64   // version of the last change of its lease
 
-	abandoned   bool      // the last holder's session ended before it released the lease
-	silentUntil time.Time // set if a holder's session expired while connected
+	abandoned    bool              // the last holder's session ended before it released the lease
+	silentHolder protocol.Identity // whose session expired while connected
+	silentUntil  time.Time         // until then it is reported
 }
 
 // Grantor grants the leases of one store. It is not safe for concurrent use.
@@ -219,7 +223,7 @@
 			q.holder, q.changed = nil, version
 			q.abandoned = true
 			if s.connections > 0 {
-				q.silentUntil = now.Add(SilenceRetention)
+				q.silentHolder, q.silentUntil = s.identity, now.Add(SilenceRetention)
 			}
 		}
 		delete(g.sessions, id)
@@ -243,12 +247,20 @@
 	if q.holder != s || q.epoch != epoch {
 		q.changed = g.nextVersion()
 	}
-	decision := Decision{Allowed: true, Promise: q.promise, Raised: raised, Abandoned: q.abandoned, Silent: now.Before(q.silentUntil)}
+	decision := Decision{Allowed: true, Promise: q.promise, Raised: raised, Abandoned: q.abandoned, SilentHolder: g.silentHolderOf(now, q)}
 	q.holder, q.epoch, q.abandoned = s, epoch, false
 	s.queues[name] = q
 	return decision
 }
 
+// silentHolderOf returns the holder of a queue that fell silent and whose process may still exist.
+func (g *Grantor) silentHolderOf(now time.Time, q *queue) protocol.Identity {
+	if !now.Before(q.silentUntil) || g.isReplaced(SessionOf(q.silentHolder)) {
+		return protocol.Identity{}
+	}
+	return q.silentHolder
+}
+
 func (g *Grantor) mayAcquire(now time.Time, id SessionID, q *queue, epoch uint64, held bool) bool {
 	isHolder := q.holder != nil && SessionOf(q.holder.identity) == id
 	switch {
--- a/internal/service/lease/lease_test.go
+++ b/internal/service/lease/lease_test.go
@@ -530,36 +530,46 @@
 // for SilenceRetention.
 func TestSilentHolderIsReported(t *testing.T) {
 	for name, one := range map[string]struct {
-		end   func(g *Grantor, now time.Time, holder protocol.Identity)
-		asked time.Duration
-		want  bool
+		end     func(g *Grantor, now time.Time, holder protocol.Identity)
+		asked   time.Duration
+		expired int // queues of a session that has expired while connected
+		want    bool
 	}{
-		"no renewal":           {func(*Grantor, time.Time, protocol.Identity) {}, Duration, true},
-		"asked late":           {func(*Grantor, time.Time, protocol.Identity) {}, Duration + SilenceRetention, false},
-		"its connection ended": {func(g *Grantor, now time.Time, holder protocol.Identity) { g.Closed(now, holder) }, Duration, false},
+		"no renewal":           {func(*Grantor, time.Time, protocol.Identity) {}, Duration, 1, true},
+		"asked late":           {func(*Grantor, time.Time, protocol.Identity) {}, Duration + SilenceRetention, 1, false},
+		"its connection ended": {func(g *Grantor, now time.Time, holder protocol.Identity) { g.Closed(now, holder) }, Duration, 0, false},
 		"it was replaced": {func(g *Grantor, now time.Time, holder protocol.Identity) {
 			holder.Incarnation++
 			g.Renew(now, holder, true, 1)
-		}, Duration, false},
+		}, Duration, 0, false},
+		"it was replaced afterwards": {func(g *Grantor, now time.Time, holder protocol.Identity) {
+			g.Expire(now.Add(Duration))
+			holder.Incarnation++
+			g.Renew(now.Add(Duration), holder, true, 1)
+		}, Duration, 1, false},
 	} {
 		c := qt.New(t)
 		now := time.Unix(100, 0)
 		g := NewGrantor(now.Add(-Duration), 1, nil)
 		a, b := identity("a"), identity("b")
 		g.Renew(now, a, true, 1)
-		c.Assert(g.Acquire(now, a, 1, "q", 1, false).Silent, qt.IsFalse)
-		silent := 0
+		c.Assert(g.Acquire(now, a, 1, "q", 1, false).SilentHolder, qt.Equals, protocol.Identity{})
+		expired := 0
 		g.OnSilence(func(holder protocol.Identity, queues int) {
 			c.Check(holder, qt.Equals, a)
-			silent += queues
+			expired += queues
 		})
 		one.end(g, now, a)
 		g.Expire(now.Add(Duration))
 		now = now.Add(one.asked)
-		c.Check(g.Acquire(now, b, 1, "q", 2, false).Silent, qt.Equals, one.want, qt.Commentf(name))
-		c.Check(silent == 1, qt.Equals, one.want || one.asked > Duration, qt.Commentf(name))
+		var want protocol.Identity
+		if one.want {
+			want = a
+		}
+		c.Check(g.Acquire(now, b, 1, "q", 2, false).SilentHolder, qt.Equals, want, qt.Commentf(name))
+		c.Check(expired, qt.Equals, one.expired, qt.Commentf(name))
 		g.Release(now, b, "q", 2) // as if too few stores had granted it
-		c.Check(g.Acquire(now, identity("c"), 1, "q", 3, false).Silent, qt.Equals, one.want, qt.Commentf(name))
+		c.Check(g.Acquire(now, identity("c"), 1, "q", 3, false).SilentHolder, qt.Equals, want, qt.Commentf(name))
 	}
 }
 
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -11,7 +11,7 @@
 
 // Version is the version of the internal protocol. Peers with another version
 // are refused when they connect.
-const Version = 4
+const Version = 5
 
 // Offsets of the internal listeners from the first internal port.
 const (
@@ -185,10 +185,10 @@
 	Promised uint64 // highest epoch that the store knows
 	Heads    []Head // messages that are open, have a call-back due, or ended in the last seconds
 
-	Attempts  []Attempt // that the previous owner left unsettled
-	Abandoned bool      // the previous owner has not released the queue
-	Silent    bool      // an owner recently fell silent with its connections open: it may be stalled, and resume
-	Contested bool      // refused because the store promised that epoch to another process
+	Attempts    []Attempt // that the previous owner left unsettled
+	Abandoned   bool      // the previous owner has not released the queue
+	SilentOwner Identity  // an owner that recently fell silent with its connections open: it may be stalled, and resume; zero if there is none
+	Contested   bool      // refused because the store promised that epoch to another process
 }
 
 // FindEnds asks a store which of these messages it knows to have ended: a grant lists only those that
@@ -287,6 +287,20 @@
 	Owner bool // it owns the queue under a valid lease and has applied the outcomes
 }
 
+// Relinquish is the new owner's request to a previous owner that fell silent: to give up a queue, if it still acts
+// for it, and to tell what it knows of its attempts.
+type Relinquish struct {
+	Queue       string
+	Epoch       uint64 // of the new owner
+	Incarnation uint64 // of the previous owner's process
+}
+
+// RelinquishReply answers Relinquish.
+type RelinquishReply struct {
+	Replaced bool      // the previous owner's process has ended, and another one answers
+	Attempts []Attempt // that the stores may not know of; no other message is at a sender
+}
+
 // ReleaseReply answers Release.
 type ReleaseReply struct{}
 
--- a/internal/service/store/attempts_test.go
+++ b/internal/service/store/attempts_test.go
@@ -52,7 +52,7 @@
 		grant = acquire("edge-2", 6)
 		c.Check(grant.Attempts, qt.HasLen, 0)
 		c.Check(grant.Abandoned, qt.IsTrue)
-		c.Check(grant.Silent, qt.IsTrue) // other connections of edge-1 are open
+		c.Check(grant.SilentOwner, qt.Equals, dispatcher("edge-1")) // other connections of edge-1 are open
 		c.Check(s.close(), qt.IsNil)
 	})
 }
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -178,7 +178,7 @@
 	}
 	return protocol.Grant{
 		Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch, Contested: decision.Contested(identity),
-		Attempts: s.attempts.forQueue(now, name), Abandoned: decision.Abandoned, Silent: decision.Silent,
+		Attempts: s.attempts.forQueue(now, name), Abandoned: decision.Abandoned, SilentOwner: decision.SilentHolder,
 	}, nil
 }
 
