Test what a silent previous owner is asked and what its answer changes

Cause: mutants of the wait for silent owners survived (8 of 17): the replies of a relinquishing owner, the end of holds, the majority of stores, a process that is itself reported.

--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -273,10 +272,6 @@
 // attemptEnded records the result of an attempt, and applies it to the message unless the
 // decision module tries another sender. The mutex is held.
 func (d *Dispatcher) attemptEnded(state *deliveryState, attempt balance.Attempt, result delivery.Result) {
-	if errors.Is(result.Err, delivery.ErrNotBegun) {
-		d.attemptNotStarted(state, attempt)
-		return
-	}
 	d.counters.deliveries.note(&result)
 	if result.Inconclusive() {
 		d.logInconclusive(state, attempt, &result)
--- /dev/null
+++ b/internal/service/dispatcher/silentowner_test.go
@@ -0,0 +1,114 @@
+package dispatcher
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/queue"
+)
+
+// A dispatcher that is asked to relinquish a queue gives it up for a newer epoch only, and tells all that the stores
+// may not know, also if it had lost the queue before.
+func TestRelinquish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := withStores("a", "b", "c")
+		owned := d.own("ordered/1")
+		add := func(id string) *queue.Entry {
+			return owned.Add(d.now(), protocol.Head{ID: id, Queue: owned.Name, Retention: time.Hour}, nil, nil)
+		}
+		ended, overdue := add("ended"), add("overdue")
+		owned.Advance(d.now())
+		add("open")
+		d.endEntry(owned, ended, protocol.Completed, "seal")
+		request := protocol.Relinquish{Queue: owned.Name, Epoch: owned.Epoch + 1, Incarnation: d.identity.Incarnation}
+
+		replaced := request
+		replaced.Incarnation--
+		reply, err := d.handleRelinquish(replaced)
+		c.Assert(err, qt.IsNil)
+		c.Check(reply, qt.DeepEquals, protocol.RelinquishReply{Replaced: true})
+		older := request
+		older.Epoch = owned.Epoch
+		_, err = d.handleRelinquish(older)
+		c.Check(err, qt.ErrorIs, errOwnsNewerEpoch)
+		c.Assert(owned.dropped, qt.IsFalse)
+		for attempts := 1; attempts <= 2; attempts++ {
+			reply, err = d.handleRelinquish(request)
+			c.Assert(err, qt.IsNil)
+			c.Assert(owned.dropped, qt.IsTrue)
+			told := map[string]protocol.Attempt{}
+			for _, attempt := range reply.Attempts {
+				told[attempt.ID] = attempt
+			}
+			c.Assert(told, qt.HasLen, attempts)
+			c.Check(told["ended"].End.Stamp, qt.Equals, "seal")
+			if attempts > 1 {
+				c.Check(told["overdue"].Left, qt.Equals, handOverSlack)
+			}
+			d.deliveries["overdue"] = &deliveryState{key: "overdue", owned: owned, entry: overdue, deadline: -time.Second}
+		}
+		d.stop()
+		time.Sleep(time.Second)
+	})
+}
+
+// The answer of a silent owner ends the hold of all messages but those that it, or an owner before it, has at senders.
+func TestAnswerOfSilentOwnerEndsHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := withStores("a", "b", "c")
+		owned := d.own("ordered/1")
+		held := map[string]*queue.Entry{}
+		wait := &silentOwnerWait{owned: owned, released: []protocol.Attempt{{ID: "earlier", Left: 3 * time.Second}}, began: d.now()}
+		for _, id := range []string{"open", "sent", "earlier"} {
+			held[id] = owned.Add(d.now(), protocol.Head{ID: id, Queue: owned.Name, Retention: time.Hour}, nil, nil)
+			owned.Hold(held[id], time.Minute)
+			wait.held = append(wait.held, held[id])
+		}
+		time.Sleep(time.Second)
+		d.applyRelinquished(wait, protocol.RelinquishReply{Attempts: []protocol.Attempt{{ID: "sent", Left: 500 * time.Millisecond}}})
+		c.Check(held["open"].HeldUntil(), qt.Equals, time.Duration(0))
+		c.Check(held["sent"].HeldUntil(), qt.Equals, 1500*time.Millisecond)
+		c.Check(held["earlier"].HeldUntil(), qt.Equals, 3*time.Second)
+	})
+}
+
+// Messages are held for another process that most stores report as silent, and for no other.
+func TestSilentOwnerIsReportedByMostStores(t *testing.T) {
+	other := protocol.Identity{Node: "edge-2", Incarnation: 7, Address: "10.1.0.9:7784"}
+	for name, tc := range map[string]struct {
+		reports func(d *Dispatcher, store int) protocol.Identity
+		held    bool
+	}{
+		"all":    {func(*Dispatcher, int) protocol.Identity { return other }, true},
+		"most":   {func(_ *Dispatcher, store int) protocol.Identity { return []protocol.Identity{other, other, {}}[store] }, true},
+		"one":    {func(_ *Dispatcher, store int) protocol.Identity { return []protocol.Identity{{}, other, {}}[store] }, false},
+		"itself": {func(d *Dispatcher, _ int) protocol.Identity { return d.identity }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stores := acquireStores(3)
+				d, end := withScriptedStoresOn(c, millisecondNetwork(), stores)
+				defer end()
+				for i, store := range stores {
+					grant := grantAll(protocol.Head{ID: "m", Host: "a.example", Target: "/a/", Retention: time.Minute, State: protocol.Queued})
+					store.acquire = func(request protocol.Acquire) protocol.AcquireReply {
+						reply := grant(request)
+						reply.Grants[0].SilentOwner = tc.reports(d, i)
+						return reply
+					}
+				}
+				d.acquire(t.Context(), []string{"ordered/1"})
+				d.mutex.Lock()
+				c.Check(d.queues["ordered/1"].Get("m").HeldUntil() > 0, qt.Equals, tc.held)
+				d.mutex.Unlock()
+			})
+		})
+	}
+}
