Ask previous owners for outcomes before their attempts run again, also after a release

Cause: the same as with silent owners. A queue that is released while senders have messages of it is held by the new owner for one attempt; an owner that reads a success and stalls before it reports it has the message run again, and planned work excuses nothing. Change: stores name the process whose attempt it is; the new owner asks it 0.4 s before the hold ends, and extends the hold while that process exists and does not answer, as for a silent owner; both waits are one.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -317,7 +317,7 @@
 	}
 	owned := &ownedQueue{
 		Queue: queue.New(name, epoch), claiming: map[string]bool{}, grantRequestedAt: map[string]time.Duration{},
-		accepting: map[string]chan struct{}{}, outbid: map[string]bool{},
+		accepting: map[string]chan struct{}{}, outbid: map[string]bool{}, heldFor: map[string]protocol.Identity{},
 	}
 	d.queues[name] = owned
 	for _, link := range granted {
@@ -326,7 +326,7 @@
 	d.adopt(owned, heads)
 	silentOwner := majorityOf(silentOwners, len(granted))
 	if silentOwner.Node != "" && silentOwner.Session() != d.identity.Session() {
-		d.holdForSilentOwner(owned, silentOwner, attempts)
+		d.holdForSilentOwner(owned, silentOwner)
 	}
 	d.applyAttempts(owned, attempts)
 	if abandoned && owned.Open() > 0 {
--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -57,7 +57,9 @@
 	owned.Each(func(entry *queue.Entry) {
 		left := max(0, entry.HeldUntil()-d.now())
 		if entry.Phase < queue.Running && (left > 0 || entry.Head.Failures > 0) {
-			attempts = append(attempts, protocol.Attempt{ID: entry.Head.ID, Left: left, Outcome: outcomeOf(owned, entry)})
+			attempts = append(attempts, protocol.Attempt{
+				ID: entry.Head.ID, Left: left, Owner: owned.heldFor[entry.Head.ID], Outcome: outcomeOf(owned, entry),
+			})
 		}
 	})
 	return attempts
@@ -75,15 +77,10 @@
 	return protocol.Outcome{End: endOf(owned, entry), Failures: entry.Head.Failures}
 }
 
-// applyAttempts applies the attempts that the previous owner had not settled, as reported by the
-// stores. All messages are held before any outcome is applied, because applying one may start
-// deliveries. The mutex is held.
+// applyAttempts applies the attempts that previous owners had not settled. All messages are held before any
+// outcome is applied, because applying one may start deliveries. The mutex is held.
 func (d *Dispatcher) applyAttempts(owned *ownedQueue, attempts []protocol.Attempt) {
-	for _, attempt := range attempts {
-		if entry := owned.Get(attempt.ID); entry != nil && attempt.Left > 0 && d.deliveries[attempt.ID] == nil {
-			owned.Hold(entry, d.now()+attempt.Left)
-		}
-	}
+	d.holdForReportedAttempts(owned, attempts)
 	for _, attempt := range attempts {
 		d.applyOutcome(owned, attempt.Outcome)
 	}
@@ -177,7 +174,7 @@
 	for _, outcome := range report.Outcomes {
 		d.applyOutcome(owned, outcome)
 		if entry := owned.Get(outcome.End.ID); entry != nil && !outcome.End.State.Ended() {
-			owned.Unhold(d.now(), entry)
+			d.unhold(owned, entry)
 		}
 	}
 	d.pump(owned)
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -40,7 +40,8 @@
 	raisingEpoch     bool                     // a request for a higher epoch is under way
 	dropped          bool                     // it is no longer owned here: released, or lost to another dispatcher
 
-	unsafeEnds map[string]*queue.Entry // messages whose ends are not yet recorded by enough stores
+	heldFor    map[string]protocol.Identity // previous owners, by ID of the messages that they may have at senders
+	unsafeEnds map[string]*queue.Entry      // messages whose ends are not yet recorded by enough stores
 }
 
 // sessionTable is the merged view that the stores have of dispatchers and queues.
--- a/internal/service/dispatcher/silentowner.go
+++ b/internal/service/dispatcher/previousowner.go
@@ -9,56 +9,100 @@
 	"yardwharf/internal/service/transport"
 )
 
-// An owner may lose a queue because its sessions expired while its connections were open. It may be stalled, and may
-// have read successes that no store has recorded. The new owner holds each message that it may have at a sender for
-// the duration of an attempt, and asks it to relinquish the queue. As long as its process exists and does not answer,
-// the hold is extended. An owner whose machine is off or cut off is not waited for any longer.
+// A previous owner of a queue may know of successes that no store has recorded: it fell silent, because it stalled,
+// and lost the queue, or it released the queue while senders had messages of it. The new owner holds these messages
+// for the duration of an attempt. Before that time is over it asks the previous owner for the outcomes, and as long
+// as that process exists and does not answer, it extends the hold. A process that has ended, and one whose machine is
+// off or cut off, is not waited for any longer.
 
 const (
-	maxSilentOwnerWait   = 10 * time.Second // after that a process that exists and does not answer counts as gone
+	maxPreviousOwnerWait = 10 * time.Second // beyond the end of its attempts, for a process that exists and does not answer
 	relinquishTimeout    = time.Second
 	relinquishRetryPause = 50 * time.Millisecond
 	holdExtension        = 2 * time.Second // longer than one probe and one request
+	askBeforeHoldEnds    = 400 * time.Millisecond
 )
 
 var errOwnsNewerEpoch = Class.New("this process owns the queue under a newer epoch")
 
-// silentOwnerWait is a queue whose previous owner fell silent and is asked to relinquish it.
-type silentOwnerWait struct {
+// previousOwnerWait is a wait for what a previous owner of a queue knows of messages that it may have at senders.
+type previousOwnerWait struct {
 	owned    *ownedQueue
 	previous protocol.Identity
 	held     []*queue.Entry
-	released []protocol.Attempt // of owners before, as reported by the stores at the time began
 	began    time.Duration
+	askFrom  time.Duration
+	limit    time.Duration
 }
 
-// holdForSilentOwner holds the messages that a silent previous owner may have at senders, and asks that owner for
-// their outcomes. The mutex is held.
-func (d *Dispatcher) holdForSilentOwner(owned *ownedQueue, previous protocol.Identity, released []protocol.Attempt) {
-	wait := &silentOwnerWait{owned: owned, previous: previous, released: released, began: d.now()}
+// holdForSilentOwner holds the messages that a silent previous owner may have at senders. The mutex is held.
+func (d *Dispatcher) holdForSilentOwner(owned *ownedQueue, previous protocol.Identity) {
+	wait := d.newPreviousOwnerWait(owned, previous)
 	current := d.configuration.Load()
 	owned.Each(func(entry *queue.Entry) {
 		if entry.Phase != queue.Ready || d.deliveries[entry.Head.ID] != nil {
 			return
 		}
 		if route, _, found := current.Match(entry.Head.Host, entry.Head.Target); found {
-			owned.Hold(entry, d.now()+route.Timeout()+handOverSlack)
-			wait.held = append(wait.held, entry)
+			wait.hold(entry, d.now()+route.Timeout()+handOverSlack)
 		}
 	})
 	if len(wait.held) == 0 {
 		return
 	}
+	wait.askFrom, wait.limit = wait.began, wait.began+maxPreviousOwnerWait
 	d.log.Info("holding messages of a silent previous owner", "queue", owned.Name, "owner", previous.Node, "messages", len(wait.held))
-	go d.settleWithSilentOwner(wait)
+	go d.settleWithPreviousOwner(wait)
 }
 
-// settleWithSilentOwner extends the holds as long as the previous owner's process exists, until it has answered or
-// was waited for long enough.
-func (d *Dispatcher) settleWithSilentOwner(wait *silentOwnerWait) {
+// holdForReportedAttempts holds the messages that previous owners have reported to be at senders. The mutex is held.
+func (d *Dispatcher) holdForReportedAttempts(owned *ownedQueue, attempts []protocol.Attempt) {
+	waits := map[protocol.Identity]*previousOwnerWait{}
+	for _, attempt := range attempts {
+		entry := owned.Get(attempt.ID)
+		if entry == nil || attempt.Left <= 0 || d.deliveries[attempt.ID] != nil {
+			continue
+		}
+		wait := waits[attempt.Owner]
+		if wait == nil {
+			wait = d.newPreviousOwnerWait(owned, attempt.Owner)
+			waits[attempt.Owner] = wait
+		}
+		until := d.now() + attempt.Left
+		wait.hold(entry, until)
+		if ask := until - askBeforeHoldEnds; wait.askFrom == 0 || ask < wait.askFrom {
+			wait.askFrom = max(ask, wait.began)
+		}
+		wait.limit = max(wait.limit, until+maxPreviousOwnerWait)
+	}
+	for previous, wait := range waits {
+		if previous.Address != "" && previous.Session() != d.identity.Session() {
+			go d.settleWithPreviousOwner(wait)
+		}
+	}
+}
+
+func (d *Dispatcher) newPreviousOwnerWait(owned *ownedQueue, previous protocol.Identity) *previousOwnerWait {
+	return &previousOwnerWait{owned: owned, previous: previous, began: d.now()}
+}
+
+// hold holds a message for the previous owner.
+func (w *previousOwnerWait) hold(entry *queue.Entry, until time.Duration) {
+	w.owned.Hold(entry, until)
+	w.owned.heldFor[entry.Head.ID] = w.previous
+	w.held = append(w.held, entry)
+}
+
+// settleWithPreviousOwner asks the previous owner for the outcomes of its attempts, and extends the holds as long as
+// its process exists and does not answer.
+func (d *Dispatcher) settleWithPreviousOwner(wait *previousOwnerWait) {
+	time.Sleep(wait.askFrom - wait.began)
 	request := protocol.Relinquish{Queue: wait.owned.Name, Epoch: wait.owned.Epoch, Incarnation: wait.previous.Incarnation}
 	reachability := transport.Unreachable
-	for d.stillHolding(wait) {
+	for asked := false; d.stillHolding(wait); asked = true {
+		if asked {
+			time.Sleep(relinquishRetryPause)
+		}
 		reachability = transport.Probe(context.Background(), d.settings.Net(), wait.previous.Address)
 		if reachability == transport.Refused {
 			break
@@ -70,10 +114,11 @@
 			d.applyRelinquished(wait, reply)
 			return
 		}
-		time.Sleep(relinquishRetryPause)
 	}
-	d.log.Info("silent previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node,
-		"after", d.now()-wait.began, "listening", reachability == transport.Listening, "ended", reachability == transport.Refused)
+	if d.stillHolding(wait) || reachability == transport.Listening {
+		d.log.Info("previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node,
+			"after", d.now()-wait.began, "listening", reachability == transport.Listening, "ended", reachability == transport.Refused)
+	}
 }
 
 func (d *Dispatcher) askToRelinquish(address string, request protocol.Relinquish) (protocol.RelinquishReply, error) {
@@ -83,7 +128,7 @@
 }
 
 // stillHolding reports whether any message is still held for the previous owner.
-func (d *Dispatcher) stillHolding(wait *silentOwnerWait) bool {
+func (d *Dispatcher) stillHolding(wait *previousOwnerWait) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.ended || wait.owned.dropped {
@@ -98,10 +143,10 @@
 }
 
 // extendHolds extends the holds that have not ended.
-func (d *Dispatcher) extendHolds(wait *silentOwnerWait) {
+func (d *Dispatcher) extendHolds(wait *previousOwnerWait) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	until := min(d.now()+holdExtension, wait.began+maxSilentOwnerWait)
+	until := min(d.now()+holdExtension, wait.limit)
 	for _, entry := range wait.held {
 		if entry.HeldUntil() > d.now() {
 			wait.owned.Hold(entry, until)
@@ -110,28 +155,30 @@
 }
 
 // applyRelinquished applies the attempts that the previous owner has reported, and ends the hold of all other messages.
-func (d *Dispatcher) applyRelinquished(wait *silentOwnerWait, reply protocol.RelinquishReply) {
+func (d *Dispatcher) applyRelinquished(wait *previousOwnerWait, reply protocol.RelinquishReply) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	owned, waited := wait.owned, d.now()-wait.began
-	d.log.Info("silent previous owner answered", "queue", owned.Name, "owner", wait.previous.Node, "after", waited,
+	owned := wait.owned
+	d.log.Info("previous owner answered", "queue", owned.Name, "owner", wait.previous.Node, "after", d.now()-wait.began,
 		"replaced", reply.Replaced, "unsettled", len(reply.Attempts))
 	if owned.dropped {
 		return
 	}
 	for _, entry := range wait.held {
-		if entry.HeldUntil() > d.now() {
-			owned.Unhold(d.now(), entry)
+		if entry.HeldUntil() > d.now() && owned.heldFor[entry.Head.ID] == wait.previous {
+			d.unhold(owned, entry)
 		}
 	}
-	for _, attempt := range wait.released {
-		attempt.Left -= waited
-		reply.Attempts = append(reply.Attempts, attempt)
-	}
-	d.applyAttempts(owned, reply.Attempts)
+	d.applyAttempts(owned, protocol.WithOwner(reply.Attempts, wait.previous))
 	d.pump(owned)
 }
 
+// unhold ends the hold of a message. The mutex is held.
+func (d *Dispatcher) unhold(owned *ownedQueue, entry *queue.Entry) {
+	delete(owned.heldFor, entry.Head.ID)
+	owned.Unhold(d.now(), entry)
+}
+
 // handleRelinquish gives up a queue that another dispatcher has acquired, and returns the attempts that the stores may
 // not know of.
 func (d *Dispatcher) handleRelinquish(request protocol.Relinquish) (protocol.RelinquishReply, error) {
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -267,9 +268,24 @@
 type Attempt struct {
 	ID   string
 	Left time.Duration // until no sender can have the message any more, at the moment of encoding; 0 if none has it
+	// Owner is the process whose attempt it is, if a sender may have the message. It is zero if that is the process
+	// that reports the attempt.
+	Owner Identity
 	Outcome
 }
 
+// WithOwner returns attempts that a process has reported, with it as the owner of those that name none and that a
+// sender may have.
+func WithOwner(attempts []Attempt, reporter Identity) []Attempt {
+	owned := slices.Clone(attempts)
+	for i := range owned {
+		if owned[i].Left > 0 && owned[i].Owner == (Identity{}) {
+			owned[i].Owner = reporter
+		}
+	}
+	return owned
+}
+
 // Outcome is the result of the attempts to deliver a message.
 type Outcome struct {
 	End      End // its state is not final if the message is to be delivered again
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -189,7 +189,7 @@
 	now := time.Now()
 	for _, name := range request.Queues {
 		if s.grantor.Release(now, identity, name, request.Epoch) {
-			s.attempts.add(now, name, request.Attempts)
+			s.attempts.add(now, name, protocol.WithOwner(request.Attempts, identity))
 		}
 	}
 }
