Queue the first record of an empty disk although it is found to be full before

Which goroutine comes first decides, so it is rare. Change: that record has a priority of its own and is queued; awaitFormat waits for it, as in the usual order. Result: TestFirstRecordOnAFullDisk brings the state about in the log and fails without the priority; the order of goroutines was not forced in the store's own test (a forced pause let the cleaner go first, and passed either way); segment and store tests (-short) green.

--- a/internal/service/segment/log.go
+++ b/internal/service/segment/log.go
@@ -32,6 +32,7 @@
 	Ordinary Priority = iota // refused when the ring is short of space
 	Vital                    // accepted although the ring is full for ordinary records
 	Moved                    // replaces a record during Reclaim
+	First                    // the first record of a log, queued even while the disk is full
 )
 
 // Owner decides which records are live. Its methods are called without any lock
@@ -167,7 +168,7 @@
 		return Position{}, nil, ErrClosed
 	case headerSize+size+recordHeaderSize > l.segmentSize:
 		return Position{}, nil, ErrTooBig
-	case l.space == spaceExhausted, priority == Ordinary && (l.space != spaceAvailable || !l.hasRoom(int64(size))):
+	case l.space == spaceExhausted && priority != First, priority == Ordinary && (l.space != spaceAvailable || !l.hasRoom(int64(size))):
 		return Position{}, nil, ErrFull
 	}
 	target := l.selectFile(size, priority)
--- a/internal/service/segment/log_test.go
+++ b/internal/service/segment/log_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -403,6 +405,31 @@
 	c.Assert(opened.order, qt.DeepEquals, []uint64{1, 4})
 }
 
+// The first record is queued although the disk is found to be full before it, and written once there is room.
+func TestFirstRecordOnAFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		disk := segmenttest.NewDisk()
+		disk.LimitSpace(0)
+		opened, err := open(disk, logr.Discard())
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		_, err = opened.put(1, 1, "vital", segment.Vital)
+		c.Assert(err, qt.ErrorIs, segment.ErrFull)
+		_, err = opened.put(2, 2, "first", segment.First)
+		c.Assert(err, qt.IsNil)
+		c.Assert(opened.log.Barrier().Wait(), qt.ErrorIs, segment.ErrFull)
+		disk.RemoveLimit()
+		time.Sleep(time.Second)
+		c.Assert(opened.log.Barrier().Wait(), qt.IsNil)
+		c.Assert(opened.log.Close(), qt.IsNil)
+		opened, err = open(disk, logr.Discard())
+		c.Assert(err, qt.IsNil)
+		c.Assert(opened.order, qt.DeepEquals, []uint64{2})
+		c.Assert(opened.log.Close(), qt.IsNil)
+	})
+}
+
 // Files of another store, of a later format or without the magic are refused
 // and left unchanged.
 func TestForeignFilesAreRefused(t *testing.T) {
--- a/internal/service/store/recovery.go
+++ b/internal/service/store/recovery.go
@@ -166,7 +166,7 @@
 // formatDisk writes the first record of an empty disk.
 func (s *store) formatDisk() error {
 	s.bootstrap = s.options.bootstrap
-	position, _, err := s.write(formatRecord, segment.Vital, func(b []byte) []byte { return encodeFormat(b, s.bootstrap) })
+	position, _, err := s.write(formatRecord, segment.First, func(b []byte) []byte { return encodeFormat(b, s.bootstrap) })
 	s.replace(&s.formatPosition, position)
 	return err
 }
