Report a store's failed disk with what a query could not read

A query reads a record whose file was reused meanwhile and looks it up again, but not once the log has failed: it then returned the misread record as if the disk's contents were damaged. Change: the error names the log's failure, which is the cause, as well.

--- a/internal/service/store/query.go
+++ b/internal/service/store/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -29,10 +30,11 @@
 		}
 		payload, err := s.log.Read(position)
 		if err != nil {
-			if try+1 < maxReadAttempts && s.log.Failed() == nil {
+			failure := s.log.Failed()
+			if try+1 < maxReadAttempts && failure == nil {
 				continue // the record has been moved meanwhile
 			}
-			return protocol.QueryReply{}, err
+			return protocol.QueryReply{}, errors.Join(failure, err) // a log that has failed explains what is read
 		}
 		return withBody(reply, payload)
 	}
