Log an unanswered previous owner only when the wait is over, and merge two tests

Cause: the line was also written when the previous owner had reported its outcomes by itself before it answered. Change: it is written when that process has ended or the longest wait is over; the tests of a success before a stall are one table (queue lost, queue released).

--- a/internal/service/dispatcher/attempts_test.go
+++ b/internal/service/dispatcher/attempts_test.go
@@ -208,14 +208,19 @@
 	r.new.acquire(t.Context(), []string{"ordered/1"})
 }
 
+// freezeFor freezes the network of the old dispatcher for a while.
+func (r *queueHandover) freezeFor(span time.Duration) {
+	r.network.Freeze(edgeIP, true)
+	time.AfterFunc(span, func() { r.network.Freeze(edgeIP, false) })
+}
+
 const freezeDelay = 20 * time.Millisecond // until the attempts have begun
 
 // freezeOld freezes the network of the old dispatcher for a while; the new one acquires the queue in the
 // meantime.
 func (r *queueHandover) freezeOld(t *testing.T, span time.Duration) {
 	time.Sleep(freezeDelay)
-	r.network.Freeze(edgeIP, true)
-	time.AfterFunc(span, func() { r.network.Freeze(edgeIP, false) })
+	r.freezeFor(span)
 	r.mutex.Lock()
 	r.silent = true
 	r.mutex.Unlock()
@@ -324,62 +329,49 @@
 	}
 }
 
-// A success that a stalled dispatcher has read and not recorded ends its message: the next owner of the queue
-// waits for that dispatcher, however long the stall is, and then applies the success.
+// A success that a dispatcher has read before it stalled, and neither recorded nor reported, ends its message: the
+// next owner of the queue waits for that dispatcher, however long the stall is, whether it was lost or released.
 func TestSuccessReadBeforeStallIsNotRunAgain(t *testing.T) {
-	const work, readWithin = 300 * time.Millisecond, 15 * time.Millisecond // the end is sent 20 ms after it was read
-	for _, stall := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
-		t.Run(stall.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				r := newQueueHandover(t, c, func(int, string) int {
-					time.Sleep(work)
-					return http.StatusOK
-				})
-				defer r.end()
-				time.Sleep(work + readWithin - freezeDelay)
-				r.freezeOld(t, stall)
-				time.Sleep(stall + 2*time.Second)
-				r.mutex.Lock()
-				defer r.mutex.Unlock()
-				c.Check(r.arrivalsOf("first"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
-				c.Check(r.arrivalsOf("quick"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
-				c.Check(r.ends["first"].Epoch, qt.Equals, uint64(2))
-				behind := r.arrivalsOf("behind")
-				c.Check(behind[len(behind)-1] < stall+time.Second, qt.IsTrue, qt.Commentf("%v", r.arrivals))
-			})
-		})
-	}
-}
-
-// The same holds for an owner that stalls after it has released the queue, before it can report the success.
-func TestSuccessReadAfterReleaseAndBeforeStallIsNotRunAgain(t *testing.T) {
-	const work, readWithin = 300 * time.Millisecond, 11 * time.Millisecond
-	for _, stall := range []time.Duration{time.Second, 4 * time.Second, 8 * time.Second} {
-		t.Run(stall.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				r := newQueueHandover(t, c, func(int, string) int {
-					time.Sleep(work)
-					return http.StatusOK
+	const work = 300 * time.Millisecond
+	for name, tc := range map[string]struct {
+		released   bool
+		readWithin time.Duration
+	}{
+		"lost queue":     {released: false, readWithin: 15 * time.Millisecond}, // the end is recorded 20 ms after it was read
+		"released queue": {released: true, readWithin: 11 * time.Millisecond},  // the connection for the report takes 2 ms
+	} {
+		for _, stall := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
+			t.Run(name+" "+stall.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					r := newQueueHandover(t, c, func(int, string) int {
+						time.Sleep(work)
+						return http.StatusOK
+					})
+					defer r.end()
+					time.Sleep(freezeDelay)
+					if tc.released {
+						r.release(t)
+					}
+					untilRead := work + tc.readWithin - r.old.now()
+					if tc.released {
+						time.Sleep(untilRead)
+						r.freezeFor(stall)
+					} else {
+						time.Sleep(untilRead - freezeDelay)
+						r.freezeOld(t, stall)
+					}
+					time.Sleep(stall + 2*time.Second)
+					r.mutex.Lock()
+					defer r.mutex.Unlock()
+					c.Check(r.arrivalsOf("first"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
+					c.Check(r.arrivalsOf("quick"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
+					c.Check(r.ends["first"].Epoch, qt.Equals, uint64(2))
+					behind := r.arrivalsOf("behind")
+					c.Check(behind[len(behind)-1] < stall+time.Second, qt.IsTrue, qt.Commentf("%v", r.arrivals))
 				})
-				defer r.end()
-				time.Sleep(freezeDelay)
-				r.release(t)
-				r.old.mutex.Lock()
-				time.AfterFunc(work+readWithin-r.old.now()+stall, func() { r.network.Freeze(edgeIP, false) })
-				untilRead := work + readWithin - r.old.now()
-				r.old.mutex.Unlock()
-				time.Sleep(untilRead)
-				r.network.Freeze(edgeIP, true)
-				time.Sleep(stall + 2*time.Second)
-				r.mutex.Lock()
-				defer r.mutex.Unlock()
-				c.Check(r.arrivalsOf("first"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
-				c.Check(r.arrivalsOf("quick"), qt.HasLen, 1, qt.Commentf("%v", r.arrivals))
-				c.Check(r.ends["first"].Epoch, qt.Equals, uint64(2))
 			})
-		})
+		}
 	}
 }
 
--- a/internal/service/dispatcher/previousowner.go
+++ b/internal/service/dispatcher/previousowner.go
@@ -115,9 +115,8 @@
 			return
 		}
 	}
-	if d.stillHolding(wait) || reachability == transport.Listening {
-		d.log.Info("previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node,
-			"after", d.now()-wait.began, "listening", reachability == transport.Listening, "ended", reachability == transport.Refused)
+	if ended := reachability == transport.Refused; ended || d.now() >= wait.limit {
+		d.log.Info("previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node, "after", d.now()-wait.began, "ended", ended)
 	}
 }
 
