--- a/review/yard/yard.go
+++ b/review/yard/yard.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -106,6 +107,7 @@
 	for number := 1; number <= edges; number++ {
 		y.add("edge", number, true)
 	}
+	y.closeOnSignal()
 	for _, m := range y.machines {
 		if err := m.Start(); err != nil {
 			return y, err
@@ -114,6 +116,17 @@
 	return y, nil
 }
 
+// closeOnSignal ends all processes and this one, as one that could not run, when it is asked to end.
+func (y *Yard) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		y.Close()
+		os.Exit(2)
+	}()
+}
+
 // Close ends all processes and stand-ins, and removes the folder.
 func (y *Yard) Close() {
 	for _, m := range y.machines {
@@ -324,9 +337,6 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(m.program, role)
-	if os.Getenv("VERBOSE") != "" {
-		cmd = exec.Command(m.program, role, "--verbose")
-	}
 	cmd.Env = append(os.Environ(), settings.PathVariable+"="+m.path)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
