--- a/review/cmd/stops/main.go
+++ b/review/cmd/stops/main.go
@@ -30,8 +30,10 @@
 	timeout    = 4 * time.Second        // of the route
 	leastWork  = 2500 * time.Millisecond
 	mostWork   = 3200 * time.Millisecond
-	mostDelay  = 4 * time.Second // of every other message
-	gap        = 1300 * time.Millisecond
+	mostDelay  = 4 * time.Second         // of every other message
+	gap        = 1300 * time.Millisecond // between two stops of a series
+	series     = 2                       // machines that are stopped in one series: share 0.33
+	seriesGap  = 4 * time.Second
 	margin     = 50 * time.Millisecond // before the time-out, by which an answer must be complete
 	fromStart  = 4 * time.Second       // contactMs
 	finish     = 14 * time.Second
@@ -43,7 +45,7 @@
 func run() int {
 	program := flag.String("program", "target/yardservice", "the service's program")
 	record := flag.String("record", "record.txt", "where to write what was sent, answered and run")
-	stops := flag.Int("stops", 10, "how many machines are stopped, one after the other")
+	stops := flag.Int("stops", 10, "how many stops there are, in series of two machines")
 	flag.Parse()
 	trouble := os.Getenv("TROUBLE") != "0"
 	y, err := yard.Start(*program, *record, edges)
@@ -75,7 +77,11 @@
 		if err := m.Start(); err != nil {
 			return cannotRun(err)
 		}
-		time.Sleep(gap)
+		if n%series == series-1 {
+			time.Sleep(seriesGap)
+		} else {
+			time.Sleep(gap)
+		}
 	}
 	if !trouble {
 		time.Sleep(30 * time.Second)
