Read the heads of a queue from stores in pages, and fail only a call that is too large

Cause: a store answered a request for leases with all heads of a queue in one frame. Their size was estimated at 300 bytes a head, and the first queue was never deferred. A frame over 8 MB cannot be sent; the writer closed the connection, so that no store's grant ever arrived, however often it was asked for, and each try also ended the connections to these stores.

Change: replies hold 1 MB of heads by an upper bound of their size. The holder of the lease reads the others with ReadHeads, which a store refuses to anyone else; a message that ends between two pages is listed again. FindEnds, which lists ends by ID, is paged in the same way, for dispatchers and for stores that reconcile. A value that does not fit into a frame fails its own call and leaves the connection as it is: the next frame begins a new gob stream. Attempts that a grant passes on count by their size; a queue whose attempts do not fit is deferred.

Old and new side by side: a store sends pages only to a caller that asks for them (Acquire.Paged, FindEnds.Paged), and only a store that has sent a part is asked for more. An older caller gets an error in place of a part. A store that ignores the flags answers as before.

Up to 1 MB of heads nothing changes in the number of requests.

--- a/internal/service/dispatcher/acquire.go
+++ b/internal/service/dispatcher/acquire.go
@@ -9,20 +9,20 @@
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/storeclient"
 	"yardwharf/internal/service/transport"
 )
 
 const (
-	maxAcquireBatch     = 64 // queues in one request; quartered after each round that too few stores answer
-	acquireTimeout      = 600 * time.Millisecond
-	maxAcquireTimeout   = 5 * time.Second       // doubles after each round that too few stores answer
-	acquireGrace        = 60 * time.Millisecond // for the remaining stores once enough have answered
+	maxAcquireBatch     = 64                     // queues in one request; quartered after each round that too few stores answer
+	acquireTimeout      = 600 * time.Millisecond // for one page of heads
+	maxAcquireTimeout   = 5 * time.Second        // doubles after each round that too few stores answer
+	acquireGrace        = 60 * time.Millisecond  // for the remaining stores once enough have answered
 	maxSlowRounds       = 3
 	releaseTimeout      = 600 * time.Millisecond
-	claimTimeout        = 3 * time.Second
-	findEndsTimeout     = 2 * time.Second
-	maxIDsPerFindEnds   = 10_000 // IDs in one request
-	maxOpenForFullQuery = 1000   // number of open messages up to which the stores are asked about all of them
+	claimTimeout        = 3 * time.Second // for one page of heads
+	findEndsTimeout     = 2 * time.Second // for one page
+	maxOpenForFullQuery = 1000            // number of open messages up to which the stores are asked about all of them
 )
 
 // acquireBackoff reduces the batch size and extends the timeout after slow rounds. Heads of long queues take
@@ -142,9 +142,7 @@
 	for i, link := range links {
 		answers[i].link = link
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, timeout)
-			defer cancel()
-			reply, err := transport.Call[protocol.AcquireReply](callCtx, link.client, request)
+			reply, err := storeclient.Acquire(ctx, link.client, request, timeout)
 			results <- indexedGrant{i, storeGrant{link, reply, err == nil}}
 		}()
 	}
@@ -256,21 +254,11 @@
 // addMissingEndsFrom asks a store which of the messages have ended and adds these to its grants of the queues
 // in which they are open. It reports whether the store answered.
 func (d *Dispatcher) addMissingEndsFrom(ctx context.Context, answer *storeGrant, open openMessages) bool {
-	ctx, cancel := context.WithTimeout(ctx, findEndsTimeout)
-	defer cancel()
-	ids := slices.Collect(maps.Keys(open))
-	for len(ids) > 0 {
-		batch := ids[:min(maxIDsPerFindEnds, len(ids))]
-		ids = ids[len(batch):]
-		reply, err := transport.Call[protocol.FindEndsReply](ctx, answer.link.client, protocol.FindEnds{IDs: batch})
-		if err != nil {
-			return false
-		}
-		for _, head := range reply.Heads {
-			addHead(answer.reply.Grants, open[head.ID].queues, head)
-		}
+	heads, err := storeclient.FindEnds(ctx, answer.link.client, slices.Collect(maps.Keys(open)), findEndsTimeout)
+	for _, head := range heads {
+		addHead(answer.reply.Grants, open[head.ID].queues, head)
 	}
-	return true
+	return err == nil
 }
 
 // addHead adds a head to the grants of the given queues.
--- a/internal/service/dispatcher/claim.go
+++ b/internal/service/dispatcher/claim.go
@@ -6,7 +6,7 @@
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
-	"yardwharf/internal/service/transport"
+	"yardwharf/internal/service/storeclient"
 )
 
 // noteGrant records that a store has granted a queue under its current epoch. The
@@ -47,11 +47,9 @@
 
 // claim requests a store's grants of queues that this dispatcher already owns.
 func (d *Dispatcher) claim(link *storeLink, epoch uint64, names []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-	defer cancel()
-	sent := d.now()
+	ctx, sent := context.Background(), d.now()
 	request := protocol.Acquire{Queues: names, Epoch: epoch, Held: true}
-	reply, err := transport.Call[protocol.AcquireReply](ctx, link.client, request)
+	reply, err := storeclient.Acquire(ctx, link.client, request, claimTimeout)
 	if open := d.openUnlisted(names, reply); err == nil && len(open) > 0 {
 		if !d.addMissingEndsFrom(ctx, &storeGrant{link: link, reply: reply, ok: true}, open) {
 			err = errEndsUnknown
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -359,11 +359,10 @@
 // release that arrives after the same process has acquired the queue under a new epoch has no
 // effect.
 func (g *Grantor) Release(now time.Time, identity protocol.Identity, name string, epoch uint64) bool {
-	g.Expire(now)
-	q := g.queues[name]
-	if q == nil || q.holder == nil || SessionOf(q.holder.identity) != SessionOf(identity) || q.epoch != epoch {
+	if !g.Holds(now, identity, name, epoch) {
 		return false
 	}
+	q := g.queues[name]
 	delete(q.holder.queues, name)
 	q.holder, q.changed = nil, g.nextVersion()
 	return true
@@ -401,6 +400,13 @@
 	}
 }
 
+// Holds reports whether a process holds the lease on a queue under an epoch.
+func (g *Grantor) Holds(now time.Time, identity protocol.Identity, name string, epoch uint64) bool {
+	g.Expire(now)
+	q := g.queues[name]
+	return q != nil && q.holder != nil && SessionOf(q.holder.identity) == SessionOf(identity) && q.epoch == epoch
+}
+
 // EachLease calls a function for each queue that has a holder.
 func (g *Grantor) EachLease(call func(name, holder string, epoch uint64)) {
 	for _, s := range g.sessions {
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -177,6 +177,7 @@
 	Queues []string
 	Epoch  uint64
 	Held   bool // the caller still holds these leases under this epoch
+	Paged  bool // the caller reads the heads that the reply leaves out with ReadHeads
 }
 
 // Grant answers Acquire for one queue.
@@ -190,14 +191,10 @@
 	Abandoned   bool      // the previous owner has not released the queue
 	SilentOwner Identity  // an owner that recently fell silent with its connections open: it may be stalled, and resume; zero if there is none
 	Contested   bool      // refused because the store promised that epoch to another process
-}
-
-// FindEnds asks a store which of these messages it knows to have ended: a grant lists only those that
-// ended recently.
-type FindEnds struct{ IDs []string }
 
-// FindEndsReply answers FindEnds with the heads of the ended messages.
-type FindEndsReply struct{ Heads []Head }
+	More bool       // there are heads after these
+	Next HeadCursor // where they begin
+}
 
 // AcquireReply answers Acquire.
 type AcquireReply struct {
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -8,6 +8,6 @@
 		Renew{}, RenewReply{}, Release{}, ReleaseReply{}, Query{}, QueryReply{}, CheckOwner{}, CheckOwnerReply{},
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, AcquirePermits{}, AcquirePermitsReply{},
 		Retire{}, RetireReply{}, Reconcile{}, ReconcileReply{}, ListEntries{}, ListEntriesReply{}, ReportOutcomes{}, ReportOutcomesReply{},
-		Relinquish{}, RelinquishReply{},
+		Relinquish{}, RelinquishReply{}, ReadHeads{}, ReadHeadsReply{},
 	)
 }
--- a/internal/service/store/heads_test.go
+++ b/internal/service/store/heads_test.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +47,8 @@
 	s.clock.base += endedHeadsWindow + clockRecordInterval
 	end("recent", false)
 	c.Assert(acquire(2), qt.ContentEquals, []string{"open", "owed", "recent"})
-	found := s.findEnds(protocol.FindEnds{IDs: []string{"open", "old", "unknown"}})
+	found, err := s.findEnds(protocol.FindEnds{IDs: []string{"open", "old", "unknown"}})
+	c.Assert(err, qt.IsNil)
 	c.Assert(found.Heads, qt.HasLen, 1)
 	c.Assert(found.Heads[0].ID, qt.Equals, "old")
 	c.Assert(found.Heads[0].Stamp, qt.Equals, "seal")
@@ -90,9 +93,81 @@
 		time.Sleep(89 * time.Second)
 		c.Check(held(), qt.DeepEquals, []string{"ended", "with retention", "open"})
 		time.Sleep(5 * time.Second)
-		c.Check(s.heads(s.index.queue("q"), 0), qt.HasLen, 0)
+		listed, _, _ := s.heads(s.index.queue("q"), protocol.HeadCursor{}, headPageBytes)
+		c.Check(listed, qt.HasLen, 0)
 		c.Check(held(), qt.DeepEquals, []string{"ended", "with retention"})
 		time.Sleep(10 * time.Second)
 		c.Check(held(), qt.HasLen, 0)
 	})
 }
+
+// LOST: a queue with more heads than one reply may hold is listed in pages. Only the holder of its lease may read them, and
+// a caller that does not read pages gets an error in place of a part.
+func TestHeadsAreListedInPages(t *testing.T) {
+	c := qt.New(t)
+	s, err := openStore(options{
+		files: segmenttest.NewDisk(), storeID: "disk", segmentSize: 1 << 20, maxSegments: 32, maxIndexBytes: 32 << 20,
+		statusTime: testStatusTime, bootstrap: true, role: DispatcherRole, version: 1, log: logr.Discard(),
+	})
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Assert(s.close(), qt.IsNil) }()
+	owner, other := dispatcher("edge-1"), dispatcher("edge-2")
+	acquire := func(request protocol.Acquire) (protocol.AcquireReply, error) {
+		request.Queues, request.Held = []string{"q", "r"}, true
+		reply, commit, err := s.acquire(owner, request)
+		return reply, awaitCommit(commit, err)
+	}
+	_, err = acquire(protocol.Acquire{Epoch: 1})
+	c.Assert(err, qt.IsNil)
+	var ids []string
+	for i := range (maxReplyBytes + headPageBytes) / maxFieldBytes / 2 {
+		m := message(fmt.Sprintf("m-%d", i), "q", 1)
+		m.Head.Target = strings.Repeat("t", maxFieldBytes)
+		m.Head.CallbackURL = strings.Repeat("u", maxFieldBytes)
+		_, commit, err := s.append(owner, &m)
+		c.Assert(awaitCommit(commit, err), qt.IsNil)
+		ids = append(ids, m.Head.ID)
+	}
+	_, err = acquire(protocol.Acquire{Epoch: 2})
+	c.Check(err, qt.ErrorIs, errNeedsPages)
+
+	reply, err := acquire(protocol.Acquire{Epoch: 3, Paged: true})
+	c.Assert(err, qt.IsNil)
+	c.Check(reply.Grants[1].Granted, qt.IsTrue, qt.Commentf("the heads of another queue do not defer it"))
+	grant := reply.Grants[0]
+	listed := headIDs(grant.Heads)
+	request := protocol.ReadHeads{Queue: "q", Epoch: 3, From: grant.Next}
+	_, err = s.readHeads(other, request)
+	c.Check(err, qt.ErrorIs, errLeaseNotHeld)
+	_, err = s.readHeads(owner, protocol.ReadHeads{Queue: "q", Epoch: 2, From: grant.Next})
+	c.Check(err, qt.ErrorIs, errLeaseNotHeld)
+	for more := grant.More; more; {
+		page, err := s.readHeads(owner, request)
+		c.Assert(err, qt.IsNil)
+		listed = append(listed, headIDs(page.Heads)...)
+		request.From, more = page.Next, page.More
+	}
+	c.Check(listed, qt.DeepEquals, ids)
+
+	ends := make([]protocol.End, len(ids))
+	for i, id := range ids {
+		ends[i] = protocol.End{ID: id, Queue: "q", State: protocol.Completed, Stamp: strings.Repeat("s", maxFieldBytes), CallbackDue: true, Epoch: 3}
+	}
+	c.Assert(settleEnds(s.endBatch(owner, &protocol.EndBatch{Ends: ends})), qt.IsNil)
+	page, err := s.readHeads(owner, protocol.ReadHeads{Queue: "q", Epoch: 3, From: grant.Next})
+	c.Assert(err, qt.IsNil)
+	c.Check(page.Heads[0].ID, qt.Equals, "m-0", qt.Commentf("what ends between two pages is listed again, as ended"))
+	_, err = s.findEnds(protocol.FindEnds{IDs: ids})
+	c.Check(err, qt.ErrorIs, errNeedsPages)
+	found, err := s.findEnds(protocol.FindEnds{IDs: ids, Paged: true})
+	c.Assert(err, qt.IsNil)
+	c.Check(found.Covered, qt.Equals, len(found.Heads))
+	c.Check(found.Covered < len(ids), qt.IsTrue)
+}
+
+func headIDs(heads []protocol.Head) (ids []string) {
+	for _, head := range heads {
+		ids = append(ids, head.ID)
+	}
+	return ids
+}
--- a/internal/service/store/index.go
+++ b/internal/service/store/index.go
@@ -40,6 +40,7 @@
 	end            segment.Position
 	failuresRecord segment.Position
 	list           *entryList
+	number         uint64 // position in the list: higher than those of all earlier entries
 	previous, next *entry
 	accountedBytes int
 }
@@ -48,10 +49,12 @@
 type entryList struct {
 	first, last *entry
 	count       int
+	lastNumber  uint64
 }
 
 func (l *entryList) add(e *entry) {
-	e.list, e.previous, e.next = l, l.last, nil
+	l.lastNumber++
+	e.list, e.number, e.previous, e.next = l, l.lastNumber, l.last, nil
 	if l.last != nil {
 		l.last.next = e
 	} else {
--- a/internal/service/store/query.go
+++ b/internal/service/store/query.go
@@ -3,20 +3,13 @@
 import (
 	"cmp"
 	"errors"
-	"slices"
 	"time"
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/segment"
 )
 
-const (
-	maxEndedHeads      = 2000            // in a grant, besides those whose call-back is due
-	endedHeadsWindow   = 5 * time.Second // since the end; FindEnds returns older ones
-	maxReplyHeadBytes  = 6 << 20         // estimated bytes of the heads in one reply
-	estimatedHeadBytes = 300             // estimated bytes of a head in a reply
-	maxReadAttempts    = 3
-)
+const maxReadAttempts = 3
 
 // query returns what this store knows of a message.
 func (s *store) query(q protocol.Query) (protocol.QueryReply, error) {
@@ -67,42 +60,3 @@
 	reply.Head, reply.Body = head, content.message.Body
 	return reply, nil
 }
-
-// heads returns the heads that a new owner of a queue needs: open messages, ended
-// ones whose call-back is due, and a bounded number of others that ended recently.
-func (s *store) heads(q *queueIndex, maxEnded int) []protocol.Head {
-	now := s.clock.now()
-	heads := make([]protocol.Head, 0, q.open.count+q.callbacksDue)
-	for e := q.open.first; e != nil; e = e.next {
-		if !e.expired(now, s.options.statusTime) {
-			heads = append(heads, e.headAt(now))
-		}
-	}
-	open, others := len(heads), 0
-	for e := q.ended.last; e != nil; e = e.previous {
-		switch {
-		case e.callbackDue:
-		case others < maxEnded && now-e.endedAt <= endedHeadsWindow:
-			others++
-		default:
-			continue
-		}
-		heads = append(heads, e.headAt(now))
-	}
-	slices.Reverse(heads[open:])
-	return heads
-}
-
-// findEnds returns the heads of the requested messages that have ended.
-func (s *store) findEnds(request protocol.FindEnds) protocol.FindEndsReply {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := s.clock.now()
-	var reply protocol.FindEndsReply
-	for _, id := range request.IDs {
-		if e := s.index.entries[id]; e != nil && e.state.Ended() {
-			reply.Heads = append(reply.Heads, e.headAt(now))
-		}
-	}
-	return reply
-}
--- a/internal/service/store/reconcile.go
+++ b/internal/service/store/reconcile.go
@@ -12,6 +12,7 @@
 
 	"yardwharf/internal/service/network"
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/storeclient"
 	"yardwharf/internal/service/transport"
 )
 
@@ -327,13 +328,11 @@
 
 // copyEnds copies the ends of messages from one source.
 func (a *reconcileAttempt) copyEnds(from *source, ids []string) error {
-	ctx, cancel := context.WithTimeout(a.ctx, fetchTimeout)
-	defer cancel()
-	reply, err := transport.Call[protocol.FindEndsReply](ctx, from.client, protocol.FindEnds{IDs: ids})
+	heads, err := storeclient.FindEnds(a.ctx, from.client, ids, fetchTimeout)
 	if err != nil {
 		return err
 	}
-	for _, head := range reply.Heads {
+	for _, head := range heads {
 		if err := a.importMessage(protocol.QueryReply{Head: head, Held: true}); err != nil {
 			return err
 		}
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -222,8 +222,13 @@
 		reply, commit, err := s.acquire(peer.Identity, request)
 		return reply, awaitCommit(commit, err)
 	})
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.ReadHeads) (protocol.ReadHeadsReply, error) {
+		reply, err := s.readHeads(peer.Identity, request)
+		return reply, awaitCommit(s.log.Barrier(), err)
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.FindEnds) (protocol.FindEndsReply, error) {
-		return s.findEnds(request), awaitCommit(s.log.Barrier(), nil)
+		reply, err := s.findEnds(request)
+		return reply, awaitCommit(s.log.Barrier(), err)
 	})
 	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.Renew) (protocol.RenewReply, error) {
 		reply, commit, err := s.renew(peer.Identity, request)
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -140,7 +140,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	reply := protocol.AcquireReply{StoreID: s.log.StoreID(), StoresKnown: s.storesKnown}
-	now, size := time.Now(), 0
+	now, size := time.Now(), grantsSize{paged: request.Paged}
 	for _, name := range request.Queues {
 		if err := checkName("queue", name); err != nil {
 			return reply, nil, err
@@ -148,8 +148,7 @@
 		if err := s.checkQueues(name); err != nil {
 			return reply, nil, err
 		}
-		q := s.index.queue(name)
-		if estimate := q.open.count * estimatedHeadBytes; size > 0 && size+estimate > maxReplyHeadBytes {
+		if len(reply.Grants) > 0 && !s.grantFits(now, name, size) {
 			_, promised := s.grantor.Lease(name)
 			reply.Grants = append(reply.Grants, protocol.Grant{Queue: name, Promised: promised})
 			continue
@@ -159,15 +158,64 @@
 			return reply, nil, err
 		}
 		if grant.Granted {
-			room := max(maxReplyHeadBytes-size-q.open.count*estimatedHeadBytes, 0) / estimatedHeadBytes
-			grant.Heads = s.heads(q, min(maxEndedHeads, room/2))
-			size += len(grant.Heads) * estimatedHeadBytes
+			if err := s.addHeads(&grant, &size); err != nil {
+				return reply, nil, err
+			}
 		}
 		reply.Grants = append(reply.Grants, grant)
 	}
 	return reply, s.log.Barrier(), nil
 }
 
+// grantsSize is the size of the grants in a reply, by its upper bound.
+type grantsSize struct {
+	paged           bool // the caller reads the heads that the reply leaves out
+	heads, attempts int  // bytes
+}
+
+// headRoom returns how many bytes of heads the reply may still take.
+func (g *grantsSize) headRoom() int { return max(0, replyRoom(g.paged)-g.heads) }
+
+// grantFits reports whether the grant of one more queue fits into the reply. If the caller reads pages, only the
+// attempts have to: no other reply contains them. The mutex is held.
+func (s *store) grantFits(now time.Time, name string, size grantsSize) bool {
+	if size.attempts+attemptsSize(s.attempts.forQueue(now, name)) > maxReplyBytes-headPageBytes {
+		return false
+	}
+	if size.paged {
+		return true
+	}
+	_, _, more := s.heads(s.index.queue(name), protocol.HeadCursor{}, size.headRoom())
+	return !more
+}
+
+// addHeads adds the heads that a grant has room for. The mutex is held.
+func (s *store) addHeads(grant *protocol.Grant, size *grantsSize) error {
+	size.attempts += attemptsSize(grant.Attempts)
+	room := size.headRoom()
+	if room == 0 {
+		grant.More = true
+		return nil
+	}
+	grant.Heads, grant.Next, grant.More = s.heads(s.index.queue(grant.Queue), protocol.HeadCursor{}, room)
+	if grant.More && !size.paged {
+		return errNeedsPages
+	}
+	for i := range grant.Heads {
+		size.heads += grant.Heads[i].MaxEncodedBytes()
+	}
+	return nil
+}
+
+// attemptsSize returns an upper bound of the size of attempts in a reply.
+func attemptsSize(attempts []protocol.Attempt) int {
+	size := 0
+	for i := range attempts {
+		size += attempts[i].MaxEncodedBytes()
+	}
+	return size
+}
+
 func (s *store) acquireQueue(now time.Time, identity protocol.Identity, request protocol.Acquire, name string) (protocol.Grant, error) {
 	connections := s.connections[lease.SessionOf(identity)]
 	decision := s.grantor.Acquire(now, identity, connections, name, request.Epoch, request.Held)
--- a/internal/service/transport/client.go
+++ b/internal/service/transport/client.go
@@ -199,7 +199,8 @@
 		conn: conn, ctx: ctx, cancel: cancel, started: time.Now(),
 		requests: make(chan envelope, callQueueSize), pending: map[uint64]chan envelope{},
 	}
-	go writeLoop(ctx, conn, writer, c.requests, &c.writing)
+	loop := &writeLoop{conn: conn, writer: writer, queue: c.requests, writing: &c.writing, tooLarge: c.reject}
+	go loop.run(ctx)
 	go c.readLoop(reader)
 	return c, nil
 }
@@ -244,6 +245,9 @@
 	}
 	select {
 	case answer := <-reply:
+		if answer.unsent != nil {
+			return nil, verdict.New(verdict.NotRun, answer.unsent)
+		}
 		if answer.Error != "" {
 			return nil, verdict.New(verdict.MayHaveRun, &RemoteError{answer.Error})
 		}
@@ -277,16 +281,27 @@
 			return
 		}
 		c.received.Store(int64(time.Since(c.started)))
-		c.mutex.Lock()
-		reply := c.pending[answer.Call]
-		delete(c.pending, answer.Call)
-		c.mutex.Unlock()
-		if reply != nil {
-			reply <- answer
-		}
+		c.deliver(answer)
 	}
 }
 
+// deliver passes an answer to the call that waits for it.
+func (c *clientConn) deliver(answer envelope) {
+	c.mutex.Lock()
+	reply := c.pending[answer.Call]
+	delete(c.pending, answer.Call)
+	c.mutex.Unlock()
+	if reply != nil {
+		reply <- answer
+	}
+}
+
+// reject fails the call of a request that was not sent.
+func (c *clientConn) reject(request envelope, cause error) error {
+	c.deliver(envelope{Call: request.Call, Reply: true, unsent: Class.Wrap(cause)})
+	return nil
+}
+
 // fail closes the connection, which fails all calls on it.
 func (c *clientConn) fail() {
 	c.cancel()
--- a/internal/service/transport/frame.go
+++ b/internal/service/transport/frame.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/gob"
+	"fmt"
 	"io"
 	"net"
 	"time"
@@ -23,9 +24,19 @@
 // MaxFrame is the maximum size of a frame in bytes, before and after decompression.
 const MaxFrame = 8 << 20
 
+// frameTooLargeError reports a value that does not fit into a frame. Nothing of it was written, and the connection
+// can be used further.
+type frameTooLargeError struct{ size int }
+
+// Error implements error.
+func (e *frameTooLargeError) Error() string {
+	return fmt.Sprintf("frame of %d bytes is over the limit of %d", e.size, MaxFrame)
+}
+
 const (
 	headerSize        = 4
 	compressedFlag    = 1 << 31 // flag bit in the size field of a frame
+	restartFlag       = 1 << 30 // flag bit in the size field: the frame begins a new gob stream
 	maxRetainedBuffer = 1 << 20 // larger buffers are released after use
 	inflateBufferSize = 512
 	bufferSize        = 16 << 10
@@ -45,6 +56,8 @@
 	Reply bool
 	Error string
 	Body  any
+
+	unsent error // why the request was not sent; not encoded
 }
 
 // frameWriter is the sending half of a connection.
@@ -54,6 +67,8 @@
 	encoder    *gob.Encoder
 	history    *history // nil: frames are not compressed
 	compressed bytes.Buffer
+
+	restarted bool // the encoder is new: the next frame begins a new gob stream
 }
 
 // frameBuffer collects the encoder's output for one frame.
@@ -73,15 +88,18 @@
 // enableCompression turns on compression for all later frames.
 func (w *frameWriter) enableCompression() { w.history = &history{} }
 
-// write encodes one value as a frame. The frame may stay buffered until flush.
+// write encodes one value as a frame. The frame may stay buffered until flush. A value that does not fit into a frame
+// results in a frameTooLargeError.
 func (w *frameWriter) write(value any) error {
+	defer w.dropLargeBuffers()
 	w.frame.bytes = w.frame.bytes[:0]
 	if err := w.encoder.Encode(value); err != nil {
 		return Class.Wrap(err)
 	}
 	content, flag := w.frame.bytes, uint32(0)
 	if len(content) > MaxFrame {
-		return Class.New("frame of %d bytes is over the limit of %d", len(content), MaxFrame)
+		w.restart()
+		return &frameTooLargeError{len(content)}
 	}
 	if w.history != nil {
 		shorter, err := w.history.compress(&w.compressed, content)
@@ -92,9 +110,18 @@
 			content, flag = w.compressed.Bytes(), compressedFlag
 		}
 	}
-	err := w.writeFrame(content, flag)
-	w.dropLargeBuffers()
-	return Class.Wrap(err)
+	if w.restarted {
+		w.restarted = false
+		flag |= restartFlag
+	}
+	return Class.Wrap(w.writeFrame(content, flag))
+}
+
+// restart begins a new gob stream, because the receiver has not got the type definitions that the encoder has just
+// written.
+func (w *frameWriter) restart() {
+	w.encoder = gob.NewEncoder(&w.frame)
+	w.restarted = true
 }
 
 func (w *frameWriter) writeFrame(content []byte, flag uint32) error {
@@ -178,11 +205,14 @@
 		return err
 	}
 	word := binary.BigEndian.Uint32(header[:])
-	size, compressed := int(word&^compressedFlag), word&compressedFlag != 0
+	size, compressed := int(word&^(compressedFlag|restartFlag)), word&compressedFlag != 0
 	if size == 0 || size > MaxFrame || compressed && r.history == nil {
 		return Class.New("frame of %d bytes is outside the limits", size)
 	}
 	r.remaining = size
+	if word&restartFlag != 0 {
+		r.decoder = gob.NewDecoder(frameBody{r})
+	}
 	if r.history != nil {
 		if err := r.readContent(compressed); err != nil {
 			return err
--- a/internal/service/transport/server.go
+++ b/internal/service/transport/server.go
@@ -162,7 +162,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	replies := make(chan envelope, replyQueueSize)
-	go writeLoop(ctx, conn, writer, replies, &stopwatch{})
+	loop := &writeLoop{conn: conn, writer: writer, queue: replies, writing: &stopwatch{}}
+	loop.tooLarge = func(reply envelope, err error) error {
+		s.log.Info("reply too large", "to", peer.Identity.Node, "reply", fmt.Sprintf("%T", reply.Body), "cause", err.Error())
+		return writer.write(envelope{Call: reply.Call, Reply: true, Error: err.Error()})
+	}
+	go loop.run(ctx)
 	s.onConnect(peer)
 	for {
 		var request envelope
@@ -239,35 +244,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// writeLoop writes queued envelopes and flushes when the queue is empty. It closes
-// the connection when it returns, which ends the reader as well. The stopwatch measures
-// each write.
-func writeLoop(ctx context.Context, conn net.Conn, writer *frameWriter, queue <-chan envelope, writing *stopwatch) {
-	defer conn.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case next := <-queue:
-			writing.start()
-			if writer.write(next) != nil {
-				return
-			}
-		}
-		for more := true; more; {
-			select {
-			case next := <-queue:
-				if writer.write(next) != nil {
-					return
-				}
-			default:
-				more = false
-			}
-		}
-		if writer.flush() != nil {
-			return
-		}
-		writing.stop()
-	}
-}
--- a/internal/service/transport/transport_test.go
+++ b/internal/service/transport/transport_test.go
@@ -158,3 +158,30 @@
 	server.Close()
 	<-ended
 }
+
+// LOST: what does not fit into a frame fails its own call only; the other calls of the connection go on.
+func TestOversizeFrameFailsOnlyItsCall(t *testing.T) {
+	c := qt.New(t)
+	server := newServer()
+	connections := 0
+	server.OnConnect(func(*Peer) { connections++ })
+	Handle(server, func(_ context.Context, _ *Peer, request protocol.Query) (protocol.QueryReply, error) {
+		if request.WithBody {
+			return protocol.QueryReply{Body: make([]byte, MaxFrame)}, nil
+		}
+		return protocol.QueryReply{Head: protocol.Head{ID: request.ID}}, nil
+	})
+	client := NewClient(protocol.Identity{Node: "caller"}, serve(c, server))
+	defer client.Close()
+	for range 2 {
+		_, err := Call[protocol.QueryReply](context.Background(), client, protocol.Query{WithBody: true})
+		c.Check(err, qt.ErrorMatches, ".*over the limit.*")
+		_, err = Call[protocol.AppendReply](context.Background(), client, protocol.Append{Message: protocol.Message{Body: make([]byte, MaxFrame)}})
+		c.Check(err, qt.ErrorMatches, ".*over the limit.*")
+		c.Check(verdict.Of(err), qt.Equals, verdict.NotRun)
+		reply, err := Call[protocol.QueryReply](context.Background(), client, protocol.Query{ID: "m"})
+		c.Check(err, qt.IsNil)
+		c.Check(reply.Head.ID, qt.Equals, "m")
+	}
+	c.Check(connections, qt.Equals, 1)
+}
