Have stores keep outcomes that a leaving dispatcher is the only one to know

Cause: a leaving dispatcher releases its queues at 0.75 of the grace period at the latest and reads answers until 0.85. A success in between can be told to the new owner only, whom it knows from a table that is up to 400 ms old. It ended at 0.85 with what it had told nobody; the new owner found no process to ask and ran the message again.

Change: what a dispatcher learns of a queue that is no longer its own is told to the new owner or, where that one does not confirm it, kept by at least f + 1 stores (KeepAttempts). A leaving dispatcher first closes the connections on which senders still have messages, so that nothing more is read, and ends only when each outcome is told or kept, at 0.95 of the grace period at the latest. The new owner reads what N - f stores keep (ReadAttempts) each 400 ms while it holds messages, and before it ends a hold because the previous owner has ended; if too few stores answer it extends the hold. An attempt that is cut off in this way is not reported as over, so that its hold lasts as long as the sender may run it.

The same cause elsewhere: a release listed 1,000 attempts, so that the messages of further ones ran again at once; the others are kept by stores before the release. A store dropped the oldest of more than 1,000 attempts of a queue silently; it keeps up to 100,000 now, in pages, and refuses more with an error. A later account of a message that had not ended could hide its end at a store.

Old and new side by side: renewals say whether a store answers the new requests; without that they are not sent, and a dispatcher reports as before.

Cost: no 202 and no send waits longer. A hand-over with over 1,000 attempts under way takes one more round to the stores per further 1,000. The end of the process waits for one round to the stores if outcomes are not told by then.

--- a/internal/service/dispatcher/acquire_test.go
+++ b/internal/service/dispatcher/acquire_test.go
@@ -29,6 +29,7 @@
 	released       int
 	releasedQueues []string
 	release        func(protocol.Release)
+	kept           map[string][]protocol.Attempt // by queue
 	renew          func(protocol.Renew) protocol.RenewReply
 }
 
@@ -53,7 +54,27 @@
 	server := transport.NewServer(protocol.Identity{Node: ip, Role: "store"}, logr.Discard())
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Acquire) (protocol.AcquireReply, error) {
 		time.Sleep(s.delay)
-		return s.acquire(request), nil
+		reply := s.acquire(request)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		for i := range reply.Grants {
+			reply.Grants[i].Attempts = append(reply.Grants[i].Attempts, s.kept[reply.Grants[i].Queue]...)
+		}
+		return reply, nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.KeepAttempts) (protocol.KeepAttemptsReply, error) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if s.kept == nil {
+			s.kept = map[string][]protocol.Attempt{}
+		}
+		s.kept[request.Queue] = append(s.kept[request.Queue], request.Attempts...)
+		return protocol.KeepAttemptsReply{StoreID: "disk"}, nil
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ReadAttempts) (protocol.ReadAttemptsReply, error) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return protocol.ReadAttemptsReply{StoreID: "disk", Attempts: s.kept[request.Queue]}, nil
 	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.FindEnds) (protocol.FindEndsReply, error) {
 		return s.findEnds(request), nil
--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -37,7 +37,7 @@
 			d.reportOutcome(owned.Name, attempt.Outcome)
 		}
 	}
-	return attempts[:min(len(attempts), maxAttemptsPerRelease)]
+	return attempts
 }
 
 // unsettledAttempts returns the unsettled attempts of a queue, those at senders first. Held messages
@@ -100,46 +100,78 @@
 	}
 }
 
+// outcomeReport holds the outcomes of a queue's attempts that its new owner has not confirmed. Outcomes are numbered from
+// 0 on in the order in which they were added.
+type outcomeReport struct {
+	outcomes  []protocol.Outcome
+	confirmed int // number of outcomes that the new owner has confirmed; they are no longer in the list
+	kept      int // number of outcomes of which enough stores keep each, for the next owners to read
+}
+
+// unkept returns the first of the outcomes that are neither confirmed nor kept.
+func (r *outcomeReport) unkept() []protocol.Outcome {
+	rest := r.outcomes[max(0, r.kept-r.confirmed):]
+	return rest[:min(len(rest), maxOutcomesPerReport)]
+}
+
+// firstUnkept returns the number of the first outcome that is neither confirmed nor kept.
+func (r *outcomeReport) firstUnkept() int { return max(r.kept, r.confirmed) }
+
+// confirm removes the first outcomes, which the new owner has confirmed.
+func (r *outcomeReport) confirm(count int) {
+	r.outcomes = r.outcomes[count:]
+	r.confirmed += count
+}
+
 // reportOutcome reports the outcome of a message's attempts to the new owner of its queue, as soon as
 // there is one. The mutex is held.
 func (d *Dispatcher) reportOutcome(name string, outcome protocol.Outcome) {
-	d.unreportedOutcomes[name] = append(d.unreportedOutcomes[name], outcome)
-	if len(d.unreportedOutcomes[name]) == 1 {
-		go d.reportOutcomes(name)
+	report := d.unreportedOutcomes[name]
+	if report == nil {
+		report = &outcomeReport{}
+		d.unreportedOutcomes[name] = report
+		go d.reportOutcomes(name, report)
 	}
+	report.outcomes = append(report.outcomes, outcome)
 }
 
-// reportOutcomes reports outcomes to the new owner of a queue until it has confirmed all of them, or
-// until nothing was confirmed for maxReportWait.
-func (d *Dispatcher) reportOutcomes(name string) {
-	deadline := d.now() + maxReportWait
-	for d.now() < deadline {
+// reportOutcomes reports outcomes to the new owner of a queue until it has confirmed all of them, or until there was no
+// progress for maxReportWait. Stores keep those that the owner does not confirm, because this process may end before.
+func (d *Dispatcher) reportOutcomes(name string, report *outcomeReport) {
+	for deadline := d.now() + maxReportWait; d.now() < deadline; {
 		d.mutex.Lock()
-		outcomes := d.unreportedOutcomes[name]
+		batch := report.outcomes[:min(len(report.outcomes), maxOutcomesPerReport)]
 		d.mutex.Unlock()
-		batch := outcomes[:min(len(outcomes), maxOutcomesPerReport)]
-		if !d.reportToOwner(protocol.ReportOutcomes{Queue: name, Outcomes: batch}) {
+		switch {
+		case d.reportToOwner(protocol.ReportOutcomes{Queue: name, Outcomes: batch}):
+			if d.outcomesConfirmed(name, report, len(batch)) {
+				return
+			}
+			deadline = d.now() + maxReportWait
+		case d.keepOutcomes(name, report):
+			deadline = d.now() + maxReportWait
+		default:
 			time.Sleep(reportRetryPause)
-			continue
-		}
-		d.mutex.Lock()
-		rest := d.unreportedOutcomes[name][len(batch):]
-		d.unreportedOutcomes[name] = rest
-		if len(rest) == 0 {
-			delete(d.unreportedOutcomes, name)
 		}
-		d.mutex.Unlock()
-		if len(rest) == 0 {
-			return
-		}
-		deadline = d.now() + maxReportWait
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.log.Info("gave up reporting attempts to the new owner", "queue", name, "messages", len(d.unreportedOutcomes[name]))
+	d.log.Info("gave up reporting attempts to the new owner", "queue", name, "messages", len(report.outcomes), "notKept", len(report.unkept()))
 	delete(d.unreportedOutcomes, name)
 }
 
+// outcomesConfirmed removes outcomes that the new owner has confirmed, and reports whether these were the last.
+func (d *Dispatcher) outcomesConfirmed(name string, report *outcomeReport, count int) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	report.confirm(count)
+	if len(report.outcomes) == 0 {
+		delete(d.unreportedOutcomes, name)
+		return true
+	}
+	return false
+}
+
 // reportToOwner makes one report to the owner of a queue. It returns true if the owner has confirmed it, or
 // if this dispatcher has ended.
 func (d *Dispatcher) reportToOwner(report protocol.ReportOutcomes) bool {
@@ -197,3 +229,48 @@
 		pause(ctx, handOverPollInterval)
 	}
 }
+
+// abandonAttempts closes the connections on which senders still have messages, so that no further answer is read. The
+// new owners hold these messages as long as the attempts may last.
+func (d *Dispatcher) abandonAttempts() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.abandoning = true
+	d.cancelAttempts()
+}
+
+// awaitOutcomesKnown waits until all attempts have ended here and each outcome that was read is known to the new owner
+// of its queue or kept by enough stores. Until then this process is the only one that knows it.
+func (d *Dispatcher) awaitOutcomesKnown(ctx context.Context) {
+	for {
+		unkept := d.unkeptReports()
+		if unkept == nil {
+			return
+		}
+		for name, report := range unkept {
+			d.keepOutcomes(name, report)
+		}
+		if ctx.Err() != nil {
+			d.log.Info("leaving with outcomes that no other process knows", "queues", len(unkept))
+			return
+		}
+		pause(ctx, handOverPollInterval)
+	}
+}
+
+// unkeptReports returns the reports with outcomes that only this process knows. It returns nil if there are none and
+// no attempt is under way any more.
+func (d *Dispatcher) unkeptReports() map[string]*outcomeReport {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	unkept := map[string]*outcomeReport{}
+	for name, report := range d.unreportedOutcomes {
+		if len(report.unkept()) > 0 {
+			unkept[name] = report
+		}
+	}
+	if len(unkept) == 0 && d.attemptsUnderWay == 0 {
+		return nil
+	}
+	return unkept
+}
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -10,6 +10,7 @@
 	"yardwharf/internal/service/delivery"
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/verdict"
 )
 
 const (
@@ -176,9 +177,13 @@
 	if request == nil {
 		return
 	}
-	result := d.client.Deliver(context.Background(), *request)
+	result := d.client.Deliver(d.attemptsContext, *request)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.attemptsUnderWay--
+	if d.abandoning && result.Verdict == verdict.MayHaveRun {
+		return
+	}
 	d.attemptEnded(state, attempt, result)
 }
 
@@ -214,6 +219,7 @@
 		return state, nil
 	}
 	state.deadline = d.now() + state.route.Timeout() + handOverSlack
+	d.attemptsUnderWay++
 	return state, &delivery.Request{
 		Address: attempt.Address, Instance: attempt.Instance, Head: state.entry.HeadAt(d.now()), Body: body,
 		Timeout: state.route.Timeout(), MaxConnections: attempt.MaxConnections,
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -42,6 +42,9 @@
 	draining      atomic.Bool   // shutdown has begun: new work goes to other dispatchers
 	counters      counters
 
+	attemptsContext context.Context // of all attempts
+	cancelAttempts  context.CancelFunc
+
 	ownershipWake chan struct{}
 	repairWake    chan struct{}
 	pumpWake      chan struct{}
@@ -77,8 +80,10 @@
 	unansweredSince     time.Duration // since when too few stores have answered renewals; 0 if enough do
 	unsafeEndsCheckedAt time.Duration // when ends that are not safe were last checked
 	lateEnds            lateEnds
-	unreportedOutcomes  map[string][]protocol.Outcome // by queue: outcomes of attempts not yet reported to the queue's new owner
-	awaitedRevision     int64                         // latest revision that a message was accepted under and that is not in force here yet
+	unreportedOutcomes  map[string]*outcomeReport // by queue
+	attemptsUnderWay    int                       // calls of senders that have not returned
+	abandoning          bool                      // connections to senders are closed; answers that were not read whole prove nothing
+	awaitedRevision     int64                     // latest revision that a message was accepted under and that is not in force here yet
 }
 
 // Run runs the role until the context ends, then hands over its queues.
@@ -126,6 +131,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.ended = true
+	d.abandoning = true
+	d.cancelAttempts()
 	for _, link := range d.stores {
 		link.stop()
 	}
@@ -138,6 +145,7 @@
 func newDispatcher(s *settings.Settings, log logr.Logger) *Dispatcher {
 	now := time.Now()
 	identity := s.Identity(Role, protocol.DispatcherPort)
+	attemptsContext, cancelAttempts := context.WithCancel(context.Background())
 	return &Dispatcher{
 		settings: s, identity: identity, log: log, started: now,
 		localQueue:         localQueueName(identity, 0),
@@ -155,7 +163,9 @@
 		senders:            map[string][]view.Sender{},
 		deliveries:         map[string]*deliveryState{},
 		receivers:          map[string]*receiver{},
-		unreportedOutcomes: map[string][]protocol.Outcome{},
+		unreportedOutcomes: map[string]*outcomeReport{},
+		attemptsContext:    attemptsContext,
+		cancelAttempts:     cancelAttempts,
 		peers:              map[string]*transport.Client{},
 		memoryMb:           s.Limits.MemoryMb,
 	}
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +68,10 @@
 	if len(attempts) > 0 {
 		d.log.Info("queue released with unsettled attempts", "queue", owned.Name, "messages", len(attempts))
 	}
+	for further := range slices.Chunk(attempts[min(len(attempts), maxAttemptsPerRelease):], maxAttemptsPerRelease) {
+		d.keepAttempts(context.WithoutCancel(ctx), owned.Name, further)
+	}
+	attempts = attempts[:min(len(attempts), maxAttemptsPerRelease)]
 	var calls sync.WaitGroup
 	for _, link := range links {
 		calls.Add(1)
--- a/internal/service/dispatcher/leave.go
+++ b/internal/service/dispatcher/leave.go
@@ -15,6 +15,7 @@
 	sharedQueuesFraction = 0.6  // deadline for deliveries of shared queues
 	localQueueFraction   = 0.75 // deadline for deliveries of the local queue
 	attemptsFraction     = 0.85 // deadline for deliveries that outlast their queues
+	outcomesFraction     = 0.95 // deadline for making the outcomes that were read known to other processes
 	requestsFraction     = 0.1  // for client requests under way, each time they are awaited
 )
 
@@ -46,7 +47,13 @@
 	last, cancelLast := context.WithDeadline(context.Background(), start.Add(fraction(grace, attemptsFraction)))
 	defer cancelLast()
 	d.awaitAttempts(last)
-	front.shutdown(fraction(grace, requestsFraction))
+	d.abandonAttempts()
+	known, cancelKnown := context.WithDeadline(context.Background(), start.Add(fraction(grace, outcomesFraction)))
+	defer cancelKnown()
+	var ending sync.WaitGroup
+	ending.Go(func() { front.shutdown(fraction(grace, requestsFraction)) })
+	ending.Go(func() { d.awaitOutcomesKnown(known) })
+	ending.Wait()
 	d.log.Info("left")
 }
 
--- a/internal/service/dispatcher/previousowner.go
+++ b/internal/service/dispatcher/previousowner.go
@@ -21,6 +21,8 @@
 	relinquishRetryPause = 50 * time.Millisecond
 	holdExtension        = 2 * time.Second // longer than one probe and one request
 	askBeforeHoldEnds    = 400 * time.Millisecond
+
+	keptOutcomesPollInterval = 400 * time.Millisecond
 )
 
 var errOwnsNewerEpoch = Class.New("this process owns the queue under a newer epoch")
@@ -94,36 +96,63 @@
 }
 
 // settleWithPreviousOwner asks the previous owner for the outcomes of its attempts, and extends the holds as long as
-// its process exists and does not answer.
+// its process exists and does not answer. What a process that has ended knew is read from the stores.
 func (d *Dispatcher) settleWithPreviousOwner(wait *previousOwnerWait) {
-	time.Sleep(wait.askFrom - wait.began)
-	request := protocol.Relinquish{Queue: wait.owned.Name, Epoch: wait.owned.Epoch, Incarnation: wait.previous.Incarnation}
+	d.pollKeptOutcomes(wait)
 	reachability := transport.Unreachable
 	for asked := false; d.stillHolding(wait); asked = true {
 		if asked {
 			time.Sleep(relinquishRetryPause)
 		}
 		reachability = transport.Probe(context.Background(), d.settings.Net(), wait.previous.Address)
-		if reachability == transport.Refused {
-			break
-		}
+		ended := reachability == transport.Refused
 		if reachability == transport.Listening {
 			d.extendHolds(wait)
-		}
-		if reply, err := d.askToRelinquish(wait.previous.Address, request); err == nil {
-			d.applyRelinquished(wait, reply)
+			reply, err := d.askToRelinquish(wait)
+			if err == nil && !reply.Replaced {
+				d.applyRelinquished(wait, reply)
+				return
+			}
+			if err != nil {
+				continue
+			}
+			ended = true
+		}
+		known := d.applyKeptOutcomes(wait.owned)
+		switch {
+		case ended && !known:
+			d.extendHolds(wait)
+		case ended && reachability == transport.Listening:
+			d.applyRelinquished(wait, protocol.RelinquishReply{Replaced: true})
+			return
+		case ended:
+			d.log.Info("previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node, "after", d.now()-wait.began, "ended", true)
 			return
 		}
 	}
-	if ended := reachability == transport.Refused; ended || d.now() >= wait.limit {
-		d.log.Info("previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node, "after", d.now()-wait.began, "ended", ended)
+	if d.now() >= wait.limit {
+		d.log.Info("previous owner did not answer", "queue", wait.owned.Name, "owner", wait.previous.Node, "after", d.now()-wait.began, "ended", false)
 	}
 }
 
-func (d *Dispatcher) askToRelinquish(address string, request protocol.Relinquish) (protocol.RelinquishReply, error) {
+// pollKeptOutcomes applies outcomes that stores keep until it is time to ask the previous owner, which may end before.
+// Stores keep them in memory only, and may be restarted in turn meanwhile.
+func (d *Dispatcher) pollKeptOutcomes(wait *previousOwnerWait) {
+	for d.stillHolding(wait) {
+		left := wait.askFrom - d.now()
+		time.Sleep(min(left, keptOutcomesPollInterval))
+		if left <= keptOutcomesPollInterval {
+			return
+		}
+		d.applyKeptOutcomes(wait.owned)
+	}
+}
+
+func (d *Dispatcher) askToRelinquish(wait *previousOwnerWait) (protocol.RelinquishReply, error) {
+	request := protocol.Relinquish{Queue: wait.owned.Name, Epoch: wait.owned.Epoch, Incarnation: wait.previous.Incarnation}
 	ctx, cancel := context.WithTimeout(context.Background(), relinquishTimeout)
 	defer cancel()
-	return transport.Call[protocol.RelinquishReply](ctx, d.peer(address), request)
+	return transport.Call[protocol.RelinquishReply](ctx, d.peer(wait.previous.Address), request)
 }
 
 // stillHolding reports whether any message is still held for the previous owner.
@@ -210,8 +239,10 @@
 			attempts = append(attempts, protocol.Attempt{ID: id, Outcome: protocol.Outcome{End: end}})
 		}
 	}
-	for _, outcome := range d.unreportedOutcomes[name] {
-		attempts = append(attempts, protocol.Attempt{ID: outcome.End.ID, Outcome: outcome})
+	if report := d.unreportedOutcomes[name]; report != nil {
+		for _, outcome := range report.outcomes {
+			attempts = append(attempts, protocol.Attempt{ID: outcome.End.ID, Outcome: outcome})
+		}
 	}
 	return attempts
 }
--- a/internal/service/dispatcher/previousowner_test.go
+++ b/internal/service/dispatcher/previousowner_test.go
@@ -52,7 +52,7 @@
 			c.Check(told["overdue"].Left == handOverSlack, qt.Equals, more)
 			c.Check(told["open"], qt.DeepEquals, protocol.Attempt{})
 			d.lateEnds.add(d.now(), protocol.End{ID: "late", Queue: owned.Name, State: protocol.Completed})
-			d.unreportedOutcomes[owned.Name] = []protocol.Outcome{{End: protocol.End{ID: "failed", Queue: owned.Name}, Failures: 2}}
+			d.unreportedOutcomes[owned.Name] = &outcomeReport{outcomes: []protocol.Outcome{{End: protocol.End{ID: "failed", Queue: owned.Name}, Failures: 2}}}
 			d.deliveries["overdue"] = &deliveryState{key: "overdue", owned: owned, entry: overdue, deadline: -time.Second}
 		}
 		d.stop()
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -50,6 +50,7 @@
 	pendingFailures map[string]int
 
 	clock          storeClock
+	keepsAttempts  bool            // it keeps attempts of queues for the owners that follow
 	diskFull       bool            // it is out of space and takes no further copies
 	leaving        bool            // it is being retired, or was given up
 	listedSequence uint64          // sequence of the register value that first listed it
@@ -144,6 +145,7 @@
 	link.lastReplyAt = d.now()
 	d.noteDisk(link, reply.StoreID)
 	link.storesKnown = reply.Told
+	link.keepsAttempts = reply.KeepsAttempts
 	d.setFull(link, reply.Full)
 	link.clock.observe(d.now(), reply.StoreID, reply.Time)
 	link.absent = false
--- a/internal/service/protocol/heads.go
+++ b/internal/service/protocol/heads.go
@@ -44,9 +44,3 @@
 	return maxFixedBytes + len(h.ID) + len(h.Queue) + len(h.Method) + len(h.Host) + len(h.Target) +
 		len(h.ContentType) + len(h.OrderingKey) + len(h.CallbackURL) + len(h.Stamp)
 }
-
-// MaxEncodedBytes returns an upper bound of the attempt's size in a frame.
-func (a *Attempt) MaxEncodedBytes() int {
-	return maxFixedBytes + len(a.ID) + len(a.Owner.Node) + len(a.Owner.Role) + len(a.Owner.Zone) + len(a.Owner.Address) +
-		len(a.End.ID) + len(a.End.Queue) + len(a.End.Stamp)
-}
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -5,7 +5,6 @@
 
 import (
 	"net"
-	"slices"
 	"strconv"
 	"time"
 )
@@ -194,6 +193,9 @@
 
 	More bool       // there are heads after these
 	Next HeadCursor // where they begin
+
+	MoreAttempts bool   // there are attempts after these
+	NextAttempt  uint64 // where they begin
 }
 
 // AcquireReply answers Acquire.
@@ -240,11 +242,14 @@
 // has this version. With Partial they are those that have changed since the caller's
 // version, and a queue without a holder and messages no longer exists.
 type RenewReply struct {
-	StoreID  string
-	Told     uint64 // the StoresKnown of the request, which is now on the store's disk
-	Version  uint64
-	Time     time.Duration // of the store's clock
-	Full     bool          // it accepts no further copies, but still ends and leases
+	StoreID string
+	Told    uint64 // the StoresKnown of the request, which is now on the store's disk
+	Version uint64
+	Time    time.Duration // of the store's clock
+	Full    bool          // it accepts no further copies, but still ends and leases
+
+	KeepsAttempts bool // it answers KeepAttempts and ReadAttempts
+
 	Changed  bool
 	Partial  bool
 	Sessions []Session
@@ -260,60 +265,6 @@
 	Attempts []Attempt // that are unsettled: all that later owners may not find in the stores
 }
 
-// Attempt is what the releasing owner of a queue knows of a message and the stores may not
-// have recorded yet: that a sender has it, or the outcome of the attempts so far.
-type Attempt struct {
-	ID   string
-	Left time.Duration // until no sender can have the message any more, at the moment of encoding; 0 if none has it
-	// Owner is the process whose attempt it is, if a sender may have the message. It is zero if that is the process
-	// that reports the attempt.
-	Owner Identity
-	Outcome
-}
-
-// WithOwner returns attempts that a process has reported, with it as the owner of those that name none and that a
-// sender may have.
-func WithOwner(attempts []Attempt, reporter Identity) []Attempt {
-	owned := slices.Clone(attempts)
-	for i := range owned {
-		if owned[i].Left > 0 && owned[i].Owner == (Identity{}) {
-			owned[i].Owner = reporter
-		}
-	}
-	return owned
-}
-
-// Outcome is the result of the attempts to deliver a message.
-type Outcome struct {
-	End      End // its state is not final if the message is to be delivered again
-	Failures int // answers with status 500 so far
-}
-
-// ReportOutcomes tells the new owner of a queue how the previous owner's attempts ended.
-type ReportOutcomes struct {
-	Queue    string
-	Outcomes []Outcome
-}
-
-// ReportOutcomesReply answers ReportOutcomes.
-type ReportOutcomesReply struct {
-	Owner bool // it owns the queue under a valid lease and has applied the outcomes
-}
-
-// Relinquish is the new owner's request to a previous owner that fell silent: to give up a queue, if it still acts
-// for it, and to tell what it knows of its attempts.
-type Relinquish struct {
-	Queue       string
-	Epoch       uint64 // of the new owner
-	Incarnation uint64 // of the previous owner's process
-}
-
-// RelinquishReply answers Relinquish.
-type RelinquishReply struct {
-	Replaced bool      // the previous owner's process has ended, and another one answers
-	Attempts []Attempt // that the stores may not know of; no other message is at a sender
-}
-
 // ReleaseReply answers Release.
 type ReleaseReply struct{}
 
--- a/internal/service/store/attempts_test.go
+++ b/internal/service/store/attempts_test.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +58,39 @@
 		c.Check(s.close(), qt.IsNil)
 	})
 }
+
+// Outcomes that a previous owner reports after the release reach the next owners, in pages. An end is not replaced by
+// an older account of its message.
+func TestKeptAttemptsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, err := openOnDisk(segmenttest.NewDisk())
+		c.Assert(err, qt.IsNil)
+		keep := func(node string, attempts ...protocol.Attempt) {
+			_, err := s.keepAttempts(dispatcher(node), protocol.KeepAttempts{Queue: testQueue, Attempts: attempts})
+			c.Assert(err, qt.IsNil)
+		}
+		ended := protocol.Attempt{ID: "m", Outcome: protocol.Outcome{End: protocol.End{ID: "m", State: protocol.Completed}}}
+		keep("edge-1", protocol.Attempt{ID: "m", Left: time.Second})
+		keep("edge-1", ended)
+		keep("edge-2", protocol.Attempt{ID: "m", Left: time.Second})
+		c.Check(s.readAttempts(protocol.ReadAttempts{Queue: testQueue}).Attempts, qt.DeepEquals, []protocol.Attempt{ended})
+		const further = 5
+		for i := range further {
+			keep("edge-1", protocol.Attempt{ID: fmt.Sprint(i), Outcome: protocol.Outcome{End: protocol.End{State: protocol.Completed, Stamp: strings.Repeat("s", attemptPageBytes/2)}}})
+		}
+		read, pages := 0, 0
+		for page := (protocol.ReadAttemptsReply{More: true}); page.More; pages++ {
+			page = s.readAttempts(protocol.ReadAttempts{Queue: testQueue, After: page.Next})
+			read += len(page.Attempts)
+		}
+		c.Check(read, qt.Equals, 1+further)
+		c.Check(pages > 2, qt.IsTrue)
+		grant := protocol.Grant{Queue: testQueue}
+		s.fillGrant(time.Now(), &grant, &grantsSize{room: headPageBytes})
+		c.Check(grant.MoreAttempts, qt.IsTrue)
+		time.Sleep(outcomeRetention)
+		c.Check(s.readAttempts(protocol.ReadAttempts{Queue: testQueue}).Attempts, qt.HasLen, 0)
+		c.Check(s.close(), qt.IsNil)
+	})
+}
--- a/internal/service/store/run.go
+++ b/internal/service/store/run.go
@@ -238,6 +238,12 @@
 		s.release(peer.Identity, request)
 		return protocol.ReleaseReply{}, nil
 	})
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.KeepAttempts) (protocol.KeepAttemptsReply, error) {
+		return s.keepAttempts(peer.Identity, request)
+	})
+	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ReadAttempts) (protocol.ReadAttemptsReply, error) {
+		return s.readAttempts(request), nil
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.ListEntries) (protocol.ListEntriesReply, error) {
 		return s.listEntries(request), awaitCommit(s.log.Barrier(), nil)
 	})
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -71,6 +71,7 @@
 	reply := protocol.RenewReply{
 		StoreID: s.log.StoreID(), Told: request.StoresKnown, Version: s.grantor.Version(), Time: s.clock.now(),
 	}
+	reply.KeepsAttempts = true
 	s.noteKnowledge(identity, request)
 	reply.Full = !s.takesCopies()
 	commit, err := s.persistStoresKnown(request.StoresKnown)
@@ -140,7 +141,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	reply := protocol.AcquireReply{StoreID: s.log.StoreID(), StoresKnown: s.storesKnown}
-	now, size := time.Now(), grantsSize{paged: request.Paged}
+	now, size := time.Now(), grantsSize{room: replyRoom(request.Paged)}
 	for _, name := range request.Queues {
 		if err := checkName("queue", name); err != nil {
 			return reply, nil, err
@@ -148,7 +149,7 @@
 		if err := s.checkQueues(name); err != nil {
 			return reply, nil, err
 		}
-		if len(reply.Grants) > 0 && !s.grantFits(now, name, size) {
+		if !request.Paged && len(reply.Grants) > 0 && !s.grantFits(now, name, size) {
 			_, promised := s.grantor.Lease(name)
 			reply.Grants = append(reply.Grants, protocol.Grant{Queue: name, Promised: promised})
 			continue
@@ -158,8 +159,9 @@
 			return reply, nil, err
 		}
 		if grant.Granted {
-			if err := s.addHeads(&grant, &size); err != nil {
-				return reply, nil, err
+			s.fillGrant(now, &grant, &size)
+			if (grant.More || grant.MoreAttempts) && !request.Paged {
+				return reply, nil, errNeedsPages
 			}
 		}
 		reply.Grants = append(reply.Grants, grant)
@@ -169,51 +171,36 @@
 
 // grantsSize is the size of the grants in a reply, by its upper bound.
 type grantsSize struct {
-	paged           bool // the caller reads the heads that the reply leaves out
-	heads, attempts int  // bytes
+	room  int // bytes of heads and attempts that the reply may hold
+	bytes int
 }
 
-// headRoom returns how many bytes of heads the reply may still take.
-func (g *grantsSize) headRoom() int { return max(0, replyRoom(g.paged)-g.heads) }
+func (g *grantsSize) left() int { return max(0, g.room-g.bytes) }
 
-// grantFits reports whether the grant of one more queue fits into the reply. If the caller reads pages, only the
-// attempts have to: no other reply contains them. The mutex is held.
+// grantFits reports whether the whole grant of one more queue fits into the reply. The mutex is held.
 func (s *store) grantFits(now time.Time, name string, size grantsSize) bool {
-	if size.attempts+attemptsSize(s.attempts.forQueue(now, name)) > maxReplyBytes-headPageBytes {
-		return false
-	}
-	if size.paged {
-		return true
-	}
-	_, _, more := s.heads(s.index.queue(name), protocol.HeadCursor{}, size.headRoom())
-	return !more
+	grant := protocol.Grant{Queue: name}
+	s.fillGrant(now, &grant, &size)
+	return !grant.More && !grant.MoreAttempts
 }
 
-// addHeads adds the heads that a grant has room for. The mutex is held.
-func (s *store) addHeads(grant *protocol.Grant, size *grantsSize) error {
-	size.attempts += attemptsSize(grant.Attempts)
-	room := size.headRoom()
-	if room == 0 {
-		grant.More = true
-		return nil
+// fillGrant adds the attempts and heads that the reply has room for. The mutex is held.
+func (s *store) fillGrant(now time.Time, grant *protocol.Grant, size *grantsSize) {
+	if size.left() == 0 {
+		grant.More, grant.MoreAttempts = true, true
+		return
 	}
-	grant.Heads, grant.Next, grant.More = s.heads(s.index.queue(grant.Queue), protocol.HeadCursor{}, room)
-	if grant.More && !size.paged {
-		return errNeedsPages
+	attempts := s.attempts.read(now, grant.Queue, 0, size.left())
+	grant.Attempts, grant.NextAttempt, grant.MoreAttempts = attempts.attempts, attempts.next, attempts.more
+	size.bytes += attempts.size
+	if size.left() == 0 {
+		grant.More = true
+		return
 	}
+	grant.Heads, grant.Next, grant.More = s.heads(s.index.queue(grant.Queue), protocol.HeadCursor{}, size.left())
 	for i := range grant.Heads {
-		size.heads += grant.Heads[i].MaxEncodedBytes()
+		size.bytes += grant.Heads[i].MaxEncodedBytes()
 	}
-	return nil
-}
-
-// attemptsSize returns an upper bound of the size of attempts in a reply.
-func attemptsSize(attempts []protocol.Attempt) int {
-	size := 0
-	for i := range attempts {
-		size += attempts[i].MaxEncodedBytes()
-	}
-	return size
 }
 
 func (s *store) acquireQueue(now time.Time, identity protocol.Identity, request protocol.Acquire, name string) (protocol.Grant, error) {
@@ -226,7 +213,7 @@
 	}
 	return protocol.Grant{
 		Queue: name, Granted: decision.Allowed, Promised: decision.Promise.Epoch, Contested: decision.Contested(identity),
-		Attempts: s.attempts.forQueue(now, name), Abandoned: decision.Abandoned, SilentOwner: decision.SilentHolder,
+		Abandoned: decision.Abandoned, SilentOwner: decision.SilentHolder,
 	}, nil
 }
 
@@ -237,7 +224,9 @@
 	now := time.Now()
 	for _, name := range request.Queues {
 		if s.grantor.Release(now, identity, name, request.Epoch) {
-			s.attempts.add(now, name, protocol.WithOwner(request.Attempts, identity))
+			if err := s.attempts.add(now, name, protocol.WithOwner(request.Attempts, identity)); err != nil {
+				s.options.log.Error(err, "attempts of a release not kept", "queue", name, "node", identity.Node)
+			}
 		}
 	}
 }
--- a/internal/service/storeclient/storeclient.go
+++ b/internal/service/storeclient/storeclient.go
@@ -35,6 +35,15 @@
 		if err := readHeads(ctx, client, &reply, i, request.Epoch, timeout); err != nil {
 			return protocol.AcquireReply{}, err
 		}
+		grant := &reply.Grants[i]
+		if !grant.MoreAttempts {
+			continue
+		}
+		further, err := readAttempts(ctx, client, protocol.ReadAttempts{Queue: grant.Queue, After: grant.NextAttempt}, reply.StoreID, timeout)
+		if err != nil {
+			return protocol.AcquireReply{}, err
+		}
+		grant.Attempts, grant.MoreAttempts = append(grant.Attempts, further...), false
 	}
 	return reply, nil
 }
@@ -81,6 +90,32 @@
 	return slices.Clip(kept)
 }
 
+// ReadAttempts returns the attempts that previous owners of a queue have left unsettled at a store with the given disk.
+// Each page may take the timeout.
+func ReadAttempts(ctx context.Context, client *transport.Client, queue, storeID string, timeout time.Duration) ([]protocol.Attempt, error) {
+	return readAttempts(ctx, client, protocol.ReadAttempts{Queue: queue}, storeID, timeout)
+}
+
+func readAttempts(ctx context.Context, client *transport.Client, request protocol.ReadAttempts, storeID string, timeout time.Duration) ([]protocol.Attempt, error) {
+	var attempts []protocol.Attempt
+	for {
+		page, err := call[protocol.ReadAttemptsReply](ctx, client, request, timeout)
+		switch {
+		case err != nil:
+			return nil, err
+		case page.StoreID != storeID:
+			return nil, errDiskReplaced
+		case page.More && page.Next <= request.After:
+			return nil, errNoProgress
+		}
+		attempts = append(attempts, page.Attempts...)
+		if !page.More {
+			return attempts, nil
+		}
+		request.After = page.Next
+	}
+}
+
 // FindEnds returns the heads of those of the given messages that the store knows to have ended. Each page may take the
 // timeout.
 func FindEnds(ctx context.Context, client *transport.Client, ids []string, timeout time.Duration) ([]protocol.Head, error) {
