Relay messages of dispatchers that may connect to no sender

Cause: each dispatcher opened at least one connection to a sender, also where there are more dispatchers than connections. Senders on the list were divided among the dispatchers, a static endpoint was not, and a dispatcher that the division left without a sender used the nearest one all the same. Those that had a connection kept it while it was idle; the others were reset for as long.

Change: static endpoints are divided as well, and a limit of one connection is a limit. A dispatcher that is assigned no sender closes its connections and has up to eight of the others make its attempts (Relay): its decision module treats them as senders. A relay queues the message among its own and returns the result; the queue, its lease, its order and its ends stay with the owner. No attempt begins later than the caller's lease allows. A caller that leaves cancels its attempts and waits for their results; if it is lost, the relay closes the connection to the sender.

The same cause elsewhere: when the share of a dispatcher shrinks, connections beyond it are closed at once, idle ones were kept until then. Ordered routes to a rate-limited service are delivered by all owners of ordered queues, each of which took the service's whole limit for its own; they share it now. A relayed attempt to such a service uses the caller's permit and begins within its lifetime.

The assertion that a rate-limited service has one deliverer although an ordered route leads to it was wrong; it expects the owners of ordered queues and of the service's queue now, and one where no route is ordered.

Old and new side by side: sessions say which dispatchers relay (Renew.Relays, Session.Relays), as told by stores that know the field; without any, the nearest sender is used as before.

Cost: nothing where connections suffice. A relayed message takes one more round between two dispatchers.

--- a/internal/service/balance/driver.go
+++ b/internal/service/balance/driver.go
@@ -127,15 +127,26 @@
 // UsableConnections returns how many connections all dispatchers together may open to a sender that accepts at
 // most this many; 0 means no limit. The rest is headroom for connections that are being closed and for
 // dispatchers that do not know of each other yet.
-func UsableConnections(limit int) int { return int(usableConnectionsFraction * float64(limit)) }
+func UsableConnections(limit int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, int(usableConnectionsFraction*float64(limit)))
+}
+
+// Connections returns how many connections each of several dispatchers may open to a sender that accepts at most this
+// many from all of them; 0 means no limit.
+func Connections(limit, dispatchers int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, UsableConnections(limit)/dispatchers)
+}
 
 // connections returns this dispatcher's share of the connections that a sender
 // accepts; 0 means no limit.
 func (d *Driver) connections() int {
-	if d.options.MaxConnections <= 0 {
-		return 0
-	}
-	return max(1, UsableConnections(d.options.MaxConnections)/d.options.Dispatchers)
+	return Connections(d.options.MaxConnections, d.options.Dispatchers)
 }
 
 // SetFleet updates the number of dispatchers that share the senders and the number
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -452,6 +452,37 @@
 	client.mutex.Unlock()
 }
 
+// When the share of an address's connections shrinks, those beyond it are closed, as another dispatcher may wait for them:
+// idle ones at once, those in use after their deliveries.
+func TestConnectionsBeyondALowerLimitAreClosed(t *testing.T) {
+	hold, arrived := make(chan struct{}), make(chan struct{}, 3)
+	handle := func(id string) func(p *peer, conn net.Conn, reader *bufio.Reader) {
+		return func(p *peer, conn net.Conn, reader *bufio.Reader) {
+			p.readRequest(reader)
+			arrived <- struct{}{}
+			<-hold
+			_, _ = io.WriteString(conn, withRequestID(id, success))
+		}
+	}
+	p, client := newPeer(t, handle("m1"), handle("m1"), handle("m1"))
+	ended := make(chan Result)
+	for range 3 {
+		go func() { ended <- client.Deliver(background, testRequest("m1")) }()
+		<-arrived
+	}
+	client.Limit([]string{"sender:1", "unknown:1"}, 2)
+	close(hold)
+	for range 3 {
+		result := <-ended
+		p.c.Assert(result.Succeeded(), qt.IsTrue)
+	}
+	p.c.Assert(client.IdleConnections(), qt.Equals, 2)
+	client.Limit([]string{"sender:1"}, 1)
+	p.c.Assert(client.IdleConnections(), qt.Equals, 1)
+	client.Limit([]string{"sender:1"}, 0)
+	p.c.Assert(client.IdleConnections(), qt.Equals, 1)
+}
+
 // An address that is used again after it was abandoned keeps its connections.
 func TestAbandonedAddressIsUsedAgain(t *testing.T) {
 	hold, arrived := make(chan struct{}), make(chan struct{})
--- a/internal/service/delivery/pool.go
+++ b/internal/service/delivery/pool.go
@@ -10,6 +10,7 @@
 	open int // in use, idle or being opened
 	idle []*connection
 
+	limit     int  // of open connections; 0 means no limit
 	abandoned bool // connections are closed after use
 }
 
@@ -25,6 +26,7 @@
 		c.pools[request.Address] = p
 	}
 	p.abandoned = false
+	p.limit = request.MaxConnections
 	p.closeExpired(c.now())
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if conn := p.idle[i]; !conn.hasCarried(request.Head.ID) {
@@ -43,8 +45,8 @@
 	return nil, nil
 }
 
-// putIdle returns a connection to its pool, or closes it if the client is closed or the address
-// was abandoned.
+// putIdle returns a connection to its pool, or closes it if the client is closed, the address
+// was abandoned or too many connections are open.
 func (c *Client) putIdle(conn *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -53,7 +55,7 @@
 		conn.close()
 		return
 	}
-	if p.abandoned {
+	if p.abandoned || p.limit > 0 && p.open > p.limit {
 		conn.close()
 		if p.open--; p.open <= 0 {
 			delete(c.pools, conn.address)
@@ -85,6 +87,23 @@
 	}
 }
 
+// Limit sets how many connections to the given addresses may be open; 0 means no limit. Idle connections beyond the limit
+// are closed, as another process may wait for them, and those in use once their deliveries have ended.
+func (c *Client) Limit(addresses []string, limit int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, address := range addresses {
+		p := c.pools[address]
+		if p == nil {
+			continue
+		}
+		p.limit = limit
+		for limit > 0 && p.open > limit && len(p.idle) > 0 {
+			p.closeOldest()
+		}
+	}
+}
+
 // discard closes a connection and frees its slot.
 func (c *Client) discard(conn *connection) {
 	conn.close()
--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -28,10 +28,15 @@
 	startTarget time.Duration        // time by which the delivery should start
 	submitted   bool                 // submitted to the decision module
 
-	deadline  time.Duration // by which the current attempt has ended
-	rateTaken bool          // rate was taken for this message and not yet used by an attempt
+	deadline    time.Duration // by which the current attempt has ended
+	viaRelay    bool          // another dispatcher makes the current attempt
+	startWithin time.Duration // with viaRelay: time in which it may begin
+
+	rateTaken bool // rate was taken for this message and not yet used by an attempt
 
 	withdrawn bool // withdrawn before it was submitted
+
+	relayed *relayedAttempt // for another dispatcher, which owns the message; nil otherwise
 }
 
 // pumpAll runs everything that is due in all queues and services. The mutex is held.
@@ -155,9 +160,14 @@
 // requeueUnlessSent returns a message to its queue for another delivery, unless a sender has
 // it: then no other sender gets it until that attempt has ended. The mutex is held.
 func (d *Dispatcher) requeueUnlessSent(state *deliveryState) {
-	if d.withdraw(state) {
-		state.owned.Retry(d.now(), state.entry, false, 0)
+	if !d.withdraw(state) {
+		return
+	}
+	if state.relayed != nil {
+		state.relayed.finish(relayFull(delivery.NoRetryAfter))
+		return
 	}
+	state.owned.Retry(d.now(), state.entry, false, 0)
 }
 
 // withdraw takes a message back from the decision module. It reports false if a sender has
@@ -177,16 +187,28 @@
 	if request == nil {
 		return
 	}
-	result := d.client.Deliver(d.attemptsContext, *request)
+	result := d.execute(state, request)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.attemptsUnderWay--
-	if d.abandoning && result.Verdict == verdict.MayHaveRun {
+	if d.abandoning && result.Verdict == verdict.MayHaveRun && state.relayed == nil {
 		return
 	}
 	d.attemptEnded(state, attempt, result)
 }
 
+// execute makes an attempt: over a connection to the sender, or by another dispatcher that has one.
+func (d *Dispatcher) execute(state *deliveryState, request *delivery.Request) delivery.Result {
+	switch {
+	case state.viaRelay:
+		return d.relayTo(request.Address, state, request)
+	case state.relayed != nil:
+		return d.client.Deliver(state.relayed.ctx, *request)
+	default:
+		return d.client.Deliver(d.attemptsContext, *request)
+	}
+}
+
 // beginAttempt prepares an attempt under the configuration and sender list in force. The
 // request is nil if the attempt may not start; beginAttempt has then recorded that it did not run.
 func (d *Dispatcher) beginAttempt(key string, service *serviceState, attempt balance.Attempt) (*deliveryState, *delivery.Request) {
@@ -219,6 +241,13 @@
 		return state, nil
 	}
 	state.deadline = d.now() + state.route.Timeout() + handOverSlack
+	if state.viaRelay = service.relays[attempt.Address]; state.viaRelay {
+		state.startWithin = d.leaseLeft(state.owned)
+		if service.configured.RateLimited() {
+			state.startWithin = min(state.startWithin, permitLifetime) // attempts that begin much later would add up to more than the rate
+		}
+		state.deadline += state.startWithin
+	}
 	d.attemptsUnderWay++
 	return state, &delivery.Request{
 		Address: attempt.Address, Instance: attempt.Instance, Head: state.entry.HeadAt(d.now()), Body: body,
@@ -248,7 +277,13 @@
 // still owns the queue, the sender is still usable, and the message was not withdrawn
 // because it ended or because a new configuration routes it elsewhere. The mutex is held.
 func (d *Dispatcher) mayStart(state *deliveryState, attempt balance.Attempt) bool {
-	return d.mayDeliver(state.owned) && state.service.driver.MayStart(attempt.ID)
+	if !state.service.driver.MayStart(attempt.ID) {
+		return false
+	}
+	if state.relayed != nil {
+		return state.relayed.mayStart(d.now())
+	}
+	return d.mayDeliver(state.owned)
 }
 
 // attemptNotStarted records that an attempt was not started, and requeues the message unless the
@@ -256,6 +291,10 @@
 func (d *Dispatcher) attemptNotStarted(state *deliveryState, attempt balance.Attempt) {
 	if !state.service.driver.Ended(d.now(), attempt.ID, balance.Outcome{Status: balance.NotRun}) {
 		delete(d.deliveries, state.key)
+		if state.relayed != nil {
+			state.relayed.finish(notRelayed)
+			return
+		}
 		state.owned.Retry(d.now(), state.entry, false, -1)
 		if state.owned.dropped {
 			d.reportOutcome(state.owned.Name, outcomeOf(state.owned, state.entry))
@@ -284,7 +323,11 @@
 	}
 	if !state.service.driver.Ended(d.now(), attempt.ID, result.Outcome()) {
 		delete(d.deliveries, state.key)
-		d.applyResult(state, result)
+		if state.relayed != nil {
+			state.relayed.finish(result)
+		} else {
+			d.applyResult(state, result)
+		}
 	}
 	d.pumpService(state.service)
 	d.pump(state.owned)
@@ -344,6 +387,10 @@
 		return
 	}
 	delete(d.deliveries, key)
+	if state.relayed != nil {
+		state.relayed.finish(relayFull(wait))
+		return
+	}
 	state.owned.Retry(d.now(), state.entry, false, wait)
 	if at, some := state.owned.NextWake(); some {
 		d.wakeAt(at)
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -230,6 +230,13 @@
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.Relinquish) (protocol.RelinquishReply, error) {
 		return d.handleRelinquish(request)
 	})
+	transport.Handle(server, func(ctx context.Context, peer *transport.Peer, request protocol.Relay) (protocol.RelayReply, error) {
+		return d.handleRelay(ctx, peer.Identity, request), nil
+	})
+	transport.Handle(server, func(_ context.Context, peer *transport.Peer, request protocol.CancelRelay) (protocol.CancelRelayReply, error) {
+		d.handleCancelRelay(peer.Identity, request)
+		return protocol.CancelRelayReply{}, nil
+	})
 	transport.Handle(server, func(_ context.Context, _ *transport.Peer, request protocol.AcquirePermits) (protocol.AcquirePermitsReply, error) {
 		return d.grantPermits(request), nil
 	})
--- a/internal/service/dispatcher/fleet_test.go
+++ b/internal/service/dispatcher/fleet_test.go
@@ -45,7 +45,7 @@
 			d.table = table
 			d.refreshFleet()
 			service := d.services["free"]
-			usable := d.usableSenders(service, d.deliverers(service.configured))
+			usable, _ := d.usableSenders(service, d.deliverers(service.configured))
 			c.Assert(len(usable) > 0, qt.IsTrue)
 			each := max(1, balance.UsableConnections(service.configured.MaxConns)/dispatchers)
 			for _, sender := range usable {
@@ -59,7 +59,7 @@
 	}
 }
 
-// Messages of ordered routes are delivered by the owners of their queues, those of rate-limited services by the
+// Messages of ordered routes are delivered by the owners of their queues, others of rate-limited services by the
 // owner of the service's queue, and all others by every dispatcher. A dispatcher always counts itself.
 func TestDeliverers(t *testing.T) {
 	c := qt.New(t)
@@ -70,13 +70,22 @@
 	free, _ := current.Service("free")
 	outside, _ := current.Service("outside")
 	c.Assert(d.deliverers(free), qt.HasLen, 13)
-	c.Assert(onlyOrdered(current, "outside"), qt.IsFalse)
+	ordered, unordered := routeOrder(current, "outside")
+	c.Assert(ordered && unordered, qt.IsTrue)
+	c.Assert(d.deliverers(outside), qt.HasLen, 6)
+	d.table.holders[ratedPrefix+"outside"] = protocol.QueueState{Holder: "edge-010"}
+	c.Assert(d.deliverers(outside), qt.HasLen, 7)
+	keys, _, _ := current.Match("h.example", "/keys/")
+	keys.Ordered = false
 	c.Assert(d.deliverers(outside), qt.HasLen, 1)
 	for _, route := range current.Routes() {
 		route.Ordered = true
 	}
-	c.Assert(onlyOrdered(current, "free"), qt.IsTrue)
-	c.Assert(onlyOrdered(current, "unknown"), qt.IsFalse)
+	for service, routed := range map[string]bool{"free": true, "unknown": false} {
+		ordered, unordered = routeOrder(current, service)
+		c.Assert(ordered, qt.Equals, routed)
+		c.Assert(unordered, qt.IsFalse)
+	}
 	c.Assert(d.deliverers(outside), qt.HasLen, 6)
 }
 
--- a/internal/service/dispatcher/leave.go
+++ b/internal/service/dispatcher/leave.go
@@ -54,6 +54,7 @@
 	ending.Go(func() { front.shutdown(fraction(grace, requestsFraction)) })
 	ending.Go(func() { d.awaitOutcomesKnown(known) })
 	ending.Wait()
+	time.Sleep(relayDrainTime)
 	d.log.Info("left")
 }
 
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -190,6 +190,19 @@
 	return held
 }
 
+// leaseLeft returns how long deliveries from a queue may still start. The mutex is held.
+func (d *Dispatcher) leaseLeft(owned *ownedQueue) time.Duration {
+	needed := d.grantsNeeded()
+	if owned.Name == d.localQueue {
+		needed = d.requiredCopies()
+	}
+	until, valid := d.leases.ValidUntil(owned.Name, d.now(), needed, d.grantCounts)
+	if !valid {
+		return 0
+	}
+	return until - d.now()
+}
+
 // leaseValid reports whether enough complete stores have granted a queue for a valid
 // lease. The mutex is held.
 func (d *Dispatcher) leaseValid(owned *ownedQueue) bool {
--- a/internal/service/dispatcher/services.go
+++ b/internal/service/dispatcher/services.go
@@ -25,6 +25,7 @@
 	rate       rateState
 	waiting    waitingMessages // messages not yet submitted to the driver
 	addresses  map[string]bool // of the senders in use
+	relays     map[string]bool // addresses of the dispatchers that relay its messages, as this one may not connect to a sender
 }
 
 // serviceActions implements the actions of one service's decision module. Its
@@ -124,5 +125,9 @@
 // submit submits a message to the decision module, which picks a sender.
 func (d *Dispatcher) submit(service *serviceState, state *deliveryState) {
 	state.submitted = true
-	service.driver.Submit(d.now(), state.key, min(d.now()+submitTimeout, state.entry.Expires()))
+	deadline := min(d.now()+submitTimeout, state.entry.Expires())
+	if state.relayed != nil {
+		deadline = min(deadline, state.relayed.startBefore)
+	}
+	service.driver.Submit(d.now(), state.key, deadline)
 }
--- a/internal/service/dispatcher/stores.go
+++ b/internal/service/dispatcher/stores.go
@@ -87,7 +87,7 @@
 func (d *Dispatcher) renew(ctx context.Context, link *storeLink) bool {
 	d.mutex.Lock()
 	request := protocol.Renew{
-		Ready: d.takesSharedQueues(), KnownVersion: link.version, Leaving: link.leaving, StoresKnown: d.storesKnown,
+		Ready: d.takesSharedQueues(), Relays: true, KnownVersion: link.version, Leaving: link.leaving, StoresKnown: d.storesKnown,
 		StoreTime: link.clock.expected(d.now()),
 	}
 	d.mutex.Unlock()
--- a/internal/service/lease/changes.go
+++ b/internal/service/lease/changes.go
@@ -31,7 +31,7 @@
 	var changes Changes
 	for _, s := range g.sessions {
 		if s.changed > version && s.identity.Role == role {
-			changes.Sessions = append(changes.Sessions, protocol.Session{Identity: s.identity, Ready: s.ready})
+			changes.Sessions = append(changes.Sessions, s.described())
 		}
 	}
 	for _, ended := range slices.Backward(g.ended) {
--- a/internal/service/lease/changes_test.go
+++ b/internal/service/lease/changes_test.go
@@ -112,3 +112,21 @@
 	_, complete = g.ChangesSince(known, "dispatcher")
 	c.Check(complete, qt.IsFalse)
 }
+
+// Changes tell which processes make attempts for others.
+func TestRelaysAreReported(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	g := NewGrantor(now, 100, nil)
+	edge := protocol.Identity{Node: "edge-1", Role: "dispatcher", Incarnation: 1}
+	g.SetRelays(edge, true)
+	g.Renew(now, edge, true, 1)
+	known := g.Version()
+	g.SetRelays(edge, true)
+	changes, _ := g.ChangesSince(known, "dispatcher")
+	c.Check(changes.Sessions, qt.DeepEquals, []protocol.Session{{Identity: edge, Ready: true, Relays: true}})
+	c.Check(g.Sessions("dispatcher"), qt.DeepEquals, changes.Sessions)
+	known = g.Version()
+	g.SetRelays(edge, true)
+	c.Check(g.Version(), qt.Equals, known)
+}
--- a/internal/service/lease/grantor.go
+++ b/internal/service/lease/grantor.go
@@ -65,12 +65,18 @@
 type session struct {
 	identity    protocol.Identity
 	ready       bool
+	relays      bool // it makes attempts for other dispatchers
 	connections int
 	expiresAt   time.Time
 	queues      map[string]*queue
 	changed     uint64 // version of its last change
 }
 
+// described returns the session as it is reported to dispatchers.
+func (s *session) described() protocol.Session {
+	return protocol.Session{Identity: s.identity, Ready: s.ready, Relays: s.relays}
+}
+
 // queue is the state of one queue.
 type queue struct {
 	promise Promise
@@ -175,6 +181,14 @@
 	}
 }
 
+// SetRelays notes whether a process with a session makes attempts for others.
+func (g *Grantor) SetRelays(identity protocol.Identity, relays bool) {
+	if s := g.sessions[SessionOf(identity)]; s != nil && s.relays != relays {
+		s.relays = relays
+		s.changed = g.nextVersion()
+	}
+}
+
 // openSession renews the session of a process, or opens one.
 func (g *Grantor) openSession(now time.Time, identity protocol.Identity, connections int) *session {
 	id := SessionOf(identity)
@@ -421,7 +435,7 @@
 	sessions := make([]protocol.Session, 0, len(g.sessions))
 	for _, s := range g.sessions {
 		if s.identity.Role == role {
-			sessions = append(sessions, protocol.Session{Identity: s.identity, Ready: s.ready})
+			sessions = append(sessions, s.described())
 		}
 	}
 	return sessions
--- a/internal/service/protocol/protocol.go
+++ b/internal/service/protocol/protocol.go
@@ -208,6 +208,7 @@
 // Renew renews the caller's session and thereby all its leases.
 type Renew struct {
 	Ready        bool   // it accepts ownership of queues
+	Relays       bool   // it answers Relay
 	Leaving      bool   // it knows that this store is being emptied
 	KnownVersion uint64 // version of the session table that the caller has from this store
 	StoresKnown  uint64 // sequence of the newest change of the stores in the register that the caller has applied
@@ -219,6 +220,7 @@
 type Session struct {
 	Identity Identity
 	Ready    bool
+	Relays   bool // it answers Relay
 }
 
 // QueueState describes the owner and the load of a queue.
--- a/internal/service/protocol/register.go
+++ b/internal/service/protocol/register.go
@@ -9,6 +9,6 @@
 		Accept{}, AcceptReply{}, Offer{}, OfferReply{}, AcquirePermits{}, AcquirePermitsReply{},
 		Retire{}, RetireReply{}, Reconcile{}, ReconcileReply{}, ListEntries{}, ListEntriesReply{}, ReportOutcomes{}, ReportOutcomesReply{},
 		Relinquish{}, RelinquishReply{}, ReadHeads{}, ReadHeadsReply{},
-		KeepAttempts{}, KeepAttemptsReply{}, ReadAttempts{}, ReadAttemptsReply{},
+		KeepAttempts{}, KeepAttemptsReply{}, ReadAttempts{}, ReadAttemptsReply{}, Relay{}, RelayReply{}, CancelRelay{}, CancelRelayReply{},
 	)
 }
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -67,6 +67,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.grantor.Renew(time.Now(), identity, request.Ready, s.connections[lease.SessionOf(identity)])
+	s.grantor.SetRelays(identity, request.Relays)
 	s.addClockEstimate(lease.SessionOf(identity), request.StoreTime)
 	reply := protocol.RenewReply{
 		StoreID: s.log.StoreID(), Told: request.StoresKnown, Version: s.grantor.Version(), Time: s.clock.now(),
--- a/internal/service/subset/subset.go
+++ b/internal/service/subset/subset.go
@@ -55,14 +55,27 @@
 	return division
 }
 
-// Nearest returns the sender that ranks first for a dispatcher, or "" if there are no senders. It is the
-// fallback for a dispatcher that Assign assigned no sender.
-func Nearest(zones distance.Map, dispatcher Endpoint, senders []Endpoint) string {
-	pairs := rankedPairs(zones, []Endpoint{dispatcher}, senders)
-	if len(pairs) == 0 {
-		return ""
+// Nearest returns the places that rank first for a dispatcher, at most the given number.
+func Nearest(zones distance.Map, dispatcher Endpoint, places []Endpoint, count int) []Endpoint {
+	var nearest []Endpoint
+	for _, p := range rankedPairs(zones, []Endpoint{dispatcher}, places) {
+		if len(nearest) == count {
+			break
+		}
+		nearest = append(nearest, places[p.sender])
+	}
+	return nearest
+}
+
+// Assigned returns those of the dispatchers that may connect to a sender.
+func (d Division) Assigned(dispatchers []Endpoint) []Endpoint {
+	var assigned []Endpoint
+	for _, dispatcher := range dispatchers {
+		if len(d.senders[dispatcher.Name]) > 0 {
+			assigned = append(assigned, dispatcher)
+		}
 	}
-	return senders[pairs[0].sender].Name
+	return assigned
 }
 
 // Of returns the senders that a dispatcher may connect to.
