Read what a previous owner relinquishes in pages, and refuse bodies over a frame

The answer to Relinquish listed all attempts and ended messages that the stores may not know, up to 10,000 ended ones and all under way: over 8 MB it could not be sent, and the new owner ran these messages again at its limit. It is read in pages of 1 MB now, in the order of the messages' IDs; an older caller gets the whole list as before.

Evidence: TestRelinquishedAttemptsAreReadInPages fails with the paging turned off ('over the limit') and passes now.

--- a/internal/service/dispatcher/front.go
+++ b/internal/service/dispatcher/front.go
@@ -38,6 +38,7 @@
 	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 16384
 	defaultMaxBodyBytes   = 262144
+	largestBodyBytes      = 7 << 20 // that a frame to a store can hold beside its head
 )
 
 // serveFront starts serving clients. It waits for the first configuration, whose
@@ -59,6 +60,11 @@
 	return front
 }
 
+// maxBodyBytes returns how large the body of a message may be.
+func maxBodyBytes(limits configuration.Limits) int64 {
+	return int64(min(positiveOr(limits.MaxBodyBytes, defaultMaxBodyBytes), largestBodyBytes))
+}
+
 // positiveOr returns value if it is positive, otherwise fallback.
 func positiveOr(value, fallback int) int {
 	if value > 0 {
@@ -103,7 +109,7 @@
 		http.Error(w, problem, http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(positiveOr(current.Limits().MaxBodyBytes, defaultMaxBodyBytes))))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes(current.Limits())))
 	if err != nil {
 		replyToReadError(w, err)
 		return
--- a/internal/service/dispatcher/previousowner.go
+++ b/internal/service/dispatcher/previousowner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"yardwharf/internal/service/protocol"
@@ -21,6 +23,7 @@
 	relinquishRetryPause = 50 * time.Millisecond
 	holdExtension        = 2 * time.Second // longer than one probe and one request
 	askBeforeHoldEnds    = 400 * time.Millisecond
+	relinquishPageBytes  = 1 << 20 // of the attempts in one reply
 
 	keptOutcomesPollInterval = 400 * time.Millisecond
 )
@@ -148,11 +151,23 @@
 	}
 }
 
+// askToRelinquish asks the previous owner to give up the queue, and reads all attempts that it tells of.
 func (d *Dispatcher) askToRelinquish(wait *previousOwnerWait) (protocol.RelinquishReply, error) {
-	request := protocol.Relinquish{Queue: wait.owned.Name, Epoch: wait.owned.Epoch, Incarnation: wait.previous.Incarnation}
-	ctx, cancel := context.WithTimeout(context.Background(), relinquishTimeout)
-	defer cancel()
-	return transport.Call[protocol.RelinquishReply](ctx, d.peer(wait.previous.Address), request)
+	request := protocol.Relinquish{Queue: wait.owned.Name, Epoch: wait.owned.Epoch, Incarnation: wait.previous.Incarnation, Paged: true}
+	var whole protocol.RelinquishReply
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), relinquishTimeout)
+		page, err := transport.Call[protocol.RelinquishReply](ctx, d.peer(wait.previous.Address), request)
+		cancel()
+		if err != nil || page.Replaced {
+			return page, err
+		}
+		whole.Attempts = append(whole.Attempts, page.Attempts...)
+		if !page.More || len(page.Attempts) == 0 {
+			return whole, nil
+		}
+		request.After = page.Attempts[len(page.Attempts)-1].ID
+	}
 }
 
 // stillHolding reports whether any message is still held for the previous owner.
@@ -222,7 +237,31 @@
 		d.highestEpochs[request.Queue] = max(d.highestEpochs[request.Queue], request.Epoch)
 		d.drop(owned, "its new owner asked for it")
 	}
-	return protocol.RelinquishReply{Attempts: d.attemptsOfDropped(request.Queue)}, nil
+	attempts := d.attemptsOfDropped(request.Queue)
+	if !request.Paged {
+		return protocol.RelinquishReply{Attempts: attempts}, nil
+	}
+	return relinquishPage(attempts, request.After), nil
+}
+
+// relinquishPage returns the attempts after a message's, in the order of their IDs, as many as one reply may hold. All
+// attempts of one message are in the same reply.
+func relinquishPage(attempts []protocol.Attempt, after string) protocol.RelinquishReply {
+	slices.SortStableFunc(attempts, func(a, b protocol.Attempt) int { return strings.Compare(a.ID, b.ID) })
+	var page protocol.RelinquishReply
+	size := 0
+	for i := range attempts {
+		if attempts[i].ID <= after {
+			continue
+		}
+		size += attempts[i].MaxEncodedBytes()
+		if size > relinquishPageBytes && len(page.Attempts) > 0 && page.Attempts[len(page.Attempts)-1].ID != attempts[i].ID {
+			page.More = true
+			break
+		}
+		page.Attempts = append(page.Attempts, attempts[i])
+	}
+	return page
 }
 
 // attemptsOfDropped returns the attempts of a queue that is no longer owned: those under way, and outcomes that the
--- a/internal/service/dispatcher/previousowner_test.go
+++ b/internal/service/dispatcher/previousowner_test.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +141,24 @@
 		c.Check(r.arrivalsOf("earlier"), qt.HasLen, 1)
 	})
 }
+
+// A previous owner tells of all its attempts, in pages, however many they are.
+func TestRelinquishedAttemptsAreReadInPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newQueueHandover(t, c, func(int, string) int { return http.StatusOK })
+		defer r.end()
+		time.Sleep(freezeDelay)
+		r.old.mutex.Lock()
+		for i := range maxLateEnds - 1 {
+			end := protocol.End{ID: fmt.Sprintf("%0200d", i), Queue: "ordered/1", State: protocol.Completed, Stamp: strings.Repeat("s", 600)}
+			r.old.lateEnds.add(r.old.now(), end)
+		}
+		told := len(r.old.attemptsOfDropped("ordered/1"))
+		r.old.mutex.Unlock()
+		owned := &ownedQueue{Queue: queue.New("ordered/1", 9)}
+		reply, err := r.new.askToRelinquish(r.new.newPreviousOwnerWait(owned, r.old.identity))
+		c.Assert(err, qt.IsNil)
+		c.Check(len(reply.Attempts) >= told, qt.IsTrue, qt.Commentf("%d of %d", len(reply.Attempts), told))
+	})
+}
--- a/internal/service/protocol/attempts.go
+++ b/internal/service/protocol/attempts.go
@@ -51,12 +51,16 @@
 	Queue       string
 	Epoch       uint64 // of the new owner
 	Incarnation uint64 // of the previous owner's process
+
+	Paged bool   // the caller asks again for the attempts that the reply leaves out
+	After string // with Paged: ID of the last message that the caller has been told of
 }
 
 // RelinquishReply answers Relinquish.
 type RelinquishReply struct {
 	Replaced bool      // the previous owner's process has ended, and another one answers
 	Attempts []Attempt // that the stores may not know of; no other message is at a sender
+	More     bool      // there are attempts after these; they are in the order of their IDs
 }
 
 // KeepAttempts asks a store to keep attempts of a queue for the owners that follow: attempts that a release has no room
