Begin no attempt that may outlast a leaving dispatcher

Change: while it leaves, an attempt begins only if its time-out ends before the dispatcher stops reading. The others wait for the next owner. The same holds for attempts by relays.

Cost: with a time-out of 4 s, messages that fall due from 1.1 s after SIGTERM on wait until the queue is released (4.5 s at the latest); with 2.5 s from 2.6 s on; with 2 s and less nothing changes.

TestLeavingDispatcherBeginsOnlyWhatItCanFinish fails without the check (the message is sent).

--- a/internal/service/dispatcher/deliver.go
+++ b/internal/service/dispatcher/deliver.go
@@ -16,6 +16,7 @@
 const (
 	maxPumpInterval         = 5 * time.Second
 	configurationRetryDelay = 50 * time.Millisecond // until a message is retried whose configuration has not arrived
+	leavingRetryDelay       = time.Second           // until a message is retried that a leaving dispatcher does not start
 )
 
 // deliveryState is the state of a message that waits for a sender or is at one.
@@ -123,6 +124,10 @@
 		existing.owned, existing.entry = owned, entry
 		return
 	}
+	if !d.mayFinish(route.Timeout()) {
+		owned.Retry(d.now(), entry, false, leavingRetryDelay)
+		return
+	}
 	service := d.services[configured.Name]
 	if service == nil {
 		owned.Retry(d.now(), entry, false, -1)
@@ -246,6 +251,9 @@
 		if service.configured.RateLimited() {
 			state.startWithin = min(state.startWithin, permitLifetime) // attempts that begin much later would add up to more than the rate
 		}
+		if d.attemptsEnd != 0 {
+			state.startWithin = min(state.startWithin, d.attemptsEnd-d.now()-state.route.Timeout())
+		}
 		state.deadline += state.startWithin
 	}
 	d.attemptsUnderWay++
@@ -277,7 +285,7 @@
 // still owns the queue, the sender is still usable, and the message was not withdrawn
 // because it ended or because a new configuration routes it elsewhere. The mutex is held.
 func (d *Dispatcher) mayStart(state *deliveryState, attempt balance.Attempt) bool {
-	if !state.service.driver.MayStart(attempt.ID) {
+	if !state.service.driver.MayStart(attempt.ID) || !d.mayFinish(state.route.Timeout()) {
 		return false
 	}
 	if state.relayed != nil {
--- a/internal/service/dispatcher/dispatcher.go
+++ b/internal/service/dispatcher/dispatcher.go
@@ -81,6 +81,7 @@
 	unsafeEndsCheckedAt time.Duration // when ends that are not safe were last checked
 	lateEnds            lateEnds
 	unreportedOutcomes  map[string]*outcomeReport // by queue
+	attemptsEnd         time.Duration             // when this process, which is leaving, stops reading answers; 0 if it is not leaving
 	attemptsUnderWay    int                       // calls of senders that have not returned
 	abandoning          bool                      // connections to senders are closed; answers that were not read whole prove nothing
 	awaitedRevision     int64                     // latest revision that a message was accepted under and that is not in force here yet
--- a/internal/service/dispatcher/leave.go
+++ b/internal/service/dispatcher/leave.go
@@ -27,6 +27,7 @@
 	d.draining.Store(true)
 	d.log.Info("leaving")
 	d.mutex.Lock()
+	d.attemptsEnd = d.now() + fraction(grace, attemptsFraction)
 	for _, link := range d.stores {
 		signal(link.renewNow)
 	}
@@ -62,6 +63,12 @@
 	return time.Duration(fraction * float64(duration))
 }
 
+// mayFinish reports whether an attempt that begins now ends before this process stops reading answers. One that may not
+// is left to the next owner, which would have to run the message again. The mutex is held.
+func (d *Dispatcher) mayFinish(timeout time.Duration) bool {
+	return d.attemptsEnd == 0 || d.now()+timeout <= d.attemptsEnd
+}
+
 // handOverAll hands over the queues that the function selects.
 func (d *Dispatcher) handOverAll(ctx context.Context, selected func(string) bool) {
 	d.mutex.Lock()
--- a/internal/service/dispatcher/leaving_test.go
+++ b/internal/service/dispatcher/leaving_test.go
@@ -78,6 +78,36 @@
 	}
 }
 
+// TWICE: a dispatcher that leaves begins no attempt that may outlast it, so that no message has to run again.
+func TestLeavingDispatcherBeginsOnlyWhatItCanFinish(t *testing.T) {
+	for name, tc := range map[string]struct {
+		left time.Duration // until it stops reading answers
+		runs int
+	}{
+		"time for an attempt": {routeTimeout + 10*time.Millisecond, 1},
+		"too little time":     {routeTimeout - 10*time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newQueueHandover(t, c, func(int, string) int { return http.StatusOK })
+				defer r.end()
+				time.Sleep(freezeDelay)
+				r.old.mutex.Lock()
+				r.old.attemptsEnd = r.old.now() + tc.left
+				owned := r.old.queues["ordered/1"]
+				owned.Add(r.old.now(), protocol.Head{ID: "late", State: protocol.Queued, Method: "POST", Host: "a.example", Target: "/a/", Retention: time.Minute}, nil, nil)
+				r.old.pump(owned)
+				r.old.mutex.Unlock()
+				time.Sleep(3 * time.Second)
+				r.mutex.Lock()
+				defer r.mutex.Unlock()
+				c.Check(r.arrivalsOf("late"), qt.HasLen, tc.runs)
+			})
+		})
+	}
+}
+
 // TWICE: all messages that senders have when their queue is released are held by the next owner, however many they are.
 func TestReleaseWithMoreAttemptsThanOneRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
