--- a/internal/run/app/operations_test.go
+++ b/internal/run/app/operations_test.go
@@ -82,19 +82,29 @@
 	over  chan error
 }
 
-// start starts a process; it runs until it has left or the test ends.
-func (s *site) start() *process {
-	t := s.t
+// duplicate returns another descriptor of a listening socket. File().Fd() would make the socket blocking, also for a
+// process that has it already and accepts in that moment.
+func duplicate(t *testing.T, listener *net.TCPListener) (fd int) {
 	t.Helper()
-	file, err := s.clients.(*net.TCPListener).File()
+	raw, err := listener.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	fd, err := unix.Dup(int(file.Fd()))
-	file.Close()
-	if err != nil {
+	var duplicateErr error
+	if err := raw.Control(func(descriptor uintptr) { fd, duplicateErr = unix.Dup(int(descriptor)) }); err != nil {
 		t.Fatal(err)
 	}
+	if duplicateErr != nil {
+		t.Fatal(duplicateErr)
+	}
+	return fd
+}
+
+// start starts a process; it runs until it has left or the test ends.
+func (s *site) start() *process {
+	t := s.t
+	t.Helper()
+	fd := duplicate(t, s.clients.(*net.TCPListener))
 	p := &process{s: s, admin: free(t), over: make(chan error, 1)}
 	path := t.TempDir() + "/config.json"
 	configure(t, path, "127.0.0.1:9", s.discovery.Addr().String(), s.host)
