Run the test of pages in virtual time

It runs in a bubble of virtual time now, in which none passes, and asserts that each append was stored. The calls of storeclient's tests may take 10 s.

--- a/internal/service/store/heads_test.go
+++ b/internal/service/store/heads_test.go
@@ -104,7 +104,10 @@
 // LOST: a queue with more heads than one reply may hold is listed in pages. Only the holder of its lease may read them, and
 // a caller that does not read pages gets an error in place of a part.
 func TestHeadsAreListedInPages(t *testing.T) {
-	c := qt.New(t)
+	synctest.Test(t, func(t *testing.T) { testHeadsAreListedInPages(qt.New(t)) })
+}
+
+func testHeadsAreListedInPages(c *qt.C) {
 	s, err := openStore(options{
 		files: segmenttest.NewDisk(), storeID: "disk", segmentSize: 1 << 20, maxSegments: 32, maxIndexBytes: 32 << 20,
 		statusTime: testStatusTime, bootstrap: true, role: DispatcherRole, version: 1, log: logr.Discard(),
@@ -124,8 +127,9 @@
 		m := message(fmt.Sprintf("m-%d", i), "q", 1)
 		m.Head.Target = strings.Repeat("t", maxFieldBytes)
 		m.Head.CallbackURL = strings.Repeat("u", maxFieldBytes)
-		_, commit, err := s.append(owner, &m)
+		status, commit, err := s.append(owner, &m)
 		c.Assert(awaitCommit(commit, err), qt.IsNil)
+		c.Assert(status, qt.Equals, protocol.Stored)
 		ids = append(ids, m.Head.ID)
 	}
 	_, err = acquire(protocol.Acquire{Epoch: 2})
--- a/internal/service/storeclient/storeclient_test.go
+++ b/internal/service/storeclient/storeclient_test.go
@@ -13,6 +13,8 @@
 	"yardwharf/internal/service/transport"
 )
 
+const callTimeout = 10 * time.Second
+
 // scriptedStore answers with one head a page.
 func scriptedStore(c *qt.C, disks ...string) *transport.Client {
 	server := transport.NewServer(protocol.Identity{Node: "store", Role: "store"}, logr.Discard())
@@ -47,10 +49,10 @@
 func TestAllPagesAreRead(t *testing.T) {
 	c := qt.New(t)
 	client := scriptedStore(c, "disk")
-	reply, err := Acquire(context.Background(), client, protocol.Acquire{Queues: []string{"q"}, Epoch: 1}, time.Second)
+	reply, err := Acquire(context.Background(), client, protocol.Acquire{Queues: []string{"q"}, Epoch: 1}, callTimeout)
 	c.Assert(err, qt.IsNil)
 	c.Check(reply.Grants[0].Heads, qt.DeepEquals, []protocol.Head{{ID: "b", State: protocol.Queued}, {ID: "a", State: protocol.Completed}})
-	ends, err := FindEnds(context.Background(), client, []string{"x", "y"}, time.Second)
+	ends, err := FindEnds(context.Background(), client, []string{"x", "y"}, callTimeout)
 	c.Assert(err, qt.IsNil)
 	c.Check(ends, qt.DeepEquals, []protocol.Head{{ID: "x"}, {ID: "y"}})
 }
@@ -59,6 +61,6 @@
 func TestDiskReplacedBetweenPages(t *testing.T) {
 	c := qt.New(t)
 	client := scriptedStore(c, "disk", "disk", "new disk")
-	_, err := Acquire(context.Background(), client, protocol.Acquire{Queues: []string{"q"}, Epoch: 1}, time.Second)
+	_, err := Acquire(context.Background(), client, protocol.Acquire{Queues: []string{"q"}, Epoch: 1}, callTimeout)
 	c.Check(err, qt.ErrorIs, errDiskReplaced)
 }
