--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// STATE: the clock of a store is set half a second before all machines lose power, and the disk of another store is lost later.
+// Ended messages are still answered for.
+func TestClockSetBeforeAllPowerIsLost(t *testing.T) {
+	const seed = 910012
+	play(t, Options{Seed: seed})
+}
+
 // chosenKinds returns the kinds of faults that were asked for; nil: all.
 func chosenKinds() []string {
 	if *kinds == "" {
