--- a/review/second/cases/deployment.go
+++ b/review/second/cases/deployment.go
@@ -25,13 +25,18 @@
 
 // startDeployment starts a deployment with senders of some services.
 func startDeployment(options yard.Options, record *yard.Record, senders map[string]int, routes, services []map[string]any) (*deployment, error) {
+	return startDeploymentWith(options, record, senders, routes, services, yard.Limits())
+}
+
+// startDeploymentWith starts a deployment whose first configuration has some limits.
+func startDeploymentWith(options yard.Options, record *yard.Record, senders map[string]int, routes, services []map[string]any, limits map[string]any) (*deployment, error) {
 	y, err := yard.New(options, record)
 	if y == nil {
 		return nil, err
 	}
 	d := &deployment{Yard: y, ledger: yard.NewLedger(record)}
 	if err == nil {
-		err = d.start(senders, routes, services)
+		err = d.start(senders, routes, services, limits)
 	}
 	if err != nil {
 		d.close()
@@ -40,7 +45,7 @@
 	return d, nil
 }
 
-func (d *deployment) start(senders map[string]int, routes, services []map[string]any) error {
+func (d *deployment) start(senders map[string]int, routes, services []map[string]any, limits map[string]any) error {
 	for service, count := range senders {
 		for i := range count {
 			s, err := yard.StartSender(fmt.Sprintf("i-%s-%d", service, i+1), service, yard.Zone(i), 12, d.ledger)
@@ -54,7 +59,7 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	if err := d.Configure(0, 1, routes, services); err != nil {
+	if err := d.ConfigureLimits(0, 1, routes, services, limits); err != nil {
 		return err
 	}
 	if err := d.Started(); err != nil {
--- a/review/second/cases/main.go
+++ b/review/second/cases/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name. Each returns the breaks of its rule that clients, senders or the platform have seen.
 var cases = map[string]func(record *yard.Record, trouble bool) ([]string, error){
 	"sigterm": sigterm,
+	"limits":  limits,
 }
 
 func main() {
--- a/review/second/yard/client.go
+++ b/review/second/yard/client.go
@@ -96,3 +96,17 @@
 	defer c.Close()
 	return exchange(c)
 }
+
+// PostSlowly sends a message whose head takes a while.
+func (c *Conn) PostSlowly(host, path, id, body string, headers map[string]string, takes, limit time.Duration) Answer {
+	whole := request(http.MethodPost, host, path, id, body, headers)
+	const parts = 20
+	_ = c.conn.SetDeadline(time.Now().Add(limit))
+	for i := range parts {
+		if _, err := io.WriteString(c.conn, whole[len(whole)*i/(parts+1):len(whole)*(i+1)/(parts+1)]); err != nil {
+			return Answer{Err: err, Close: true, Sent: time.Now(), Got: time.Now()}
+		}
+		time.Sleep(takes / parts)
+	}
+	return c.exchange(whole[len(whole)*parts/(parts+1):], limit)
+}
--- a/review/second/yard/yard.go
+++ b/review/second/yard/yard.go
@@ -328,10 +328,17 @@
 
 // Configure hands a configuration to the control members in turn until one has taken it.
 func (y *Yard) Configure(base, revision int64, routes, services []map[string]any) error {
-	content, err := json.Marshal(map[string]any{
-		"revision": revision, "routes": routes, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	return y.ConfigureLimits(base, revision, routes, services, Limits())
+}
+
+// Limits returns the limits that the pages show.
+func Limits() map[string]any {
+	return map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+}
+
+// ConfigureLimits hands over a configuration with other limits.
+func (y *Yard) ConfigureLimits(base, revision int64, routes, services []map[string]any, limits map[string]any) error {
+	content, err := json.Marshal(map[string]any{"revision": revision, "routes": routes, "services": services, "limits": limits})
 	if err != nil {
 		return err
 	}
