--- a/review/second/cases/answers.go
+++ b/review/second/cases/answers.go
@@ -29,6 +29,7 @@
 type answeringSender struct {
 	id     string
 	size   int
+	seal   string // begins its seals
 	record *yard.Record
 
 	mutex sync.Mutex
@@ -72,10 +73,10 @@
 			last = ""
 			continue
 		}
-		number := s.begin(id, began)
+		number, seal := s.begin(id, began)
 		time.Sleep(20 * time.Millisecond)
-		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Server-Seal: %s.%s.%d\r\nX-Request-Id: %s\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n%s",
-			s.id, id, number, id, s.size, strings.Repeat("x", s.size))
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Server-Seal: %s%s.%s.%d\r\nX-Request-Id: %s\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n%s",
+			seal, s.id, id, number, id, s.size, strings.Repeat("x", s.size))
 		if err != nil {
 			return
 		}
@@ -84,12 +85,18 @@
 	}
 }
 
-func (s *answeringSender) begin(id string, at time.Time) int {
+func (s *answeringSender) setSeal(seal string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.seal = seal
+}
+
+func (s *answeringSender) begin(id string, at time.Time) (number int, seal string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.runs[id] = append(s.runs[id], answeredRun{began: at})
 	s.record.Add("sender: begins %s, run %d", id, len(s.runs[id]))
-	return len(s.runs[id])
+	return len(s.runs[id]), s.seal
 }
 
 func (s *answeringSender) sent(id string) {
--- a/review/second/cases/main.go
+++ b/review/second/cases/main.go
@@ -25,6 +25,7 @@
 	"answers": answers,
 	"sigterm": sigterm,
 	"limits":  limits,
+	"seal":    longSeal,
 }
 
 func main() {
--- a/review/second/yard/yard.go
+++ b/review/second/yard/yard.go
@@ -55,6 +55,7 @@
 type Process struct {
 	Node, Role string
 	IP         string
+	MemoryMb   int
 	command    []string
 	settings   string
 	log        string
@@ -178,12 +179,13 @@
 		seeds = append(seeds, y.Control(i))
 	}
 	for _, role := range roles {
+		memory := map[string]int{"agent": 284, "dispatcher": 284, "store": 304, "control": 280}[role]
 		settings := map[string]any{
 			"node": node, "role": role, "machineClass": class, "ip": ip, "zone": Zone(number), "region": "here",
 			"zones":         map[string]string{"zone-1": "here", "zone-2": "here", "zone-3": "here"},
 			"internalPorts": []int{y.first, y.first + internalPorts - 1},
 			"seeds":         seeds, "bootstrap": true, "countsForQuorum": class == "storage",
-			"limits":      map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000, "diskMb": 400},
+			"limits":      map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": memory, "maxFds": 4100, "linkMbps": 1000, "diskMb": 400},
 			"dataDir":     nil,
 			"discovery":   "cloud_api",
 			"entry":       "vip",
@@ -220,7 +222,7 @@
 			return err
 		}
 		y.Processes = append(y.Processes, &Process{
-			Node: node, Role: role, IP: ip, command: y.commands[role], settings: path, log: filepath.Join(y.Folder, node+"-"+role+".log"),
+			Node: node, Role: role, IP: ip, MemoryMb: memory, command: y.commands[role], settings: path, log: filepath.Join(y.Folder, node+"-"+role+".log"),
 		})
 	}
 	return nil
