--- a/review/second/cases/main.go
+++ b/review/second/cases/main.go
@@ -22,10 +22,11 @@
 
 // cases are the cases by name. Each returns the breaks of its rule that clients, senders or the platform have seen.
 var cases = map[string]func(record *yard.Record, trouble bool) ([]string, error){
-	"answers": answers,
-	"sigterm": sigterm,
-	"limits":  limits,
-	"seal":    longSeal,
+	"answers":   answers,
+	"sigterm":   sigterm,
+	"cancelled": cancelled,
+	"limits":    limits,
+	"seal":      longSeal,
 }
 
 func main() {
