Bound what a sender answers where it is read, and take no seal that stores refuse

Cause: nothing bounded a seal, nor the head of an answer, where it is read; stores refuse a seal over 16 KB.

Heads of answers are bounded by 32 KB, the numbers of X-Server-Load by 2^20, the id of a foreign answer in the log by 256 bytes. What processes of earlier builds report (relayed attempts, outcomes of previous owners) is held to the same bound.

--- a/internal/service/delivery/connection.go
+++ b/internal/service/delivery/connection.go
@@ -18,14 +18,17 @@
 
 	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
+
+	"yardwharf/internal/service/protocol"
 )
 
 const (
 	readBufferSize           = 4096
 	maxCombinedBody          = 32 << 10 // bytes; bodies up to this size are written together with the head
-	maxResponseBody          = 1 << 20  // bytes
-	maxInformational         = 5        // 1xx responses before the final one
-	maxMessagesPerConnection = 256      // a connection remembers every message that it carried
+	maxResponseHeadBytes     = 2 * protocol.MaxFieldBytes
+	maxResponseBody          = 1 << 20 // bytes
+	maxInformational         = 5       // 1xx responses before the final one
+	maxMessagesPerConnection = 256     // a connection remembers every message that it carried
 	tcpUserTimeout           = 3 * time.Second
 	defaultIdleTimeout       = 4 * time.Second // if the sender sends no Keep-Alive timeout
 	idleFraction             = 0.8             // of the time after which the sender closes the connection
@@ -55,8 +58,12 @@
 	carried []uint64 // hashes of the messages that it carried
 	// received reports whether bytes have arrived since it was last reset.
 	received bool
-	idleFor  time.Duration
-	expires  time.Time // when the idle connection must be closed
+	// headRoom is how many bytes may still be read of the head that is being read.
+	headRoom int
+	// inHead reports whether a head is being read.
+	inHead  bool
+	idleFor time.Duration
+	expires time.Time // when the idle connection must be closed
 }
 
 func newConnection(raw net.Conn, address string) *connection {
@@ -65,12 +72,17 @@
 	return c
 }
 
-// trackingReader reads from a connection and marks it when bytes have arrived.
+// trackingReader reads from a connection, marks it when bytes have arrived, and bounds the heads of responses.
 type trackingReader struct{ connection *connection }
 
 func (r trackingReader) Read(buffer []byte) (int, error) {
-	n, err := r.connection.raw.Read(buffer)
-	r.connection.received = r.connection.received || n > 0
+	c := r.connection
+	if c.inHead && c.headRoom <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := c.raw.Read(buffer)
+	c.headRoom -= n
+	c.received = c.received || n > 0
 	return n, err
 }
 
@@ -202,7 +214,10 @@
 // readHead reads the head of a final response.
 func (c *connection) readHead(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	c.inHead = true
+	defer func() { c.inHead = false }()
 	for range maxInformational + 1 {
+		c.headRoom = maxResponseHeadBytes
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil || response.StatusCode/100 != 1 {
 			return response, err
@@ -239,7 +254,8 @@
 
 // foreignError returns the error for a response that names another message.
 func foreignError(response *http.Response) error {
-	return fmt.Errorf("%w: %q", ErrForeign, response.Header.Get(headerRequestID))
+	id := response.Header.Get(headerRequestID)
+	return fmt.Errorf("%w: %q", ErrForeign, id[:min(len(id), protocol.MaxNameBytes)])
 }
 
 // hasKnownLength reports whether a response says where its body ends.
--- a/internal/service/delivery/delivery.go
+++ b/internal/service/delivery/delivery.go
@@ -27,6 +27,8 @@
 	ErrUnknownLength      = Class.New("the response does not say where its body ends")
 	ErrTooLarge           = Class.New("the response body is too large")
 	ErrNoSeal             = Class.New("the success response has no seal")
+	ErrSealTooLong        = Class.New("the seal of the success response has over %d bytes", protocol.MaxFieldBytes)
+	ErrHeadTooLarge       = Class.New("the response head has over %d bytes", maxResponseHeadBytes)
 	ErrInvalid            = Class.New("the message cannot be written as an HTTP request")
 	ErrNotBegun           = Class.New("the delivery was called off before its first byte")
 )
--- a/internal/service/delivery/delivery_test.go
+++ b/internal/service/delivery/delivery_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/verdict"
 )
 
@@ -99,6 +100,9 @@
 		"late":             {late, verdict.MayHaveRun, balance.TimedOut},
 		"503 alone":        {unsure, verdict.MayHaveRun, balance.Lost},
 		"no seal":          {strings.Replace(success, "X-Server-Seal", "X-Other", 1), verdict.MayHaveRun, balance.Lost},
+		"long seal":        {withSeal(strings.Repeat("5", protocol.MaxFieldBytes)), verdict.Ran, balance.Succeeded},
+		"too long a seal":  {withSeal(strings.Repeat("5", protocol.MaxFieldBytes+1)), verdict.MayHaveRun, balance.Lost},
+		"endless head":     {strings.Replace(success, "X-Server-Load", "X-Other: "+strings.Repeat("5", 1<<20)+"\r\nX-Server-Load", 1), verdict.MayHaveRun, balance.Lost},
 		"another's":        {withRequestID("m2", success), verdict.MayHaveRun, balance.Lost},
 		"another's full":   {withRequestID("m2", full), verdict.MayHaveRun, balance.Lost},
 		"another's 421":    {withRequestID("m2", misdirected), verdict.MayHaveRun, balance.Lost},
@@ -542,6 +546,7 @@
 func TestLoadAndRetryAfter(t *testing.T) {
 	for text, want := range map[string]*balance.Load{
 		"3,0,8": {Running: 3, Slots: 8}, " 1, 2 ,3": {Running: 1, Waiting: 2, Slots: 3},
+		"1048576,0,8": {Running: 1048576, Slots: 8}, "1048577,0,8": nil, "99999999999999999999,0,8": nil,
 		"": nil, "1,2": nil, "a,b,c": nil, "-1,0,8": nil, "1,2,3,4": nil,
 	} {
 		qt.Check(t, parseLoad(text), qt.DeepEquals, want, qt.Commentf("%q", text))
--- a/internal/service/delivery/peer_test.go
+++ b/internal/service/delivery/peer_test.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// withSeal returns a success with the given seal.
+func withSeal(seal string) string { return strings.Replace(success, "seal.1", seal, 1) }
+
 // withRequestID returns a response with its request id replaced.
 func withRequestID(id, text string) string {
 	return strings.Replace(text, "X-Request-Id: m1", "X-Request-Id: "+id, 1)
--- a/internal/service/delivery/response.go
+++ b/internal/service/delivery/response.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yardwharf/internal/service/balance"
+	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/verdict"
 )
 
@@ -20,8 +21,9 @@
 )
 
 const (
-	loadFieldCount = 3
-	maxRetryAfter  = time.Minute
+	loadFieldCount  = 3
+	maxReportedLoad = 1 << 20 // messages or slots
+	maxRetryAfter   = time.Minute
 )
 
 // senderResponse is a response that carries the id of the delivered message.
@@ -38,15 +40,17 @@
 func (a *senderResponse) classify(result *Result) {
 	result.Load = parseLoad(a.header.Get(headerLoad))
 	result.RetryAfter = parseRetryAfter(a.header.Get(headerRetryAfter))
-	success := a.status/100 == 2
+	success, seal := a.status/100 == 2, a.header.Get(headerSeal)
 	notExecuted := a.header.Get(headerNotExecuted) != "" || a.status == statusMisdirected
 	switch {
 	case notExecuted && !success:
 		result.Status, result.Verdict = a.status, verdict.NotRun
 	case a.err != nil:
 		result.Err = Class.Wrap(a.err)
-	case success && !notExecuted && a.header.Get(headerSeal) != "":
-		result.Status, result.Verdict, result.Seal = a.status, verdict.Ran, a.header.Get(headerSeal)
+	case success && len(seal) > protocol.MaxFieldBytes:
+		result.Status, result.Err = a.status, ErrSealTooLong // no store could keep it, and a success is told only with its seal
+	case success && !notExecuted && seal != "":
+		result.Status, result.Verdict, result.Seal = a.status, verdict.Ran, seal
 	case success:
 		result.Status, result.Err = a.status, ErrNoSeal
 	case a.status == statusFailed, a.status == statusImpossible:
@@ -56,7 +60,7 @@
 	}
 }
 
-// parseLoad parses "running,waiting,slots". It returns nil if the text is not valid.
+// parseLoad parses "running,waiting,slots". It returns nil if the text is not valid or a number is out of bounds.
 func parseLoad(text string) *balance.Load {
 	fields := strings.Split(text, ",")
 	if len(fields) != loadFieldCount {
@@ -65,7 +69,7 @@
 	var numbers [loadFieldCount]int
 	for i, field := range fields {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > maxReportedLoad {
 			return nil
 		}
 		numbers[i] = n
--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -95,9 +95,14 @@
 		return
 	}
 	entry.Head.Failures = max(entry.Head.Failures, outcome.Failures)
-	if outcome.End.State.Ended() {
-		d.endEntry(owned, entry, outcome.End.State, outcome.End.Stamp)
+	if !outcome.End.State.Ended() {
+		return
+	}
+	if err := outcome.End.Check(); err != nil { // from an earlier build, which does not bound seals
+		d.log.Info("outcome cannot be recorded, message is sent again", "message", entry.Head.ID, "cause", err.Error())
+		return
 	}
+	d.endEntry(owned, entry, outcome.End.State, outcome.End.Stamp)
 }
 
 // outcomeReport holds the outcomes of a queue's attempts that its new owner has not confirmed. Outcomes are numbered from
--- a/internal/service/dispatcher/endbatch_test.go
+++ b/internal/service/dispatcher/endbatch_test.go
@@ -151,3 +151,23 @@
 	batches.recorded("bad")
 	c.Check(batches.next(now, pending, failures).Ends, qt.HasLen, 2)
 }
+
+// An end that no store keeps does not count when a process of an earlier build reports it: the message stays open.
+func TestReportedEndOverTheBoundIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, end := newSimulatedDispatcher(millisecondNetwork())
+		d.mutex.Lock()
+		owned := addOwnedQueue(d, "ordered/1", 1)
+		for id, seal := range map[string]int{"long": protocol.MaxFieldBytes, "too-long": protocol.MaxFieldBytes + 1} {
+			owned.Add(d.now(), protocol.Head{ID: id, Queue: owned.Name, Retention: time.Hour, Delay: time.Minute}, nil, nil)
+			reported := protocol.End{ID: id, Queue: owned.Name, State: protocol.Completed, Stamp: strings.Repeat("5", seal)}
+			d.applyOutcome(owned, protocol.Outcome{End: reported, Failures: 2})
+		}
+		c.Check(owned.Get("long").Head.State, qt.Equals, protocol.Completed)
+		c.Check(owned.Get("too-long").Head.State, qt.Equals, protocol.Queued)
+		c.Check(owned.Get("too-long").Head.Failures, qt.Equals, 2)
+		d.mutex.Unlock()
+		end()
+	})
+}
--- a/internal/service/dispatcher/relay.go
+++ b/internal/service/dispatcher/relay.go
@@ -141,6 +141,16 @@
 	reply, err := transport.Call[protocol.RelayReply](ctx, relay, protocol.Relay{
 		Service: state.service.name, Head: request.Head, Body: request.Body, StartWithin: state.startWithin,
 	})
+	result := relayedResult(reply)
+	if err != nil {
+		result = delivery.Result{Verdict: verdict.Of(err), RetryAfter: delivery.NoRetryAfter, TimedOut: ctx.Err() != nil, Err: err}
+	}
+	result.Latency = d.now() - began
+	return result
+}
+
+// relayedResult converts the reply of a relay.
+func relayedResult(reply protocol.RelayReply) delivery.Result {
 	result := delivery.Result{
 		Verdict: verdict.Verdict(reply.Verdict), Status: reply.Status, Seal: reply.Seal, RetryAfter: reply.RetryAfter,
 		Connected: true, Answered: reply.Answered, TimedOut: reply.TimedOut,
@@ -148,10 +158,9 @@
 	if reply.Cause != "" {
 		result.Err = errors.New(reply.Cause)
 	}
-	if err != nil {
-		result = delivery.Result{Verdict: verdict.Of(err), RetryAfter: delivery.NoRetryAfter, TimedOut: ctx.Err() != nil, Err: err}
+	if len(reply.Seal) > protocol.MaxFieldBytes { // of an earlier build, which does not bound seals
+		result.Verdict, result.Seal, result.Err = verdict.MayHaveRun, "", delivery.ErrSealTooLong
 	}
-	result.Latency = d.now() - began
 	return result
 }
 
--- a/internal/service/dispatcher/relay_test.go
+++ b/internal/service/dispatcher/relay_test.go
@@ -15,6 +15,7 @@
 
 	"yardwharf/internal/service/balance"
 	"yardwharf/internal/service/protocol"
+	"yardwharf/internal/service/verdict"
 	"yardwharf/internal/service/view"
 	"yardwharf/internal/simulation/simnet"
 )
@@ -321,3 +322,15 @@
 		c.Check(direct > 0 && direct <= maxConns, qt.IsTrue, qt.Commentf("%d of %d", direct, maxConns))
 	}
 }
+
+// A relay of an earlier build may report a success with a seal that no store keeps: the message is sent again.
+func TestRelayedSealOverTheBound(t *testing.T) {
+	c := qt.New(t)
+	reply := protocol.RelayReply{Verdict: uint8(verdict.Ran), Status: http.StatusOK, Seal: strings.Repeat("5", protocol.MaxFieldBytes), Answered: true}
+	result := relayedResult(reply)
+	c.Check(result.Succeeded(), qt.IsTrue)
+	reply.Seal += "5"
+	result = relayedResult(reply)
+	c.Check(result.Succeeded(), qt.IsFalse)
+	c.Check(result.Inconclusive(), qt.IsTrue)
+}
