Take a whole success for one however long its body is

Cause: the delivery gave up on bodies over 1 MiB, so that a whole answer with its seal told nothing. The same attempt was made for ever. Nothing of the body is kept; the deadline of the attempt bounds it already.

Change: the body is read to its end and thrown away.

--- a/internal/service/delivery/connection.go
+++ b/internal/service/delivery/connection.go
@@ -26,9 +26,8 @@
 	readBufferSize           = 4096
 	maxCombinedBody          = 32 << 10 // bytes; bodies up to this size are written together with the head
 	maxResponseHeadBytes     = 2 * protocol.MaxFieldBytes
-	maxResponseBody          = 1 << 20 // bytes
-	maxInformational         = 5       // 1xx responses before the final one
-	maxMessagesPerConnection = 256     // a connection remembers every message that it carried
+	maxInformational         = 5   // 1xx responses before the final one
+	maxMessagesPerConnection = 256 // a connection remembers every message that it carried
 	tcpUserTimeout           = 3 * time.Second
 	defaultIdleTimeout       = 4 * time.Second // if the sender sends no Keep-Alive timeout
 	idleFraction             = 0.8             // of the time after which the sender closes the connection
@@ -240,15 +239,13 @@
 	return a
 }
 
-// readBody reads the body of a response to its end and discards it.
+// readBody reads the body of a response to its end and discards it. Nothing of it is kept, so that not its size but the
+// deadline of the delivery bounds it: a success whose body is long is a success, and must not run again.
 func readBody(response *http.Response) error {
 	if !hasKnownLength(response) {
 		return ErrUnknownLength
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBody+1))
-	if err == nil && n > maxResponseBody {
-		return ErrTooLarge
-	}
+	_, err := io.Copy(io.Discard, response.Body)
 	return err
 }
 
--- a/internal/service/delivery/delivery.go
+++ b/internal/service/delivery/delivery.go
@@ -25,7 +25,6 @@
 	ErrForeign            = Class.New("the response belongs to another request")
 	ErrUnexpectedResponse = Class.New("too many informational responses, or a protocol switch that was not requested")
 	ErrUnknownLength      = Class.New("the response does not say where its body ends")
-	ErrTooLarge           = Class.New("the response body is too large")
 	ErrNoSeal             = Class.New("the success response has no seal")
 	ErrSealTooLong        = Class.New("the seal of the success response has over %d bytes", protocol.MaxFieldBytes)
 	ErrHeadTooLarge       = Class.New("the response head has over %d bytes", maxResponseHeadBytes)
--- a/internal/service/delivery/peer_test.go
+++ b/internal/service/delivery/peer_test.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// largeBody is a success with a body of 2 MB.
+var largeBody = strings.Replace(success, "Content-Length: 4\r\n\r\ndone", "Content-Length: 2000000\r\n\r\n"+strings.Repeat("x", 2000000), 1)
+
 // withSeal returns a success with the given seal.
 func withSeal(seal string) string { return strings.Replace(success, "seal.1", seal, 1) }
 
