Leave out the entries of the platform's list that cannot be used, not the whole list

What callers would see: one entry without an id or with a value of another type, as long as the platform lists it, kept the whole list from being taken: senders that start, drain or go were no longer known to any dispatcher. An entry with a text of megabytes made an update that fits into no frame; it would have held up the configuration too, which travels in the same reply.

Change: an entry at fault is left out and logged with its cause, the others count; a list in which no entry can be used still leaves the old one in place. Texts are bounded by protocol.MaxNameBytes, the list by half a frame, slots and warm-up by constants.

Evidence: TestOneEntryAtFaultDoesNotHideTheOthers failed before ("an entry of page 1 has no id", type errors of the decoder); TestListFitsIntoAFrame.

--- a/internal/service/discovery/discovery_test.go
+++ b/internal/service/discovery/discovery_test.go
@@ -1,10 +1,13 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"yardwharf/internal/service/distribution"
+	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/view"
 )
 
@@ -258,3 +262,47 @@
 	ownedByA, ownedByB := a.hub.IsPublisher(view.TopicSenders, "a@1"), b.hub.IsPublisher(view.TopicSenders, "b@1")
 	c.Assert(ownedByA != ownedByB, qt.IsTrue, qt.Commentf("after the partition heals, exactly one continues"))
 }
+
+// An entry that cannot be used is left out; it must not keep the others, and what comes later, from being known.
+func TestOneEntryAtFaultDoesNotHideTheOthers(t *testing.T) {
+	c := qt.New(t)
+	long := strings.Repeat("x", protocol.MaxNameBytes+1)
+	for _, bad := range []string{
+		`{"id":""}`, `{"id":7}`, `{"id":"bad","slots":"6"}`, `{"id":"bad","slots":-1}`, `{"id":"bad","slots":1048577}`,
+		`{"id":"` + long + `"}`, `{"id":"bad","address":"` + long + `"}`, `[]`,
+	} {
+		r := newPageCollector()
+		page, err := parsePage(http.StatusOK, []byte(`{"instances":[{"id":"i-1"},`+bad+`,{"id":"i-2"}],"nextToken":"p-1"}`))
+		c.Assert(err, qt.IsNil)
+		_, err = r.add(page)
+		c.Assert(err, qt.IsNil)
+		page, err = parsePage(http.StatusOK, []byte(`{"instances":[`+bad+`]}`))
+		c.Assert(err, qt.IsNil)
+		_, err = r.add(page)
+		c.Assert(err, qt.IsNil)
+		c.Assert(ids(r.list()), qt.DeepEquals, []string{"i-1", "i-2"}, qt.Commentf("%s", bad))
+		c.Assert(r.leftOut.count, qt.Equals, 2)
+		_, err = newPageCollector().add(page)
+		c.Assert(err, qt.ErrorMatches, ".*none of 1 entries.*", qt.Commentf("such a list keeps the old one in place"))
+	}
+	c.Assert(Instance{ID: "a", WarmupLeftMs: 1e300}.sender().WarmupLeft, qt.Equals, maxWarmup)
+	c.Assert(Instance{ID: "a", WarmupLeftMs: -1}.sender().WarmupLeft, qt.Equals, time.Duration(0))
+}
+
+// A list is cut where it would no longer fit into a frame.
+func TestListFitsIntoAFrame(t *testing.T) {
+	c := qt.New(t)
+	r := newPageCollector()
+	text := strings.Repeat("x", protocol.MaxNameBytes-8)
+	total := 2 * maxListBytes / protocol.MaxNameBytes
+	for i := range total {
+		id := fmt.Sprintf("%s%08d", text, i)
+		r.senders[id] = view.Sender{ID: id}
+	}
+	list := r.list()
+	c.Assert(len(list) < total, qt.IsTrue)
+	c.Assert(r.leftOut.count, qt.Equals, total-len(list))
+	var encoded bytes.Buffer
+	c.Assert(gob.NewEncoder(&encoded).Encode(view.Senders{List: list}), qt.IsNil)
+	c.Assert(encoded.Len() <= maxListBytes, qt.IsTrue)
+}
--- a/internal/service/discovery/reader.go
+++ b/internal/service/discovery/reader.go
@@ -45,6 +45,7 @@
 	schedule  *Schedule
 	omissions omissionFilter
 	failing   bool
+	leftOut   int // entries that the last list left out
 }
 
 // handleRead logs and publishes the result of a read, and returns the time from the
@@ -53,6 +54,7 @@
 	r.logTransition(err)
 	interval := r.schedule.NextDelay(list.Pages, err, rand.Float64())
 	if err == nil {
+		r.logLeftOut(list.LeftOut)
 		r.publish(list, interval)
 	}
 	return interval
@@ -84,6 +86,18 @@
 	r.failing = err != nil
 }
 
+// logLeftOut logs when the number of entries that are left out changes.
+func (r *reader) logLeftOut(left leftOut) {
+	switch {
+	case left.count == r.leftOut:
+	case left.count == 0:
+		r.log.Info("all entries of the platform's list can be used again")
+	default:
+		r.log.Info("entries of the platform's list cannot be used", "entries", left.count, "cause", left.cause.Error())
+	}
+	r.leftOut = left.count
+}
+
 // pause waits for a duration or until the context is done.
 func pause(ctx context.Context, length time.Duration) {
 	if length <= 0 {
--- a/internal/service/discovery/source.go
+++ b/internal/service/discovery/source.go
@@ -56,6 +56,7 @@
 		}
 	}
 	list.Senders, list.Pages = pages.list(), pages.pages
+	list.LeftOut = pages.leftOut
 	return list, nil
 }
 
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -56,6 +56,14 @@
 	WarmupLeft time.Duration
 }
 
+// maxSenderFixedBytes bounds the encoded size of a sender without its texts.
+const maxSenderFixedBytes = 60
+
+// MaxEncodedBytes returns an upper bound of the entry's size in a frame.
+func (s *Sender) MaxEncodedBytes() int {
+	return maxSenderFixedBytes + len(s.ID) + len(s.Service) + len(s.Address) + len(s.Zone) + len(s.Revision)
+}
+
 // Senders is the platform's list of senders. Epoch and Counter are its version.
 type Senders struct {
 	Epoch   uint64
