Refuse single queues of a request for leases, and give long service names a queue

What callers would see: a configuration with a rate-limited service whose name is over 250 bytes was taken, and from then on no dispatcher that starts got any shared queue that it asked for in the same request: their messages were refused with 503 for good. A full table of queues did the same to those that existed.

Cause: a store failed the whole request for up to 64 leases if it could not have one of the queues; the name of the queue is made of that of the service, which nothing upstream bounds.

The queue of a service with a long name is named by its digest.

Evidence: TestQueuesAreRefusedOneByOne failed before ("queue of 0 bytes"); TestQueueOfAServiceWithALongName. Not run with real processes.

--- a/internal/service/dispatcher/dispatcher_test.go
+++ b/internal/service/dispatcher/dispatcher_test.go
@@ -76,6 +76,17 @@
 	c.Assert(queueOf("/keys/x", ""), qt.Equals, "rated/outside")
 }
 
+// Stores refuse names of queues over the bound; the name of a service has none.
+func TestQueueOfAServiceWithALongName(t *testing.T) {
+	c := qt.New(t)
+	longest := strings.Repeat("n", protocol.MaxNameBytes-len(ratedPrefix))
+	c.Assert(ratedQueue(longest), qt.Equals, ratedPrefix+longest, qt.Commentf("as in earlier builds"))
+	for _, service := range []string{longest + "n", strings.Repeat("n", protocol.MaxFieldBytes)} {
+		c.Assert(protocol.CheckName("queue", ratedQueue(service)), qt.IsNil)
+		c.Assert(ratedQueue(service), qt.Not(qt.Equals), ratedQueue(service+"n"))
+	}
+}
+
 func TestUrgentMessagesComeBeforeLateOnes(t *testing.T) {
 	c := qt.New(t)
 	var waiting waitingMessages
--- a/internal/service/dispatcher/fleet.go
+++ b/internal/service/dispatcher/fleet.go
@@ -75,7 +75,7 @@
 	}
 	deliverers := insertPlace(d.fleet.orderedOwners, me)
 	for _, place := range d.fleet.all {
-		if place.Name == d.table.holders[ratedPrefix+configured.Name].Holder {
+		if place.Name == d.table.holders[ratedQueue(configured.Name)].Holder {
 			deliverers = insertPlace(deliverers, place)
 		}
 	}
--- a/internal/service/dispatcher/ownership.go
+++ b/internal/service/dispatcher/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -59,12 +61,22 @@
 	case route.Ordered && orderingKey != "":
 		return orderedPrefix + strconv.Itoa(partitionOf(orderingKey))
 	case service.RateLimited():
-		return ratedPrefix + service.Name
+		return ratedQueue(service.Name)
 	default:
 		return d.currentLocalQueue()
 	}
 }
 
+// ratedQueue returns the name of the queue for the messages of a rate-limited service. The name of a service may be longer
+// than that of a queue: then its digest stands for it.
+func ratedQueue(service string) string {
+	if name := ratedPrefix + service; len(name) <= protocol.MaxNameBytes {
+		return name
+	}
+	digest := sha256.Sum256([]byte(service))
+	return ratedPrefix + "sha256/" + hex.EncodeToString(digest[:])
+}
+
 // localQueueName returns the name of the queue for a process's own messages. The
 // number distinguishes it from queues that the same process has lost.
 func localQueueName(identity protocol.Identity, number int) string {
@@ -112,7 +124,7 @@
 	}
 	for _, service := range current.Services() {
 		if service.RateLimited() {
-			names = append(names, ratedPrefix+service.Name)
+			names = append(names, ratedQueue(service.Name))
 		}
 	}
 	for partition := 0; ordered && partition < orderedPartitions; partition++ {
--- a/internal/service/dispatcher/rate.go
+++ b/internal/service/dispatcher/rate.go
@@ -60,7 +60,7 @@
 // refreshLimiter creates a new, empty limiter for each lease on a service's rated
 // queue. It reports whether this dispatcher may use the rate.
 func (d *Dispatcher) refreshLimiter(service *serviceState) bool {
-	owned := d.queues[ratedPrefix+service.name]
+	owned := d.queues[ratedQueue(service.name)]
 	if owned == nil || !d.mayDeliver(owned) {
 		return false
 	}
@@ -85,7 +85,7 @@
 
 // requestPermits requests permits from the owner of a service's rate.
 func (d *Dispatcher) requestPermits(service *serviceState) {
-	owner := d.ownerAddress(ratedPrefix + service.name)
+	owner := d.ownerAddress(ratedQueue(service.name))
 	if service.rate.requesting {
 		return
 	}
--- a/internal/service/store/ends_test.go
+++ b/internal/service/store/ends_test.go
@@ -47,3 +47,21 @@
 	c.Check(s.index.entries["long"], qt.IsNil)
 	c.Check(s.index.entries["unknown"], qt.IsNil)
 }
+
+// A queue that a store cannot have must not keep the other queues of the request from being granted.
+func TestQueuesAreRefusedOneByOne(t *testing.T) {
+	c := qt.New(t)
+	s, err := openOnDisk(segmenttest.NewDisk())
+	c.Assert(err, qt.IsNil)
+	names := []string{"first", "", strings.Repeat("n", protocol.MaxNameBytes+1), "last"}
+	reply, commit, err := s.acquire(dispatcher("edge-1"), protocol.Acquire{Queues: names, Epoch: 1, Paged: true})
+	c.Assert(awaitCommit(commit, err), qt.IsNil)
+	var granted []string
+	for i, grant := range reply.Grants {
+		c.Check(grant.Queue, qt.Equals, names[i])
+		if grant.Granted {
+			granted = append(granted, grant.Queue)
+		}
+	}
+	c.Assert(granted, qt.DeepEquals, []string{"first", "last"})
+}
--- a/internal/service/store/sessions.go
+++ b/internal/service/store/sessions.go
@@ -137,18 +137,18 @@
 	return state
 }
 
-// acquire requests leases. The reply is valid once the commit has ended.
+// acquire requests leases. The reply is valid once the commit has ended. A queue that the store cannot have is not
+// granted; the others of the request are.
 func (s *store) acquire(identity protocol.Identity, request protocol.Acquire) (protocol.AcquireReply, *segment.Commit, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	reply := protocol.AcquireReply{StoreID: s.log.StoreID(), StoresKnown: s.storesKnown}
 	now, size := time.Now(), grantsSize{room: replyRoom(request.Paged)}
 	for _, name := range request.Queues {
-		if err := protocol.CheckName("queue", name); err != nil {
-			return reply, nil, err
-		}
-		if err := s.checkQueues(name); err != nil {
-			return reply, nil, err
+		if err := errors.Join(protocol.CheckName("queue", name), s.checkQueues(name)); err != nil {
+			s.options.log.V(1).Info("queue cannot be granted", "queue", name[:min(len(name), protocol.MaxNameBytes)], "node", identity.Node, "cause", err.Error())
+			reply.Grants = append(reply.Grants, protocol.Grant{Queue: name})
+			continue
 		}
 		if !request.Paged && len(reply.Grants) > 0 && !s.grantFits(now, name, size) {
 			_, promised := s.grantor.Lease(name)
