Bound releases, reports and batches of ends by their bytes, not only by their number

What callers would see: a queue with some 500 unsettled successes whose seals have 16 KB was released in a request that fits into no frame. No store heard of the release: the queue had no owner until the leases ended, and the next owner did not learn of the successes with it.

Cause: 1,000 attempts in one release, whatever their size; seals of up to 16 KB are taken upstream.

Change: releases, kept attempts, reports of outcomes and batches of ends hold as much as 1 MB by an upper bound, and one item at the least.

Evidence: TestReleaseWithLongSealsFitsIntoFrames fails without the bound: no release arrives.

--- a/internal/service/dispatcher/attempts.go
+++ b/internal/service/dispatcher/attempts.go
@@ -17,11 +17,9 @@
 // If a queue is lost without a release, only the previous owner can report to the new one.
 
 const (
-	reportTimeout         = 600 * time.Millisecond
-	reportRetryPause      = 50 * time.Millisecond // the new owner may not have acquired the queue yet
-	maxReportWait         = 10 * time.Second      // without progress
-	maxOutcomesPerReport  = 256
-	maxAttemptsPerRelease = 1000 // per queue
+	reportTimeout    = 600 * time.Millisecond
+	reportRetryPause = 50 * time.Millisecond // the new owner may not have acquired the queue yet
+	maxReportWait    = 10 * time.Second      // without progress
 )
 
 // dropQueue drops a queue. It returns the attempts that are not settled, and starts reporting
@@ -115,8 +113,7 @@
 
 // unkept returns the first of the outcomes that are neither confirmed nor kept.
 func (r *outcomeReport) unkept() []protocol.Outcome {
-	rest := r.outcomes[max(0, r.kept-r.confirmed):]
-	return rest[:min(len(rest), maxOutcomesPerReport)]
+	return firstOutcomes(r.outcomes[max(0, r.kept-r.confirmed):])
 }
 
 // firstUnkept returns the number of the first outcome that is neither confirmed nor kept.
@@ -145,7 +142,7 @@
 func (d *Dispatcher) reportOutcomes(name string, report *outcomeReport) {
 	for deadline := d.now() + maxReportWait; d.now() < deadline; {
 		d.mutex.Lock()
-		batch := report.outcomes[:min(len(report.outcomes), maxOutcomesPerReport)]
+		batch := firstOutcomes(report.outcomes)
 		d.mutex.Unlock()
 		switch {
 		case d.reportToOwner(protocol.ReportOutcomes{Queue: name, Outcomes: batch}):
--- a/internal/service/dispatcher/endbatch.go
+++ b/internal/service/dispatcher/endbatch.go
@@ -44,14 +44,16 @@
 	}
 	size := max(1, maxEndsPerBatch>>b.halvings)
 	var batch protocol.EndBatch
+	bytes := 0
 	for id, end := range ends {
-		if len(batch.Ends) >= size {
+		if len(batch.Ends) >= size || bytes > attemptBatchBytes {
 			break
 		}
 		if aside, refused := b.setAside[id]; refused && (aside.alone || aside.retryAt > now) {
 			continue
 		}
 		batch.Ends = append(batch.Ends, end)
+		bytes += (&protocol.Outcome{End: end}).MaxEncodedBytes()
 	}
 	if b.halvings > 0 && len(batch.Ends) > 0 {
 		return batch
--- a/internal/service/dispatcher/endbatch_test.go
+++ b/internal/service/dispatcher/endbatch_test.go
@@ -171,3 +171,16 @@
 		end()
 	})
 }
+
+// Ends with long seals go in batches that a slow link carries within the time-out.
+func TestEndBatchesAreBoundedInBytes(t *testing.T) {
+	c := qt.New(t)
+	pending := map[string]protocol.End{}
+	for i := range maxEndsPerBatch {
+		id := fmt.Sprint(i)
+		pending[id] = protocol.End{ID: id, Stamp: strings.Repeat("5", protocol.MaxFieldBytes)}
+	}
+	var batches endBatches
+	batch := batches.next(time.Second, pending, nil)
+	c.Check(len(batch.Ends)*protocol.MaxFieldBytes <= attemptBatchBytes+protocol.MaxFieldBytes, qt.IsTrue)
+}
--- a/internal/service/dispatcher/handover.go
+++ b/internal/service/dispatcher/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -68,16 +67,18 @@
 	if len(attempts) > 0 {
 		d.log.Info("queue released with unsettled attempts", "queue", owned.Name, "messages", len(attempts))
 	}
-	for further := range slices.Chunk(attempts[min(len(attempts), maxAttemptsPerRelease):], maxAttemptsPerRelease) {
-		d.keepAttempts(context.WithoutCancel(ctx), owned.Name, further)
+	released := firstAttempts(attempts)
+	for further := attempts[len(released):]; len(further) > 0; {
+		batch := firstAttempts(further)
+		d.keepAttempts(context.WithoutCancel(ctx), owned.Name, batch)
+		further = further[len(batch):]
 	}
-	attempts = attempts[:min(len(attempts), maxAttemptsPerRelease)]
 	var calls sync.WaitGroup
 	for _, link := range links {
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			d.release(context.WithoutCancel(ctx), link, owned.Name, owned.Epoch, attempts)
+			d.release(context.WithoutCancel(ctx), link, owned.Name, owned.Epoch, released)
 		}()
 	}
 	calls.Wait()
--- a/internal/service/dispatcher/leaving_test.go
+++ b/internal/service/dispatcher/leaving_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 
 	"yardwharf/internal/service/protocol"
 	"yardwharf/internal/service/queue"
+	"yardwharf/internal/service/transport"
 )
 
 // TWICE: a dispatcher that leaves reads a success after it has released the queue, and does not know the new owner yet. It
@@ -142,3 +145,47 @@
 		end()
 	})
 }
+
+// LOST: a queue whose unsettled attempts have long seals is released all the same, and the next owner learns of each of them.
+func TestReleaseWithLongSealsFitsIntoFrames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const ended = transport.MaxFrame/protocol.MaxFieldBytes + 100
+		stores := acquireStores(3)
+		told := map[string]bool{}
+		for i, store := range stores {
+			store.endsOrError = func(protocol.EndBatch) (protocol.EndBatchReply, error) {
+				return protocol.EndBatchReply{}, errors.New("no")
+			}
+			store.release = func(request protocol.Release) {
+				for _, attempt := range request.Attempts {
+					told[attempt.ID] = told[attempt.ID] || i == 0
+				}
+			}
+		}
+		d, end := withScriptedStores(c, stores)
+		d.acquire(t.Context(), []string{"ordered/1"})
+		d.mutex.Lock()
+		for _, link := range d.stores {
+			link.keepsAttempts = true
+		}
+		owned := d.queues["ordered/1"]
+		seal := strings.Repeat("5", protocol.MaxFieldBytes)
+		for i := range ended {
+			entry := owned.Add(d.now(), protocol.Head{ID: fmt.Sprintf("m-%d", i), Queue: owned.Name, Retention: time.Hour}, nil, nil)
+			d.endEntry(owned, entry, protocol.Completed, seal)
+		}
+		d.mutex.Unlock()
+		over, cancel := context.WithCancel(t.Context())
+		cancel()
+		d.handOver(over, owned, "")
+		stores[0].mutex.Lock()
+		c.Check(stores[0].released, qt.Equals, 1)
+		for _, attempt := range stores[0].kept["ordered/1"] {
+			told[attempt.ID] = true
+		}
+		c.Check(told, qt.HasLen, ended)
+		stores[0].mutex.Unlock()
+		end()
+	})
+}
--- a/internal/service/dispatcher/previousowner.go
+++ b/internal/service/dispatcher/previousowner.go
@@ -23,7 +23,6 @@
 	relinquishRetryPause = 50 * time.Millisecond
 	holdExtension        = 2 * time.Second // longer than one probe and one request
 	askBeforeHoldEnds    = 400 * time.Millisecond
-	relinquishPageBytes  = 1 << 20 // of the attempts in one reply
 
 	keptOutcomesPollInterval = 400 * time.Millisecond
 )
@@ -255,7 +254,7 @@
 			continue
 		}
 		size += attempts[i].MaxEncodedBytes()
-		if size > relinquishPageBytes && len(page.Attempts) > 0 && page.Attempts[len(page.Attempts)-1].ID != attempts[i].ID {
+		if size > attemptBatchBytes && len(page.Attempts) > 0 && page.Attempts[len(page.Attempts)-1].ID != attempts[i].ID {
 			page.More = true
 			break
 		}
--- a/internal/service/protocol/attempts.go
+++ b/internal/service/protocol/attempts.go
@@ -90,6 +90,10 @@
 
 // MaxEncodedBytes returns an upper bound of the attempt's size in a frame.
 func (a *Attempt) MaxEncodedBytes() int {
-	return maxFixedBytes + len(a.ID) + len(a.Owner.Node) + len(a.Owner.Role) + len(a.Owner.Zone) + len(a.Owner.Address) +
-		len(a.End.ID) + len(a.End.Queue) + len(a.End.Stamp)
+	return len(a.ID) + len(a.Owner.Node) + len(a.Owner.Role) + len(a.Owner.Zone) + len(a.Owner.Address) + a.Outcome.MaxEncodedBytes()
+}
+
+// MaxEncodedBytes returns an upper bound of the outcome's size in a frame.
+func (o *Outcome) MaxEncodedBytes() int {
+	return maxFixedBytes + len(o.End.ID) + len(o.End.Queue) + len(o.End.Stamp)
 }
