Refuse at the door what stores would refuse or nobody could carry out

What callers would see: a message with a path, an ordering key, a content type or a call-back URL over 16 KB (a configuration may allow larger heads) got a 504 at each try, as if it might have been kept: the dispatcher took the head, each store refused it. `X-Delay-Ms: NaN` or 1e300 gave a delay that depends on the processor. A call-back URL that names a receiver with another scheme failed each call for minutes, and each failure counted as one of the receiver, which has other calls wait up to 2.4 s.

Cause: bounds stood downstream alone.

Change: the door answers 431 by protocol.MaxFieldBytes, the bound of the stores, and 400 to delays outside 0 to 30 days and to call-back URLs that are no http URL with a host. A call-back that an earlier build has taken with such a URL is given up, logged, and no failure of its receiver.

Not run with real processes.

--- a/internal/service/delivery/callback.go
+++ b/internal/service/delivery/callback.go
@@ -32,7 +32,7 @@
 		Transport: &http.Transport{
 			DialContext: network.Dialer(on, dialTimeout), MaxConnsPerHost: maxCallbackConnections,
 			MaxIdleConnsPerHost: maxCallbackConnections, IdleConnTimeout: callbackIdleTimeout,
-			ResponseHeaderTimeout: callbackTimeout, DisableCompression: true,
+			ResponseHeaderTimeout: callbackTimeout, MaxResponseHeaderBytes: maxResponseHeadBytes, DisableCompression: true,
 		},
 		Timeout:       callbackTimeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/service/dispatcher/callbacks.go
+++ b/internal/service/dispatcher/callbacks.go
@@ -38,6 +38,11 @@
 // queueCallback queues a call-back for its receiver's workers, or postpones it until the
 // end of the message can no longer be lost. The mutex is held.
 func (d *Dispatcher) queueCallback(owned *ownedQueue, entry *queue.Entry) {
+	if address := entry.Head.CallbackURL; address != "" && !callable(address) { // taken by an earlier build
+		d.log.Info("call-back cannot be made", "message", entry.Head.ID)
+		d.callbackDone(owned, entry)
+		return
+	}
 	if !d.endIsSafe(entry) {
 		d.recordEnd(owned, entry)
 		owned.PostponeCallback(d.now(), entry, callbackEndWait)
@@ -53,6 +58,12 @@
 	d.startReceiverWorker(host, r)
 }
 
+// callable reports whether a call-back can be made to an address.
+func callable(address string) bool {
+	parsed, err := url.Parse(address)
+	return err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.Host != ""
+}
+
 // receiverHost returns the host and port of a URL.
 func receiverHost(address string) string {
 	parsed, err := url.Parse(address)
--- a/internal/service/dispatcher/front.go
+++ b/internal/service/dispatcher/front.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -39,6 +40,7 @@
 	defaultMaxHeaderBytes = 16384
 	defaultMaxBodyBytes   = 262144
 	largestBodyBytes      = 7 << 20 // that a frame to a store can hold beside its head
+	maxDelayMs            = 30 * 24 * 3600 * 1000
 )
 
 // serveFront starts serving clients. It waits for the first configuration, whose
@@ -103,10 +105,10 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	head, problem := d.readHead(r, route)
+	head, invalid := readHead(r, route)
 	head.Revision = current.Revision()
-	if problem != "" {
-		http.Error(w, problem, http.StatusBadRequest)
+	if invalid != nil {
+		http.Error(w, invalid.cause, invalid.status)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes(current.Limits())))
@@ -157,36 +159,53 @@
 	http.Error(w, "the body could not be read", http.StatusBadRequest)
 }
 
-// readHead builds the head of a message from its request. The string describes an invalid header.
-func (d *Dispatcher) readHead(r *http.Request, route *configuration.Route) (protocol.Head, string) {
+// invalidRequest says why a request is refused for good.
+type invalidRequest struct {
+	status int
+	cause  string
+}
+
+// readHead builds the head of a message from its request. Whatever stores would refuse, or nobody could carry out, is
+// refused here.
+func readHead(r *http.Request, route *configuration.Route) (protocol.Head, *invalidRequest) {
 	head := protocol.Head{
 		ID: r.Header.Get(headerRequestID), Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		ContentType: r.Header.Get("Content-Type"), Retention: route.Retention(),
 	}
 	if head.ID == "" || len(head.ID) > maxRequestIDLength {
-		return head, headerRequestID + " is missing or too long"
+		return head, &invalidRequest{http.StatusBadRequest, headerRequestID + " is missing or too long"}
 	}
 	if route.Ordered {
 		head.OrderingKey = r.Header.Get(headerOrderingKey)
 	}
 	if text := r.Header.Get(headerDelay); text != "" {
 		delay, err := strconv.ParseFloat(text, 64)
-		if err != nil || delay < 0 {
-			return head, headerDelay + " is no number of milliseconds"
+		if err != nil || !(delay >= 0 && delay <= maxDelayMs) {
+			return head, &invalidRequest{http.StatusBadRequest, fmt.Sprintf("%s is no number of milliseconds from 0 to %d", headerDelay, maxDelayMs)}
 		}
 		head.Delay = time.Duration(delay * float64(time.Millisecond))
 	}
 	if route.Callback {
 		head.CallbackURL = r.Header.Get(headerCallbackURL)
 	}
-	return head, ""
+	if head.CallbackURL != "" && !callable(head.CallbackURL) {
+		return head, &invalidRequest{http.StatusBadRequest, headerCallbackURL + " is no http URL with a host"}
+	}
+	for _, field := range [...]string{head.Host, head.Target, head.ContentType, head.OrderingKey, head.CallbackURL, head.Method} {
+		if len(field) > protocol.MaxFieldBytes {
+			cause := fmt.Sprintf("the path or a header has over %d bytes", protocol.MaxFieldBytes)
+			return head, &invalidRequest{http.StatusRequestHeaderFieldsTooLarge, cause}
+		}
+	}
+	return head, nil
 }
 
 // requestTimeout returns the time within which a request must be answered.
 func requestTimeout(r *http.Request) time.Duration {
 	given, err := strconv.ParseFloat(r.Header.Get(headerDeadline), 64)
-	if err != nil || given <= 0 {
+	if err != nil || !(given > 0) {
 		return defaultRequestTimeout
 	}
-	return min(max(time.Duration(given*float64(time.Millisecond))-replyMargin, replyMargin), maxRequestTimeout)
+	given = min(given, float64((maxRequestTimeout + replyMargin).Milliseconds()))
+	return max(time.Duration(given*float64(time.Millisecond))-replyMargin, replyMargin)
 }
