Move a message apart from its end where both together are larger than a file

What callers would see: a store ended with "record is larger than a file" and again after each start, as long as it held one message whose body nearly fills a file (6.3 MB of 128 MB `diskMb`) and that had ended as dead, or failed once; with f = 1 two such copies stop the deployment. A store that knew the end alone refused the copy for ever, so that a reconciliation with it never ended.

Cause: the message, which fits into a file, was written again together with its end, which then does not; the cleaner takes any error but a full disk for a defect of the log.

Change: where both do not fit into one record, the message is written alone and the record of the end stays.

Evidence: TestMessageAndEndThatShareNoFile failed before ("record is larger than a file" from Reclaim). Not run with real processes.

--- a/internal/service/store/append.go
+++ b/internal/service/store/append.go
@@ -94,7 +94,6 @@
 		return status, nil, err
 	}
 	s.replace(&e.message, position)
-	s.replace(&e.end, segment.Position{})
 	return protocol.Stored, commit, nil
 }
 
--- a/internal/service/store/ends_test.go
+++ b/internal/service/store/ends_test.go
@@ -65,3 +65,48 @@
 	}
 	c.Assert(granted, qt.DeepEquals, []string{"first", "last"})
 }
+
+// A message that fits into a file, but not together with its end, must neither end the store when its records are moved,
+// nor be refused where only the end is known.
+func TestMessageAndEndThatShareNoFile(t *testing.T) {
+	c := qt.New(t)
+	disk := segmenttest.NewDisk()
+	s, err := openOnDisk(disk)
+	c.Assert(err, qt.IsNil)
+	owner := dispatcher("edge-1")
+	_, commit, err := s.acquire(owner, protocol.Acquire{Queues: []string{testQueue}, Epoch: 1})
+	c.Assert(awaitCommit(commit, err), qt.IsNil)
+	largest := message("m", testQueue, 1)
+	overhead := len(encodeMessage(nil, &largest, 0, nil)) - len(largest.Body)
+	largest.Body = make([]byte, testSegmentSize-overhead-600) // beside the header of a file and of two records
+	status, commit, err := s.append(owner, &largest)
+	c.Assert(awaitCommit(commit, err), qt.IsNil)
+	c.Assert(status, qt.Equals, protocol.Stored)
+	end := func(id string) protocol.EndBatch {
+		return protocol.EndBatch{Ends: []protocol.End{{ID: id, Queue: testQueue, State: protocol.DeadLetter, Stamp: strings.Repeat("s", 600), Epoch: 1}}}
+	}
+	first, second := end("m"), end("n")
+	c.Assert(settleEnds(s.endBatch(owner, &first)), qt.IsNil)
+	e := s.index.entries["m"]
+	payload, err := s.log.Read(e.message)
+	c.Assert(err, qt.IsNil)
+	before := e.message
+	c.Assert(s.Reclaim(messageRecord, payload, before), qt.IsNil)
+	c.Assert(e.message, qt.Not(qt.Equals), before)
+
+	c.Assert(settleEnds(s.endBatch(owner, &second)), qt.IsNil)
+	largest.Head.ID = "n"
+	status, commit, err = s.append(owner, &largest)
+	c.Assert(awaitCommit(commit, err), qt.IsNil)
+	c.Assert(status, qt.Equals, protocol.Stored)
+
+	c.Assert(s.close(), qt.IsNil)
+	s, err = openOnDisk(disk)
+	c.Assert(err, qt.IsNil)
+	for _, id := range []string{"m", "n"} {
+		reply, err := s.query(protocol.Query{ID: id, WithBody: true})
+		c.Assert(err, qt.IsNil)
+		c.Check(reply.Head.State, qt.Equals, protocol.DeadLetter)
+		c.Check(reply.Body, qt.HasLen, len(largest.Body))
+	}
+}
--- a/internal/service/store/recovery.go
+++ b/internal/service/store/recovery.go
@@ -190,8 +190,7 @@
 	return nil
 }
 
-// moveMessage writes a message together with its end and its failures, and drops their
-// separate records.
+// moveMessage writes a message together with its end and its failures, and drops their separate records.
 func (s *store) moveMessage(e *entry, payload []byte) error {
 	content, err := decodeMessage(payload)
 	if err != nil {
@@ -203,18 +202,27 @@
 		return err
 	}
 	s.replace(&e.message, moved)
-	s.replace(&e.end, segment.Position{})
 	s.replace(&e.failuresRecord, segment.Position{})
 	return nil
 }
 
-// writeMessageRecord writes a message record, including the end if the entry has ended.
+// writeMessageRecord writes a message record. If the entry has ended, the record includes the end, and the separate
+// record of the end is dropped, unless both together are larger than a file: then that one stays.
 func (s *store) writeMessageRecord(m *protocol.Message, bornAt time.Duration, e *entry, priority segment.Priority) (segment.Position, *segment.Commit, error) {
-	var end *endState
-	if e != nil && e.state.Ended() {
-		end = e.toEndState()
+	write := func(end *endState) (segment.Position, *segment.Commit, error) {
+		return s.write(messageRecord, priority, func(b []byte) []byte { return encodeMessage(b, m, bornAt, end) })
 	}
-	return s.write(messageRecord, priority, func(b []byte) []byte { return encodeMessage(b, m, bornAt, end) })
+	if e == nil || !e.state.Ended() {
+		return write(nil)
+	}
+	position, commit, err := write(e.toEndState())
+	if errors.Is(err, segment.ErrTooBig) && e.end.Generation != 0 {
+		return write(nil)
+	}
+	if err == nil {
+		s.replace(&e.end, segment.Position{})
+	}
+	return position, commit, err
 }
 
 // positionOf returns the variable that holds the position of a record, and its entry.
