Copy the other messages in a reconciliation when one cannot be copied

What callers would see: a reconciliation with one message that the store could not take stopped there, ten times a second, for as long as that message was kept: the messages behind it stayed on too few disks, and a retirement or a new disk was never completed. An end that names no queue, which stores take from dispatchers, was such a message.

Cause: copying ended at the first message at fault; and what one store takes another refused.

Change: the others are copied first, then the attempt fails with the number and the first cause, and is made again after 1 s. An import is held to the check that its source applied. A store without room for a body reads no further ones, but copies ends.

Evidence: TestMessageThatCannotBeCopied, TestEndWithoutAQueueIsCopied and TestFullStoreCopiesEnds failed before. Not run with real processes.

--- a/internal/service/store/entries.go
+++ b/internal/service/store/entries.go
@@ -52,7 +52,7 @@
 // wanted. It returns false if there is no room.
 func (s *store) importMessage(reply protocol.QueryReply) (bool, error) {
 	message := protocol.Message{Head: reply.Head, Body: reply.Body}
-	if err := message.Head.Check(); err != nil {
+	if err := checkImport(&reply); err != nil {
 		return false, err
 	}
 	s.mutex.Lock()
@@ -74,6 +74,15 @@
 	return s.index.entries[reply.Head.ID] != nil, nil
 }
 
+// checkImport returns an error unless the other store may have taken what it sent: a message, or an end alone.
+func checkImport(reply *protocol.QueryReply) error {
+	if carriesBody(*reply) || !reply.Head.State.Ended() {
+		return reply.Head.Check()
+	}
+	end := protocol.End{ID: reply.Head.ID, Queue: reply.Head.Queue, State: reply.Head.State, Stamp: reply.Head.Stamp}
+	return end.Check()
+}
+
 // carriesBody reports whether a reply carries the body, if it may still be requested.
 func carriesBody(reply protocol.QueryReply) bool {
 	wanted := reply.Head.State == protocol.Queued || reply.Head.State == protocol.DeadLetter
--- a/internal/service/store/reconcile.go
+++ b/internal/service/store/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"reflect"
 	"slices"
@@ -23,6 +24,7 @@
 	fetchTimeout          = 2 * time.Second
 	probeTimeout          = 600 * time.Millisecond
 	reconcileRetryDelay   = 100 * time.Millisecond // after an attempt that failed
+	refusedCopyRetryDelay = time.Second            // after an attempt that could not copy some messages
 	maxRecheckedMessages  = 256                    // with more missing messages there is no second comparison
 	recheckDelay          = 50 * time.Millisecond  // lets messages in transit arrive
 	maxReconcileSources   = 4096                   // orders with more are refused
@@ -120,9 +122,13 @@
 		if err == nil {
 			return
 		}
+		delay := reconcileRetryDelay
+		if attempt.refused > 0 {
+			delay = refusedCopyRetryDelay
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(reconcileRetryDelay):
+		case <-time.After(delay):
 		}
 	}
 }
@@ -143,6 +149,10 @@
 	promoted   bool      // this store's disk is being promoted to a full one
 	copied     int
 	missing    map[string]bool // messages that others have to copy
+
+	refused      int   // messages that could not be copied, while their sources answered
+	refusedCause error // of the first one
+	full         bool  // there was no room for a body: no further ones are read
 }
 
 func newReconcileAttempt(ctx context.Context, r *reconciler, order protocol.Reconcile) *reconcileAttempt {
@@ -176,14 +186,34 @@
 	return nodes
 }
 
-// run compares all messages. A message in transit may have too few copies at first, so
-// missing messages are compared a second time. Those that were not missing the first time
-// are ignored: all dispatchers already used the new stores by then, and accept no message
-// without enough copies among them.
+// run copies what is missing. A message that cannot be copied does not keep the others from being copied, but the attempt
+// fails.
 func (a *reconcileAttempt) run() error {
 	if err := a.probe(); err != nil {
 		return err
 	}
+	if err := a.compareTwice(); err != nil {
+		return err
+	}
+	if a.refused > 0 {
+		return Class.New("%d messages cannot be copied: %w", a.refused, a.refusedCause)
+	}
+	return nil
+}
+
+// noteRefused records that a message cannot be copied.
+func (a *reconcileAttempt) noteRefused(cause error) {
+	if a.refused == 0 {
+		a.refusedCause = cause
+	}
+	a.refused++
+}
+
+// compareTwice compares all messages. A message in transit may have too few copies at first, so
+// missing messages are compared a second time. Those that were not missing the first time
+// are ignored: all dispatchers already used the new stores by then, and accept no message
+// without enough copies among them.
+func (a *reconcileAttempt) compareTwice() error {
 	if err := a.compareAll(); err != nil || len(a.missing) == 0 || len(a.missing) > maxRecheckedMessages {
 		return err
 	}
@@ -333,9 +363,7 @@
 		return err
 	}
 	for _, head := range heads {
-		if err := a.importMessage(protocol.QueryReply{Head: head, Held: true}); err != nil {
-			return err
-		}
+		a.importMessage(protocol.QueryReply{Head: head, Held: true})
 	}
 	return a.reconciler.store.log.Barrier().Wait()
 }
@@ -343,6 +371,9 @@
 // copyBodies copies messages with their bodies, several at once.
 func (a *reconcileAttempt) copyBodies(messages []*comparedMessage) error {
 	for part := range slices.Chunk(messages, maxParallelFetches) {
+		if a.full {
+			return nil
+		}
 		replies := make([]protocol.QueryReply, len(part))
 		failed := make([]error, len(part))
 		var calls sync.WaitGroup
@@ -355,15 +386,15 @@
 			})
 		}
 		calls.Wait()
+		var refusal *transport.RemoteError
 		for i, reply := range replies {
-			if failed[i] != nil {
+			switch {
+			case errors.As(failed[i], &refusal):
+				a.noteRefused(failed[i])
+			case failed[i] != nil:
 				return failed[i]
-			}
-			if !reply.Held {
-				continue // the source has dropped it meanwhile
-			}
-			if err := a.importMessage(reply); err != nil {
-				return err
+			case reply.Held: // else the source has dropped it meanwhile
+				a.importMessage(reply)
 			}
 		}
 	}
@@ -371,14 +402,15 @@
 }
 
 // importMessage imports one message that a source returned.
-func (a *reconcileAttempt) importMessage(reply protocol.QueryReply) error {
+func (a *reconcileAttempt) importMessage(reply protocol.QueryReply) {
 	kept, err := a.reconciler.store.importMessage(reply)
-	if err != nil {
-		return err
-	}
-	if !kept {
-		return Class.New("no room for message %s", reply.Head.ID)
+	switch {
+	case err != nil:
+		a.noteRefused(err)
+	case !kept:
+		a.full = a.full || carriesBody(reply)
+		a.noteRefused(Class.New("no room for message %s", reply.Head.ID))
+	default:
+		a.copied++
 	}
-	a.copied++
-	return nil
 }
--- a/internal/service/store/reconcile_test.go
+++ b/internal/service/store/reconcile_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -310,3 +311,63 @@
 		c.Assert(reply.Missing, qt.Equals, 1, qt.Commentf("only \"left alone\" is at a single store"))
 	})
 }
+
+// A message that cannot be copied keeps no other message from being copied, whatever their order; the order does not count
+// as done, and is when that message is gone.
+func TestMessageThatCannotBeCopied(t *testing.T) {
+	withStoresRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		const others = 100
+		for i := range others {
+			g.append("2", fmt.Sprint("m-", i))
+		}
+		long := message("long", "ordered/1", 1)
+		long.Head.Target = strings.Repeat("t", protocol.MaxFieldBytes+1)
+		source := g.stores["2"]
+		source.mutex.Lock()
+		_, _, err := source.appendNew(&long)
+		source.mutex.Unlock()
+		c.Assert(err, qt.IsNil)
+		request := g.request(2, 2, "2", "3")
+		reply := g.reconcile("1", request)
+		c.Assert(reply.Done, qt.IsFalse)
+		c.Assert(reply.Cause, qt.Contains, "1 messages cannot be copied: protocol: message long")
+		for i := range others {
+			c.Assert(g.query("1", fmt.Sprint("m-", i)).Held, qt.IsTrue, qt.Commentf("%d", i))
+		}
+		source.mutex.Lock()
+		source.removeEntry(source.index.entries["long"])
+		source.mutex.Unlock()
+		time.Sleep(2 * refusedCopyRetryDelay)
+		c.Assert(g.reconcile("1", request).Done, qt.IsTrue)
+	})
+}
+
+// A store takes from another one whatever that one takes from dispatchers: an end may name no queue.
+func TestEndWithoutAQueueIsCopied(t *testing.T) {
+	withStoresRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		end := protocol.End{ID: "m", State: protocol.Completed, Stamp: "seal"}
+		callOn[protocol.EndBatchReply](c, g.clients["2"], protocol.EndBatch{Ends: []protocol.End{end}})
+		reply := g.reconcile("1", g.request(2, 2, "2", "3"))
+		c.Assert(reply.Done, qt.IsTrue, qt.Commentf("%+v", reply))
+		c.Assert(g.query("1", "m").Head.Stamp, qt.Equals, "seal")
+	})
+}
+
+// A store without room for a body reads no further ones, but still copies ends.
+func TestFullStoreCopiesEnds(t *testing.T) {
+	withStoresRig(t, []string{"1", "2", "3"}, func(c *qt.C, g *storesRig) {
+		for i := range 10 * maxParallelFetches {
+			g.append("2", fmt.Sprint("m-", i))
+		}
+		g.append("2", "done")
+		g.end("2", "done", protocol.Completed)
+		g.stores["1"].options.maxIndexBytes = 0
+		reply := g.reconcile("1", g.request(2, 2, "2", "3"))
+		c.Assert(reply.Done, qt.IsFalse)
+		c.Assert(reply.Cause, qt.Contains, "no room")
+		c.Assert(g.query("1", "done").Head.Stamp, qt.Equals, "seal")
+		g.stores["1"].mutex.Lock()
+		defer g.stores["1"].mutex.Unlock()
+		c.Assert(g.stores["1"].copiesRefused <= 2*maxParallelFetches, qt.IsTrue)
+	})
+}
