Send large updates one after the other, so that none keeps the others from arriving

What callers would see: a configuration of 4 MB, the most that the operator's API takes, beside a list of senders of some MB made a reply that fits into no frame: each pull failed, and agents and control members learned of neither, nor of members, for good.

Cause: all updates that are newer travel in one reply, and nothing bounds their sum.

Change: payloads tell an upper bound of their size; a reply holds half a frame, or one update, and the next pull, which follows at once, brings the rest.

Evidence: TestLargeUpdatesComeInSeveralReplies fails without the bound (all four in one reply). Not run with real processes.

--- a/internal/service/distribution/hub_test.go
+++ b/internal/service/distribution/hub_test.go
@@ -266,3 +266,30 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(h.topics), qt.Equals, maxTopics)
 }
+
+// sizedPayload is a payload of a stated size.
+type sizedPayload struct{ Bytes int }
+
+func (p sizedPayload) MaxEncodedBytes() int { return p.Bytes }
+
+// Large payloads that exceed a frame together come one after the other: none keeps the others from arriving.
+func TestLargeUpdatesComeInSeveralReplies(t *testing.T) {
+	c := qt.New(t)
+	k := newFakeClock()
+	source, target := k.hub(), k.hub()
+	for _, size := range []struct {
+		name  string
+		bytes int
+	}{{"a", maxReplyBytes + 1}, {"b", maxReplyBytes / 2}, {"c", maxReplyBytes / 2}, {"d", maxReplyBytes / 2}} {
+		source.Publish(size.name, Version{1, 1}, sizedPayload{size.bytes})
+	}
+	var replies [][]string
+	for len(target.Vector(nil)) < 4 && len(replies) < 4 {
+		var names []string
+		for _, update := range pull(c, k, target, source).Updates {
+			names = append(names, update.Topic)
+		}
+		replies = append(replies, names)
+	}
+	c.Assert(replies, qt.DeepEquals, [][]string{{"a"}, {"b", "c"}, {"d"}})
+}
--- a/internal/service/distribution/messages.go
+++ b/internal/service/distribution/messages.go
@@ -44,6 +44,11 @@
 	Unknown       bool          // Base is not known: the caller must repeat the request with the full vector
 }
 
+// Sized is a payload that knows an upper bound of its size in a frame. Payloads without it count as small.
+type Sized interface {
+	MaxEncodedBytes() int
+}
+
 // Incremental is a payload that can be sent as a difference.
 type Incremental interface {
 	// Difference returns the difference from an earlier payload to this one, which
--- a/internal/service/distribution/pull.go
+++ b/internal/service/distribution/pull.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"yardwharf/internal/service/transport"
 )
 
 // Pull replies to a request: at once if something is newer than the vector, else
@@ -57,13 +59,18 @@
 	}
 }
 
+// maxReplyBytes bounds the payloads in one reply, so that large ones do not exceed a frame together. The next pull brings
+// the rest.
+const maxReplyBytes = transport.MaxFrame / 2
+
 // reply returns the updates, or with Brief the versions, that are newer than the vector
-// of a request, and all confirmations.
+// of a request, as many as one reply may hold, and all confirmations.
 func (h *Hub) reply(request Pull) PullReply {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := h.now()
 	var reply PullReply
+	size := 0
 	for _, name := range h.topicNames(request.Topics) {
 		t := h.topics[name]
 		switch held := request.Vector[name]; {
@@ -74,7 +81,11 @@
 			}
 			reply.Newer[name] = t.current.version
 		default:
-			reply.Updates = append(reply.Updates, t.updateSince(name, held, now))
+			update := t.updateSince(name, held, now)
+			size += update.payloadBytes()
+			if size <= maxReplyBytes || len(reply.Updates) == 0 {
+				reply.Updates = append(reply.Updates, update)
+			}
 		}
 		if !t.confirmed.At.IsZero() {
 			if reply.Confirmations == nil {
@@ -114,6 +125,14 @@
 	return update
 }
 
+// payloadBytes returns an upper bound of the payload's size, or 0 if it counts as small.
+func (u *Update) payloadBytes() int {
+	if sized, ok := u.Payload.(Sized); ok {
+		return sized.MaxEncodedBytes()
+	}
+	return 0
+}
+
 func (t *topic) fullUpdate(name string, now time.Time) Update {
 	return Update{Topic: name, Version: t.current.version, Age: now.Sub(t.current.at), Payload: t.current.payload}
 }
--- a/internal/service/view/configuration.go
+++ b/internal/service/view/configuration.go
@@ -16,6 +16,14 @@
 	Members []Node
 }
 
+// maxNodeBytes bounds the encoded size of a store or a control member.
+const maxNodeBytes = 500
+
+// MaxEncodedBytes returns an upper bound of the configuration's size in a frame.
+func (c Configuration) MaxEncodedBytes() int {
+	return len(c.Raw) + maxNodeBytes*(len(c.Stores)+len(c.Members))
+}
+
 // Difference returns the difference from an earlier value to this one, or false if the operator's
 // configuration has changed.
 func (c Configuration) Difference(earlier any, _ time.Duration) (any, bool) {
--- a/internal/service/view/senders.go
+++ b/internal/service/view/senders.go
@@ -17,6 +17,15 @@
 // Empty reports whether the difference changes nothing.
 func (d SendersDifference) Empty() bool { return len(d.Changed) == 0 && len(d.Removed) == 0 }
 
+// MaxEncodedBytes returns an upper bound of the difference's size in a frame.
+func (d SendersDifference) MaxEncodedBytes() int {
+	size := sendersBytes(d.Changed)
+	for _, id := range d.Removed {
+		size += len(id) + maxSenderFixedBytes
+	}
+	return size
+}
+
 // DifferenceOf compares two lists; later was created the elapsed time after
 // earlier.
 func DifferenceOf(earlier, later []Sender, elapsed time.Duration) SendersDifference {
--- a/internal/service/view/view.go
+++ b/internal/service/view/view.go
@@ -71,6 +71,17 @@
 	List    []Sender
 }
 
+// MaxEncodedBytes returns an upper bound of the list's size in a frame.
+func (s Senders) MaxEncodedBytes() int { return sendersBytes(s.List) }
+
+func sendersBytes(list []Sender) int {
+	size := 0
+	for i := range list {
+		size += list[i].MaxEncodedBytes()
+	}
+	return size
+}
+
 // NodeState is a monitor's knowledge of one process on a node.
 type NodeState struct {
 	Identity   protocol.Identity
