Ask another store to copy what one cannot, and bound the attempts that stores keep

What callers would see: the retirement or removal of a store was never completed while the store that was to copy its messages had no room, though others had; control asked the same one for ever. An attempt of an earlier build with a seal of almost a frame, once kept, made each reply with the attempts of its queue too large: nobody could acquire the queue for two minutes.

Cause: a target was changed only if it did not answer or lacked a source; kept attempts were bounded in number alone.

Change: a store says how many messages it cannot copy (`Refused`, 0 from earlier builds), and control asks the next one. Stores hand an attempt with an end that no owner could record on as one whose end is not known.

Evidence: TestAnotherStoreCopiesWhatOneCannot and TestKeptAttemptsAreBounded fail without their changes.

--- a/internal/service/control/reconcile.go
+++ b/internal/service/control/reconcile.go
@@ -85,6 +85,9 @@
 		r.selectNextTarget(store.Node)
 	case !reply.Done:
 		r.logCause(target.Node, reply)
+		if reply.Refused > 0 {
+			r.selectNextTarget(store.Node)
+		}
 	case !leaving:
 		outcome := r.replica.proposeWithTimeout(ctx, register.RemoveStore(store.Node, r.evidence(request, reply))).Outcome
 		r.replica.log.Info("removed missing store", "node", store.Node, "outcome", outcome.String())
--- a/internal/service/control/reconcile_test.go
+++ b/internal/service/control/reconcile_test.go
@@ -156,3 +156,19 @@
 		c.Assert(g.tick(2).Stores, qt.HasLen, 4, qt.Commentf("reachable again after a partition"))
 	})
 }
+
+// A store that cannot copy a message keeps the departing store only until another one, which can, has been asked.
+func TestAnotherStoreCopiesWhatOneCannot(t *testing.T) {
+	withCluster(t, func(c *qt.C, n *network, core []*replica) {
+		g := newFixture(c, n, core, "a", "b", "c", "d")
+		g.tick(1)
+		g.state("a").Alive = false
+		g.tick(2)
+		time.Sleep(missingAfter)
+		g.tick(1)
+		g.setReconciled(true)
+		g.scripts["b"].done, g.scripts["b"].refused = false, 1 // the first one that is asked
+		c.Assert(g.tick(2).Stores, qt.HasLen, 3)
+		c.Assert(g.scripts["b"].requests, qt.Not(qt.HasLen), 0)
+	})
+}
--- a/internal/service/control/retire_test.go
+++ b/internal/service/control/retire_test.go
@@ -28,6 +28,7 @@
 	unaware  int
 	done     bool
 	missing  int
+	refused  int
 	requests []protocol.Reconcile
 	member   register.StoreMember
 }
@@ -38,7 +39,7 @@
 		return protocol.RetireReply{StoreID: s.member.StoreID, Unaware: s.unaware}
 	case protocol.Reconcile:
 		s.requests = append(s.requests, message)
-		reply := protocol.ReconcileReply{StoreID: s.member.StoreID, Done: s.done, Missing: s.missing}
+		reply := protocol.ReconcileReply{StoreID: s.member.StoreID, Done: s.done, Missing: s.missing, Refused: s.refused}
 		for _, source := range message.Sources {
 			reply.Read = append(reply.Read, source.Node)
 		}
--- a/internal/service/protocol/reconcile.go
+++ b/internal/service/protocol/reconcile.go
@@ -25,6 +25,7 @@
 	Missing int      // messages still on too few disks: another store has to copy them
 	Copied  int
 	Cause   string // why it is not done yet
+	Refused int    // messages that this store cannot copy; another one may
 }
 
 // ListEntries asks a store for all messages whose ids hash into one slice.
--- a/internal/service/store/attempts.go
+++ b/internal/service/store/attempts.go
@@ -41,6 +41,12 @@
 	a.prune(now)
 	kept := a.byQueue[queue]
 	for _, attempt := range attempts {
+		if protocol.CheckName("id", attempt.ID) != nil {
+			continue
+		}
+		if attempt.End.Stamp != "" && attempt.End.Check() != nil { // of an earlier build; no owner could record it
+			attempt.End = protocol.End{ID: attempt.ID}
+		}
 		known, exists := kept[attempt.ID]
 		if exists && known.attempt.End.State.Ended() && !attempt.End.State.Ended() {
 			continue
--- a/internal/service/store/attempts_test.go
+++ b/internal/service/store/attempts_test.go
@@ -75,9 +75,10 @@
 		keep("edge-1", ended)
 		keep("edge-2", protocol.Attempt{ID: "m", Left: time.Second})
 		c.Check(s.readAttempts(protocol.ReadAttempts{Queue: testQueue}).Attempts, qt.DeepEquals, []protocol.Attempt{ended})
-		const further = 5
+		const further = 3 * attemptPageBytes / protocol.MaxFieldBytes
 		for i := range further {
-			keep("edge-1", protocol.Attempt{ID: fmt.Sprint(i), Outcome: protocol.Outcome{End: protocol.End{State: protocol.Completed, Stamp: strings.Repeat("s", attemptPageBytes/2)}}})
+			end := protocol.End{ID: fmt.Sprint(i), State: protocol.Completed, Stamp: strings.Repeat("s", protocol.MaxFieldBytes)}
+			keep("edge-1", protocol.Attempt{ID: end.ID, Outcome: protocol.Outcome{End: end}})
 		}
 		read, pages := 0, 0
 		for page := (protocol.ReadAttemptsReply{More: true}); page.More; pages++ {
@@ -94,3 +95,23 @@
 		c.Check(s.close(), qt.IsNil)
 	})
 }
+
+// An attempt with an end that no owner could record is handed on as one whose end is not known; it makes no page too large.
+func TestKeptAttemptsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var attempts releasedAttempts
+	end := func(id string, sealBytes int) protocol.Attempt {
+		ended := protocol.End{ID: id, Queue: "q", State: protocol.Completed, Stamp: strings.Repeat("5", sealBytes)}
+		return protocol.Attempt{ID: id, Left: time.Second, Outcome: protocol.Outcome{End: ended, Failures: 2}}
+	}
+	now := time.Now()
+	c.Assert(attempts.add(now, "q", []protocol.Attempt{
+		end("long", protocol.MaxFieldBytes), end("too-long", protocol.MaxFieldBytes+1), end(strings.Repeat("n", protocol.MaxNameBytes+1), 1),
+	}), qt.IsNil)
+	page := attempts.read(now, "q", 0, attemptPageBytes)
+	c.Assert(page.attempts, qt.HasLen, 2)
+	c.Check(page.attempts[0].End.State, qt.Equals, protocol.Completed)
+	c.Check(page.attempts[1].ID, qt.Equals, "too-long")
+	c.Check(page.attempts[1].End, qt.Equals, protocol.End{ID: "too-long"})
+	c.Check(page.attempts[1].Failures, qt.Equals, 2)
+}
--- a/internal/service/store/reconcile.go
+++ b/internal/service/store/reconcile.go
@@ -112,7 +112,7 @@
 			reply.Done, reply.Read, reply.Missing = true, attempt.sourceNodes(), len(attempt.missing)
 			r.log.Info("reconciled", "read", len(reply.Read), "copied", copied, "missing", reply.Missing)
 		} else {
-			reply.Cause = err.Error()
+			reply.Cause, reply.Refused = err.Error(), attempt.refused
 		}
 		r.mutex.Lock()
 		if ctx.Err() == nil {
--- a/internal/service/store/reconcile_test.go
+++ b/internal/service/store/reconcile_test.go
@@ -330,6 +330,7 @@
 		request := g.request(2, 2, "2", "3")
 		reply := g.reconcile("1", request)
 		c.Assert(reply.Done, qt.IsFalse)
+		c.Assert(reply.Refused, qt.Equals, 1)
 		c.Assert(reply.Cause, qt.Contains, "1 messages cannot be copied: protocol: message long")
 		for i := range others {
 			c.Assert(g.query("1", fmt.Sprint("m-", i)).Held, qt.IsTrue, qt.Commentf("%d", i))
