Count times of a configuration that no duration holds as a year

What callers would see: `retentionS` of 1e300, which the schema takes, became a negative time on x86-64 (and another on arm64): all messages of the route ended as dead at once.

Cause: the number was converted unbounded. Found by reading, while bounding what comes from outside.

Evidence: TestLongTimesAreBounded failed before. Not run with real processes.

--- a/internal/service/configuration/configuration.go
+++ b/internal/service/configuration/configuration.go
@@ -74,8 +74,11 @@
 // IdleTimeout is the time after which an idle connection is closed.
 func (l Limits) IdleTimeout() time.Duration { return milliseconds(l.IdleTimeoutMs) }
 
+// maxMilliseconds bounds each time of a configuration: a year.
+const maxMilliseconds = 365 * 24 * 3600 * 1000
+
 func milliseconds(value float64) time.Duration {
-	return time.Duration(value * float64(time.Millisecond))
+	return time.Duration(min(value, maxMilliseconds) * float64(time.Millisecond))
 }
 
 // Configuration is one revision of the operator's configuration. It is immutable
--- a/internal/service/configuration/configuration_test.go
+++ b/internal/service/configuration/configuration_test.go
@@ -164,3 +164,11 @@
 		parsed.Match("h3.example:80", "/p3/x/x/x/rest?q=1")
 	}
 }
+
+// A time that no Duration holds counts as a year; it must not become a negative one, which would end messages at once.
+func TestLongTimesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	route := Route{TimeoutMs: 1e300, RetentionS: 1e300}
+	c.Assert(route.Timeout(), qt.Equals, maxMilliseconds*time.Millisecond)
+	c.Assert(route.Retention(), qt.Equals, maxMilliseconds*time.Millisecond)
+}
