--- a/internal/service/store/ends_test.go
+++ b/internal/service/store/ends_test.go
@@ -18,7 +18,7 @@
 	owner := dispatcher("edge-1")
 	_, commit, err := s.acquire(owner, protocol.Acquire{Queues: []string{testQueue}, Epoch: 1})
 	c.Assert(awaitCommit(commit, err), qt.IsNil)
-	for _, id := range []string{"first", "last"} {
+	for _, id := range []string{"first", "over-a-file", "last"} {
 		m := message(id, testQueue, 1)
 		_, commit, err := s.append(owner, &m)
 		c.Assert(awaitCommit(commit, err), qt.IsNil)
