Send the ends that a store takes before those that go alone, and log few refusals

Cause: found in reading the change once more. On a full disk each refused end wrote a log line. A reconciliation waited a second after a copy that failed for a moment only.

Change: ordinary batches go first; ten refused ends a store are logged; the wait after copies that failed doubles from 0.2 s to 1 s.

Evidence: TestManyRefusedEndsHoldUpNoOther fails with the order of before.

--- a/internal/service/dispatcher/endbatch.go
+++ b/internal/service/dispatcher/endbatch.go
@@ -15,6 +15,7 @@
 	endBatchTimeout     = 2 * time.Second
 	refusedEndRetry     = 2 * time.Second // until an end that a store has refused is sent to it again
 	maxRefusedPerWakeUp = 16              // refused batches after which sending pauses until the next renewal
+	maxReportedAside    = 10              // ends set aside at a store, beyond which further ones are not logged
 )
 
 // endBatches decides which of the ends and failure counts that are pending for a store it is sent next. Ends that the store
@@ -31,8 +32,13 @@
 	alone   bool          // it goes alone, because the store refuses all that is sent with it
 }
 
-// next returns the batch to send. It is empty if nothing may be sent now.
+// next returns the batch to send. It is empty if nothing may be sent now. Ends that go alone come last, so that they never
+// hold up the others.
 func (b *endBatches) next(now time.Duration, ends map[string]protocol.End, failures map[string]int) protocol.EndBatch {
+	batch := b.ordinary(now, ends, failures)
+	if len(batch.Ends)+len(batch.Failures) > 0 {
+		return batch
+	}
 	for id, aside := range b.setAside {
 		end, pending := ends[id]
 		switch {
@@ -42,6 +48,11 @@
 			return protocol.EndBatch{Ends: []protocol.End{end}}
 		}
 	}
+	return protocol.EndBatch{}
+}
+
+// ordinary returns the next batch of ends that do not go alone, and of failure counts.
+func (b *endBatches) ordinary(now time.Duration, ends map[string]protocol.End, failures map[string]int) protocol.EndBatch {
 	size := max(1, maxEndsPerBatch>>b.halvings)
 	var batch protocol.EndBatch
 	bytes := 0
@@ -79,13 +90,14 @@
 // recorded records that the store has recorded an end.
 func (b *endBatches) recorded(id string) { delete(b.setAside, id) }
 
-// refused records that the store has refused an end of a batch. It reports whether this is the first time.
+// refused records that the store has refused an end of a batch. It reports whether to log that: for the first time, and
+// while few ends are set aside.
 func (b *endBatches) refused(now time.Duration, id string) bool {
 	return b.setEndAside(id, asideEnd{retryAt: now + refusedEndRetry})
 }
 
-// batchRefused records that the store has refused a whole batch. It reports whether an end was alone in it for the
-// first time.
+// batchRefused records that the store has refused a whole batch. It reports whether to log that of an end that was alone
+// in it.
 func (b *endBatches) batchRefused(now time.Duration, batch protocol.EndBatch) bool {
 	if len(batch.Ends)+len(batch.Failures) > 1 {
 		b.halvings++
@@ -98,9 +110,9 @@
 	if b.setAside == nil {
 		b.setAside = map[string]asideEnd{}
 	}
-	first := !b.waits(id)
+	report := !b.waits(id) && len(b.setAside) < maxReportedAside
 	b.setAside[id] = aside
-	return first
+	return report
 }
 
 // sendResult is the result of sending one batch.
--- a/internal/service/dispatcher/endbatch_test.go
+++ b/internal/service/dispatcher/endbatch_test.go
@@ -143,10 +143,10 @@
 	}
 	c.Check(batches.next(now, pending, failures), qt.DeepEquals, protocol.EndBatch{})
 	now += refusedEndRetry
-	pending["good"] = protocol.End{ID: "good"}
 	again := batches.next(now, pending, failures)
 	c.Check(again.Ends, qt.DeepEquals, []protocol.End{{ID: "bad"}}, qt.Commentf("it is sent again, alone"))
 	c.Check(batches.batchRefused(now, again), qt.IsFalse)
+	pending["good"] = protocol.End{ID: "good"}
 	c.Check(batches.next(now, pending, failures).Ends, qt.DeepEquals, []protocol.End{{ID: "good"}})
 	batches.recorded("bad")
 	c.Check(batches.next(now, pending, failures).Ends, qt.HasLen, 2)
@@ -184,3 +184,24 @@
 	batch := batches.next(time.Second, pending, nil)
 	c.Check(len(batch.Ends)*protocol.MaxFieldBytes <= attemptBatchBytes+protocol.MaxFieldBytes, qt.IsTrue)
 }
+
+// However many ends a store refuses, they hold up no end that it takes.
+func TestManyRefusedEndsHoldUpNoOther(t *testing.T) {
+	c := qt.New(t)
+	pending := map[string]protocol.End{}
+	var batches endBatches
+	reported := 0
+	for i := range 10 * maxRefusedPerWakeUp {
+		id := fmt.Sprint("bad-", i)
+		pending[id] = protocol.End{ID: id}
+		if batches.batchRefused(0, protocol.EndBatch{Ends: []protocol.End{pending[id]}}) {
+			reported++
+		}
+	}
+	c.Check(reported, qt.Equals, maxReportedAside)
+	pending["good"] = protocol.End{ID: "good"}
+	batch := batches.next(2*refusedEndRetry, pending, nil)
+	c.Check(batch.Ends, qt.DeepEquals, []protocol.End{{ID: "good"}})
+	delete(pending, "good")
+	c.Check(batches.next(2*refusedEndRetry, pending, nil).Ends, qt.HasLen, 1)
+}
--- a/internal/service/store/reconcile.go
+++ b/internal/service/store/reconcile.go
@@ -24,7 +24,7 @@
 	fetchTimeout          = 2 * time.Second
 	probeTimeout          = 600 * time.Millisecond
 	reconcileRetryDelay   = 100 * time.Millisecond // after an attempt that failed
-	refusedCopyRetryDelay = time.Second            // after an attempt that could not copy some messages
+	maxRefusedRetryDelay  = time.Second            // doubles up to this after attempts that could not copy some messages
 	maxRecheckedMessages  = 256                    // with more missing messages there is no second comparison
 	recheckDelay          = 50 * time.Millisecond  // lets messages in transit arrive
 	maxReconcileSources   = 4096                   // orders with more are refused
@@ -101,7 +101,7 @@
 // run repeats attempts until one succeeds or the order is replaced.
 func (r *reconciler) run(ctx context.Context, order protocol.Reconcile, ended chan<- struct{}) {
 	defer close(ended)
-	copied := 0
+	copied, delay := 0, reconcileRetryDelay
 	for ctx.Err() == nil {
 		attempt := newReconcileAttempt(ctx, r, order)
 		err := attempt.run()
@@ -122,9 +122,8 @@
 		if err == nil {
 			return
 		}
-		delay := reconcileRetryDelay
 		if attempt.refused > 0 {
-			delay = refusedCopyRetryDelay
+			delay = min(2*delay, maxRefusedRetryDelay)
 		}
 		select {
 		case <-ctx.Done():
