--- a/internal/simulation/garble.go
+++ b/internal/simulation/garble.go
@@ -7,7 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"time"
+
+	"yardwharf/internal/service/protocol"
 )
 
 // garbledShare is how many answers there are to one that is spoiled.
@@ -23,6 +26,11 @@
 	answerWays
 )
 
+const (
+	longSealShare = 2 // how many answers without a length there would be to one that has a seal over the bound instead
+	longSealBytes = protocol.MaxFieldBytes + 1
+)
+
 // spoil takes a connection over from the HTTP server and answers on it by hand:
 // this request with a spoiled answer, later ones as they should be.
 func (s *sender) spoil(w http.ResponseWriter, r *http.Request, id string, number int) bool {
@@ -52,7 +60,13 @@
 		s.serveOn(conn, buffered.Reader, nil)
 	case answeredCut:
 		_, _ = conn.Write(answer[:len(answer)/2])
-	default:
+	case answerUnframed:
+		if hash(id, number+4000)%longSealShare == 0 {
+			seal := "X-Server-Seal: " + strings.Repeat("5", longSealBytes)
+			_, _ = conn.Write(bytes.Replace(answer, []byte("X-Server-Seal: "), []byte(seal), 1))
+			s.serveOn(conn, buffered.Reader, nil)
+			return true
+		}
 		_, _ = conn.Write(bytes.ReplaceAll(answer, []byte("Content-Length"), []byte("X-Length")))
 		time.Sleep(100 * time.Millisecond)
 	}
